--- /dev/null
+++ b/cuminarch-admission/src/admission.rs
@@ -0,0 +1,195 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use cuminarch_types::{CallId, ConcurrencyLimit, MonoTime, Rank};
+
+use crate::{AdmissionSettings, Limiter};
+
+/// What becomes of an offered request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Offer {
+    /// It runs now.
+    Run,
+    /// It waits; a [`QueueEvent`] follows.
+    Wait,
+    /// It is refused and has not run.
+    Refuse {
+        /// Time after which a new attempt makes sense.
+        retry_after: Duration,
+    },
+}
+
+/// The decision on an offer, and the waiting request that had to make room.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OfferReply {
+    /// What becomes of the offered request.
+    pub decision: Offer,
+    /// A waiting request of lower rank that is refused instead.
+    pub evicted: Option<CallId>,
+}
+
+/// What becomes of a request that waited.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QueueEvent {
+    /// It runs now.
+    Run(CallId),
+    /// It is refused and has not run.
+    Refuse(CallId),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    rank: Rank,
+    since: MonoTime,
+    deadline: MonoTime,
+}
+
+/// Admission of one endpoint.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    settings: AdmissionSettings,
+    limiter: Limiter,
+    running: BTreeSet<CallId>,
+    waiting: BTreeMap<CallId, Waiting>,
+    queue: BTreeSet<(Rank, CallId)>,
+    level: Rank,
+}
+
+impl Admission {
+    /// Time that a refused caller is told to wait.
+    pub const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+    /// Admission of a cold endpoint.
+    #[must_use]
+    pub const fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            settings,
+            limiter: Limiter::new(settings),
+            running: BTreeSet::new(),
+            waiting: BTreeMap::new(),
+            queue: BTreeSet::new(),
+            level: Rank::MIN,
+        }
+    }
+
+    /// Requests of a lower rank are refused at once.
+    #[must_use]
+    pub const fn level(&self) -> Rank {
+        self.level
+    }
+
+    /// The concurrency limit in force.
+    #[must_use]
+    pub fn limit(&self) -> ConcurrencyLimit {
+        self.limiter.limit()
+    }
+
+    /// Number of requests that run.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Decides on a request that arrived.
+    pub fn offer(
+        &mut self,
+        call: CallId,
+        rank: Rank,
+        deadline: MonoTime,
+        now: MonoTime,
+    ) -> OfferReply {
+        if rank < self.level {
+            return Self::refuse();
+        }
+        if self.has_room() && self.queue.is_empty() {
+            self.running.insert(call);
+            return OfferReply { decision: Offer::Run, evicted: None };
+        }
+        if self.queue.len() < self.settings.max_queue {
+            self.enqueue(call, Waiting { rank, since: now, deadline });
+            return OfferReply { decision: Offer::Wait, evicted: None };
+        }
+        match self.queue.first().copied() {
+            Some((lowest, evicted)) if lowest < rank => {
+                self.dequeue(evicted);
+                self.enqueue(call, Waiting { rank, since: now, deadline });
+                OfferReply { decision: Offer::Wait, evicted: Some(evicted) }
+            }
+            _ => Self::refuse(),
+        }
+    }
+
+    /// Frees the slot of a request; `latency` is its time in the upstream, if
+    /// it counts as a measurement. Returns what becomes of waiting requests.
+    pub fn finish(
+        &mut self,
+        call: CallId,
+        latency: Option<Duration>,
+        now: MonoTime,
+    ) -> Vec<QueueEvent> {
+        let running = self.running.len();
+        if self.running.remove(&call)
+            && let Some(latency) = latency
+        {
+            self.limiter.observe(latency, running);
+        }
+        self.poll(now)
+    }
+
+    /// Withdraws a request, whether it waits or runs.
+    pub fn cancel(&mut self, call: CallId, now: MonoTime) -> Vec<QueueEvent> {
+        self.dequeue(call);
+        self.finish(call, None, now)
+    }
+
+    /// Starts waiting requests while there is room and drops those that cannot
+    /// finish before their deadline.
+    pub fn poll(&mut self, now: MonoTime) -> Vec<QueueEvent> {
+        let mut events = Vec::new();
+        let expired: Vec<CallId> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| {
+                waiting.deadline <= now || now.since(waiting.since) > self.settings.target_wait * 10
+            })
+            .map(|(call, _)| *call)
+            .collect();
+        for call in expired {
+            self.dequeue(call);
+            events.push(QueueEvent::Refuse(call));
+        }
+        while self.has_room() {
+            let Some((_, call)) = self.queue.last().copied() else { break };
+            self.dequeue(call);
+            self.running.insert(call);
+            events.push(QueueEvent::Run(call));
+        }
+        events
+    }
+
+    fn has_room(&self) -> bool {
+        self.running.len() < self.limiter.limit().get() as usize
+    }
+
+    fn enqueue(&mut self, call: CallId, waiting: Waiting) {
+        self.queue.insert((waiting.rank, call));
+        self.waiting.insert(call, waiting);
+    }
+
+    fn dequeue(&mut self, call: CallId) {
+        if let Some(waiting) = self.waiting.remove(&call) {
+            self.queue.remove(&(waiting.rank, call));
+        }
+    }
+
+    const fn refuse() -> OfferReply {
+        let decision = Offer::Refuse { retry_after: Self::RETRY_AFTER };
+        OfferReply { decision, evicted: None }
+    }
+}
--- /dev/null
+++ b/cuminarch-admission/src/lib.rs
@@ -0,0 +1,26 @@
+//! Decides which requests an endpoint runs now, queues or refuses.
+//!
+//! [`Admission`] keeps an adaptive concurrency limit from what the node itself
+//! measures, a short bounded queue ordered by [`Rank`](cuminarch_types::Rank)
+//! and an admission level below which everything is refused at once.
+//!
+//! ```
+//! use std::time::Duration;
+//! use cuminarch_admission::{Admission, AdmissionSettings, Offer};
+//! use cuminarch_types::{CallId, MonoTime, Rank};
+//!
+//! let mut admission = Admission::new(AdmissionSettings::new());
+//! let deadline = MonoTime::from_millis(500);
+//! let offer = admission.offer(CallId::new(1), Rank::MAX, deadline, MonoTime::ZERO);
+//! assert_eq!(offer.decision, Offer::Run);
+//! let started = admission.finish(CallId::new(1), Some(Duration::from_millis(3)), MonoTime::ZERO);
+//! assert!(started.is_empty());
+//! ```
+
+mod admission;
+mod limiter;
+mod settings;
+
+pub use admission::{Admission, Offer, OfferReply, QueueEvent};
+pub use limiter::Limiter;
+pub use settings::AdmissionSettings;
--- /dev/null
+++ b/cuminarch-attempts/src/budget.rs
@@ -0,0 +1,64 @@
+use std::collections::BTreeMap;
+
+use cuminarch_types::{AttemptId, Attempts};
+use thiserror::Error;
+
+/// The attempts that a call holds for itself and everything beneath it.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    held: Attempts,
+    lent: BTreeMap<AttemptId, Attempts>,
+}
+
+/// No attempt is left to spend.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("the attempt budget of the request is exhausted")]
+pub struct BudgetExhausted;
+
+impl Budget {
+    /// A budget of so many attempts.
+    #[must_use]
+    pub const fn new(held: Attempts) -> Self {
+        Self { held, lent: BTreeMap::new() }
+    }
+
+    /// Attempts that are neither spent nor lent.
+    #[must_use]
+    pub const fn held(&self) -> Attempts {
+        self.held
+    }
+
+    /// Spends one attempt and lends at most `want` more to what lies beneath it.
+    /// Returns the share that was lent.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no attempt is left, or `attempt` is already under way.
+    pub fn lend(
+        &mut self,
+        attempt: AttemptId,
+        want: Attempts,
+    ) -> Result<Attempts, BudgetExhausted> {
+        if self.held == Attempts::ZERO || self.lent.contains_key(&attempt) {
+            return Err(BudgetExhausted);
+        }
+        let left = self.held.saturating_sub(Attempts::new(1));
+        let share = left.min(want);
+        self.held = left.saturating_sub(share);
+        self.lent.insert(attempt, share);
+        Ok(share)
+    }
+
+    /// Takes back what an attempt did not spend. A second settlement of the
+    /// same attempt, or more than was lent, changes nothing beyond the loan.
+    pub fn settle(&mut self, attempt: AttemptId, unspent: Attempts) {
+        if let Some(share) = self.lent.remove(&attempt) {
+            self.held = self.held.saturating_add(unspent.min(share));
+        }
+    }
+
+    /// Gives up what was lent to an attempt whose answer is lost.
+    pub fn forfeit(&mut self, attempt: AttemptId) {
+        self.lent.remove(&attempt);
+    }
+}
--- /dev/null
+++ b/cuminarch-attempts/src/grant.rs
@@ -0,0 +1,12 @@
+use cuminarch_types::{Attempts, ResendNumber};
+
+/// Attempts granted to the `send`-th send of one request by its client.
+///
+/// Each send gets half of what the one before got, so that all sends together
+/// stay within `total` although different nodes may see them and none asks
+/// another.
+#[must_use]
+pub fn grant_for_send(total: Attempts, send: ResendNumber) -> Attempts {
+    let shifted = total.get().checked_shr(send.get()).unwrap_or(0);
+    Attempts::new(shifted)
+}
--- /dev/null
+++ b/cuminarch-bench/src/main.rs
@@ -0,0 +1,2 @@
+//! Benchmarks that print tables and check bounds.
+fn main() {}
--- /dev/null
+++ b/cuminarch-config/src/lib.rs
@@ -0,0 +1,40 @@
+//! The sheet of settings that operators put into force, and the policy made from it.
+//!
+//! A [`Sheet`] is YAML. [`Policy::from_sheet`] checks it as a whole and turns it
+//! into rules that can be asked for the [`Rule`] of a request.
+//!
+//! ```
+//! use cuminarch_config::{Policy, Sheet};
+//! use cuminarch_types::Revision;
+//!
+//! let sheet = Sheet::parse(
+//!     "classes:
+//!   - name: browse
+//!     grant_attempts: 8
+//!     deadline_ms: 2000
+//!   - name: approval
+//!     grant_attempts: 32
+//!     deadline_ms: 10000
+//!     protected: true
+//! rules:
+//!   - class: approval
+//!     methods: [POST]
+//!     path: /approvals/**
+//!     idempotent: false
+//! default_class: browse
+//! ",
+//! )?;
+//! let policy = Policy::from_sheet(Revision::new(1), &sheet)?;
+//! let rule = policy.rule(&"auftrag".parse()?, "POST", "/approvals/7");
+//! assert!(!rule.idempotent);
+//! assert!(rule.priority > policy.rule(&"auftrag".parse()?, "GET", "/").priority);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod error;
+mod policy;
+mod sheet;
+
+pub use error::SheetError;
+pub use policy::{Policy, Rule};
+pub use sheet::{ClassEntry, RuleEntry, Sheet};
--- /dev/null
+++ b/cuminarch-engine/src/arrival.rs
@@ -0,0 +1,129 @@
+use std::time::Duration;
+
+use cuminarch_once::BoundKey;
+use cuminarch_types::{Attempts, CallId, ClientKey, Rank, RequestId, ResendNumber, ServiceName};
+
+/// Where a call goes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Direction {
+    /// To the upstream beside this node.
+    Inbound,
+    /// To another service, through the node of one of its endpoints.
+    Outbound(ServiceName),
+}
+
+/// Idempotency key of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RequestKey {
+    /// Minted by a node and bound to one process.
+    Bound(BoundKey),
+    /// Chosen by the client; bound by a claim on the platform.
+    Client(ClientKey),
+}
+
+/// A call that reaches the node.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Arrival {
+    /// Where it goes.
+    pub direction: Direction,
+    /// The member's request behind it.
+    pub root: RequestId,
+    /// The inbound call that made it, for calls of the own upstream.
+    pub parent: Option<CallId>,
+    /// Attempts it may spend beneath itself; none at the first node of a request.
+    pub share: Option<Attempts>,
+    /// Place in the refusal order given by the first node.
+    pub rank: Option<Rank>,
+    /// Which send of the request by its client this is.
+    pub resend: ResendNumber,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Time left, if the caller states it.
+    pub remaining: Option<Duration>,
+    /// Whether the sender's policy calls it idempotent.
+    pub idempotent: bool,
+    /// Idempotency key.
+    pub key: Option<RequestKey>,
+    /// Whether its body can be sent again.
+    pub replayable: bool,
+}
+
+impl Arrival {
+    /// A first call to the upstream beside this node.
+    #[must_use]
+    pub fn inbound(root: RequestId, method: &str, target: &str) -> Self {
+        Self {
+            direction: Direction::Inbound,
+            root,
+            parent: None,
+            share: None,
+            rank: None,
+            resend: ResendNumber::FIRST,
+            method: method.to_owned(),
+            target: target.to_owned(),
+            remaining: None,
+            idempotent: true,
+            key: None,
+            replayable: true,
+        }
+    }
+
+    /// A call to another service.
+    #[must_use]
+    pub fn outbound(service: ServiceName, root: RequestId, method: &str, target: &str) -> Self {
+        let direction = Direction::Outbound(service);
+        Self { direction, ..Self::inbound(root, method, target) }
+    }
+
+    /// Sets the inbound call that made this call.
+    #[must_use]
+    pub fn with_parent(mut self, parent: Option<CallId>) -> Self {
+        self.parent = parent;
+        self
+    }
+
+    /// Sets the share of attempts and the rank that another node gave.
+    #[must_use]
+    pub fn with_share(mut self, share: Attempts, rank: Rank) -> Self {
+        self.share = Some(share);
+        self.rank = Some(rank);
+        self
+    }
+
+    /// Sets which send of the request this is.
+    #[must_use]
+    pub fn with_resend(mut self, resend: ResendNumber) -> Self {
+        self.resend = resend;
+        self
+    }
+
+    /// Sets the time left.
+    #[must_use]
+    pub fn with_remaining(mut self, remaining: Option<Duration>) -> Self {
+        self.remaining = remaining;
+        self
+    }
+
+    /// Sets whether the sender's policy calls it idempotent.
+    #[must_use]
+    pub fn with_idempotent(mut self, idempotent: bool) -> Self {
+        self.idempotent = idempotent;
+        self
+    }
+
+    /// Sets whether the body can be sent again.
+    #[must_use]
+    pub fn with_replayable(mut self, replayable: bool) -> Self {
+        self.replayable = replayable;
+        self
+    }
+
+    /// Sets the idempotency key.
+    #[must_use]
+    pub fn with_key(mut self, key: Option<RequestKey>) -> Self {
+        self.key = key;
+        self
+    }
+}
--- /dev/null
+++ b/cuminarch-engine/src/call.rs
@@ -0,0 +1,64 @@
+use std::collections::BTreeSet;
+
+use cuminarch_attempts::Budget;
+use cuminarch_config::Rule;
+use cuminarch_once::BoundKey;
+use cuminarch_types::{
+    AttemptId, Attempts, CallId, ClientKey, EndpointId, MonoTime, Rank, RequestId, ServiceName,
+};
+
+/// A call in progress.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub root: RequestId,
+    pub rule: Rule,
+    pub rank: Rank,
+    pub idempotent: bool,
+    pub deadline: MonoTime,
+    pub parent: Option<CallId>,
+    pub children: BTreeSet<CallId>,
+    /// Attempts that the call and everything beneath it may spend.
+    pub budget: Budget,
+    /// Highest admission level met.
+    pub level: Rank,
+    pub key: Option<BoundKey>,
+    /// Client's own key, as long as it is not bound.
+    pub client_key: Option<ClientKey>,
+    /// Whether the body can be sent again.
+    pub replayable: bool,
+    /// Whether an earlier attempt may have run.
+    pub maybe_ran: bool,
+    pub stage: Stage,
+}
+
+/// How far a call has come.
+#[derive(Clone, Debug)]
+pub enum Stage {
+    /// Inbound: its client key is being claimed.
+    Claiming,
+    /// Inbound: waits for a slot.
+    Waiting,
+    /// Inbound: runs since this time; the upstream may have begun to answer.
+    Running { since: MonoTime, head_at: Option<MonoTime> },
+    /// Outbound.
+    Sending(Sending),
+}
+
+/// Attempts of an outbound call.
+#[derive(Clone, Debug)]
+pub struct Sending {
+    pub service: ServiceName,
+    pub tried: Vec<EndpointId>,
+    pub retries: u32,
+    pub current: Option<Flight>,
+}
+
+/// An attempt under way.
+#[derive(Clone, Debug)]
+pub struct Flight {
+    pub attempt: AttemptId,
+    pub endpoint: EndpointId,
+    pub share: Attempts,
+    pub sent_at: MonoTime,
+    pub delivering: bool,
+}
--- /dev/null
+++ b/cuminarch-engine/src/engine.rs
@@ -0,0 +1,199 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use cuminarch_admission::Admission;
+use cuminarch_attempts::{Backoff, NeedEstimator, RetryRatio};
+use cuminarch_config::Policy;
+use cuminarch_once::{BoundKey, KeyTable};
+use cuminarch_protocol::Receipt;
+use cuminarch_routing::Router;
+use cuminarch_types::{
+    AttemptId, CallId, ClassName, ConcurrencyLimit, MonoTime, Outcome, Rank, ServiceName,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::call::Call;
+use crate::{Action, Direction, EngineSettings, EngineSummary, Event, Refusal};
+
+/// Decides on every call of one node.
+#[derive(Debug)]
+pub struct Engine {
+    pub(crate) settings: EngineSettings,
+    pub(crate) policy: Arc<Policy>,
+    pub(crate) admission: Admission,
+    pub(crate) keys: KeyTable,
+    pub(crate) router: Router,
+    pub(crate) calls: BTreeMap<CallId, Call>,
+    pub(crate) retries: BTreeSet<(MonoTime, CallId)>,
+    pub(crate) deadlines: BTreeSet<(MonoTime, CallId)>,
+    pub(crate) ratios: BTreeMap<ServiceName, RetryRatio>,
+    pub(crate) needs: BTreeMap<ServiceName, NeedEstimator>,
+    pub(crate) levels_behind: BTreeMap<ClassName, (Rank, MonoTime)>,
+    pub(crate) backoff: Backoff,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) draining: bool,
+    next_call: CallId,
+    next_attempt: AttemptId,
+}
+
+impl Engine {
+    /// An engine with no calls and no known members.
+    #[must_use]
+    pub fn new(settings: EngineSettings, policy: Arc<Policy>) -> Self {
+        let seed = settings.seed;
+        let router = Router::new(settings.zone.clone(), settings.region.clone(), seed);
+        let keys = KeyTable::new(settings.keys, settings.endpoint.clone(), settings.incarnation);
+        Self {
+            policy,
+            admission: Admission::new(settings.admission),
+            keys,
+            router,
+            calls: BTreeMap::new(),
+            retries: BTreeSet::new(),
+            deadlines: BTreeSet::new(),
+            ratios: BTreeMap::new(),
+            needs: BTreeMap::new(),
+            levels_behind: BTreeMap::new(),
+            backoff: Backoff::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed.wrapping_add(1)),
+            draining: false,
+            next_call: CallId::new(1),
+            next_attempt: AttemptId::new(1),
+            settings,
+        }
+    }
+
+    /// An id for a call that is about to arrive.
+    pub fn next_call(&mut self) -> CallId {
+        let call = self.next_call;
+        self.next_call = call.next();
+        call
+    }
+
+    /// Takes in one event and returns what the driver has to do, in order.
+    pub fn handle(&mut self, event: Event, now: MonoTime) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Arrive(call, arrival) => match arrival.direction.clone() {
+                Direction::Inbound => self.arrive_inbound(call, &arrival, now, &mut actions),
+                Direction::Outbound(service) => {
+                    self.arrive_outbound(call, service, &arrival, now, &mut actions);
+                }
+            },
+            Event::Claimed(call, result) => self.claimed(call, result, now, &mut actions),
+            Event::LocalHead(call) => self.local_head(call, now),
+            Event::LocalEnd(call, end) => self.local_end(call, end, now, &mut actions),
+            Event::LocalFailed { call, sent } => self.local_failed(call, sent, now, &mut actions),
+            Event::RemoteHead(call, attempt) => self.remote_head(call, attempt, now, &mut actions),
+            Event::RemoteEnd { call, attempt, receipt } => {
+                self.remote_end(call, attempt, receipt, now, &mut actions);
+            }
+            Event::RemoteRefused(call, attempt, refusal) => {
+                self.remote_refused(call, attempt, *refusal, now, &mut actions);
+            }
+            Event::RemoteLost { call, attempt, sent } => {
+                self.remote_lost(call, attempt, sent, now, &mut actions);
+            }
+            Event::Cancel(call) => self.cancel(call, now, &mut actions),
+            Event::Member(member) => self.router.update(*member),
+            Event::Tick => self.tick(now, &mut actions),
+            Event::Drain => self.draining = true,
+        }
+        actions
+    }
+
+    /// Puts a policy into force unless it is older than the one in force.
+    /// Returns whether it was taken.
+    pub fn set_policy(&mut self, policy: Arc<Policy>) -> bool {
+        let is_newer = policy.revision() > self.policy.revision();
+        if is_newer {
+            self.policy = policy;
+        }
+        is_newer
+    }
+
+    /// The policy in force.
+    #[must_use]
+    pub const fn policy(&self) -> &Arc<Policy> {
+        &self.policy
+    }
+
+    /// The endpoints known to the node.
+    #[must_use]
+    pub const fn router(&self) -> &Router {
+        &self.router
+    }
+
+    /// A new idempotency key that only this process will run.
+    pub fn mint_key(&mut self, now: MonoTime) -> BoundKey {
+        self.keys.mint(now)
+    }
+
+    /// State for dumps and metrics.
+    #[must_use]
+    pub fn summary(&self) -> EngineSummary {
+        EngineSummary {
+            calls: self.calls.len(),
+            running: self.admission.running(),
+            waiting: self.admission.waiting(),
+            limit: ConcurrencyLimit::new(self.admission.limit().get()),
+            level: self.admission.level(),
+            keys: self.keys.len(),
+            members: self.router.members().count(),
+            revision: self.policy.revision(),
+            draining: self.draining,
+        }
+    }
+
+    pub(crate) fn next_attempt(&mut self) -> AttemptId {
+        let attempt = self.next_attempt;
+        self.next_attempt = attempt.next();
+        attempt
+    }
+
+    pub(crate) fn insert(&mut self, id: CallId, call: Call) {
+        self.deadlines.insert((call.deadline, id));
+        if let Some(parent) = call.parent.and_then(|parent| self.calls.get_mut(&parent)) {
+            parent.children.insert(id);
+        }
+        self.calls.insert(id, call);
+    }
+
+    /// Removes a call, cancels what lies beneath it and closes its account.
+    pub(crate) fn remove(
+        &mut self,
+        id: CallId,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) -> Option<Receipt> {
+        let call = self.calls.remove(&id)?;
+        self.deadlines.remove(&(call.deadline, id));
+        for child in call.children {
+            self.cancel(child, now, actions);
+        }
+        if let Some(parent) = call.parent.and_then(|parent| self.calls.get_mut(&parent)) {
+            parent.children.remove(&id);
+            parent.level = parent.level.max(call.level);
+        }
+        let own_level = self.admission.level();
+        Some(Receipt { unspent: call.budget.held(), level: call.level.max(own_level) })
+    }
+
+    /// Ends a call with a final answer of the node. A call of which an earlier
+    /// attempt may have run is never answered as not run.
+    pub(crate) fn refuse(
+        &mut self,
+        call: CallId,
+        mut refusal: Refusal,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        let maybe_ran = self.calls.get(&call).is_some_and(|call| call.maybe_ran);
+        if maybe_ran && refusal.outcome == Outcome::NotRun {
+            refusal.outcome = Outcome::Unknown;
+        }
+        let receipt = self.remove(call, now, actions).unwrap_or_default();
+        actions.push(Action::Refuse { call, refusal, receipt });
+    }
+}
--- /dev/null
+++ b/cuminarch-engine/src/inbound.rs
@@ -0,0 +1,284 @@
+//! Calls to the upstream beside the node.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cuminarch_admission::{Admission, Offer, QueueEvent};
+use cuminarch_attempts::{Budget, grant_for_send};
+use cuminarch_config::Rule;
+use cuminarch_once::{BoundKey, KeyDecision, KeyResult};
+use cuminarch_protocol::Receipt;
+use cuminarch_types::{Attempts, CallId, MonoTime, Outcome, Rank};
+
+use crate::call::{Call, Stage};
+use crate::{Action, Arrival, ClaimResult, Engine, LocalEnd, Refusal, RefusalReason, RequestKey};
+
+impl Engine {
+    /// Time after which a level learned from deeper services no longer counts.
+    const LEVEL_BEHIND_LIFETIME: Duration = Duration::from_secs(1);
+
+    pub(crate) fn arrive_inbound(
+        &mut self,
+        id: CallId,
+        arrival: &Arrival,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        let service = &self.settings.service;
+        let rule = self.policy.rule(service, &arrival.method, &arrival.target).clone();
+        let call = self.new_call(arrival, rule, now);
+        let rank = call.rank;
+        let class = call.rule.class.clone();
+        let is_first = arrival.share.is_none();
+        self.insert(id, call);
+        if self.draining {
+            let refusal = Refusal::not_run(RefusalReason::Draining);
+            return self.refuse(id, refusal.with_retry_after(Duration::ZERO), now, actions);
+        }
+        if is_first && !self.spend_first(id) {
+            let refusal = Refusal::not_run(RefusalReason::BudgetExhausted);
+            return self.refuse(id, refusal, now, actions);
+        }
+        if rank < self.level_behind(&class, now) {
+            let refusal = Refusal::not_run(RefusalReason::OverloadedBehind);
+            return self.refuse(id, refusal.with_retry_after(Admission::RETRY_AFTER), now, actions);
+        }
+        self.check_key(id, arrival.key.clone(), now, actions);
+    }
+
+    pub(crate) fn new_call(&self, arrival: &Arrival, rule: Rule, now: MonoTime) -> Call {
+        let own_grant = grant_for_send(rule.grant, arrival.resend);
+        let granted = arrival.share.unwrap_or(own_grant);
+        let rank = arrival.rank.unwrap_or_else(|| Rank::of_request(rule.priority, arrival.root));
+        let remaining = arrival.remaining.map_or(rule.deadline, |left| left.min(rule.deadline));
+        Call {
+            root: arrival.root,
+            rank,
+            idempotent: rule.idempotent && arrival.idempotent,
+            deadline: now.after(remaining),
+            parent: arrival.parent,
+            children: BTreeSet::new(),
+            budget: Budget::new(granted),
+            level: Rank::MIN,
+            key: None,
+            client_key: None,
+            replayable: arrival.replayable,
+            maybe_ran: false,
+            stage: Stage::Waiting,
+            rule,
+        }
+    }
+
+    pub(crate) fn claimed(
+        &mut self,
+        id: CallId,
+        result: ClaimResult,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if !matches!(call.stage, Stage::Claiming) {
+            return;
+        }
+        call.stage = Stage::Waiting;
+        match result {
+            ClaimResult::Granted => {
+                let key = call.key.take();
+                self.check_bound_key(id, key, now, actions);
+            }
+            ClaimResult::HeldBy(key) => {
+                call.key = None;
+                let refusal = Refusal::unknown(RefusalReason::KeyBoundElsewhere);
+                self.refuse(id, refusal.with_bound_to(key), now, actions);
+            }
+            ClaimResult::Unavailable => {
+                call.key = None;
+                let refusal = Refusal::unknown(RefusalReason::ClaimUnavailable);
+                self.refuse(id, refusal.with_retry_after(Admission::RETRY_AFTER), now, actions);
+            }
+        }
+    }
+
+    pub(crate) fn local_head(&mut self, id: CallId, now: MonoTime) {
+        if let Some(call) = self.calls.get_mut(&id)
+            && let Stage::Running { head_at, .. } = &mut call.stage
+        {
+            *head_at = Some(now);
+            self.deadlines.remove(&(call.deadline, id));
+        }
+    }
+
+    pub(crate) fn local_end(
+        &mut self,
+        id: CallId,
+        end: LocalEnd,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        let result = match end {
+            LocalEnd::Complete(answer) => KeyResult::Completed(answer),
+            LocalEnd::Broken => KeyResult::Unknown,
+        };
+        let receipt = self.end_run(id, result, now, actions);
+        actions.push(Action::Close { call: id, receipt });
+    }
+
+    pub(crate) fn local_failed(
+        &mut self,
+        id: CallId,
+        sent: bool,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.calls.contains_key(&id) {
+            return;
+        }
+        let result = if sent { KeyResult::Unknown } else { KeyResult::NotRun };
+        let receipt = self.end_run(id, result, now, actions);
+        let outcome = if sent { Outcome::Unknown } else { Outcome::NotRun };
+        let refusal = Refusal { outcome, ..Refusal::not_run(RefusalReason::UpstreamFailed) };
+        actions.push(Action::Refuse { call: id, refusal, receipt });
+    }
+
+    /// Ends the run of an inbound call, in whichever stage it is.
+    pub(crate) fn end_run(
+        &mut self,
+        id: CallId,
+        result: KeyResult,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) -> Receipt {
+        let Some(call) = self.calls.get(&id) else { return Receipt::default() };
+        let latency = match (&call.stage, &result) {
+            (Stage::Running { since, head_at: Some(head_at) }, _) => Some(head_at.since(*since)),
+            (Stage::Running { since, .. }, KeyResult::Unknown) => Some(now.since(*since)),
+            _ => None,
+        };
+        let class = call.rule.class.clone();
+        if let Some(key) = call.key.clone() {
+            self.keys.finish(&key, id, result);
+        }
+        let receipt = self.remove(id, now, actions).unwrap_or_default();
+        self.levels_behind.insert(class, (receipt.level, now));
+        let events = self.admission.finish(id, latency, now);
+        self.apply_queue_events(events, now, actions);
+        receipt
+    }
+
+    pub(crate) fn apply_queue_events(
+        &mut self,
+        events: Vec<QueueEvent>,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        for event in events {
+            match event {
+                QueueEvent::Run(call) => self.run(call, now, actions),
+                QueueEvent::Refuse(call) => self.refuse_waiting(call, now, actions),
+            }
+        }
+    }
+
+    fn spend_first(&mut self, id: CallId) -> bool {
+        let Some(call) = self.calls.get_mut(&id) else { return false };
+        let attempt = cuminarch_types::AttemptId::new(0);
+        let spent = call.budget.lend(attempt, Attempts::ZERO).is_ok();
+        call.budget.forfeit(attempt);
+        spent
+    }
+
+    fn level_behind(&self, class: &cuminarch_types::ClassName, now: MonoTime) -> Rank {
+        match self.levels_behind.get(class) {
+            Some((level, noted)) if now.since(*noted) < Self::LEVEL_BEHIND_LIFETIME => *level,
+            _ => Rank::MIN,
+        }
+    }
+
+    fn check_key(
+        &mut self,
+        id: CallId,
+        key: Option<RequestKey>,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_idempotent = self.calls.get(&id).is_some_and(|call| call.idempotent);
+        match key {
+            None => self.offer(id, now, actions),
+            Some(_) if is_idempotent => self.offer(id, now, actions),
+            Some(RequestKey::Bound(key)) => self.check_bound_key(id, Some(key), now, actions),
+            Some(RequestKey::Client(key)) => {
+                let bound = self.keys.mint(now);
+                if let Some(call) = self.calls.get_mut(&id) {
+                    call.stage = Stage::Claiming;
+                    call.key = Some(bound.clone());
+                }
+                actions.push(Action::Claim { call: id, key, bound });
+            }
+        }
+    }
+
+    fn check_bound_key(
+        &mut self,
+        id: CallId,
+        key: Option<BoundKey>,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(key) = key else { return self.offer(id, now, actions) };
+        let refusal = match self.keys.begin(&key, id, now) {
+            KeyDecision::Run => {
+                if let Some(call) = self.calls.get_mut(&id) {
+                    call.key = Some(key);
+                }
+                return self.offer(id, now, actions);
+            }
+            KeyDecision::Replay(answer) => {
+                let receipt = self.remove(id, now, actions).unwrap_or_default();
+                return actions.push(Action::Replay { call: id, answer, receipt });
+            }
+            KeyDecision::AlreadyRun => Refusal {
+                outcome: Outcome::Completed,
+                ..Refusal::unknown(RefusalReason::KeyAlreadyRun)
+            },
+            KeyDecision::InProgress => Refusal::unknown(RefusalReason::KeyInProgress)
+                .with_retry_after(Admission::RETRY_AFTER),
+            KeyDecision::Unknown => Refusal::unknown(RefusalReason::KeyUnknown),
+            KeyDecision::Full => Refusal::not_run(RefusalReason::KeysExhausted)
+                .with_retry_after(Admission::RETRY_AFTER),
+        };
+        self.refuse(id, refusal, now, actions);
+    }
+
+    fn offer(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let reply = self.admission.offer(id, call.rank, call.deadline, now);
+        if let Some(evicted) = reply.evicted {
+            self.refuse_waiting(evicted, now, actions);
+        }
+        match reply.decision {
+            Offer::Run => self.run(id, now, actions),
+            Offer::Wait => {}
+            Offer::Refuse { .. } => self.refuse_waiting(id, now, actions),
+        }
+    }
+
+    fn run(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.stage = Stage::Running { since: now, head_at: None };
+        let remaining = call.deadline.since(now);
+        actions.push(Action::RunLocal { call: id, remaining, keep_answer: call.key.is_some() });
+    }
+
+    /// Refuses a call that was not run for want of capacity.
+    fn refuse_waiting(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let is_late = call.deadline <= now;
+        if let Some(key) = call.key.clone() {
+            self.keys.finish(&key, id, KeyResult::NotRun);
+        }
+        let reason =
+            if is_late { RefusalReason::DeadlineExceeded } else { RefusalReason::Overloaded };
+        let refusal = Refusal::not_run(reason).with_retry_after(Admission::RETRY_AFTER);
+        self.refuse(id, refusal, now, actions);
+    }
+}
--- /dev/null
+++ b/cuminarch-engine/src/lib.rs
@@ -0,0 +1,43 @@
+//! One state machine that decides on every call of a node.
+//!
+//! [`Engine`] joins admission, attempt budgets, idempotency keys and routing.
+//! A driver feeds it an [`Event`] with the present time and carries out the
+//! [`Action`]s it returns. The engine has no thread, socket or clock, so the
+//! node and the virtual-time benchmarks drive the same code.
+//!
+//! ```
+//! use std::sync::Arc;
+//! use cuminarch_config::Policy;
+//! use cuminarch_engine::{Action, Arrival, Engine, EngineSettings, Event};
+//! use cuminarch_types::{Incarnation, MonoTime, RequestId};
+//!
+//! let settings = EngineSettings::new(
+//!     "katalog-1".parse()?, "katalog".parse()?, "zrh-a".parse()?, "ch-central".parse()?,
+//! );
+//! let mut engine = Engine::new(settings, Arc::new(Policy::safe_default()));
+//! let call = engine.next_call();
+//! let arrival = Arrival::inbound(RequestId::new(1), "GET", "/patterns");
+//! let actions = engine.handle(Event::arrive(call, arrival), MonoTime::ZERO);
+//! assert!(matches!(actions[0], Action::RunLocal { .. }));
+//! # Ok::<(), cuminarch_types::ParseError>(())
+//! ```
+
+mod action;
+mod arrival;
+mod call;
+mod engine;
+mod event;
+mod inbound;
+mod outbound;
+mod refusal;
+mod settings;
+mod summary;
+mod time;
+
+pub use action::{Action, Forward};
+pub use arrival::{Arrival, Direction, RequestKey};
+pub use engine::Engine;
+pub use event::{ClaimResult, Event, LocalEnd, RemoteRefusal};
+pub use refusal::{Refusal, RefusalReason};
+pub use settings::EngineSettings;
+pub use summary::EngineSummary;
--- /dev/null
+++ b/cuminarch-engine/src/outbound.rs
@@ -0,0 +1,306 @@
+//! Calls to other services through the nodes of their endpoints.
+
+use cuminarch_admission::Admission;
+use cuminarch_once::BoundKey;
+use cuminarch_protocol::Receipt;
+use cuminarch_routing::{CallSample, Target};
+use cuminarch_types::{AttemptId, Attempts, CallId, MonoTime, Outcome, ServiceName};
+use rand::RngExt;
+
+use crate::call::{Call, Flight, Sending, Stage};
+use crate::{Action, Arrival, Engine, Forward, Refusal, RefusalReason, RemoteRefusal, RequestKey};
+
+impl Engine {
+    pub(crate) fn arrive_outbound(
+        &mut self,
+        id: CallId,
+        service: ServiceName,
+        arrival: &Arrival,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        let rule = self.policy.rule(&service, &arrival.method, &arrival.target).clone();
+        let retry_percent = rule.retry_percent;
+        let mut call = self.new_call(arrival, rule, now);
+        if let Some(parent_id) = arrival.parent {
+            let Some(parent) = self.calls.get(&parent_id) else {
+                let refusal = Refusal::not_run(RefusalReason::ParentEnded);
+                return self.refuse(id, refusal, now, actions);
+            };
+            call.rank = parent.rank;
+            call.deadline = call.deadline.min(parent.deadline);
+            call.root = parent.root;
+        }
+        match &arrival.key {
+            Some(RequestKey::Bound(key)) => call.key = Some(key.clone()),
+            Some(RequestKey::Client(key)) => call.client_key = Some(key.clone()),
+            None => {}
+        }
+        let sending =
+            Sending { service: service.clone(), tried: Vec::new(), retries: 0, current: None };
+        call.stage = Stage::Sending(sending);
+        let rank = call.rank;
+        self.insert(id, call);
+        if rank < self.router.level(&service, now) {
+            let refusal = Refusal::not_run(RefusalReason::OverloadedBehind);
+            return self.refuse(id, refusal.with_retry_after(Admission::RETRY_AFTER), now, actions);
+        }
+        self.ratios.entry(service).or_default().on_first(retry_percent);
+        self.send(id, now, actions);
+    }
+
+    pub(crate) fn remote_head(
+        &mut self,
+        id: CallId,
+        attempt: AttemptId,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(flight) = self.flight(id, attempt) else { return };
+        flight.delivering = true;
+        let endpoint = flight.endpoint.clone();
+        let sample = CallSample::Answered(now.since(flight.sent_at));
+        self.note_sample(id, &endpoint, sample, now);
+        if let Some(call) = self.calls.get(&id) {
+            self.deadlines.remove(&(call.deadline, id));
+        }
+        actions.push(Action::Deliver { call: id, attempt });
+    }
+
+    pub(crate) fn remote_end(
+        &mut self,
+        id: CallId,
+        attempt: AttemptId,
+        receipt: Option<Receipt>,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.flight(id, attempt).is_none() {
+            return;
+        }
+        self.settle(id, attempt, receipt, now);
+        let receipt = self.remove(id, now, actions).unwrap_or_default();
+        actions.push(Action::Close { call: id, receipt });
+    }
+
+    pub(crate) fn remote_refused(
+        &mut self,
+        id: CallId,
+        attempt: AttemptId,
+        refused: RemoteRefusal,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(flight) = self.flight(id, attempt) else { return };
+        let endpoint = flight.endpoint.clone();
+        self.note_sample(id, &endpoint, CallSample::Refused, now);
+        self.settle(id, attempt, Some(refused.receipt), now);
+        let bound_to = refused.refusal.bound_to.clone();
+        if let Some(key) = bound_to
+            && self.follow_key(id, key, now, actions)
+        {
+            return;
+        }
+        let may_retry = refused.refusal.outcome == Outcome::NotRun;
+        self.retry_or_refuse(id, may_retry, refused.refusal, now, actions);
+    }
+
+    pub(crate) fn remote_lost(
+        &mut self,
+        id: CallId,
+        attempt: AttemptId,
+        sent: bool,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(flight) = self.flight(id, attempt) else { return };
+        let endpoint = flight.endpoint.clone();
+        let share = flight.share;
+        self.note_sample(id, &endpoint, CallSample::Failed, now);
+        let receipt = (!sent).then_some(Receipt { unspent: share, ..Receipt::default() });
+        self.settle(id, attempt, receipt, now);
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.maybe_ran |= sent;
+        let is_idempotent = call.idempotent;
+        let refusal = if sent {
+            Refusal::unknown(RefusalReason::UpstreamFailed)
+        } else {
+            Refusal::not_run(RefusalReason::UpstreamFailed)
+        };
+        self.retry_or_refuse(id, !sent || is_idempotent, refusal, now, actions);
+    }
+
+    /// Sends the next attempt of a call.
+    pub(crate) fn send(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
+        let Some(target) = self.choose(id, now) else {
+            let bound = self.calls.get(&id).is_some_and(|call| call.key.is_some());
+            let refusal = if bound {
+                Refusal::unknown(RefusalReason::KeyUnknown)
+            } else {
+                Refusal::not_run(RefusalReason::NoEndpoint).with_retry_after(Admission::RETRY_AFTER)
+            };
+            return self.refuse(id, refusal, now, actions);
+        };
+        let attempt = self.next_attempt();
+        let Some(share) = self.lend(id, attempt) else {
+            let refusal = Refusal::not_run(RefusalReason::BudgetExhausted);
+            return self.refuse(id, refusal, now, actions);
+        };
+        let key = self.request_key(id);
+        let Some((call, sending)) = self.sending(id) else { return };
+        let endpoint = target.endpoint.clone();
+        sending.tried.push(endpoint.clone());
+        sending.current = Some(Flight {
+            attempt,
+            endpoint: endpoint.clone(),
+            share,
+            sent_at: now,
+            delivering: false,
+        });
+        let service = sending.service.clone();
+        let forward = Forward {
+            target,
+            share,
+            rank: call.0,
+            remaining: call.1.since(now),
+            idempotent: call.2,
+            key,
+        };
+        self.router.started(&service, &endpoint);
+        actions.push(Action::Forward { call: id, attempt, forward: Box::new(forward) });
+    }
+
+    fn request_key(&self, id: CallId) -> Option<RequestKey> {
+        let call = self.calls.get(&id)?;
+        let client = || call.client_key.clone().map(RequestKey::Client);
+        call.key.clone().map(RequestKey::Bound).or_else(client)
+    }
+
+    /// Withdraws the attempt that is under way, if there is one.
+    pub(crate) fn withdraw(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
+        let Some((_, sending)) = self.sending(id) else { return };
+        let Some(flight) = sending.current.take() else { return };
+        if !flight.delivering {
+            self.note_sample(id, &flight.endpoint, CallSample::Withdrawn, now);
+        }
+        let owner = self.owner(id);
+        if let Some(owner) = self.calls.get_mut(&owner) {
+            owner.budget.forfeit(flight.attempt);
+        }
+        actions.push(Action::CancelRemote { call: id, attempt: flight.attempt });
+    }
+
+    fn choose(&mut self, id: CallId, now: MonoTime) -> Option<Target> {
+        let call = self.calls.get(&id)?;
+        let Stage::Sending(sending) = &call.stage else { return None };
+        if let Some(key) = &call.key {
+            let target = self.router.target(&key.endpoint)?;
+            return (target.incarnation == key.incarnation).then_some(target);
+        }
+        let service = sending.service.clone();
+        let tried = sending.tried.clone();
+        self.router.pick(&service, &tried, now).or_else(|| self.router.pick(&service, &[], now))
+    }
+
+    fn lend(&mut self, id: CallId, attempt: AttemptId) -> Option<Attempts> {
+        let Stage::Sending(sending) = &self.calls.get(&id)?.stage else { return None };
+        let service = sending.service.clone();
+        let owner = self.owner(id);
+        let needs = self.needs.entry(service).or_default();
+        let budget = &mut self.calls.get_mut(&owner)?.budget;
+        let want = needs.share(budget.held());
+        budget.lend(attempt, want).ok()
+    }
+
+    /// The call whose budget pays for `id`: its parent's, or its own.
+    fn owner(&self, id: CallId) -> CallId {
+        self.calls.get(&id).and_then(|call| call.parent).unwrap_or(id)
+    }
+
+    fn flight(&mut self, id: CallId, attempt: AttemptId) -> Option<&mut Flight> {
+        let (_, sending) = self.sending(id)?;
+        sending.current.as_mut().filter(|flight| flight.attempt == attempt)
+    }
+
+    #[allow(clippy::type_complexity)]
+    fn sending(
+        &mut self,
+        id: CallId,
+    ) -> Option<((cuminarch_types::Rank, MonoTime, bool), &mut Sending)> {
+        let call: &mut Call = self.calls.get_mut(&id)?;
+        let facts = (call.rank, call.deadline, call.idempotent);
+        match &mut call.stage {
+            Stage::Sending(sending) => Some((facts, sending)),
+            _ => None,
+        }
+    }
+
+    fn note_sample(
+        &mut self,
+        id: CallId,
+        endpoint: &cuminarch_types::EndpointId,
+        sample: CallSample,
+        now: MonoTime,
+    ) {
+        let Some((_, sending)) = self.sending(id) else { return };
+        let service = sending.service.clone();
+        self.router.finished(&service, endpoint, sample, now);
+    }
+
+    /// Closes the account of an attempt; without a receipt its share is forfeited.
+    fn settle(&mut self, id: CallId, attempt: AttemptId, receipt: Option<Receipt>, now: MonoTime) {
+        let Some((_, sending)) = self.sending(id) else { return };
+        let Some(flight) = sending.current.take() else { return };
+        let service = sending.service.clone();
+        let owner = self.owner(id);
+        let Some(owner) = self.calls.get_mut(&owner) else { return };
+        let Some(receipt) = receipt else { return owner.budget.forfeit(attempt) };
+        owner.budget.settle(attempt, receipt.unspent);
+        owner.level = owner.level.max(receipt.level);
+        let spent = flight.share.saturating_sub(receipt.unspent);
+        self.needs.entry(service.clone()).or_default().observe(spent);
+        self.router.note_level(&service, receipt.level, now);
+    }
+
+    /// Sends the call to the process that its key is bound to. Returns whether it did.
+    fn follow_key(
+        &mut self,
+        id: CallId,
+        key: BoundKey,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(call) = self.calls.get_mut(&id) else { return false };
+        if call.key.is_some() {
+            return false;
+        }
+        call.key = Some(key);
+        self.send(id, now, actions);
+        true
+    }
+
+    fn retry_or_refuse(
+        &mut self,
+        id: CallId,
+        may_retry: bool,
+        refusal: Refusal,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        let random: u32 = self.rng.random();
+        let may_retry = may_retry && self.calls.get(&id).is_some_and(|call| call.replayable);
+        let backoff = self.backoff;
+        let Some((facts, sending)) = self.sending(id) else { return };
+        let service = sending.service.clone();
+        let retry_at = now.after(backoff.delay(sending.retries, random));
+        let is_in_time = retry_at < facts.1;
+        if may_retry && is_in_time && self.ratios.entry(service).or_default().try_retry() {
+            if let Some((_, sending)) = self.sending(id) {
+                sending.retries += 1;
+            }
+            self.retries.insert((retry_at, id));
+        } else {
+            self.refuse(id, refusal, now, actions);
+        }
+    }
+}
--- /dev/null
+++ b/cuminarch-engine/src/refusal.rs
@@ -0,0 +1,125 @@
+use std::time::Duration;
+
+use cuminarch_once::BoundKey;
+use cuminarch_types::Outcome;
+
+/// Why a call has no answer of its upstream.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum RefusalReason {
+    /// The node is shutting down.
+    Draining,
+    /// The endpoint is at its limit.
+    Overloaded,
+    /// A service further down the chain is at its limit.
+    OverloadedBehind,
+    /// No endpoint of the service takes work.
+    NoEndpoint,
+    /// The attempt budget is exhausted.
+    BudgetExhausted,
+    /// The deadline has passed.
+    DeadlineExceeded,
+    /// The call that this one belongs to is over.
+    ParentEnded,
+    /// The upstream or the way to it failed.
+    UpstreamFailed,
+    /// The key belongs to a request that is running.
+    KeyInProgress,
+    /// The key belongs to a request that has run; its answer is no longer held.
+    KeyAlreadyRun,
+    /// Whether the key's request has run cannot be shown.
+    KeyUnknown,
+    /// No more keys can be held.
+    KeysExhausted,
+    /// The key could not be claimed on the platform.
+    ClaimUnavailable,
+    /// The key is bound to another endpoint.
+    KeyBoundElsewhere,
+}
+
+impl RefusalReason {
+    /// Text for logs and callers.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Draining => "draining",
+            Self::Overloaded => "overloaded",
+            Self::OverloadedBehind => "overloaded-behind",
+            Self::NoEndpoint => "no-endpoint",
+            Self::BudgetExhausted => "budget-exhausted",
+            Self::DeadlineExceeded => "deadline-exceeded",
+            Self::ParentEnded => "parent-ended",
+            Self::UpstreamFailed => "upstream-failed",
+            Self::KeyInProgress => "key-in-progress",
+            Self::KeyAlreadyRun => "key-already-run",
+            Self::KeyUnknown => "key-unknown",
+            Self::KeysExhausted => "keys-exhausted",
+            Self::ClaimUnavailable => "claim-unavailable",
+            Self::KeyBoundElsewhere => "key-bound-elsewhere",
+        }
+    }
+
+    /// Every reason.
+    pub const ALL: [Self; 14] = [
+        Self::Draining,
+        Self::Overloaded,
+        Self::OverloadedBehind,
+        Self::NoEndpoint,
+        Self::BudgetExhausted,
+        Self::DeadlineExceeded,
+        Self::ParentEnded,
+        Self::UpstreamFailed,
+        Self::KeyInProgress,
+        Self::KeyAlreadyRun,
+        Self::KeyUnknown,
+        Self::KeysExhausted,
+        Self::ClaimUnavailable,
+        Self::KeyBoundElsewhere,
+    ];
+
+    /// The reason that [`RefusalReason::as_str`] writes as `text`.
+    #[must_use]
+    pub fn from_text(text: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|reason| reason.as_str() == text)
+    }
+}
+
+/// The final answer to a call that has none of its upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Whether the request may have run; never `Completed` but for a key that has run.
+    pub outcome: Outcome,
+    /// Why.
+    pub reason: RefusalReason,
+    /// Time after which a new attempt makes sense.
+    pub retry_after: Option<Duration>,
+    /// The process that the request's key is bound to.
+    pub bound_to: Option<BoundKey>,
+}
+
+impl Refusal {
+    /// A request that provably did not run.
+    #[must_use]
+    pub const fn not_run(reason: RefusalReason) -> Self {
+        Self { outcome: Outcome::NotRun, reason, retry_after: None, bound_to: None }
+    }
+
+    /// A request that may have run.
+    #[must_use]
+    pub const fn unknown(reason: RefusalReason) -> Self {
+        Self { outcome: Outcome::Unknown, reason, retry_after: None, bound_to: None }
+    }
+
+    /// Sets the time after which a new attempt makes sense.
+    #[must_use]
+    pub const fn with_retry_after(mut self, retry_after: Duration) -> Self {
+        self.retry_after = Some(retry_after);
+        self
+    }
+
+    /// Sets the process that the request's key is bound to.
+    #[must_use]
+    pub fn with_bound_to(mut self, key: BoundKey) -> Self {
+        self.bound_to = Some(key);
+        self
+    }
+}
--- /dev/null
+++ b/cuminarch-engine/src/summary.rs
@@ -0,0 +1,25 @@
+use cuminarch_types::{ConcurrencyLimit, Rank, Revision};
+use serde::Serialize;
+
+/// State of an engine for dumps and metrics.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct EngineSummary {
+    /// Calls in progress.
+    pub calls: usize,
+    /// Calls that run at the own upstream.
+    pub running: usize,
+    /// Calls that wait for the own upstream.
+    pub waiting: usize,
+    /// Concurrency limit in force.
+    pub limit: ConcurrencyLimit,
+    /// Admission level in force.
+    pub level: Rank,
+    /// Idempotency keys held.
+    pub keys: usize,
+    /// Members known.
+    pub members: usize,
+    /// Revision of the policy in force.
+    pub revision: Revision,
+    /// Whether new calls are refused.
+    pub draining: bool,
+}
--- /dev/null
+++ b/cuminarch-engine/src/time.rs
@@ -0,0 +1,83 @@
+//! Deadlines, retries that are due, and cancellation.
+
+use cuminarch_once::KeyResult;
+use cuminarch_types::{CallId, MonoTime};
+
+use crate::call::Stage;
+use crate::{Action, Engine, Refusal, RefusalReason};
+
+impl Engine {
+    /// When the engine wants the next [`Event::Tick`](crate::Event::Tick), at the latest.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<MonoTime> {
+        let retry = self.retries.first().map(|(at, _)| *at);
+        let deadline = self.deadlines.first().map(|(at, _)| *at);
+        match (retry, deadline) {
+            (Some(retry), Some(deadline)) => Some(retry.min(deadline)),
+            (retry, deadline) => retry.or(deadline),
+        }
+    }
+
+    pub(crate) fn tick(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
+        while let Some((at, call)) = self.deadlines.first().copied() {
+            if at > now {
+                break;
+            }
+            self.deadlines.remove(&(at, call));
+            self.expire(call, now, actions);
+        }
+        while let Some((at, call)) = self.retries.first().copied() {
+            if at > now {
+                break;
+            }
+            self.retries.remove(&(at, call));
+            if self.calls.contains_key(&call) {
+                self.send(call, now, actions);
+            }
+        }
+        let events = self.admission.poll(now);
+        self.apply_queue_events(events, now, actions);
+    }
+
+    /// Ends a call that its caller no longer wants.
+    pub(crate) fn cancel(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
+        if self.stop(id, now, actions).is_some() {
+            self.remove(id, now, actions);
+        }
+    }
+
+    fn expire(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
+        let Some(may_have_run) = self.stop(id, now, actions) else { return };
+        let reason = RefusalReason::DeadlineExceeded;
+        let refusal =
+            if may_have_run { Refusal::unknown(reason) } else { Refusal::not_run(reason) };
+        self.refuse(id, refusal, now, actions);
+    }
+
+    /// Stops all work on a call. Returns whether it may have run, or nothing
+    /// if there is no such call.
+    fn stop(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) -> Option<bool> {
+        let call = self.calls.get(&id)?;
+        let key = call.key.clone();
+        let may_have_run = match &call.stage {
+            Stage::Claiming | Stage::Waiting => false,
+            Stage::Running { .. } => true,
+            Stage::Sending(sending) => sending.current.is_some(),
+        };
+        let is_inbound = !matches!(call.stage, Stage::Sending(_));
+        if is_inbound {
+            if may_have_run {
+                actions.push(Action::CancelLocal { call: id });
+            }
+            let result = if may_have_run { KeyResult::Unknown } else { KeyResult::NotRun };
+            if let Some(key) = key {
+                self.keys.finish(&key, id, result);
+            }
+            let events = self.admission.cancel(id, now);
+            self.apply_queue_events(events, now, actions);
+        } else {
+            self.withdraw(id, now, actions);
+        }
+        Some(may_have_run)
+    }
+}
--- /dev/null
+++ b/cuminarch-node/src/data/driver.rs
@@ -0,0 +1,192 @@
+//! Connects the engine with the tasks that carry calls.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use cuminarch_config::Policy;
+use cuminarch_engine::{Action, Arrival, ClaimResult, Engine, EngineSummary, Event};
+use cuminarch_once::BoundKey;
+use cuminarch_protocol::Member;
+use cuminarch_types::{CallId, ClientKey};
+use flume::{Receiver, Sender};
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+
+use crate::clock::Clock;
+
+/// What other threads ask of the data thread.
+#[derive(Debug)]
+pub enum DataCommand {
+    /// Put a policy into force.
+    Policy(Arc<Policy>),
+    /// Take in what is known of a member.
+    Member(Box<Member>),
+    /// Answer a claim.
+    Claimed(CallId, ClaimResult),
+    /// Take no new calls.
+    Drain,
+    /// Report the engine's state.
+    Summary(Sender<EngineSummary>),
+    /// End once no call is in progress.
+    Stop,
+}
+
+/// A client's key to be bound on the platform.
+#[derive(Debug)]
+pub struct ClaimRequest {
+    pub call: CallId,
+    pub key: ClientKey,
+    pub bound: BoundKey,
+}
+
+/// Actions of one call, in order.
+pub type Mailbox = mpsc::UnboundedReceiver<Action>;
+
+struct State {
+    engine: Engine,
+    mailboxes: BTreeMap<CallId, mpsc::UnboundedSender<Action>>,
+}
+
+/// Handle on the engine for the tasks of the data thread.
+#[derive(Clone)]
+pub struct Driver {
+    state: Rc<RefCell<State>>,
+    clock: Clock,
+    claims: Sender<ClaimRequest>,
+    changed: Rc<Notify>,
+}
+
+impl Driver {
+    pub fn new(engine: Engine, clock: Clock, claims: Sender<ClaimRequest>) -> Self {
+        let state = State { engine, mailboxes: BTreeMap::new() };
+        Self { state: Rc::new(RefCell::new(state)), clock, claims, changed: Rc::new(Notify::new()) }
+    }
+
+    /// Hands a call to the engine.
+    pub fn begin(&self, arrival: Arrival) -> CallGuard {
+        let (sender, mailbox) = mpsc::unbounded_channel();
+        let call = {
+            let mut state = self.state.borrow_mut();
+            let call = state.engine.next_call();
+            state.mailboxes.insert(call, sender);
+            call
+        };
+        self.post(Event::arrive(call, arrival));
+        CallGuard { driver: self.clone(), call, mailbox }
+    }
+
+    /// Feeds the engine and hands its actions to the tasks of their calls.
+    pub fn post(&self, event: Event) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        for action in state.engine.handle(event, now) {
+            if let Action::Claim { call, key, bound } = action {
+                self.claim(call, key, bound);
+            } else if let Some(mailbox) = state.mailboxes.get(&action.call()) {
+                let _ = mailbox.send(action);
+            }
+        }
+        self.changed.notify_one();
+    }
+
+    /// Mints an idempotency key.
+    pub fn mint_key(&self) -> BoundKey {
+        self.state.borrow_mut().engine.mint_key(self.clock.now())
+    }
+
+    /// Number of calls in progress.
+    pub fn calls(&self) -> usize {
+        self.state.borrow().mailboxes.len()
+    }
+
+    /// Ticks the engine whenever it asks for it, forever.
+    pub async fn run_timers(self) {
+        const MAX_SLEEP_MS: u64 = 20;
+        loop {
+            let now = self.clock.now();
+            let latest = now.after(std::time::Duration::from_millis(MAX_SLEEP_MS));
+            let (wake, is_idle) = {
+                let state = self.state.borrow();
+                let wake = state.engine.next_wake().map_or(latest, |wake| wake.min(latest));
+                (wake, state.mailboxes.is_empty())
+            };
+            if is_idle {
+                self.changed.notified().await;
+                continue;
+            }
+            let sleep = tokio::time::sleep_until(self.clock.instant(wake).into());
+            tokio::select! {
+                () = sleep => self.post(Event::Tick),
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+
+    /// Carries out what other threads ask, until told to stop.
+    pub async fn run_commands(self, commands: Receiver<DataCommand>) {
+        while let Ok(command) = commands.recv_async().await {
+            match command {
+                DataCommand::Policy(policy) => {
+                    self.state.borrow_mut().engine.set_policy(policy);
+                }
+                DataCommand::Member(member) => self.post(Event::Member(member)),
+                DataCommand::Claimed(call, result) => self.post(Event::Claimed(call, result)),
+                DataCommand::Drain => self.post(Event::Drain),
+                DataCommand::Summary(reply) => {
+                    let _ = reply.try_send(self.state.borrow().engine.summary());
+                }
+                DataCommand::Stop => break,
+            }
+        }
+        while self.calls() > 0 {
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+    }
+
+    fn claim(&self, call: CallId, key: ClientKey, bound: BoundKey) {
+        let request = ClaimRequest { call, key, bound };
+        if self.claims.try_send(request).is_err() {
+            let driver = self.clone();
+            tokio::task::spawn_local(async move {
+                driver.post(Event::Claimed(call, ClaimResult::Unavailable));
+            });
+        }
+    }
+}
+
+/// A call in progress; dropping it before its end cancels it.
+pub struct CallGuard {
+    driver: Driver,
+    call: CallId,
+    mailbox: Mailbox,
+}
+
+impl CallGuard {
+    pub const fn call(&self) -> CallId {
+        self.call
+    }
+
+    pub const fn driver(&self) -> &Driver {
+        &self.driver
+    }
+
+    /// The next action of the call.
+    pub async fn next(&mut self) -> Option<Action> {
+        self.mailbox.recv().await
+    }
+
+    /// The next action, if there is one already.
+    pub fn try_next(&mut self) -> Option<Action> {
+        self.mailbox.try_recv().ok()
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.driver.state.borrow_mut().mailboxes.remove(&self.call);
+        self.driver.post(Event::Cancel(self.call));
+    }
+}
--- /dev/null
+++ b/cuminarch-node/src/data/listener.rs
@@ -0,0 +1,21 @@
+use std::net::{SocketAddr, TcpListener};
+
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::NodeError;
+
+const BACKLOG: i32 = 1_024;
+
+/// Listens on `address` with Nagle's algorithm off; accepted connections inherit it.
+pub fn bind(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, NodeError> {
+    let open = || {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.set_tcp_nodelay(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        Ok(TcpListener::from(socket))
+    };
+    open().map_err(|source| NodeError::Listen { address, purpose, source })
+}
--- /dev/null
+++ b/cuminarch-node/src/event.rs
@@ -0,0 +1,77 @@
+use std::fmt;
+
+/// A numbered log event; the catalogue is `docs/events.md`.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum NodeEvent {
+    /// The node serves calls.
+    Started,
+    /// The node takes no new calls.
+    Draining,
+    /// The node has stopped.
+    Stopped,
+    /// A connection of a caller or peer broke off or sent rubbish.
+    ConnectionFault,
+    /// The platform does not answer.
+    PlatformUnavailable,
+    /// The platform answers again.
+    PlatformAvailable,
+    /// A configuration came into force.
+    ConfigInForce,
+    /// A configuration was refused.
+    ConfigRefused,
+    /// A duty ended unexpectedly.
+    DutyEnded,
+}
+
+impl NodeEvent {
+    /// Every event, in order of code.
+    pub const ALL: [Self; 9] = [
+        Self::Started,
+        Self::Draining,
+        Self::Stopped,
+        Self::ConnectionFault,
+        Self::PlatformUnavailable,
+        Self::PlatformAvailable,
+        Self::ConfigInForce,
+        Self::ConfigRefused,
+        Self::DutyEnded,
+    ];
+
+    /// Number of the event; never given to another event.
+    #[must_use]
+    pub const fn code(self) -> u16 {
+        match self {
+            Self::Started => 1001,
+            Self::Draining => 1002,
+            Self::Stopped => 1003,
+            Self::ConnectionFault => 2001,
+            Self::PlatformUnavailable => 3001,
+            Self::PlatformAvailable => 3002,
+            Self::ConfigInForce => 4001,
+            Self::ConfigRefused => 4002,
+            Self::DutyEnded => 5001,
+        }
+    }
+
+    /// Short name of the event.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Started => "started",
+            Self::Draining => "draining",
+            Self::Stopped => "stopped",
+            Self::ConnectionFault => "connection-fault",
+            Self::PlatformUnavailable => "platform-unavailable",
+            Self::PlatformAvailable => "platform-available",
+            Self::ConfigInForce => "config-in-force",
+            Self::ConfigRefused => "config-refused",
+            Self::DutyEnded => "duty-ended",
+        }
+    }
+}
+
+impl fmt::Display for NodeEvent {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "CU{:04} {}", self.code(), self.name())
+    }
+}
--- /dev/null
+++ b/cuminarch-node/src/lib.rs
@@ -0,0 +1,31 @@
+//! The node: the process beside an upstream through which all its calls pass.
+//!
+//! A node takes calls from callers and from other nodes, runs what its engine
+//! admits at its own upstream, and carries the upstream's own calls to other
+//! services. Each duty has a thread; threads are joined by bounded channels.
+//!
+//! ```no_run
+//! use cuminarch_node::{Node, NodeSettings};
+//!
+//! let settings = NodeSettings::parse(&std::fs::read_to_string("node.yaml")?)?;
+//! let node = Node::start(settings)?;
+//! node.shutdown();
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod admin;
+mod clock;
+mod control;
+mod data;
+mod error;
+mod event;
+mod headers;
+mod node;
+mod settings;
+mod timer;
+
+pub use error::NodeError;
+pub use event::NodeEvent;
+pub use node::Node;
+pub use settings::NodeSettings;
+pub use timer::{Subscription, TimerService};
--- /dev/null
+++ b/cuminarch-once/src/bound_key.rs
@@ -0,0 +1,57 @@
+use std::fmt;
+use std::str::FromStr;
+
+use cuminarch_types::{EndpointId, Incarnation, ParseError};
+
+/// An idempotency key that only one process may run.
+///
+/// Written as `ck1:<endpoint>:<incarnation>:<minted_ms>:<serial>`.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct BoundKey {
+    /// The endpoint that may run the request.
+    pub endpoint: EndpointId,
+    /// The process of that endpoint.
+    pub incarnation: Incarnation,
+    /// Age of the process when it minted the key, in milliseconds.
+    pub minted_ms: u64,
+    /// Distinguishes keys of one process.
+    pub serial: u64,
+}
+
+impl BoundKey {
+    const PREFIX: &'static str = "ck1";
+
+    /// Whether a text claims to be a bound key.
+    #[must_use]
+    pub fn is_bound(text: &str) -> bool {
+        text.starts_with("ck1:")
+    }
+}
+
+impl fmt::Display for BoundKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { endpoint, incarnation, minted_ms, serial } = self;
+        write!(formatter, "{}:{endpoint}:{incarnation}:{minted_ms}:{serial}", Self::PREFIX)
+    }
+}
+
+impl FromStr for BoundKey {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let malformed = || ParseError::new("BoundKey", text, "it is not ck1:endpoint:n:n:n");
+        let mut parts = text.split(':');
+        if parts.next() != Some(Self::PREFIX) {
+            return Err(malformed());
+        }
+        let endpoint = parts.next().ok_or_else(malformed)?.parse()?;
+        let mut number = || parts.next().and_then(|part| part.parse::<u64>().ok());
+        let incarnation = Incarnation::new(number().ok_or_else(malformed)?);
+        let minted_ms = number().ok_or_else(malformed)?;
+        let serial = number().ok_or_else(malformed)?;
+        if parts.next().is_some() {
+            return Err(malformed());
+        }
+        Ok(Self { endpoint, incarnation, minted_ms, serial })
+    }
+}
--- /dev/null
+++ b/cuminarch-once/src/lib.rs
@@ -0,0 +1,26 @@
+//! Runs a non-idempotent request at most once.
+//!
+//! A key is bound to one incarnation of one endpoint. Only that process may
+//! run the request, and it remembers every key until the key expires, so no
+//! agreement with others is needed. A key bound to a process that is gone
+//! yields the outcome unknown, never a second run.
+//!
+//! ```
+//! use cuminarch_once::{KeyDecision, KeyTable, KeyTableSettings};
+//! use cuminarch_types::{CallId, Incarnation, MonoTime};
+//!
+//! let settings = KeyTableSettings::new();
+//! let mut table = KeyTable::new(settings, "kasse-1".parse()?, Incarnation::new(7));
+//! let key = table.mint(MonoTime::ZERO);
+//! assert_eq!(table.begin(&key, CallId::new(1), MonoTime::ZERO), KeyDecision::Run);
+//! assert_eq!(table.begin(&key, CallId::new(2), MonoTime::ZERO), KeyDecision::InProgress);
+//! # Ok::<(), cuminarch_types::ParseError>(())
+//! ```
+
+mod bound_key;
+mod key_table;
+mod stored_answer;
+
+pub use bound_key::BoundKey;
+pub use key_table::{KeyDecision, KeyResult, KeyTable, KeyTableSettings};
+pub use stored_answer::StoredAnswer;
--- /dev/null
+++ b/cuminarch-platform/src/object.rs
@@ -0,0 +1,134 @@
+use std::fmt;
+use std::str::FromStr;
+
+use compact_str::CompactString;
+use cuminarch_types::ParseError;
+use serde::{Deserialize, Serialize};
+
+/// Name of an object: segments joined by `/`.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "CompactString", into = "CompactString")]
+pub struct ObjectPath(CompactString);
+
+impl ObjectPath {
+    /// Longest path in bytes.
+    pub const MAX_BYTES: usize = 256;
+
+    /// Checks and wraps a path.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a segment is empty or has characters other than ASCII
+    /// letters, digits, `-`, `_`, `.` and `:`.
+    pub fn new(text: impl AsRef<str>) -> Result<Self, ParseError> {
+        let text = text.as_ref();
+        let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte);
+        let is_segment = |segment: &str| !segment.is_empty() && segment.bytes().all(is_allowed);
+        if text.len() > Self::MAX_BYTES || !text.split('/').all(is_segment) {
+            return Err(ParseError::new("ObjectPath", text, "it is not segments joined by '/'"));
+        }
+        Ok(Self(CompactString::from(text)))
+    }
+
+    /// The path as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for ObjectPath {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+impl FromStr for ObjectPath {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        Self::new(text)
+    }
+}
+
+impl TryFrom<CompactString> for ObjectPath {
+    type Error = ParseError;
+
+    fn try_from(text: CompactString) -> Result<Self, ParseError> {
+        Self::new(text)
+    }
+}
+
+impl From<ObjectPath> for CompactString {
+    fn from(path: ObjectPath) -> Self {
+        path.0
+    }
+}
+
+/// Version of an object or of the whole store; each write gives a higher one.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct ObjectVersion(u64);
+
+impl ObjectVersion {
+    /// Wraps a version.
+    #[must_use]
+    pub const fn new(value: u64) -> Self {
+        Self(value)
+    }
+
+    /// The version itself.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for ObjectVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
+impl FromStr for ObjectVersion {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        text.parse()
+            .map(Self)
+            .map_err(|_| ParseError::new("ObjectVersion", text, "it is not a number"))
+    }
+}
+
+/// One object of the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Object {
+    /// Its name.
+    pub path: ObjectPath,
+    /// Its version.
+    pub version: ObjectVersion,
+    /// Its value.
+    pub value: String,
+}
+
+/// What a write requires of the present object.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Expect {
+    /// Nothing.
+    Any,
+    /// There is none.
+    Absent,
+    /// It has this version.
+    Version(ObjectVersion),
+}
+
+/// Objects under a prefix at one moment.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Listing {
+    /// Version of the store at that moment.
+    pub version: ObjectVersion,
+    /// The objects in order of path.
+    pub objects: Vec<Object>,
+}
--- /dev/null
+++ b/cuminarch-platform/src/store.rs
@@ -0,0 +1,53 @@
+use std::time::Duration;
+
+use crate::{Expect, Listing, Object, ObjectPath, ObjectVersion, PlatformError};
+
+/// What the system needs of the platform. Each method is one counted call.
+pub trait ObjectStore: Send + Sync {
+    /// Reads an object.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    fn get(&self, path: &ObjectPath) -> Result<Option<Object>, PlatformError>;
+
+    /// Writes an object if it is as expected, and returns its new version.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`PlatformError::Conflict`] when it is not as expected, and
+    /// with [`PlatformError::Ambiguous`] when the write may have taken effect.
+    fn put(
+        &self,
+        path: &ObjectPath,
+        value: &str,
+        expect: Expect,
+    ) -> Result<ObjectVersion, PlatformError>;
+
+    /// Removes an object if it is as expected; removing none is no fault.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ObjectStore::put`].
+    fn delete(&self, path: &ObjectPath, expect: Expect) -> Result<(), PlatformError>;
+
+    /// Reads all objects whose path begins with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    fn list(&self, prefix: &ObjectPath) -> Result<Listing, PlatformError>;
+
+    /// Waits until an object under `prefix` has a version above `after`, or
+    /// `timeout` has passed, and returns the objects changed since, if any.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    fn watch(
+        &self,
+        prefix: &ObjectPath,
+        after: ObjectVersion,
+        timeout: Duration,
+    ) -> Result<Listing, PlatformError>;
+}
--- /dev/null
+++ b/cuminarch-protocol/src/call.rs
@@ -0,0 +1,199 @@
+//! Frames of a data link.
+
+use compact_str::CompactString;
+use cuminarch_types::{Attempts, Outcome, Rank, RequestId, ServiceName};
+use serde::{Deserialize, Serialize};
+
+use crate::codec::{decode, encode_tagged, split_tag};
+use crate::{FrameLimit, ProtocolError};
+
+const TAG_HEAD: u8 = 1;
+const TAG_BODY: u8 = 2;
+const TAG_BODY_END: u8 = 3;
+const TAG_REFUSAL: u8 = 4;
+const TAG_CANCEL: u8 = 5;
+
+/// One header field of a request or an answer, in its original order.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HeaderField {
+    /// Field name in lower case.
+    pub name: CompactString,
+    /// Field value as received.
+    pub value: Vec<u8>,
+}
+
+impl HeaderField {
+    /// Joins a name and a value.
+    #[must_use]
+    pub fn new(name: impl Into<CompactString>, value: impl Into<Vec<u8>>) -> Self {
+        Self { name: name.into(), value: value.into() }
+    }
+}
+
+/// Opens a call on a data link.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallHead {
+    /// The member's request that this call serves.
+    pub root: RequestId,
+    /// The service that is called.
+    pub service: ServiceName,
+    /// HTTP method.
+    pub method: CompactString,
+    /// Path and query as the caller sent them.
+    pub target: CompactString,
+    /// Header fields without hop-by-hop ones.
+    pub headers: Vec<HeaderField>,
+    /// Length of the body in bytes, if it is known.
+    pub body_len_bytes: Option<u64>,
+    /// Attempts that the call may spend beneath itself.
+    pub share: Attempts,
+    /// Place in the refusal order.
+    pub rank: Rank,
+    /// Time left until the deadline in milliseconds.
+    pub remaining_ms: u64,
+    /// Whether the sender's policy calls the request idempotent.
+    pub idempotent: bool,
+    /// Idempotency key, bound or chosen by the client.
+    pub key: Option<CompactString>,
+}
+
+/// Closes the account of a call: what it leaves of its share, and the
+/// admission level of the services behind it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Receipt {
+    /// Attempts of the share that were not spent.
+    pub unspent: Attempts,
+    /// Highest admission level met by the call.
+    pub level: Rank,
+}
+
+/// Opens an answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AnswerHead {
+    /// HTTP status code.
+    pub status: u16,
+    /// Header fields without hop-by-hop ones.
+    pub headers: Vec<HeaderField>,
+    /// Length of the body in bytes, if it is known.
+    pub body_len_bytes: Option<u64>,
+}
+
+/// Answer of a node that did not obtain one from its upstream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RefusalHead {
+    /// Whether the request may have run.
+    pub outcome: Outcome,
+    /// Why, in words for logs and callers.
+    pub reason: CompactString,
+    /// Time after which a new attempt makes sense, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+    /// The endpoint's bound key that the request must be sent with instead.
+    pub bound_to: Option<CompactString>,
+    /// What the call leaves of its share.
+    pub receipt: Receipt,
+}
+
+/// A frame from the caller's node to the upstream's node.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CallFrame {
+    /// Opens a call.
+    Head(Box<CallHead>),
+    /// Part of the request body.
+    Body(Vec<u8>),
+    /// The request body is whole.
+    BodyEnd,
+    /// The caller no longer wants the answer.
+    Cancel,
+}
+
+impl CallFrame {
+    /// Encodes the frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a head cannot be written as CBOR.
+    pub fn encode(&self) -> Result<Vec<u8>, ProtocolError> {
+        match self {
+            Self::Head(head) => encode_tagged(TAG_HEAD, head),
+            Self::Body(bytes) => Ok(encode_body(bytes)),
+            Self::BodyEnd => Ok(vec![TAG_BODY_END]),
+            Self::Cancel => Ok(vec![TAG_CANCEL]),
+        }
+    }
+
+    /// Decodes a frame of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails on an empty, too long, unknown or malformed frame.
+    pub fn decode(bytes: &[u8], limit: FrameLimit) -> Result<Self, ProtocolError> {
+        let (tag, content) = split_tag(bytes, limit)?;
+        match tag {
+            TAG_HEAD => Ok(Self::Head(Box::new(decode(content)?))),
+            TAG_BODY => Ok(Self::Body(content.to_vec())),
+            TAG_BODY_END => Ok(Self::BodyEnd),
+            TAG_CANCEL => Ok(Self::Cancel),
+            _ => Err(ProtocolError::UnknownTag { tag }),
+        }
+    }
+}
+
+/// A frame from the upstream's node to the caller's node.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum AnswerFrame {
+    /// Opens the upstream's answer.
+    Head(Box<AnswerHead>),
+    /// Part of the answer body.
+    Body(Vec<u8>),
+    /// The answer body is whole.
+    BodyEnd(Receipt),
+    /// There is no answer of the upstream.
+    Refusal(Box<RefusalHead>),
+    /// The upstream broke off within the body.
+    Broken(Receipt),
+}
+
+impl AnswerFrame {
+    /// Encodes the frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a head cannot be written as CBOR.
+    pub fn encode(&self) -> Result<Vec<u8>, ProtocolError> {
+        match self {
+            Self::Head(head) => encode_tagged(TAG_HEAD, head),
+            Self::Body(bytes) => Ok(encode_body(bytes)),
+            Self::BodyEnd(receipt) => encode_tagged(TAG_BODY_END, receipt),
+            Self::Refusal(head) => encode_tagged(TAG_REFUSAL, head),
+            Self::Broken(receipt) => encode_tagged(TAG_CANCEL, receipt),
+        }
+    }
+
+    /// Decodes a frame of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails on an empty, too long, unknown or malformed frame.
+    pub fn decode(bytes: &[u8], limit: FrameLimit) -> Result<Self, ProtocolError> {
+        let (tag, content) = split_tag(bytes, limit)?;
+        match tag {
+            TAG_HEAD => Ok(Self::Head(Box::new(decode(content)?))),
+            TAG_BODY => Ok(Self::Body(content.to_vec())),
+            TAG_BODY_END => Ok(Self::BodyEnd(decode(content)?)),
+            TAG_REFUSAL => Ok(Self::Refusal(Box::new(decode(content)?))),
+            TAG_CANCEL => Ok(Self::Broken(decode(content)?)),
+            _ => Err(ProtocolError::UnknownTag { tag }),
+        }
+    }
+}
+
+fn encode_body(bytes: &[u8]) -> Vec<u8> {
+    let mut frame = Vec::with_capacity(bytes.len() + 1);
+    frame.push(TAG_BODY);
+    frame.extend_from_slice(bytes);
+    frame
+}
--- /dev/null
+++ b/cuminarch-protocol/src/lib.rs
@@ -0,0 +1,29 @@
+//! Messages that cuminarch's own processes exchange, and their encoding.
+//!
+//! Two kinds of links exist. A data link carries one call at a time from the
+//! caller's node to the upstream's node. A control link carries membership and
+//! configuration. Both run over WebSocket; every message is one binary frame.
+//! Control messages and the heads of calls are CBOR; body bytes are sent as
+//! they are. Every frame is bounded by [`FrameLimit`].
+//!
+//! ```
+//! use cuminarch_protocol::{CallFrame, FrameLimit};
+//!
+//! let frame = CallFrame::BodyEnd;
+//! let bytes = frame.encode()?;
+//! assert_eq!(CallFrame::decode(&bytes, FrameLimit::DATA)?, frame);
+//! # Ok::<(), cuminarch_protocol::ProtocolError>(())
+//! ```
+
+mod call;
+mod codec;
+mod control;
+mod error;
+mod limit;
+mod member;
+
+pub use call::{AnswerFrame, AnswerHead, CallFrame, CallHead, HeaderField, Receipt, RefusalHead};
+pub use control::{ConfigOffer, ControlMessage, Heartbeat, Hello};
+pub use error::ProtocolError;
+pub use limit::FrameLimit;
+pub use member::{Member, MemberState};
--- /dev/null
+++ b/cuminarch-testing/src/caller.rs
@@ -0,0 +1,97 @@
+use std::io;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// The answer to one call.
+#[derive(Clone, Debug)]
+pub struct CallerAnswer {
+    /// HTTP status code.
+    pub status: u16,
+    /// Header fields in order.
+    pub headers: Vec<(String, String)>,
+    /// The body as far as it came.
+    pub body: Vec<u8>,
+    /// Whether the body came to its proper end.
+    pub is_whole: bool,
+}
+
+impl CallerAnswer {
+    /// The first header field of this name.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let is_named = |(field, _): &&(String, String)| field.eq_ignore_ascii_case(name);
+        self.headers.iter().find(is_named).map(|(_, value)| value.as_str())
+    }
+}
+
+/// A caller that speaks HTTP/1.1, with a connection for each call.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpCaller {
+    address: SocketAddr,
+}
+
+impl HttpCaller {
+    /// A caller of the node or upstream at `address`.
+    #[must_use]
+    pub const fn new(address: SocketAddr) -> Self {
+        Self { address }
+    }
+
+    /// Sends one request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no answer head.
+    pub async fn call(
+        &self,
+        method: &str,
+        target: &str,
+        headers: &[(&str, String)],
+        body: Bytes,
+    ) -> io::Result<CallerAnswer> {
+        let stream = TcpStream::connect(self.address).await?;
+        stream.set_nodelay(true)?;
+        let (mut sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let connection = tokio::spawn(connection);
+        let mut request =
+            Request::builder().method(method).uri(target).header("host", self.address.to_string());
+        for (name, value) in headers {
+            request = request.header(*name, value);
+        }
+        let request = request.body(Full::new(body)).map_err(io::Error::other)?;
+        let response = sender.send_request(request).await.map_err(io::Error::other)?;
+        let answer = read(response).await;
+        connection.abort();
+        Ok(answer)
+    }
+}
+
+async fn read(response: hyper::Response<hyper::body::Incoming>) -> CallerAnswer {
+    let (parts, mut incoming) = response.into_parts();
+    let text = |value: &http::HeaderValue| String::from_utf8_lossy(value.as_bytes()).into_owned();
+    let headers =
+        parts.headers.iter().map(|(name, value)| (name.to_string(), text(value))).collect();
+    let mut answer =
+        CallerAnswer { status: parts.status.as_u16(), headers, body: Vec::new(), is_whole: true };
+    while let Some(frame) = incoming.frame().await {
+        match frame {
+            Ok(frame) => {
+                if let Some(data) = frame.data_ref() {
+                    answer.body.extend_from_slice(data);
+                }
+            }
+            Err(_) => {
+                answer.is_whole = false;
+                break;
+            }
+        }
+    }
+    answer
+}
--- /dev/null
+++ b/cuminarch-testing/src/lib.rs
@@ -0,0 +1,27 @@
+//! Small stand-ins for what cuminarch talks to, for tests, benchmarks and examples.
+//!
+//! [`PlatformServer`] takes the place of the platform's object API,
+//! [`UpstreamServer`] that of an upstream that calls deeper services, and
+//! [`HttpCaller`] that of a caller. They listen on loopback only.
+//!
+//! ```
+//! use cuminarch_platform::{Expect, HttpObjectStore, ObjectStore};
+//! use cuminarch_testing::PlatformServer;
+//!
+//! let platform = PlatformServer::start()?;
+//! let store = HttpObjectStore::new(platform.address());
+//! let path = "config/current".parse()?;
+//! store.put(&path, "hello", Expect::Absent)?;
+//! assert_eq!(store.get(&path)?.map(|object| object.value).as_deref(), Some("hello"));
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod caller;
+mod memory_store;
+mod platform_server;
+mod upstream_server;
+
+pub use caller::{CallerAnswer, HttpCaller};
+pub use memory_store::{MemoryStore, PlatformFault};
+pub use platform_server::PlatformServer;
+pub use upstream_server::{UpstreamBehaviour, UpstreamServer};
--- /dev/null
+++ b/cuminarch-testing/src/upstream_server.rs
@@ -0,0 +1,162 @@
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminarch_types::ServiceName;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use crate::HttpCaller;
+
+/// What an upstream stand-in does with each request.
+#[derive(Clone, Debug)]
+pub struct UpstreamBehaviour {
+    /// Time that a request holds a slot.
+    pub service_time: Duration,
+    /// Requests served at once; more wait without limit.
+    pub slots: usize,
+    /// Services called in turn before answering.
+    pub calls: Vec<ServiceName>,
+    /// Where its node takes outgoing calls.
+    pub egress: Option<SocketAddr>,
+}
+
+impl UpstreamBehaviour {
+    /// Answers after `service_time`, 64 at once, and calls nobody.
+    #[must_use]
+    pub const fn new(service_time: Duration) -> Self {
+        Self { service_time, slots: 64, calls: Vec::new(), egress: None }
+    }
+
+    /// Sets the number of requests served at once.
+    #[must_use]
+    pub const fn with_slots(mut self, slots: usize) -> Self {
+        self.slots = slots;
+        self
+    }
+
+    /// Sets the services called before answering, through the node at `egress`.
+    #[must_use]
+    pub fn with_calls(mut self, calls: Vec<ServiceName>, egress: SocketAddr) -> Self {
+        self.calls = calls;
+        self.egress = Some(egress);
+        self
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    behaviour: Mutex<UpstreamBehaviour>,
+    slots: Semaphore,
+    runs: AtomicU64,
+}
+
+/// An upstream on loopback. Its answer repeats the request's target, so that a
+/// caller can tell its own answer from another's.
+#[derive(Debug)]
+pub struct UpstreamServer {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl UpstreamServer {
+    /// Starts an upstream on a free port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be had.
+    pub fn start(behaviour: UpstreamBehaviour) -> io::Result<Self> {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let slots = Semaphore::new(behaviour.slots);
+        let shared =
+            Arc::new(Shared { behaviour: Mutex::new(behaviour), slots, runs: AtomicU64::new(0) });
+        let served = Arc::clone(&shared);
+        thread::Builder::new()
+            .name("upstream".to_owned())
+            .spawn(move || serve(listener, &served))?;
+        Ok(Self { address, shared })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Number of requests that it began to run.
+    #[must_use]
+    pub fn runs(&self) -> u64 {
+        self.shared.runs.load(Ordering::Relaxed)
+    }
+
+    /// Changes the behaviour for later requests; the number of slots stays.
+    pub fn update(&self, change: impl FnOnce(&mut UpstreamBehaviour)) {
+        change(&mut self.shared.behaviour.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+}
+
+fn serve(listener: std::net::TcpListener, shared: &Arc<Shared>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let Ok(runtime) = runtime else { return };
+    runtime.block_on(async move {
+        let Ok(listener) = TcpListener::from_std(listener) else { return };
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(connection(stream, Arc::clone(shared)));
+        }
+    });
+}
+
+async fn connection(stream: TcpStream, shared: Arc<Shared>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| answer(request, Arc::clone(&shared)));
+    let _ = hyper::server::conn::http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    shared: Arc<Shared>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let behaviour = shared.behaviour.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let target = request.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned();
+    let token = request.headers().get("cuminarch-request").cloned();
+    let _ = request.into_body().collect().await;
+    shared.runs.fetch_add(1, Ordering::Relaxed);
+    let permit = shared.slots.acquire().await;
+    tokio::time::sleep(behaviour.service_time).await;
+    drop(permit);
+    let mut body = format!("ran {target}");
+    for service in &behaviour.calls {
+        let Some(egress) = behaviour.egress else { break };
+        let mut headers = vec![("cuminarch-service", service.to_string())];
+        if let Some(token) = token.as_ref().and_then(|token| token.to_str().ok()) {
+            headers.push(("cuminarch-request", token.to_owned()));
+        }
+        match HttpCaller::new(egress).call("GET", &target, &headers, Bytes::new()).await {
+            Ok(answer) if answer.status == 200 && answer.is_whole => {
+                body.push_str(&format!(" > {}", String::from_utf8_lossy(&answer.body)));
+            }
+            _ => return Ok(plain(StatusCode::BAD_GATEWAY, format!("{service} failed"))),
+        }
+    }
+    Ok(plain(StatusCode::OK, body))
+}
+
+fn plain(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/cuminarch-types/src/count.rs
@@ -0,0 +1,118 @@
+//! Counts, sizes and rates.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ParseError;
+
+macro_rules! count_type {
+    ($(#[$doc:meta])* $name:ident, $repr:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd,
+            Serialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name($repr);
+
+        impl $name {
+            /// None at all.
+            pub const ZERO: Self = Self(0);
+
+            /// Wraps a count.
+            #[must_use]
+            pub const fn new(value: $repr) -> Self {
+                Self(value)
+            }
+
+            /// The count itself.
+            #[must_use]
+            pub const fn get(self) -> $repr {
+                self.0
+            }
+
+            /// Sum, saturating at the largest count.
+            #[must_use]
+            pub const fn saturating_add(self, other: Self) -> Self {
+                Self(self.0.saturating_add(other.0))
+            }
+
+            /// Difference, saturating at zero.
+            #[must_use]
+            pub const fn saturating_sub(self, other: Self) -> Self {
+                Self(self.0.saturating_sub(other.0))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(formatter)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(text: &str) -> Result<Self, ParseError> {
+                text.parse()
+                    .map(Self)
+                    .map_err(|_| ParseError::new(stringify!($name), text, "it is not a count"))
+            }
+        }
+    };
+}
+
+count_type!(
+    /// A number of attempts, each one send of a call to an upstream.
+    Attempts,
+    u32
+);
+count_type!(
+    /// A size in bytes.
+    ByteCount,
+    u64
+);
+count_type!(
+    /// Largest number of requests that an endpoint runs at once.
+    ConcurrencyLimit,
+    u32
+);
+
+/// A rate of events in events per second; finite and not negative.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct RatePerSecond(f64);
+
+impl RatePerSecond {
+    /// Wraps a rate; values that are negative or not finite become zero.
+    #[must_use]
+    pub const fn new(value: f64) -> Self {
+        if value.is_finite() && value > 0.0 { Self(value) } else { Self(0.0) }
+    }
+
+    /// Events per second.
+    #[must_use]
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RatePerSecond {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}/s", self.0)
+    }
+}
+
+impl FromStr for RatePerSecond {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let number = text.strip_suffix("/s").unwrap_or(text);
+        match number.parse::<f64>() {
+            Ok(value) if value.is_finite() && value >= 0.0 => Ok(Self(value)),
+            _ => Err(ParseError::new("RatePerSecond", text, "it is not a rate")),
+        }
+    }
+}
--- /dev/null
+++ b/cuminarch-types/src/id.rs
@@ -0,0 +1,163 @@
+//! Numeric ids.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ParseError;
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident, $repr:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd,
+            Serialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name($repr);
+
+        impl $name {
+            /// Wraps a number.
+            #[must_use]
+            pub const fn new(value: $repr) -> Self {
+                Self(value)
+            }
+
+            /// The number itself.
+            #[must_use]
+            pub const fn get(self) -> $repr {
+                self.0
+            }
+
+            /// The number that follows this one, saturating.
+            #[must_use]
+            pub const fn next(self) -> Self {
+                Self(self.0.saturating_add(1))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(formatter)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(text: &str) -> Result<Self, ParseError> {
+                text.parse()
+                    .map(Self)
+                    .map_err(|_| ParseError::new(stringify!($name), text, "it is not a number"))
+            }
+        }
+    };
+}
+
+number_type!(
+    /// Identifies one attempt of a call, unique within a node incarnation.
+    AttemptId,
+    u64
+);
+number_type!(
+    /// Identifies one call that a node handles, unique within a node incarnation.
+    CallId,
+    u64
+);
+number_type!(
+    /// Distinguishes successive processes of the same endpoint; later ones are higher.
+    Incarnation,
+    u64
+);
+number_type!(
+    /// Revision of the configuration; a higher one replaces a lower one, never the reverse.
+    Revision,
+    u64
+);
+
+/// Counts the sends of one request by its client, the first being 1.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct ResendNumber(u32);
+
+impl ResendNumber {
+    /// The first send of a request.
+    pub const FIRST: Self = Self(1);
+
+    /// Wraps the number of a send; zero counts as the first.
+    #[must_use]
+    pub const fn new(value: u32) -> Self {
+        if value == 0 { Self::FIRST } else { Self(value) }
+    }
+
+    /// The number itself, at least 1.
+    #[must_use]
+    pub const fn get(self) -> u32 {
+        self.0
+    }
+}
+
+impl Default for ResendNumber {
+    fn default() -> Self {
+        Self::FIRST
+    }
+}
+
+impl fmt::Display for ResendNumber {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
+impl FromStr for ResendNumber {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        match text.parse::<u32>() {
+            Ok(value) if value > 0 => Ok(Self(value)),
+            _ => Err(ParseError::new("ResendNumber", text, "it is not a number from 1")),
+        }
+    }
+}
+
+/// Identifies a member's request through the whole chain of calls behind it.
+///
+/// Written as 32 hexadecimal digits.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct RequestId(u128);
+
+impl RequestId {
+    /// Wraps a number.
+    #[must_use]
+    pub const fn new(value: u128) -> Self {
+        Self(value)
+    }
+
+    /// The number itself.
+    #[must_use]
+    pub const fn get(self) -> u128 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if text.is_empty() || text.len() > 32 || !is_hex {
+            return Err(ParseError::new("RequestId", text, "it is not 1 to 32 hexadecimal digits"));
+        }
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ParseError::new("RequestId", text, "it is not a hexadecimal number"))
+    }
+}
--- /dev/null
+++ b/cuminarch-types/src/lib.rs
@@ -0,0 +1,33 @@
+//! Ids, sizes, rates and times shared by all cuminarch packages.
+//!
+//! Every type here is a small value with `Display` and `FromStr`, so that a
+//! service name cannot be passed where a zone name is expected and a count of
+//! attempts cannot be mixed with a count of bytes. The package does no I/O.
+//!
+//! ```
+//! use cuminarch_types::{Attempts, RequestId, ServiceName};
+//!
+//! let service: ServiceName = "katalog".parse()?;
+//! let grant: Attempts = "16".parse()?;
+//! let root = RequestId::new(0x2a);
+//! assert_eq!(service.as_str(), "katalog");
+//! assert_eq!(grant.saturating_sub(Attempts::new(1)).get(), 15);
+//! assert_eq!(root.to_string().parse::<RequestId>()?, root);
+//! # Ok::<(), cuminarch_types::ParseError>(())
+//! ```
+
+mod count;
+mod error;
+mod id;
+mod mono_time;
+mod name;
+mod outcome;
+mod rank;
+
+pub use count::{Attempts, ByteCount, ConcurrencyLimit, RatePerSecond};
+pub use error::ParseError;
+pub use id::{AttemptId, CallId, Incarnation, RequestId, ResendNumber, Revision};
+pub use mono_time::MonoTime;
+pub use name::{ChangeId, ClassName, ClientKey, EndpointId, RegionName, ServiceName, ZoneName};
+pub use outcome::Outcome;
+pub use rank::{Priority, Rank};
--- /dev/null
+++ b/cuminarch-types/src/name.rs
@@ -0,0 +1,118 @@
+//! Names chosen by operators and callers.
+
+use std::fmt;
+use std::str::FromStr;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::ParseError;
+
+/// Longest name in bytes.
+const MAX_NAME_BYTES: usize = 64;
+
+fn check_name(type_name: &'static str, text: &str) -> Result<(), ParseError> {
+    if text.is_empty() {
+        return Err(ParseError::new(type_name, text, "it is empty"));
+    }
+    if text.len() > MAX_NAME_BYTES {
+        return Err(ParseError::new(type_name, text, "it is longer than 64 bytes"));
+    }
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    if !text.bytes().all(is_allowed) {
+        return Err(ParseError::new(
+            type_name,
+            text,
+            "only ASCII letters, digits, '-', '_' and '.' are allowed",
+        ));
+    }
+    Ok(())
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        ///
+        /// At most 64 bytes of ASCII letters, digits, `-`, `_` and `.`.
+        #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(try_from = "CompactString", into = "CompactString")]
+        pub struct $name(CompactString);
+
+        impl $name {
+            /// Checks and wraps a name.
+            ///
+            /// # Errors
+            ///
+            /// Fails when the text is empty, too long or has other characters.
+            pub fn new(text: impl AsRef<str>) -> Result<Self, ParseError> {
+                let text = text.as_ref();
+                check_name(stringify!($name), text)?;
+                Ok(Self(CompactString::from(text)))
+            }
+
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(text: &str) -> Result<Self, ParseError> {
+                Self::new(text)
+            }
+        }
+
+        impl TryFrom<CompactString> for $name {
+            type Error = ParseError;
+
+            fn try_from(text: CompactString) -> Result<Self, ParseError> {
+                check_name(stringify!($name), &text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl From<$name> for CompactString {
+            fn from(name: $name) -> Self {
+                name.0
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Identifies one change of the configuration, chosen by whoever submits it.
+    ChangeId
+);
+name_type!(
+    /// Name of a class of requests that share a priority, a grant and a deadline.
+    ClassName
+);
+name_type!(
+    /// Idempotency key chosen by a caller.
+    ClientKey
+);
+name_type!(
+    /// Identifies an endpoint, that is, one upstream process and the node beside it.
+    EndpointId
+);
+name_type!(
+    /// Name of a region.
+    RegionName
+);
+name_type!(
+    /// Name of a service, whose endpoints are interchangeable.
+    ServiceName
+);
+name_type!(
+    /// Name of an availability zone.
+    ZoneName
+);
--- /dev/null
+++ b/cuminarch/examples/quickstart.rs
@@ -0,0 +1,228 @@
+//! A chain of three services under load, on loopback in one process.
+//!
+//! Starts the platform stand-in, two endpoints of each service with their real
+//! nodes, and callers that retry. The deepest service slows down for a while.
+//! Prints progress and a final table; fails if an invariant was broken.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cuminarch::node::{Node, NodeSettings};
+use cuminarch::platform::{Expect, HttpObjectStore, ObjectStore};
+use cuminarch::types::{RequestId, ServiceName};
+use cuminarch_testing::{HttpCaller, PlatformServer, UpstreamBehaviour, UpstreamServer};
+use eyre::{Result, ensure};
+use tokio::sync::mpsc;
+
+const CHAIN: [&str; 3] = ["katalog", "auftrag", "bildarchiv"];
+const ENDPOINTS_PER_SERVICE: usize = 2;
+const GRANT_ATTEMPTS: u64 = 16;
+const PERIOD: Duration = Duration::from_millis(5);
+const STEADY: Duration = Duration::from_secs(3);
+const SLOW: Duration = Duration::from_secs(3);
+const AFTER: Duration = Duration::from_secs(4);
+const NORMAL_SERVICE_TIME: Duration = Duration::from_millis(5);
+const SLOW_SERVICE_TIME: Duration = Duration::from_millis(400);
+
+const SHEET: &str = "
+classes:
+  - {name: browse, grant_attempts: 32, deadline_ms: 1000, retry_percent: 10}
+  - {name: approval, grant_attempts: 32, deadline_ms: 2000, retry_percent: 10, protected: true}
+rules:
+  - {class: approval, methods: [POST], path: /approvals/**, idempotent: false}
+  - {class: browse, path: /**, idempotent: true}
+default_class: browse
+";
+
+struct Site {
+    node: Node,
+    upstream: UpstreamServer,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    asked: u64,
+    completed: u64,
+    refused: u64,
+    unknown: u64,
+    foreign: u64,
+}
+
+#[derive(Debug)]
+struct Finished {
+    at: Instant,
+    outcome: String,
+    is_own: bool,
+    sends: u32,
+}
+
+fn settings(
+    service: &str,
+    index: usize,
+    upstream: SocketAddr,
+    platform: SocketAddr,
+) -> Result<NodeSettings> {
+    let text = format!(
+        "fleet: quickstart
+endpoint: {service}-{index}
+service: {service}
+zone: zrh-{zone}
+region: ch-central
+caller_address: 127.0.0.1:0
+egress_address: 127.0.0.1:0
+data_address: 127.0.0.1:0
+control_address: 127.0.0.1:0
+admin_address: 127.0.0.1:0
+upstream_address: {upstream}
+platform_address: {platform}
+",
+        zone = if index == 0 { "a" } else { "b" },
+    );
+    Ok(NodeSettings::parse(&text)?)
+}
+
+fn start_sites(platform: SocketAddr) -> Result<Vec<Site>> {
+    let mut sites = Vec::new();
+    for (depth, service) in CHAIN.iter().enumerate() {
+        for index in 0..ENDPOINTS_PER_SERVICE {
+            let behaviour = UpstreamBehaviour::new(NORMAL_SERVICE_TIME).with_slots(40);
+            let upstream = UpstreamServer::start(behaviour)?;
+            let node = Node::start(settings(service, index, upstream.address(), platform)?)?;
+            if let Some(deeper) = CHAIN.get(depth + 1) {
+                let deeper: ServiceName = deeper.parse()?;
+                let egress = node.egress_address();
+                upstream.update(|behaviour| {
+                    behaviour.calls = vec![deeper];
+                    behaviour.egress = Some(egress);
+                });
+            }
+            sites.push(Site { node, upstream });
+        }
+    }
+    Ok(sites)
+}
+
+async fn request(front: SocketAddr, number: u64, done: mpsc::UnboundedSender<Finished>) {
+    let is_approval = number.is_multiple_of(10);
+    let (method, target) = if is_approval {
+        ("POST", format!("/approvals/{number}"))
+    } else {
+        ("GET", format!("/patterns/{number}"))
+    };
+    let root = RequestId::new(u128::from(number) + 1);
+    let expected = format!("ran {target} > ran {target} > ran {target}");
+    let mut finished =
+        Finished { at: Instant::now(), outcome: "lost".to_owned(), is_own: true, sends: 0 };
+    for send in 1..=3_u32 {
+        finished.sends = send;
+        let headers =
+            [("cuminarch-request", root.to_string()), ("cuminarch-send", send.to_string())];
+        let call = HttpCaller::new(front).call(method, &target, &headers, Bytes::new()).await;
+        let Ok(answer) = call else { break };
+        finished.outcome = answer.header("cuminarch-outcome").unwrap_or("none").to_owned();
+        if answer.status == 200 {
+            finished.is_own = answer.is_whole && answer.body == expected.as_bytes();
+            break;
+        }
+        if finished.outcome == "completed" {
+            finished.outcome = "failed".to_owned();
+        }
+        if is_approval {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    finished.at = Instant::now();
+    let _ = done.send(finished);
+}
+
+async fn drive(sites: &[Site], stop_at: Instant, slow: Arc<AtomicBool>) -> Vec<Finished> {
+    let (sender, mut receiver) = mpsc::unbounded_channel();
+    let start = Instant::now();
+    let mut ticker = tokio::time::interval(PERIOD);
+    let mut number = 0_u64;
+    while Instant::now() < stop_at {
+        ticker.tick().await;
+        let front = sites[(number % ENDPOINTS_PER_SERVICE as u64) as usize].node.caller_address();
+        tokio::spawn(request(front, number, sender.clone()));
+        number += 1;
+        let elapsed = start.elapsed();
+        let is_slow = elapsed > STEADY && elapsed < STEADY + SLOW;
+        if slow.swap(is_slow, Ordering::Relaxed) != is_slow {
+            let time = if is_slow { SLOW_SERVICE_TIME } else { NORMAL_SERVICE_TIME };
+            println!("{:>5} ms  deepest service now takes {time:?}", elapsed.as_millis());
+            let deepest = sites.len() - ENDPOINTS_PER_SERVICE;
+            for site in &sites[deepest..] {
+                site.upstream.update(|behaviour| behaviour.service_time = time);
+            }
+        }
+        if number.is_multiple_of(200) {
+            println!("{:>5} ms  {number} requests asked", elapsed.as_millis());
+        }
+    }
+    drop(sender);
+    let mut finished = Vec::new();
+    while let Some(one) = receiver.recv().await {
+        finished.push(one);
+    }
+    finished
+}
+
+fn tally(finished: &[Finished]) -> Tally {
+    let mut tally = Tally::default();
+    for one in finished {
+        tally.asked += 1;
+        match one.outcome.as_str() {
+            "completed" => tally.completed += 1,
+            "not-run" => tally.refused += 1,
+            _ => tally.unknown += 1,
+        }
+        tally.foreign += u64::from(!one.is_own);
+    }
+    tally
+}
+
+/// Time from the end of the slowdown until the last request that failed.
+fn recovery(finished: &[Finished], slow_ended_at: Instant) -> Duration {
+    let failed = finished.iter().filter(|one| one.outcome != "completed");
+    let last = failed.map(|one| one.at).max().unwrap_or(slow_ended_at);
+    last.saturating_duration_since(slow_ended_at)
+}
+
+fn main() -> Result<()> {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    let platform = PlatformServer::start()?;
+    HttpObjectStore::new(platform.address()).put(
+        &"config/current".parse()?,
+        SHEET,
+        Expect::Absent,
+    )?;
+    let sites = start_sites(platform.address())?;
+    println!("started {} nodes; waiting until they know each other", sites.len());
+    std::thread::sleep(Duration::from_millis(1_500));
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    let start = Instant::now();
+    let stop_at = start + STEADY + SLOW + AFTER;
+    let finished = runtime.block_on(drive(&sites, stop_at, Arc::default()));
+    let tally = tally(&finished);
+    let sends: u64 = finished.iter().map(|one| u64::from(one.sends)).sum();
+    let runs: u64 = sites.iter().map(|site| site.upstream.runs()).sum();
+    println!("\nasked      {:>6}", tally.asked);
+    println!("completed  {:>6}", tally.completed);
+    println!("not run    {:>6}", tally.refused);
+    println!("unknown    {:>6}", tally.unknown);
+    println!("sends by clients per request  {:.2}", sends as f64 / tally.asked as f64);
+    println!("runs at upstreams per request {:.2}", runs as f64 / tally.asked as f64);
+    println!("recovery   {:>6} ms", recovery(&finished, start + STEADY + SLOW).as_millis());
+    for site in sites {
+        site.node.shutdown();
+    }
+    ensure!(tally.foreign == 0, "{} answers were not their caller's own", tally.foreign);
+    ensure!(tally.completed > 0, "no request completed");
+    ensure!(runs <= tally.asked * GRANT_ATTEMPTS * 2, "more attempts than granted");
+    Ok(())
+}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,74 @@
+//! Developer tasks: `cargo xtask lint`, `test`, `doc`, `ci` and `bench`.
+
+use std::process::Command as Process;
+
+use clap::{Arg, Command};
+use eyre::{Result, bail};
+
+fn command() -> Command {
+    let bench = Command::new("bench")
+        .about("Run one benchmark and print its table")
+        .arg(Arg::new("name").required(true).value_parser(["overhead", "decisions", "control"]))
+        .arg(Arg::new("rest").num_args(0..).trailing_var_arg(true).allow_hyphen_values(true));
+    Command::new("xtask")
+        .about("Developer tasks")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(Command::new("lint").about("Check format and lints"))
+        .subcommand(Command::new("test").about("Run all tests"))
+        .subcommand(Command::new("doc").about("Build the docs without warnings"))
+        .subcommand(Command::new("ci").about("Everything that has to pass"))
+        .subcommand(bench)
+}
+
+fn cargo(arguments: &[&str]) -> Result<()> {
+    eprintln!("+ cargo {}", arguments.join(" "));
+    let status = Process::new(env!("CARGO")).args(arguments).status()?;
+    if !status.success() {
+        bail!("cargo {} failed: {status}", arguments.join(" "));
+    }
+    Ok(())
+}
+
+fn lint() -> Result<()> {
+    cargo(&["fmt", "--all", "--check"])?;
+    cargo(&["clippy", "--workspace", "--all-targets", "--quiet", "--", "-D", "warnings"])
+}
+
+fn test() -> Result<()> {
+    cargo(&["test", "--workspace", "--quiet"])
+}
+
+fn doc() -> Result<()> {
+    cargo(&["doc", "--workspace", "--no-deps", "--quiet"])
+}
+
+fn bench(name: &str, rest: &[&str]) -> Result<()> {
+    let mut arguments =
+        vec!["run", "--release", "--quiet", "--package", "cuminarch-bench", "--", name];
+    arguments.extend(rest);
+    cargo(&arguments)
+}
+
+fn main() -> Result<()> {
+    let matches = command().get_matches();
+    match matches.subcommand() {
+        Some(("lint", _)) => lint(),
+        Some(("test", _)) => test(),
+        Some(("doc", _)) => doc(),
+        Some(("bench", matches)) => {
+            let name: &String = matches.get_one("name").expect("a required argument");
+            let rest: Vec<&str> = matches
+                .get_many::<String>("rest")
+                .unwrap_or_default()
+                .map(String::as_str)
+                .collect();
+            bench(name, &rest)
+        }
+        _ => {
+            lint()?;
+            test()?;
+            doc()
+        }
+    }
+}
