feat: fix the interfaces between packages

Configuration travels as a document with its own rising revision; a gate lets only higher ones into force. Benchmarks return bounded figures, and a miss leaves the verdict only by an entry in KNOWN-RED.txt.

--- a/cuminarch-bench/src/main.rs
+++ b/cuminarch-bench/src/main.rs
@@ -1,2 +1,47 @@
-//! Benchmarks that print tables and check bounds.
-fn main() {}
+//! Runs one benchmark; with `--check`, fails if a figure is out of bounds.
+
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, Command};
+use cuminarch_bench::{KnownRed, Verdict, control, decisions, overhead};
+
+fn command() -> Command {
+    let check = Arg::new("check")
+        .long("check")
+        .action(ArgAction::SetTrue)
+        .global(true)
+        .help("Fail if a figure is out of bounds and KNOWN-RED.txt does not list it");
+    Command::new("cuminarch-bench")
+        .about("Benchmarks of cuminarch")
+        .subcommand_required(true)
+        .arg(check)
+        .subcommand(Command::new("control").about("Membership and configuration, virtual time"))
+        .subcommand(Command::new("decisions").about("Policy under load, virtual time"))
+        .subcommand(Command::new("overhead").about("Time added to a call, real sockets"))
+}
+
+fn report(verdict: &Verdict, known_red: &KnownRed) -> bool {
+    for case in verdict.known_misses(known_red) {
+        println!("known red  {case}");
+    }
+    let misses = verdict.misses(known_red);
+    for case in &misses {
+        println!("MISS       {case}");
+    }
+    println!("{} bounded figures, {} out of bounds", verdict.cases().len(), misses.len());
+    misses.is_empty()
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let verdict = match matches.subcommand_name() {
+        Some("control") => control::run(),
+        Some("decisions") => decisions::run(),
+        _ => overhead::run(),
+    };
+    let is_good = report(&verdict, &KnownRed::of_repository());
+    if matches.get_flag("check") && !is_good {
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/cuminarch-bench/src/verdict.rs
@@ -0,0 +1,98 @@
+use std::fmt;
+
+use crate::KnownRed;
+
+/// Limit of a figure, taken from the target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Bound {
+    /// The figure must not be lower.
+    AtLeast(f64),
+    /// The figure must not be higher.
+    AtMost(f64),
+}
+
+impl Bound {
+    /// Whether the figure is within the bound; a figure that is not a number never is.
+    #[must_use]
+    pub fn admits(self, figure: f64) -> bool {
+        match self {
+            Self::AtLeast(limit) => figure >= limit,
+            Self::AtMost(limit) => figure <= limit,
+        }
+    }
+}
+
+impl fmt::Display for Bound {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::AtLeast(limit) => write!(formatter, ">= {limit}"),
+            Self::AtMost(limit) => write!(formatter, "<= {limit}"),
+        }
+    }
+}
+
+/// One bounded figure of a benchmark.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Case {
+    /// Name, such as `decisions/verband/surge-3x/goodput`.
+    pub name: String,
+    /// What was measured.
+    pub figure: f64,
+    /// Its limit.
+    pub bound: Bound,
+}
+
+impl Case {
+    /// A measured figure with its limit.
+    #[must_use]
+    pub fn new(name: impl Into<String>, figure: f64, bound: Bound) -> Self {
+        Self { name: name.into(), figure, bound }
+    }
+}
+
+impl fmt::Display for Case {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: {:.4} (bound {})", self.name, self.figure, self.bound)
+    }
+}
+
+/// The bounded figures of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    cases: Vec<Case>,
+}
+
+impl Verdict {
+    /// No figures yet.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self { cases: Vec::new() }
+    }
+
+    /// Adds a figure.
+    pub fn record(&mut self, case: Case) {
+        self.cases.push(case);
+    }
+
+    /// All figures.
+    #[must_use]
+    pub fn cases(&self) -> &[Case] {
+        &self.cases
+    }
+
+    /// Figures out of bounds that `known_red` does not list.
+    #[must_use]
+    pub fn misses(&self, known_red: &KnownRed) -> Vec<&Case> {
+        self.out_of_bounds().filter(|case| !known_red.lists(&case.name)).collect()
+    }
+
+    /// Figures out of bounds that `known_red` lists.
+    #[must_use]
+    pub fn known_misses(&self, known_red: &KnownRed) -> Vec<&Case> {
+        self.out_of_bounds().filter(|case| known_red.lists(&case.name)).collect()
+    }
+
+    fn out_of_bounds(&self) -> impl Iterator<Item = &Case> {
+        self.cases.iter().filter(|case| !case.bound.admits(case.figure))
+    }
+}
--- a/cuminarch-cli/src/main.rs
+++ b/cuminarch-cli/src/main.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use clap::{Arg, Command};
-use cuminarch_config::{Policy, Sheet};
+use cuminarch_config::{ConfigDocument, Policy, Sheet};
 use cuminarch_platform::{Expect, HttpObjectStore, ObjectPath, ObjectStore};
-use cuminarch_types::Revision;
+use cuminarch_types::{ChangeId, Revision};
 use eyre::{Result, WrapErr, eyre};
 
 fn command() -> Command {
@@ -59,9 +59,14 @@
             let text = read_sheet(path)?;
             let store = store(matches)?;
             let held = store.get(&current)?;
-            let expect = held.map_or(Expect::Absent, |object| Expect::Version(object.version));
-            let version = store.put(&current, &text, expect)?;
-            println!("accepted as revision {version}");
+            let expect = held.as_ref().map_or(Expect::Absent, |held| Expect::Version(held.version));
+            let before: Option<ConfigDocument> =
+                held.map(|held| serde_json::from_str(&held.value)).transpose()?;
+            let revision = before.map(|before| before.revision).unwrap_or_default().next();
+            let change = ChangeId::new(format!("change-{}", std::process::id()))?;
+            let document = ConfigDocument { revision, change, sheet: text };
+            store.put(&current, &serde_json::to_string(&document)?, expect)?;
+            println!("accepted as revision {revision}");
         }
         Some(("show", matches)) => match store(matches)?.get(&current)? {
             Some(object) => print!("{}", object.value),
--- a/cuminarch-config/src/lib.rs
+++ b/cuminarch-config/src/lib.rs
@@ -31,10 +31,14 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod document;
 mod error;
+mod gate;
 mod policy;
 mod sheet;
 
+pub use document::{ConfigDocument, ZoneStatus};
 pub use error::SheetError;
+pub use gate::{ConfigGate, GateDecision};
 pub use policy::{Policy, Rule};
 pub use sheet::{ClassEntry, RuleEntry, Sheet};
--- a/cuminarch-node/src/control.rs
+++ b/cuminarch-node/src/control.rs
@@ -1,14 +1,12 @@
 //! Announces the endpoint on the platform and learns of members and configuration.
 
-use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 
-use cuminarch_config::{Policy, Sheet};
+use cuminarch_config::{ConfigDocument, ConfigGate, GateDecision};
 use cuminarch_engine::ClaimResult;
 use cuminarch_membership::MemberTable;
 use cuminarch_platform::{Expect, HttpObjectStore, ObjectPath, ObjectStore, PlatformError};
 use cuminarch_protocol::{Member, MemberState};
-use cuminarch_types::Revision;
 use flume::{Receiver, Sender};
 use log::{info, warn};
 
@@ -38,15 +36,15 @@
 
     fn run(self) {
         let mut table = MemberTable::new();
-        let mut revision = Revision::default();
+        let mut gate = ConfigGate::new();
         let mut available = true;
-        self.refresh(&mut table, &mut revision, &mut available);
+        self.refresh(&mut table, &mut gate, &mut available);
         loop {
             let is_stopped = flume::Selector::new()
                 .recv(&self.stop, |_| true)
                 .recv(&self.claims, |claim| claim.map(|claim| self.claim(&claim)).is_err())
                 .recv(&self.ticks, |_| {
-                    self.refresh(&mut table, &mut revision, &mut available);
+                    self.refresh(&mut table, &mut gate, &mut available);
                     false
                 })
                 .wait();
@@ -59,11 +57,11 @@
         let _ = self.announce(&member);
     }
 
-    fn refresh(&self, table: &mut MemberTable, revision: &mut Revision, available: &mut bool) {
+    fn refresh(&self, table: &mut MemberTable, gate: &mut ConfigGate, available: &mut bool) {
         let result = self
             .announce(&self.member)
             .and_then(|()| self.read_members(table))
-            .and_then(|()| self.read_config(revision));
+            .and_then(|()| self.read_config(gate));
         match result {
             Ok(()) if !*available => info!("{}", NodeEvent::PlatformAvailable),
             Err(ref error) if *available => warn!("{}: {error}", NodeEvent::PlatformUnavailable),
@@ -89,21 +87,19 @@
         Ok(())
     }
 
-    fn read_config(&self, revision: &mut Revision) -> Result<(), PlatformError> {
+    fn read_config(&self, gate: &mut ConfigGate) -> Result<(), PlatformError> {
         let Some(object) = self.store.get(&path("config/current")?)? else { return Ok(()) };
-        let found = Revision::new(object.version.get());
-        if found <= *revision {
-            return Ok(());
-        }
-        let policy =
-            Sheet::parse(&object.value).and_then(|sheet| Policy::from_sheet(found, &sheet));
-        match policy {
-            Ok(policy) => {
-                *revision = found;
-                info!("{} revision={found}", NodeEvent::ConfigInForce);
-                let _ = self.commands.send(DataCommand::Policy(Arc::new(policy)));
+        let document: ConfigDocument = serde_json::from_str(&object.value).map_err(protocol)?;
+        let revision = document.revision;
+        match gate.offer(&document) {
+            GateDecision::Accepted(policy) => {
+                info!("{} revision={revision}", NodeEvent::ConfigInForce);
+                let _ = self.commands.send(DataCommand::Policy(policy));
+            }
+            GateDecision::NotNewer => {}
+            GateDecision::Refused(error) => {
+                warn!("{} revision={revision}: {error}", NodeEvent::ConfigRefused);
             }
-            Err(error) => warn!("{} revision={found}: {error}", NodeEvent::ConfigRefused),
         }
         Ok(())
     }
--- a/cuminarch-protocol/src/control.rs
+++ b/cuminarch-protocol/src/control.rs
@@ -1,7 +1,7 @@
 //! Messages of a control link.
 
 use compact_str::CompactString;
-use cuminarch_types::{EndpointId, Incarnation, Revision};
+use cuminarch_types::{ChangeId, EndpointId, Incarnation, Revision};
 use serde::{Deserialize, Serialize};
 
 use crate::codec::{decode, encode_tagged, split_tag};
@@ -39,6 +39,8 @@
 pub struct ConfigOffer {
     /// Its revision.
     pub revision: Revision,
+    /// Identifies the change.
+    pub change: ChangeId,
     /// The sheet as YAML text.
     pub sheet: String,
 }
--- a/cuminarch/examples/quickstart.rs
+++ b/cuminarch/examples/quickstart.rs
@@ -10,9 +10,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use cuminarch::config::ConfigDocument;
 use cuminarch::node::{Node, NodeSettings};
 use cuminarch::platform::{Expect, HttpObjectStore, ObjectStore};
-use cuminarch::types::{RequestId, ServiceName};
+use cuminarch::types::{RequestId, Revision, ServiceName};
 use cuminarch_testing::{HttpCaller, PlatformServer, UpstreamBehaviour, UpstreamServer};
 use eyre::{Result, ensure};
 use tokio::sync::mpsc;
@@ -195,11 +196,13 @@
 fn main() -> Result<()> {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
     let platform = PlatformServer::start()?;
-    HttpObjectStore::new(platform.address()).put(
-        &"config/current".parse()?,
-        SHEET,
-        Expect::Absent,
-    )?;
+    let document = ConfigDocument {
+        revision: Revision::new(1),
+        change: "morning".parse()?,
+        sheet: SHEET.to_owned(),
+    };
+    let store = HttpObjectStore::new(platform.address());
+    store.put(&"config/current".parse()?, &serde_json::to_string(&document)?, Expect::Absent)?;
     let sites = start_sites(platform.address())?;
     println!("started {} nodes; waiting until they know each other", sites.len());
     std::thread::sleep(Duration::from_millis(1_500));
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -68,7 +68,9 @@
         _ => {
             lint()?;
             test()?;
-            doc()
+            doc()?;
+            bench("decisions", &["--check"])?;
+            bench("control", &["--check"])
         }
     }
 }
