--- a/cuminarch-engine/src/arrival.rs
+++ b/cuminarch-engine/src/arrival.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use cuminarch_once::BoundKey;
+use cuminarch_once::{BoundKey, RequestFingerprint};
 use cuminarch_types::{Attempts, CallId, ClientKey, Rank, RequestId, ResendNumber, ServiceName};
 
 /// Where a call goes.
@@ -36,6 +36,9 @@
     pub rank: Option<Rank>,
     /// Which send of the request by its client this is.
     pub resend: ResendNumber,
+    /// Whether the client numbers its sends. Without that a send with a key is
+    /// not taken for the first one.
+    pub is_numbered: bool,
     /// HTTP method.
     pub method: String,
     /// Path and query.
@@ -48,6 +51,8 @@
     pub key: Option<RequestKey>,
     /// Whether its body can be sent again.
     pub replayable: bool,
+    /// Digest of the body, to recognise another request with the same key.
+    pub body_digest: Option<u64>,
 }
 
 impl Arrival {
@@ -61,12 +66,14 @@
             share: None,
             rank: None,
             resend: ResendNumber::FIRST,
+            is_numbered: false,
             method: method.to_owned(),
             target: target.to_owned(),
             remaining: None,
             idempotent: true,
             key: None,
             replayable: true,
+            body_digest: None,
         }
     }
 
@@ -99,6 +106,20 @@
         self
     }
 
+    /// Sets whether the client numbers its sends.
+    #[must_use]
+    pub const fn with_numbered(mut self, is_numbered: bool) -> Self {
+        self.is_numbered = is_numbered;
+        self
+    }
+
+    /// Sets the digest of the body.
+    #[must_use]
+    pub const fn with_body_digest(mut self, body_digest: Option<u64>) -> Self {
+        self.body_digest = body_digest;
+        self
+    }
+
     /// Sets the time left.
     #[must_use]
     pub fn with_remaining(mut self, remaining: Option<Duration>) -> Self {
@@ -126,4 +147,16 @@
         self.key = key;
         self
     }
+
+    /// Digest of what the request asks for.
+    #[must_use]
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        RequestFingerprint::new(&self.method, &self.target, self.body_digest)
+    }
+
+    /// Whether the client states that it has not sent the request before.
+    #[must_use]
+    pub fn is_first_send(&self) -> bool {
+        self.is_numbered && self.resend == ResendNumber::FIRST
+    }
 }
--- a/cuminarch-engine/src/call.rs
+++ b/cuminarch-engine/src/call.rs
@@ -2,7 +2,7 @@
 
 use cuminarch_attempts::Budget;
 use cuminarch_config::Rule;
-use cuminarch_once::BoundKey;
+use cuminarch_once::{BoundKey, RequestFingerprint};
 use cuminarch_types::{
     AttemptId, Attempts, CallId, ClientKey, EndpointId, MonoTime, Rank, RequestId, ServiceName,
 };
@@ -22,6 +22,13 @@
     /// Highest admission level met.
     pub level: Rank,
     pub key: Option<BoundKey>,
+    /// Whether the request carries an idempotency key of any kind.
+    pub has_key: bool,
+    pub fingerprint: RequestFingerprint,
+    /// Whether another node sent it, which gives the final answer itself.
+    pub is_remote: bool,
+    /// Whether no send of the key had run it when this call arrived.
+    pub not_run_proven: bool,
     /// Client's own key, as long as it is not bound.
     pub client_key: Option<ClientKey>,
     /// Whether the body can be sent again.
@@ -50,9 +57,16 @@
     pub service: ServiceName,
     pub tried: Vec<EndpointId>,
     pub retries: u32,
+    pub retry_at: Option<MonoTime>,
     pub current: Option<Flight>,
 }
 
+impl Sending {
+    pub const fn new(service: ServiceName) -> Self {
+        Self { service, tried: Vec::new(), retries: 0, retry_at: None, current: None }
+    }
+}
+
 /// An attempt under way.
 #[derive(Clone, Debug)]
 pub struct Flight {
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -8,12 +8,12 @@
 use cuminarch_protocol::Receipt;
 use cuminarch_routing::Router;
 use cuminarch_types::{
-    AttemptId, CallId, ClassName, ConcurrencyLimit, MonoTime, Outcome, Rank, ServiceName,
+    AttemptId, CallId, ClassName, ConcurrencyLimit, MonoTime, Rank, ServiceName,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::call::Call;
+use crate::call::{Call, Sending, Stage};
 use crate::{Action, Direction, EngineSettings, EngineSummary, Event, Refusal};
 
 /// Decides on every call of one node.
@@ -169,8 +169,11 @@
     ) -> Option<Receipt> {
         let call = self.calls.remove(&id)?;
         self.deadlines.remove(&(call.deadline, id));
+        if let Stage::Sending(Sending { retry_at: Some(retry_at), .. }) = call.stage {
+            self.retries.remove(&(retry_at, id));
+        }
         for child in call.children {
-            self.cancel(child, now, actions);
+            self.abandon(child, now, actions);
         }
         if let Some(parent) = call.parent.and_then(|parent| self.calls.get_mut(&parent)) {
             parent.children.remove(&id);
@@ -180,8 +183,8 @@
         Some(Receipt { unspent: call.budget.held(), level: call.level.max(own_level) })
     }
 
-    /// Ends a call with a final answer of the node. A call of which an earlier
-    /// attempt may have run is never answered as not run.
+    /// Ends a call with a final answer of the node. A call that may have run
+    /// is never answered as not run.
     pub(crate) fn refuse(
         &mut self,
         call: CallId,
@@ -189,10 +192,7 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
-        let maybe_ran = self.calls.get(&call).is_some_and(|call| call.maybe_ran);
-        if maybe_ran && refusal.outcome == Outcome::NotRun {
-            refusal.outcome = Outcome::Unknown;
-        }
+        self.qualify(call, &mut refusal);
         let receipt = self.remove(call, now, actions).unwrap_or_default();
         actions.push(Action::Refuse { call, refusal, receipt });
     }
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -6,12 +6,12 @@
 use cuminarch_admission::{Admission, Offer, QueueEvent};
 use cuminarch_attempts::{Budget, grant_for_send};
 use cuminarch_config::Rule;
-use cuminarch_once::{BoundKey, KeyDecision, KeyResult};
+use cuminarch_once::KeyResult;
 use cuminarch_protocol::Receipt;
 use cuminarch_types::{Attempts, CallId, MonoTime, Outcome, Rank};
 
 use crate::call::{Call, Stage};
-use crate::{Action, Arrival, ClaimResult, Engine, LocalEnd, Refusal, RefusalReason, RequestKey};
+use crate::{Action, Arrival, Engine, LocalEnd, Refusal, RefusalReason};
 
 impl Engine {
     /// Time after which a level learned from deeper services no longer counts.
@@ -31,6 +31,9 @@
         let class = call.rule.class.clone();
         let is_first = arrival.share.is_none();
         self.insert(id, call);
+        if !self.look_up_key(id, arrival, now, actions) {
+            return;
+        }
         if self.draining {
             let refusal = Refusal::not_run(RefusalReason::Draining);
             return self.refuse(id, refusal.with_retry_after(Duration::ZERO), now, actions);
@@ -61,6 +64,10 @@
             budget: Budget::new(granted),
             level: Rank::MIN,
             key: None,
+            has_key: arrival.key.is_some(),
+            fingerprint: arrival.fingerprint(),
+            is_remote: arrival.share.is_some(),
+            not_run_proven: arrival.is_first_send(),
             client_key: None,
             replayable: arrival.replayable,
             maybe_ran: false,
@@ -69,36 +76,6 @@
         }
     }
 
-    pub(crate) fn claimed(
-        &mut self,
-        id: CallId,
-        result: ClaimResult,
-        now: MonoTime,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        if !matches!(call.stage, Stage::Claiming) {
-            return;
-        }
-        call.stage = Stage::Waiting;
-        match result {
-            ClaimResult::Granted => {
-                let key = call.key.take();
-                self.check_bound_key(id, key, now, actions);
-            }
-            ClaimResult::HeldBy(key) => {
-                call.key = None;
-                let refusal = Refusal::unknown(RefusalReason::KeyBoundElsewhere);
-                self.refuse(id, refusal.with_bound_to(key), now, actions);
-            }
-            ClaimResult::Unavailable => {
-                call.key = None;
-                let refusal = Refusal::unknown(RefusalReason::ClaimUnavailable);
-                self.refuse(id, refusal.with_retry_after(Admission::RETRY_AFTER), now, actions);
-            }
-        }
-    }
-
     pub(crate) fn local_head(&mut self, id: CallId, now: MonoTime) {
         if let Some(call) = self.calls.get_mut(&id)
             && let Stage::Running { head_at, .. } = &mut call.stage
@@ -115,6 +92,9 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
+        if !self.calls.contains_key(&id) {
+            return;
+        }
         let result = match end {
             LocalEnd::Complete(answer) => KeyResult::Completed(answer),
             LocalEnd::Broken => KeyResult::Unknown,
@@ -133,10 +113,11 @@
         if !self.calls.contains_key(&id) {
             return;
         }
+        let outcome = if sent { Outcome::Unknown } else { Outcome::NotRun };
+        let mut refusal = Refusal { outcome, ..Refusal::not_run(RefusalReason::UpstreamFailed) };
+        self.qualify(id, &mut refusal);
         let result = if sent { KeyResult::Unknown } else { KeyResult::NotRun };
         let receipt = self.end_run(id, result, now, actions);
-        let outcome = if sent { Outcome::Unknown } else { Outcome::NotRun };
-        let refusal = Refusal { outcome, ..Refusal::not_run(RefusalReason::UpstreamFailed) };
         actions.push(Action::Refuse { call: id, refusal, receipt });
     }
 
@@ -194,62 +175,7 @@
         }
     }
 
-    fn check_key(
-        &mut self,
-        id: CallId,
-        key: Option<RequestKey>,
-        now: MonoTime,
-        actions: &mut Vec<Action>,
-    ) {
-        let is_idempotent = self.calls.get(&id).is_some_and(|call| call.idempotent);
-        match key {
-            None => self.offer(id, now, actions),
-            Some(_) if is_idempotent => self.offer(id, now, actions),
-            Some(RequestKey::Bound(key)) => self.check_bound_key(id, Some(key), now, actions),
-            Some(RequestKey::Client(key)) => {
-                let bound = self.keys.mint(now);
-                if let Some(call) = self.calls.get_mut(&id) {
-                    call.stage = Stage::Claiming;
-                    call.key = Some(bound.clone());
-                }
-                actions.push(Action::Claim { call: id, key, bound });
-            }
-        }
-    }
-
-    fn check_bound_key(
-        &mut self,
-        id: CallId,
-        key: Option<BoundKey>,
-        now: MonoTime,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(key) = key else { return self.offer(id, now, actions) };
-        let refusal = match self.keys.begin(&key, id, now) {
-            KeyDecision::Run => {
-                if let Some(call) = self.calls.get_mut(&id) {
-                    call.key = Some(key);
-                }
-                return self.offer(id, now, actions);
-            }
-            KeyDecision::Replay(answer) => {
-                let receipt = self.remove(id, now, actions).unwrap_or_default();
-                return actions.push(Action::Replay { call: id, answer, receipt });
-            }
-            KeyDecision::AlreadyRun => Refusal {
-                outcome: Outcome::Completed,
-                ..Refusal::unknown(RefusalReason::KeyAlreadyRun)
-            },
-            KeyDecision::InProgress => Refusal::unknown(RefusalReason::KeyInProgress)
-                .with_retry_after(Admission::RETRY_AFTER),
-            KeyDecision::Unknown => Refusal::unknown(RefusalReason::KeyUnknown),
-            KeyDecision::Full => Refusal::not_run(RefusalReason::KeysExhausted)
-                .with_retry_after(Admission::RETRY_AFTER),
-        };
-        self.refuse(id, refusal, now, actions);
-    }
-
-    fn offer(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
+    pub(crate) fn offer(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.get(&id) else { return };
         let reply = self.admission.offer(id, call.rank, call.deadline, now);
         if let Some(evicted) = reply.evicted {
--- a/cuminarch-engine/src/lib.rs
+++ b/cuminarch-engine/src/lib.rs
@@ -28,6 +28,7 @@
 mod engine;
 mod event;
 mod inbound;
+mod keys;
 mod outbound;
 mod refusal;
 mod settings;
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -1,7 +1,6 @@
 //! Calls to other services through the nodes of their endpoints.
 
 use cuminarch_admission::Admission;
-use cuminarch_once::BoundKey;
 use cuminarch_protocol::Receipt;
 use cuminarch_routing::{CallSample, Target};
 use cuminarch_types::{AttemptId, Attempts, CallId, MonoTime, Outcome, ServiceName};
@@ -23,22 +22,21 @@
         let retry_percent = rule.retry_percent;
         let mut call = self.new_call(arrival, rule, now);
         if let Some(parent_id) = arrival.parent {
-            let Some(parent) = self.calls.get(&parent_id) else {
+            let Some(parent) = self.running_parent(parent_id, arrival) else {
+                call.parent = None;
+                self.insert(id, call);
                 let refusal = Refusal::not_run(RefusalReason::ParentEnded);
                 return self.refuse(id, refusal, now, actions);
             };
             call.rank = parent.rank;
             call.deadline = call.deadline.min(parent.deadline);
-            call.root = parent.root;
         }
         match &arrival.key {
             Some(RequestKey::Bound(key)) => call.key = Some(key.clone()),
             Some(RequestKey::Client(key)) => call.client_key = Some(key.clone()),
             None => {}
         }
-        let sending =
-            Sending { service: service.clone(), tried: Vec::new(), retries: 0, current: None };
-        call.stage = Stage::Sending(sending);
+        call.stage = Stage::Sending(Sending::new(service.clone()));
         let rank = call.rank;
         self.insert(id, call);
         if rank < self.router.level(&service, now) {
@@ -56,7 +54,9 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
-        let Some(flight) = self.flight(id, attempt) else { return };
+        let Some(flight) = self.flight(id, attempt).filter(|flight| !flight.delivering) else {
+            return;
+        };
         flight.delivering = true;
         let endpoint = flight.endpoint.clone();
         let sample = CallSample::Answered(now.since(flight.sent_at));
@@ -91,18 +91,25 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
-        let Some(flight) = self.flight(id, attempt) else { return };
+        let Some(flight) = self.flight(id, attempt).filter(|flight| !flight.delivering) else {
+            return;
+        };
         let endpoint = flight.endpoint.clone();
         self.note_sample(id, &endpoint, CallSample::Refused, now);
         self.settle(id, attempt, Some(refused.receipt), now);
-        let bound_to = refused.refusal.bound_to.clone();
-        if let Some(key) = bound_to
+        let RemoteRefusal { refusal, .. } = refused;
+        if refusal.reason == RefusalReason::KeyBoundElsewhere
+            && let Some(key) = refusal.bound_to.clone()
             && self.follow_key(id, key, now, actions)
         {
             return;
         }
-        let may_retry = refused.refusal.outcome == Outcome::NotRun;
-        self.retry_or_refuse(id, may_retry, refused.refusal, now, actions);
+        let is_not_run = refusal.outcome == Outcome::NotRun;
+        if is_not_run {
+            self.note_proof(id, &refusal);
+        }
+        let may_retry = is_not_run && refusal.reason.may_retry();
+        self.retry_or_refuse(id, may_retry, refusal, now, actions);
     }
 
     pub(crate) fn remote_lost(
@@ -114,6 +121,9 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(flight) = self.flight(id, attempt) else { return };
+        if flight.delivering {
+            return self.remote_end(id, attempt, None, now, actions);
+        }
         let endpoint = flight.endpoint.clone();
         let share = flight.share;
         self.note_sample(id, &endpoint, CallSample::Failed, now);
@@ -135,7 +145,7 @@
         let Some(target) = self.choose(id, now) else {
             let bound = self.calls.get(&id).is_some_and(|call| call.key.is_some());
             let refusal = if bound {
-                Refusal::unknown(RefusalReason::KeyUnknown)
+                Refusal::not_run(RefusalReason::KeyUnknown)
             } else {
                 Refusal::not_run(RefusalReason::NoEndpoint).with_retry_after(Admission::RETRY_AFTER)
             };
@@ -170,6 +180,24 @@
         actions.push(Action::Forward { call: id, attempt, forward: Box::new(forward) });
     }
 
+    /// The inbound call that made `arrival`, if it still runs. The call ids of
+    /// an earlier process may be in use again, for other requests.
+    fn running_parent(&self, parent: CallId, arrival: &Arrival) -> Option<&Call> {
+        let parent = self.calls.get(&parent)?;
+        let is_running = matches!(parent.stage, Stage::Running { .. });
+        (is_running && parent.root == arrival.root).then_some(parent)
+    }
+
+    /// Notes that the process of the call's key has shown that it did not run.
+    fn note_proof(&mut self, id: CallId, refusal: &Refusal) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let is_own_key = call.key.is_some() || refusal.reason == RefusalReason::KeyConflict;
+        call.not_run_proven |= is_own_key || refusal.bound_to.is_some();
+        if call.key.is_none() {
+            call.key = refusal.bound_to.clone();
+        }
+    }
+
     fn request_key(&self, id: CallId) -> Option<RequestKey> {
         let call = self.calls.get(&id)?;
         let client = || call.client_key.clone().map(RequestKey::Client);
@@ -262,23 +290,6 @@
         self.router.note_level(&service, receipt.level, now);
     }
 
-    /// Sends the call to the process that its key is bound to. Returns whether it did.
-    fn follow_key(
-        &mut self,
-        id: CallId,
-        key: BoundKey,
-        now: MonoTime,
-        actions: &mut Vec<Action>,
-    ) -> bool {
-        let Some(call) = self.calls.get_mut(&id) else { return false };
-        if call.key.is_some() {
-            return false;
-        }
-        call.key = Some(key);
-        self.send(id, now, actions);
-        true
-    }
-
     fn retry_or_refuse(
         &mut self,
         id: CallId,
@@ -297,6 +308,7 @@
         if may_retry && is_in_time && self.ratios.entry(service).or_default().try_retry() {
             if let Some((_, sending)) = self.sending(id) {
                 sending.retries += 1;
+                sending.retry_at = Some(retry_at);
             }
             self.retries.insert((retry_at, id));
         } else {
--- a/cuminarch-engine/src/refusal.rs
+++ b/cuminarch-engine/src/refusal.rs
@@ -28,6 +28,8 @@
     KeyAlreadyRun,
     /// Whether the key's request has run cannot be shown.
     KeyUnknown,
+    /// The key belongs to another request.
+    KeyConflict,
     /// No more keys can be held.
     KeysExhausted,
     /// The key could not be claimed on the platform.
@@ -37,6 +39,12 @@
 }
 
 impl RefusalReason {
+    /// Whether another attempt may fare better soon.
+    #[must_use]
+    pub const fn may_retry(self) -> bool {
+        !matches!(self, Self::ClaimUnavailable | Self::KeyConflict)
+    }
+
     /// Text for logs and callers.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
@@ -52,6 +60,7 @@
             Self::KeyInProgress => "key-in-progress",
             Self::KeyAlreadyRun => "key-already-run",
             Self::KeyUnknown => "key-unknown",
+            Self::KeyConflict => "key-conflict",
             Self::KeysExhausted => "keys-exhausted",
             Self::ClaimUnavailable => "claim-unavailable",
             Self::KeyBoundElsewhere => "key-bound-elsewhere",
@@ -59,7 +68,7 @@
     }
 
     /// Every reason.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Draining,
         Self::Overloaded,
         Self::OverloadedBehind,
@@ -71,6 +80,7 @@
         Self::KeyInProgress,
         Self::KeyAlreadyRun,
         Self::KeyUnknown,
+        Self::KeyConflict,
         Self::KeysExhausted,
         Self::ClaimUnavailable,
         Self::KeyBoundElsewhere,
--- a/cuminarch-engine/src/time.rs
+++ b/cuminarch-engine/src/time.rs
@@ -3,7 +3,7 @@
 use cuminarch_once::KeyResult;
 use cuminarch_types::{CallId, MonoTime};
 
-use crate::call::Stage;
+use crate::call::{Sending, Stage};
 use crate::{Action, Engine, Refusal, RefusalReason};
 
 impl Engine {
@@ -31,9 +31,7 @@
                 break;
             }
             self.retries.remove(&(at, call));
-            if self.calls.contains_key(&call) {
-                self.send(call, now, actions);
-            }
+            self.send(call, now, actions);
         }
         let events = self.admission.poll(now);
         self.apply_queue_events(events, now, actions);
@@ -46,6 +44,28 @@
         }
     }
 
+    /// Ends a call whose parent is over, with an answer for whoever still waits.
+    pub(crate) fn abandon(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
+        let is_delivering = self.is_delivering(id);
+        let Some(may_have_run) = self.stop(id, now, actions) else { return };
+        if is_delivering {
+            let receipt = self.remove(id, now, actions).unwrap_or_default();
+            return actions.push(Action::Close { call: id, receipt });
+        }
+        let reason = RefusalReason::ParentEnded;
+        let refusal =
+            if may_have_run { Refusal::unknown(reason) } else { Refusal::not_run(reason) };
+        self.refuse(id, refusal, now, actions);
+    }
+
+    fn is_delivering(&self, id: CallId) -> bool {
+        let Some(call) = self.calls.get(&id) else { return false };
+        match &call.stage {
+            Stage::Sending(Sending { current: Some(flight), .. }) => flight.delivering,
+            _ => false,
+        }
+    }
+
     fn expire(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
         let Some(may_have_run) = self.stop(id, now, actions) else { return };
         let reason = RefusalReason::DeadlineExceeded;
--- /dev/null
+++ b/cuminarch-engine/tests/model/scenario.rs
@@ -0,0 +1,181 @@
+use std::time::Duration;
+
+use proptest::prelude::*;
+
+/// Chances in a thousand that something goes wrong.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// A link cannot be opened; nothing is sent.
+    pub connect: u32,
+    /// A link breaks after the request was sent, which may still arrive.
+    pub cut_request: u32,
+    /// The answer is lost.
+    pub cut_answer: u32,
+    /// A message takes up to two seconds longer.
+    pub delay: u32,
+    /// The own upstream takes no connection.
+    pub upstream_closed: u32,
+    /// The own upstream runs the request and fails.
+    pub upstream_fails: u32,
+    /// The answer of the own upstream breaks off.
+    pub upstream_breaks: u32,
+    /// A claim is applied, but its answer is lost.
+    pub claim_lost: u32,
+    /// A claim is not applied and fails.
+    pub claim_fails: u32,
+    /// A client sends again while its send before is in progress.
+    pub impatience: u32,
+    /// An upstream goes on with a request that was cancelled.
+    pub deaf: u32,
+}
+
+/// Which idempotency key the requests of the clients carry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum KeyKind {
+    None,
+    Client,
+    Bound,
+}
+
+/// What an operator or a host does, at a time in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub enum Incident {
+    /// Replaces a node by a new incarnation.
+    Restart(usize),
+    /// Stops a node for so many milliseconds.
+    Pause(usize, u64),
+    /// Tells a node to take no new calls.
+    Drain(usize),
+    /// Cuts the two zones from each other for so many milliseconds.
+    CutZones(u64),
+}
+
+/// A deliberate fault that the audit has to find.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Sabotage {
+    #[default]
+    None,
+    /// A lost answer counts as proof that nothing was sent.
+    ResendAfterLoss,
+    /// Every claim of a client's key is granted.
+    GrantEveryClaim,
+    /// Calls between nodes carry no share, so that each gets a new grant.
+    FreshGrants,
+    /// Refusals say that nothing ran.
+    ClaimNotRun,
+}
+
+/// One history to be generated.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub seed: u64,
+    /// Services in the chain; each has two endpoints, one in each zone.
+    pub depth: usize,
+    /// Calls that each upstream makes to the next service at once.
+    pub width: usize,
+    /// Further tries that an upstream makes for a failed call of its own.
+    pub upstream_tries: u32,
+    pub grant: u32,
+    pub requests: usize,
+    pub sends: u32,
+    /// Whether clients number their sends.
+    pub is_numbered: bool,
+    pub once: bool,
+    pub key: KeyKind,
+    /// Whether calls of the upstreams are non-idempotent too.
+    pub once_below: bool,
+    pub faults: Faults,
+    pub incidents: Vec<(u64, Incident)>,
+    pub sabotage: Sabotage,
+}
+
+impl Scenario {
+    /// Time after which nothing new begins.
+    pub const END: Duration = Duration::from_secs(40);
+
+    /// A chain without any fault.
+    pub fn calm(depth: usize, width: usize) -> Self {
+        Self {
+            seed: 1,
+            depth,
+            width,
+            upstream_tries: 0,
+            grant: 64,
+            requests: 1,
+            sends: 1,
+            is_numbered: true,
+            once: false,
+            key: KeyKind::None,
+            once_below: false,
+            faults: Faults::default(),
+            incidents: Vec::new(),
+            sabotage: Sabotage::None,
+        }
+    }
+
+    pub fn endpoints(&self) -> usize {
+        self.depth * 2
+    }
+}
+
+fn faults() -> impl Strategy<Value = Faults> {
+    let chance = || prop_oneof![2 => Just(0_u32), 1 => Just(30_u32), 1 => Just(250_u32)];
+    let links = (chance(), chance(), chance(), chance());
+    let upstreams = (chance(), chance(), chance());
+    let claims = (chance(), chance(), chance(), chance());
+    (links, upstreams, claims).prop_map(|(links, upstreams, claims)| Faults {
+        connect: links.0,
+        cut_request: links.1,
+        cut_answer: links.2,
+        delay: links.3,
+        upstream_closed: upstreams.0,
+        upstream_fails: upstreams.1,
+        upstream_breaks: upstreams.2,
+        claim_lost: claims.0,
+        claim_fails: claims.1,
+        impatience: claims.2,
+        deaf: claims.3,
+    })
+}
+
+fn incident() -> impl Strategy<Value = (u64, Incident)> {
+    let kind = prop_oneof![
+        (0..28_usize).prop_map(Incident::Restart),
+        (0..28_usize, 500..6_000_u64).prop_map(|(at, span)| Incident::Pause(at, span)),
+        (0..28_usize).prop_map(Incident::Drain),
+        (200..6_000_u64).prop_map(Incident::CutZones),
+    ];
+    (0..4_000_u64, kind)
+}
+
+fn shape() -> impl Strategy<Value = (usize, usize)> {
+    prop_oneof![(1..=3_usize, 1..=4_usize), (1..=14_usize, Just(1_usize))]
+}
+
+/// Histories with everything that may go wrong.
+pub fn scenarios() -> impl Strategy<Value = Scenario> {
+    let key = prop_oneof![Just(KeyKind::None), Just(KeyKind::Client), Just(KeyKind::Bound)];
+    let load = (0..3_u32, 4..200_u32, 1..4_usize, 1..6_u32);
+    let kind = (any::<bool>(), key, any::<bool>(), any::<bool>());
+    let incidents = prop::collection::vec(incident(), 0..4);
+    (any::<u64>(), shape(), load, kind, faults(), incidents).prop_map(
+        |(seed, (depth, width), load, (once, key, once_below, is_numbered), faults, incidents)| {
+            Scenario {
+                seed,
+                depth,
+                width,
+                upstream_tries: load.0,
+                grant: load.1,
+                requests: load.2,
+                sends: load.3,
+                is_numbered,
+                once,
+                key,
+                once_below,
+                faults,
+                incidents,
+                sabotage: Sabotage::None,
+            }
+        },
+    )
+}
--- /dev/null
+++ b/cuminarch-engine/tests/model/site.rs
@@ -0,0 +1,157 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cuminarch_config::{Policy, Sheet};
+use cuminarch_engine::{Arrival, Engine, EngineSettings, Event, Refusal};
+use cuminarch_protocol::{Member, MemberState, Receipt};
+use cuminarch_types::{
+    AttemptId, CallId, EndpointId, Incarnation, MonoTime, Revision, ServiceName,
+};
+
+use super::Scenario;
+
+/// A process of a node: its place and which of the processes there it is.
+pub type Process = (usize, u64);
+
+/// Who waits for the answer to a call.
+#[derive(Clone, Copy, Debug)]
+pub enum Origin {
+    Client { request: usize },
+    Upstream { work: usize, child: usize, tries: u32 },
+    Link(usize),
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Tag {
+    pub ask: usize,
+    pub origin: Origin,
+    pub finals: u32,
+    pub is_cancelled: bool,
+}
+
+/// One host: a node and the upstream beside it.
+pub struct Site {
+    pub service: usize,
+    pub engine: Engine,
+    pub incarnation: u64,
+    pub born: MonoTime,
+    pub paused_until: MonoTime,
+    pub tags: BTreeMap<CallId, Tag>,
+    pub next_tick: Option<MonoTime>,
+}
+
+/// One attempt between two nodes.
+#[derive(Clone, Copy, Debug)]
+pub struct Link {
+    pub from: Process,
+    pub call: CallId,
+    pub attempt: AttemptId,
+    pub to: Process,
+    pub to_call: Option<CallId>,
+    pub ask: usize,
+    pub is_cut: bool,
+    pub has_head: bool,
+}
+
+/// A request that an upstream runs.
+#[derive(Clone, Debug)]
+pub struct Work {
+    pub process: Process,
+    pub call: CallId,
+    pub ask: usize,
+    pub open_children: usize,
+    pub keep_answer: bool,
+    pub is_stopped: bool,
+}
+
+/// Something that is due.
+#[derive(Debug)]
+pub enum Step {
+    Send { request: usize, send: u32 },
+    Engine(Process, Event),
+    Arrive(Process, Box<Arrival>, Tag),
+    LinkArrive(usize, Box<Arrival>),
+    LinkLost(usize),
+    LinkAbort(usize),
+    LinkHead(usize),
+    LinkEnd(usize, Option<Receipt>),
+    LinkRefused(usize, Box<Refusal>, Receipt),
+    Children(usize),
+    Finish(usize),
+    Tick(Process),
+    Incident(usize),
+}
+
+pub fn service(index: usize) -> ServiceName {
+    ServiceName::new(format!("service-{index}")).unwrap()
+}
+
+pub fn endpoint(site: usize) -> EndpointId {
+    EndpointId::new(format!("endpoint-{site}")).unwrap()
+}
+
+/// Zone of a site; the two endpoints of a service are in different ones.
+pub fn zone(site: usize) -> usize {
+    site % 2
+}
+
+pub fn member(site: usize, incarnation: u64, state: MemberState) -> Member {
+    Member {
+        endpoint: endpoint(site),
+        service: service(site / 2),
+        zone: format!("zone-{}", zone(site)).parse().unwrap(),
+        region: "region".parse().unwrap(),
+        incarnation: Incarnation::new(incarnation),
+        data_address: format!("127.0.0.1:{}", 10_000 + site).parse().unwrap(),
+        control_address: "127.0.0.1:1".parse().unwrap(),
+        state,
+    }
+}
+
+fn policy(scenario: &Scenario) -> Arc<Policy> {
+    let text = format!(
+        "classes:
+  - name: work
+    grant_attempts: {}
+    deadline_ms: 4000
+    retry_percent: 100
+rules:
+  - class: work
+    methods: [POST]
+    path: /once
+    idempotent: false
+default_class: work
+",
+        scenario.grant
+    );
+    let sheet = Sheet::parse(&text).unwrap();
+    Arc::new(Policy::from_sheet(Revision::new(1), &sheet).unwrap())
+}
+
+impl Site {
+    pub fn new(site: usize, incarnation: u64, scenario: &Scenario, now: MonoTime) -> Self {
+        let own = member(site, incarnation, MemberState::Active);
+        let settings = EngineSettings::new(own.endpoint, own.service, own.zone, own.region)
+            .with_incarnation(own.incarnation)
+            .with_seed(scenario.seed ^ (site as u64) << 8 ^ incarnation);
+        let mut engine = Engine::new(settings, policy(scenario));
+        for other in 0..scenario.endpoints() {
+            let other = Box::new(member(other, 1, MemberState::Active));
+            engine.handle(Event::Member(other), MonoTime::ZERO);
+        }
+        Self {
+            service: site / 2,
+            engine,
+            incarnation,
+            born: now,
+            paused_until: now,
+            tags: BTreeMap::new(),
+            next_tick: None,
+        }
+    }
+
+    /// The clock of the process.
+    pub fn clock(&self, now: MonoTime) -> MonoTime {
+        MonoTime::ZERO.after(now.since(self.born))
+    }
+}
--- /dev/null
+++ b/cuminarch-engine/tests/model/steps.rs
@@ -0,0 +1,295 @@
+use std::time::Duration;
+
+use cuminarch_engine::{Arrival, ClaimResult, Event, LocalEnd, RemoteRefusal, RequestKey};
+use cuminarch_once::{BoundKey, StoredAnswer};
+use cuminarch_protocol::{AnswerHead, MemberState};
+use cuminarch_types::{CallId, MonoTime, Outcome, RequestId, ResendNumber};
+
+use super::audit::Ask;
+use super::site::{Origin, Process, Step, Tag, Work, member, service};
+use super::{Incident, KeyKind, Sabotage, Scenario, World};
+
+impl World {
+    pub fn step(&mut self, step: Step) {
+        match step {
+            Step::Send { request, send } => self.client_send(request, send),
+            Step::Engine(process, event) => self.feed(process, event),
+            Step::Arrive(process, arrival, tag) => {
+                self.arrive(process, *arrival, tag);
+            }
+            Step::LinkArrive(link, arrival) => self.link_arrive(link, *arrival),
+            Step::LinkLost(link) => self.link_lost(link),
+            Step::LinkAbort(link) => self.link_abort(link),
+            Step::LinkHead(link) => {
+                let entry = &mut self.links[link];
+                if !entry.is_cut {
+                    entry.has_head = true;
+                    let event = Event::RemoteHead(entry.call, entry.attempt);
+                    let from = entry.from;
+                    self.feed(from, event);
+                }
+            }
+            Step::LinkEnd(link, receipt) => {
+                let entry = self.links[link];
+                if !entry.is_cut {
+                    let event =
+                        Event::RemoteEnd { call: entry.call, attempt: entry.attempt, receipt };
+                    self.feed(entry.from, event);
+                }
+            }
+            Step::LinkRefused(link, refusal, receipt) => {
+                let entry = self.links[link];
+                if !entry.is_cut {
+                    let refused = Box::new(RemoteRefusal { refusal: *refusal, receipt });
+                    let event = Event::RemoteRefused(entry.call, entry.attempt, refused);
+                    self.feed(entry.from, event);
+                }
+            }
+            Step::Children(work) => self.call_children(work),
+            Step::Finish(work) => self.finish_work(work),
+            Step::Tick(process) => {
+                if self.is_alive(process) {
+                    self.sites[process.0].next_tick = None;
+                }
+                self.feed(process, Event::Tick);
+            }
+            Step::Incident(index) => self.incident(index),
+        }
+    }
+
+    fn incident(&mut self, index: usize) {
+        let sites = self.sites.len();
+        match self.scenario.incidents[index].1 {
+            Incident::Restart(site) => self.restart(site % sites),
+            Incident::Pause(site, span_ms) => {
+                let until = self.now.after(Duration::from_millis(span_ms));
+                self.sites[site % sites].paused_until = until;
+            }
+            Incident::Drain(site) => {
+                let site = site % sites;
+                let process = self.present(site);
+                self.feed(process, Event::Drain);
+                for other in 0..sites {
+                    let news = member(site, process.1, MemberState::Leaving);
+                    let news = Event::Member(Box::new(news));
+                    self.after_ms(100, Step::Engine(self.present(other), news));
+                }
+            }
+            Incident::CutZones(span_ms) => self.cut_zones(span_ms),
+        }
+    }
+
+    fn cut_zones(&mut self, span_ms: u64) {
+        self.zones_cut_until = self.now.after(Duration::from_millis(span_ms));
+        for link in 0..self.links.len() {
+            let entry = self.links[link];
+            if self.are_cut(entry.from.0, entry.to.0) {
+                let lost_ms = 1 + self.random(3_000);
+                self.after_ms(lost_ms, Step::LinkLost(link));
+                let abort_ms = 1 + self.random(3_000);
+                self.after_ms(abort_ms, Step::LinkAbort(link));
+            }
+        }
+    }
+
+    fn client_send(&mut self, request: usize, send: u32) {
+        let (last, is_done) = self.sent.get(&request).copied().unwrap_or((0, false));
+        if is_done || send <= last || send > self.scenario.sends || self.is_over() {
+            return;
+        }
+        self.sent.insert(request, (send, false));
+        let patience_ms = if self.happens(self.scenario.faults.impatience) { 40 } else { 6_000 };
+        self.after_ms(patience_ms, Step::Send { request, send: send + 1 });
+        let is_once = self.scenario.once;
+        let key = self.client_key(request);
+        let path = if is_once { ("POST", "/once") } else { ("GET", "/work") };
+        let root = RequestId::new(request as u128 + 1);
+        let site = self.random(self.sites.len() as u64) as usize;
+        let is_direct = self.sites[site].service == 0;
+        let arrival = if is_direct {
+            Arrival::inbound(root, path.0, path.1)
+        } else {
+            Arrival::outbound(service(0), root, path.0, path.1)
+        };
+        let arrival = if self.scenario.is_numbered {
+            arrival.with_numbered(true).with_resend(ResendNumber::new(send))
+        } else {
+            arrival
+        };
+        let arrival = arrival.with_key(key.clone());
+        let ask = self.new_ask(request, key.as_ref(), is_once);
+        let tag = Tag { ask, origin: Origin::Client { request }, finals: 0, is_cancelled: false };
+        self.arrive(self.present(site), arrival, tag);
+    }
+
+    fn client_key(&mut self, request: usize) -> Option<RequestKey> {
+        match self.scenario.key {
+            KeyKind::None => None,
+            KeyKind::Client => Some(RequestKey::Client(format!("key-{request}").parse().unwrap())),
+            KeyKind::Bound => {
+                if !self.minted.contains_key(&request) {
+                    let site = self.random(2) as usize;
+                    let clock = self.sites[site].clock(self.now);
+                    let key = self.sites[site].engine.mint_key(clock);
+                    self.minted.insert(request, key);
+                }
+                self.minted.get(&request).cloned().map(RequestKey::Bound)
+            }
+        }
+    }
+
+    fn new_ask(&mut self, request: usize, key: Option<&RequestKey>, is_once: bool) -> usize {
+        let key = key.map(|key| match key {
+            RequestKey::Bound(key) => key.to_string(),
+            RequestKey::Client(key) => key.to_string(),
+        });
+        let started = self.now;
+        self.audit.ask(Ask { request, key, is_once, started, told: None, runs: Vec::new() })
+    }
+
+    pub fn client_told(&mut self, request: usize, outcome: Outcome) {
+        let (send, _) = self.sent[&request];
+        if outcome == Outcome::Completed {
+            self.sent.insert(request, (send, true));
+        } else {
+            let pause_ms = 1 + self.random(1_500);
+            self.after_ms(pause_ms, Step::Send { request, send: send + 1 });
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.now.since(MonoTime::ZERO) > Scenario::END
+    }
+
+    fn link_arrive(&mut self, link: usize, arrival: Arrival) {
+        let entry = self.links[link];
+        let origin = Origin::Link(link);
+        let tag = Tag { ask: entry.ask, origin, finals: 0, is_cancelled: false };
+        self.arrive(entry.to, arrival, tag);
+    }
+
+    fn link_lost(&mut self, link: usize) {
+        let Self { links, scenario, .. } = self;
+        let entry = &mut links[link];
+        if entry.is_cut {
+            return;
+        }
+        entry.is_cut = true;
+        let (from, call, attempt) = (entry.from, entry.call, entry.attempt);
+        let sent = scenario.sabotage != Sabotage::ResendAfterLoss;
+        let event = if entry.has_head {
+            Event::RemoteEnd { call, attempt, receipt: None }
+        } else {
+            Event::RemoteLost { call, attempt, sent }
+        };
+        self.feed(from, event);
+        let span_ms = self.latency_ms();
+        self.after_ms(span_ms, Step::LinkAbort(link));
+    }
+
+    fn link_abort(&mut self, link: usize) {
+        let entry = self.links[link];
+        let Some(call) = entry.to_call.filter(|_| self.is_alive(entry.to)) else { return };
+        if let Some(tag) = self.sites[entry.to.0].tags.get_mut(&call) {
+            tag.is_cancelled = true;
+        }
+        self.feed(entry.to, Event::Cancel(call));
+    }
+
+    pub fn claim(&mut self, process: Process, call: CallId, key: String, bound: BoundKey) {
+        let is_failed = self.happens(self.scenario.faults.claim_fails);
+        let is_lost = self.happens(self.scenario.faults.claim_lost);
+        let is_granted = self.scenario.sabotage == Sabotage::GrantEveryClaim;
+        let result = if is_failed {
+            ClaimResult::Unavailable
+        } else {
+            let holder = self.claims.entry(key).or_insert_with(|| bound.clone());
+            match holder {
+                _ if is_granted => ClaimResult::Granted,
+                _ if is_lost => ClaimResult::Unavailable,
+                holder if *holder == bound => ClaimResult::Granted,
+                holder => ClaimResult::HeldBy(holder.clone()),
+            }
+        };
+        let span_ms = 2 + self.latency_ms();
+        self.after_ms(span_ms, Step::Engine(process, Event::Claimed(call, result)));
+    }
+
+    pub fn run_local(&mut self, process: Process, call: CallId, keep_answer: bool) {
+        if self.happens(self.scenario.faults.upstream_closed) {
+            let failed = Event::LocalFailed { call, sent: false };
+            return self.after_ms(1, Step::Engine(process, failed));
+        }
+        let ask = self.sites[process.0].tags[&call].ask;
+        self.audit.ran(ask, self.now);
+        let work = self.works.len();
+        let open_children = 0;
+        let is_stopped = false;
+        self.works.push(Work { process, call, ask, open_children, keep_answer, is_stopped });
+        let span_ms = 1 + self.random(4);
+        self.after_ms(span_ms, Step::Children(work));
+    }
+
+    fn call_children(&mut self, work: usize) {
+        let site = self.works[work].process.0;
+        if self.sites[site].service + 1 >= self.scenario.depth {
+            return self.after_ms(1, Step::Finish(work));
+        }
+        self.works[work].open_children = self.scenario.width;
+        for child in 0..self.scenario.width {
+            self.call_child(work, child, 0);
+        }
+    }
+
+    /// An upstream's call to the next service, through the node beside it.
+    fn call_child(&mut self, work: usize, child: usize, tries: u32) {
+        let Work { process, call, ask, .. } = self.works[work].clone();
+        let parent = self.audit.asks[ask].clone();
+        let is_once = self.scenario.once_below;
+        let key = parent.key.filter(|_| is_once && self.scenario.key == KeyKind::Client);
+        let key = key.map(|key| RequestKey::Client(format!("{key}-{child}").parse().unwrap()));
+        let path = if is_once { ("POST", "/once") } else { ("GET", "/work") };
+        let next = service(self.sites[process.0].service + 1);
+        let root = RequestId::new(parent.request as u128 + 1);
+        let arrival = Arrival::outbound(next, root, path.0, path.1)
+            .with_parent(Some(call))
+            .with_key(key.clone());
+        let ask = self.new_ask(parent.request, key.as_ref(), is_once);
+        let origin = Origin::Upstream { work, child, tries };
+        let tag = Tag { ask, origin, finals: 0, is_cancelled: false };
+        self.arrive(self.present(process.0), arrival, tag);
+    }
+
+    pub fn upstream_told(&mut self, work: usize, child: usize, tries: u32, outcome: Outcome) {
+        let entry = &mut self.works[work];
+        if outcome != Outcome::Completed
+            && tries < self.scenario.upstream_tries
+            && !entry.is_stopped
+        {
+            return self.call_child(work, child, tries + 1);
+        }
+        entry.open_children -= 1;
+        if entry.open_children == 0 {
+            self.after_ms(1, Step::Finish(work));
+        }
+    }
+
+    fn finish_work(&mut self, work: usize) {
+        let Work { process, call, keep_answer, is_stopped, .. } = self.works[work].clone();
+        if is_stopped && !self.happens(self.scenario.faults.deaf) {
+            return;
+        }
+        if self.happens(self.scenario.faults.upstream_fails) {
+            return self.feed(process, Event::LocalFailed { call, sent: true });
+        }
+        self.feed(process, Event::LocalHead(call));
+        let is_broken = self.happens(self.scenario.faults.upstream_breaks);
+        let answer = keep_answer.then(|| {
+            let head = AnswerHead { status: 200, headers: Vec::new(), body_len_bytes: Some(2) };
+            Box::new(StoredAnswer { head, body: b"ok".to_vec() })
+        });
+        let end = if is_broken { LocalEnd::Broken } else { LocalEnd::Complete(answer) };
+        let span_ms = 1 + self.random(20);
+        self.after_ms(span_ms, Step::Engine(process, Event::LocalEnd(call, end)));
+    }
+}
--- /dev/null
+++ b/cuminarch-engine/tests/model/world.rs
@@ -0,0 +1,341 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cuminarch_engine::{Action, Arrival, Event, Forward, Refusal};
+use cuminarch_once::BoundKey;
+use cuminarch_protocol::{MemberState, Receipt};
+use cuminarch_types::{AttemptId, CallId, MonoTime, Outcome};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::audit::Audit;
+use super::site::{Link, Origin, Process, Site, Step, Tag, Work, member, zone};
+use super::{Sabotage, Scenario};
+
+/// All hosts, the network between them, the platform and the clients.
+pub struct World {
+    pub scenario: Scenario,
+    pub now: MonoTime,
+    pub audit: Audit,
+    pub sites: Vec<Site>,
+    pub links: Vec<Link>,
+    pub works: Vec<Work>,
+    pub claims: BTreeMap<String, BoundKey>,
+    pub minted: BTreeMap<usize, BoundKey>,
+    /// Number of the last send of each request, and whether one was completed.
+    pub sent: BTreeMap<usize, (u32, bool)>,
+    pub zones_cut_until: MonoTime,
+    pub rng: ChaCha8Rng,
+    queue: BTreeMap<(MonoTime, u64), Step>,
+    next_step: u64,
+}
+
+impl World {
+    /// Runs a history to its end and returns what really happened.
+    pub fn run(scenario: Scenario) -> Audit {
+        let mut world = Self::new(scenario);
+        while let Some(((at, _), step)) = world.queue.pop_first() {
+            world.now = world.now.max(at);
+            world.step(step);
+        }
+        world.check_sites();
+        let Scenario { grant, sends, is_numbered, .. } = world.scenario;
+        let fresh_sends = if is_numbered { 1 } else { sends };
+        world.audit.close(grant * fresh_sends);
+        world.audit
+    }
+
+    fn new(scenario: Scenario) -> Self {
+        let now = MonoTime::ZERO;
+        let sites = (0..scenario.endpoints()).map(|site| Site::new(site, 1, &scenario, now));
+        let mut world = Self {
+            now,
+            audit: Audit::default(),
+            sites: sites.collect(),
+            links: Vec::new(),
+            works: Vec::new(),
+            claims: BTreeMap::new(),
+            minted: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            zones_cut_until: now,
+            rng: ChaCha8Rng::seed_from_u64(scenario.seed),
+            queue: BTreeMap::new(),
+            next_step: 0,
+            scenario,
+        };
+        for request in 0..world.scenario.requests {
+            let at_ms = world.random(3_000);
+            world.after_ms(at_ms, Step::Send { request, send: 1 });
+        }
+        let incidents = world.scenario.incidents.clone();
+        for (index, (at_ms, _)) in incidents.iter().enumerate() {
+            world.after_ms(*at_ms, Step::Incident(index));
+        }
+        world
+    }
+
+    /// A number below `limit`.
+    pub fn random(&mut self, limit: u64) -> u64 {
+        self.rng.random_range(0..limit.max(1))
+    }
+
+    /// Whether something with this chance in a thousand happens.
+    pub fn happens(&mut self, chance: u32) -> bool {
+        self.random(1_000) < u64::from(chance)
+    }
+
+    pub fn at(&mut self, at: MonoTime, step: Step) {
+        let serial = self.next_step;
+        self.next_step += 1;
+        self.queue.insert((at, serial), step);
+    }
+
+    pub fn after_ms(&mut self, span_ms: u64, step: Step) {
+        self.at(self.now.after(Duration::from_millis(span_ms)), step);
+    }
+
+    /// Time that a message takes, in milliseconds.
+    pub fn latency_ms(&mut self) -> u64 {
+        let extra_ms = if self.happens(self.scenario.faults.delay) { 2_000 } else { 3 };
+        1 + self.random(extra_ms)
+    }
+
+    pub fn is_alive(&self, process: Process) -> bool {
+        self.sites[process.0].incarnation == process.1
+    }
+
+    pub fn present(&self, site: usize) -> Process {
+        (site, self.sites[site].incarnation)
+    }
+
+    pub fn are_cut(&self, one: usize, other: usize) -> bool {
+        zone(one) != zone(other) && self.now < self.zones_cut_until
+    }
+
+    /// Hands an event to an engine and carries out its actions.
+    pub fn feed(&mut self, process: Process, event: Event) {
+        if !self.is_alive(process) {
+            return;
+        }
+        let site = &mut self.sites[process.0];
+        if self.now < site.paused_until {
+            let until = site.paused_until;
+            return self.at(until, Step::Engine(process, event));
+        }
+        let clock = site.clock(self.now);
+        let actions = site.engine.handle(event, clock);
+        for action in actions {
+            self.perform(process, action);
+        }
+        self.plan_tick(process);
+    }
+
+    /// Lets a call arrive at an engine.
+    pub fn arrive(&mut self, process: Process, arrival: Arrival, tag: Tag) -> Option<CallId> {
+        if !self.is_alive(process) {
+            return None;
+        }
+        let site = &mut self.sites[process.0];
+        if self.now < site.paused_until {
+            let until = site.paused_until;
+            self.at(until, Step::Arrive(process, Box::new(arrival), tag));
+            return None;
+        }
+        let call = site.engine.next_call();
+        site.tags.insert(call, tag);
+        if let Origin::Link(link) = tag.origin {
+            self.links[link].to_call = Some(call);
+        }
+        self.feed(process, Event::arrive(call, arrival));
+        Some(call)
+    }
+
+    fn plan_tick(&mut self, process: Process) {
+        let site = &mut self.sites[process.0];
+        let clock = site.clock(self.now);
+        let is_waiting = site.engine.summary().waiting > 0;
+        let poll = is_waiting.then(|| clock.after(Duration::from_millis(5)));
+        let wake = match (site.engine.next_wake(), poll) {
+            (Some(wake), Some(poll)) => Some(wake.min(poll)),
+            (wake, poll) => wake.or(poll),
+        };
+        let Some(wake) = wake else { return };
+        let span = wake.since(clock).max(Duration::from_micros(100));
+        let at = self.now.after(span);
+        if site.next_tick.is_none_or(|planned| planned > at || planned <= self.now) {
+            site.next_tick = Some(at);
+            self.at(at, Step::Tick(process));
+        }
+    }
+
+    fn perform(&mut self, process: Process, action: Action) {
+        match action {
+            Action::RunLocal { call, keep_answer, .. } => {
+                self.run_local(process, call, keep_answer);
+            }
+            Action::Claim { call, key, bound } => {
+                self.claim(process, call, key.to_string(), bound);
+            }
+            Action::Forward { call, attempt, forward } => {
+                self.forward(process, call, attempt, &forward);
+            }
+            Action::Deliver { .. } => {}
+            Action::Refuse { call, refusal, receipt } => {
+                self.conclude(process, call, refusal.outcome, Some(refusal), receipt);
+            }
+            Action::Replay { call, receipt, .. } | Action::Close { call, receipt } => {
+                self.conclude(process, call, Outcome::Completed, None, receipt);
+            }
+            Action::CancelLocal { call } => {
+                for work in self.works.iter_mut() {
+                    work.is_stopped |= work.process == process && work.call == call;
+                }
+            }
+            Action::CancelRemote { call, attempt } => self.cancel_remote(process, call, attempt),
+        }
+    }
+
+    fn cancel_remote(&mut self, process: Process, call: CallId, attempt: AttemptId) {
+        let found = self
+            .links
+            .iter()
+            .position(|l| l.from == process && l.call == call && l.attempt == attempt);
+        if let Some(link) = found {
+            self.links[link].is_cut = true;
+            let span_ms = self.latency_ms();
+            self.after_ms(span_ms, Step::LinkAbort(link));
+        }
+    }
+
+    /// Passes a final answer to whoever waits for it.
+    fn conclude(
+        &mut self,
+        process: Process,
+        call: CallId,
+        outcome: Outcome,
+        refusal: Option<Refusal>,
+        receipt: Receipt,
+    ) {
+        let Some(tag) = self.sites[process.0].tags.get_mut(&call) else {
+            return self.audit.faults.push(format!("answer to unknown call {call}"));
+        };
+        tag.finals += 1;
+        let tag = *tag;
+        if tag.finals > 1 {
+            self.audit.faults.push(format!("call {call} of {process:?} was answered twice"));
+            return;
+        }
+        let is_lie = self.scenario.sabotage == Sabotage::ClaimNotRun && refusal.is_some();
+        let told = if is_lie { Outcome::NotRun } else { outcome };
+        match tag.origin {
+            Origin::Client { request } => {
+                self.audit.tell(tag.ask, told);
+                self.client_told(request, told);
+            }
+            Origin::Upstream { work, child, tries } => {
+                self.audit.tell(tag.ask, told);
+                self.upstream_told(work, child, tries, told);
+            }
+            Origin::Link(link) => self.answer_link(link, refusal, receipt),
+        }
+    }
+
+    fn forward(&mut self, process: Process, call: CallId, attempt: AttemptId, forward: &Forward) {
+        let name = forward.target.endpoint.as_str();
+        let to: usize = name.trim_start_matches("endpoint-").parse().unwrap();
+        let ask = self.sites[process.0].tags[&call].ask;
+        let link = self.links.len();
+        self.links.push(Link {
+            from: process,
+            call,
+            attempt,
+            to: self.present(to),
+            to_call: None,
+            ask,
+            is_cut: false,
+            has_head: false,
+        });
+        if self.are_cut(process.0, to) || self.happens(self.scenario.faults.connect) {
+            let lost = Event::RemoteLost { call, attempt, sent: false };
+            let span_ms = if self.are_cut(process.0, to) { 1_000 } else { 1 };
+            return self.after_ms(span_ms, Step::Engine(process, lost));
+        }
+        let is_once = self.audit.asks[ask].is_once;
+        let path = if is_once { ("POST", "/once") } else { ("GET", "/work") };
+        let root = cuminarch_types::RequestId::new(self.audit.asks[ask].request as u128 + 1);
+        let mut arrival = Arrival::inbound(root, path.0, path.1)
+            .with_share(forward.share, forward.rank)
+            .with_remaining(Some(forward.remaining))
+            .with_idempotent(forward.idempotent)
+            .with_key(forward.key.clone());
+        if self.scenario.sabotage == Sabotage::FreshGrants {
+            arrival.share = None;
+        }
+        let latency_ms = self.latency_ms();
+        if self.happens(self.scenario.faults.cut_request) {
+            let lost_ms = 1 + self.random(500);
+            self.after_ms(lost_ms, Step::LinkLost(link));
+            if self.happens(500) {
+                return;
+            }
+        }
+        self.after_ms(latency_ms, Step::LinkArrive(link, Box::new(arrival)));
+    }
+
+    fn answer_link(&mut self, link: usize, refusal: Option<Refusal>, receipt: Receipt) {
+        let latency_ms = self.latency_ms();
+        if self.links[link].is_cut {
+            return;
+        }
+        if self.happens(self.scenario.faults.cut_answer) {
+            return self.after_ms(latency_ms, Step::LinkLost(link));
+        }
+        if let Some(refusal) = refusal {
+            let step = Step::LinkRefused(link, Box::new(refusal), receipt);
+            return self.after_ms(latency_ms, step);
+        }
+        self.after_ms(latency_ms, Step::LinkHead(link));
+        let is_broken = self.happens(self.scenario.faults.cut_answer);
+        let end_ms = latency_ms + 1 + self.random(50);
+        self.after_ms(end_ms, Step::LinkEnd(link, (!is_broken).then_some(receipt)));
+    }
+
+    /// No state may be left once nothing more is due.
+    fn check_sites(&mut self) {
+        for (index, site) in self.sites.iter().enumerate() {
+            let summary = site.engine.summary();
+            let left = summary.calls + summary.running + summary.waiting;
+            if left > 0 || site.engine.next_wake().is_some() {
+                self.audit.faults.push(format!("site {index} keeps state: {summary:?}"));
+            }
+            for (call, tag) in &site.tags {
+                if tag.finals == 0 && !tag.is_cancelled {
+                    self.audit.faults.push(format!("call {call} of site {index} has no answer"));
+                }
+            }
+        }
+    }
+
+    /// Replaces a node by a new process that knows the present members.
+    pub fn restart(&mut self, site: usize) {
+        let old = self.present(site);
+        self.sites[site] = Site::new(site, old.1 + 1, &self.scenario, self.now);
+        for link in 0..self.links.len() {
+            let entry = self.links[link];
+            if entry.from == old {
+                self.after_ms(5, Step::LinkAbort(link));
+            }
+            if entry.to == old {
+                self.after_ms(5, Step::LinkLost(link));
+            }
+        }
+        for other in 0..self.sites.len() {
+            let news_ms = self.random(1_000);
+            let news = member(site, old.1 + 1, MemberState::Active);
+            let news = Event::Member(Box::new(news));
+            self.after_ms(news_ms, Step::Engine(self.present(other), news));
+            let known = member(other, self.sites[other].incarnation, MemberState::Active);
+            self.sites[site].engine.handle(Event::Member(Box::new(known)), MonoTime::ZERO);
+        }
+    }
+}
--- a/cuminarch-once/src/key_table.rs
+++ b/cuminarch-once/src/key_table.rs
@@ -1,9 +1,9 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use cuminarch_types::{CallId, EndpointId, Incarnation, MonoTime};
 
-use crate::{BoundKey, StoredAnswer};
+use crate::{BoundKey, RequestFingerprint, StoredAnswer};
 
 /// Bounds of a [`KeyTable`].
 #[derive(Clone, Copy, Debug)]
@@ -29,6 +29,8 @@
     InProgress,
     /// It may have run: the key is of another process, expired, or its run broke off.
     Unknown,
+    /// The key belongs to another request; this one has not run.
+    Conflict,
     /// The table is full; it has not run.
     Full,
 }
@@ -44,6 +46,15 @@
     Unknown,
 }
 
+/// Place of a key in its table: when it was minted, and its serial number.
+type Slot = (u64, u64);
+
+#[derive(Clone, Debug)]
+struct KeyEntry {
+    fingerprint: RequestFingerprint,
+    state: KeyState,
+}
+
 #[derive(Clone, Debug)]
 enum KeyState {
     Running(CallId),
@@ -60,7 +71,11 @@
     incarnation: Incarnation,
     next_serial: u64,
     answer_bytes: usize,
-    keys: BTreeMap<(u64, u64), KeyState>,
+    /// First serial number minted in each interval.
+    mints: BTreeMap<u64, u64>,
+    keys: BTreeMap<Slot, KeyEntry>,
+    /// Keys whose answer is held, the earliest answer first.
+    answered: VecDeque<Slot>,
 }
 
 impl KeyTableSettings {
@@ -82,6 +97,9 @@
 }
 
 impl KeyTable {
+    /// Keys state when they were minted in units of this many milliseconds.
+    const MINT_INTERVAL_MS: u64 = 1_000;
+
     /// An empty table of one process.
     #[must_use]
     pub const fn new(
@@ -89,50 +107,98 @@
         endpoint: EndpointId,
         incarnation: Incarnation,
     ) -> Self {
-        let keys = BTreeMap::new();
-        Self { settings, endpoint, incarnation, next_serial: 1, answer_bytes: 0, keys }
+        Self {
+            settings,
+            endpoint,
+            incarnation,
+            next_serial: 1,
+            answer_bytes: 0,
+            mints: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            answered: VecDeque::new(),
+        }
     }
 
     /// A new key that only this process will run.
     pub fn mint(&mut self, now: MonoTime) -> BoundKey {
         let serial = self.next_serial;
         self.next_serial += 1;
+        let now_ms = now.as_micros() / 1_000;
+        let latest_ms = self.mints.last_key_value().map_or(0, |(minted_ms, _)| *minted_ms);
+        let minted_ms = latest_ms.max(now_ms - now_ms % Self::MINT_INTERVAL_MS);
+        self.mints.entry(minted_ms).or_insert(serial);
         BoundKey {
             endpoint: self.endpoint.clone(),
             incarnation: self.incarnation,
-            minted_ms: now.as_micros() / 1_000,
+            minted_ms,
             serial,
         }
     }
 
-    /// Decides on a request that carries `key`.
-    pub fn begin(&mut self, key: &BoundKey, call: CallId, now: MonoTime) -> KeyDecision {
+    /// Whether this process minted the key, or claims to have.
+    #[must_use]
+    pub fn is_own(&self, key: &BoundKey) -> bool {
+        key.endpoint == self.endpoint && key.incarnation == self.incarnation
+    }
+
+    /// What [`KeyTable::begin`] would decide, without recording a run.
+    pub fn peek(
+        &mut self,
+        key: &BoundKey,
+        fingerprint: RequestFingerprint,
+        now: MonoTime,
+    ) -> KeyDecision {
         self.expire(now);
-        if !self.is_own(key) || self.is_expired(key, now) || key.serial >= self.next_serial {
+        if !self.is_own(key) || self.is_expired(key, now) || !self.is_minted(key) {
             return KeyDecision::Unknown;
         }
-        match self.keys.get(&(key.minted_ms, key.serial)) {
-            Some(KeyState::Running(_)) => KeyDecision::InProgress,
-            Some(KeyState::Completed(Some(answer))) => KeyDecision::Replay(answer.clone()),
-            Some(KeyState::Completed(None)) => KeyDecision::AlreadyRun,
-            Some(KeyState::Unknown) => KeyDecision::Unknown,
-            Some(KeyState::NotRun) | None => self.start(key, call),
+        let Some(entry) = self.keys.get(&Self::slot(key)) else {
+            let is_full = self.keys.len() >= self.settings.max_keys;
+            return if is_full { KeyDecision::Full } else { KeyDecision::Run };
+        };
+        if entry.fingerprint != fingerprint {
+            return KeyDecision::Conflict;
+        }
+        match &entry.state {
+            KeyState::Running(_) => KeyDecision::InProgress,
+            KeyState::Completed(Some(answer)) => KeyDecision::Replay(answer.clone()),
+            KeyState::Completed(None) => KeyDecision::AlreadyRun,
+            KeyState::Unknown => KeyDecision::Unknown,
+            KeyState::NotRun => KeyDecision::Run,
         }
     }
 
+    /// Decides on a request that carries `key`.
+    pub fn begin(
+        &mut self,
+        key: &BoundKey,
+        fingerprint: RequestFingerprint,
+        call: CallId,
+        now: MonoTime,
+    ) -> KeyDecision {
+        let decision = self.peek(key, fingerprint, now);
+        if decision == KeyDecision::Run {
+            let entry = KeyEntry { fingerprint, state: KeyState::Running(call) };
+            self.keys.insert(Self::slot(key), entry);
+        }
+        decision
+    }
+
     /// Records how the run of `key` by `call` ended.
     pub fn finish(&mut self, key: &BoundKey, call: CallId, result: KeyResult) {
-        let Some(state) = self.keys.get_mut(&(key.minted_ms, key.serial)) else { return };
-        if !matches!(state, KeyState::Running(runner) if *runner == call) {
+        let slot = Self::slot(key);
+        let Some(entry) = self.keys.get_mut(&slot) else { return };
+        if !matches!(entry.state, KeyState::Running(runner) if runner == call) {
             return;
         }
-        *state = match result {
+        entry.state = match result {
             KeyResult::Completed(answer) => KeyState::Completed(answer),
             KeyResult::NotRun => KeyState::NotRun,
             KeyResult::Unknown => KeyState::Unknown,
         };
-        if let KeyState::Completed(Some(answer)) = state {
+        if let KeyState::Completed(Some(answer)) = &entry.state {
             self.answer_bytes += answer.len_bytes();
+            self.answered.push_back(slot);
             self.drop_old_answers();
         }
     }
@@ -149,17 +215,22 @@
         self.keys.is_empty()
     }
 
-    fn start(&mut self, key: &BoundKey, call: CallId) -> KeyDecision {
-        let slot = (key.minted_ms, key.serial);
-        if self.keys.len() >= self.settings.max_keys && !self.keys.contains_key(&slot) {
-            return KeyDecision::Full;
-        }
-        self.keys.insert(slot, KeyState::Running(call));
-        KeyDecision::Run
+    /// Size of the answers held, in bytes.
+    #[must_use]
+    pub const fn answer_bytes(&self) -> usize {
+        self.answer_bytes
     }
 
-    fn is_own(&self, key: &BoundKey) -> bool {
-        key.endpoint == self.endpoint && key.incarnation == self.incarnation
+    const fn slot(key: &BoundKey) -> Slot {
+        (key.minted_ms, key.serial)
+    }
+
+    /// Whether the serial number was given out when the key says it was.
+    fn is_minted(&self, key: &BoundKey) -> bool {
+        let Some(first) = self.mints.get(&key.minted_ms) else { return false };
+        let later = self.mints.range(key.minted_ms + 1..).next();
+        let end = later.map_or(self.next_serial, |(_, serial)| *serial);
+        (*first..end).contains(&key.serial)
     }
 
     fn is_expired(&self, key: &BoundKey, now: MonoTime) -> bool {
@@ -170,22 +241,25 @@
     fn expire(&mut self, now: MonoTime) {
         let lifetime_ms = u64::try_from(self.settings.lifetime.as_millis()).unwrap_or(u64::MAX);
         let oldest_ms = (now.as_micros() / 1_000).saturating_sub(lifetime_ms);
-        while let Some(entry) = self.keys.first_entry() {
-            if entry.key().0 >= oldest_ms {
-                break;
-            }
-            if let KeyState::Completed(Some(answer)) = entry.remove() {
+        while let Some(entry) = self.mints.first_entry().filter(|entry| *entry.key() < oldest_ms) {
+            entry.remove();
+        }
+        while let Some(entry) = self.keys.first_entry().filter(|entry| entry.key().0 < oldest_ms) {
+            if let KeyState::Completed(Some(answer)) = entry.remove().state {
                 self.answer_bytes -= answer.len_bytes();
             }
         }
+        let Self { answered, keys, .. } = self;
+        while answered.front().is_some_and(|slot| !keys.contains_key(slot)) {
+            answered.pop_front();
+        }
     }
 
     fn drop_old_answers(&mut self) {
-        for state in self.keys.values_mut() {
-            if self.answer_bytes <= self.settings.max_answer_bytes {
-                return;
-            }
-            if let KeyState::Completed(answer) = state
+        while self.answer_bytes > self.settings.max_answer_bytes {
+            let Some(slot) = self.answered.pop_front() else { return };
+            if let Some(KeyEntry { state: KeyState::Completed(answer), .. }) =
+                self.keys.get_mut(&slot)
                 && let Some(answer) = answer.take()
             {
                 self.answer_bytes -= answer.len_bytes();
--- a/cuminarch-once/src/lib.rs
+++ b/cuminarch-once/src/lib.rs
@@ -6,21 +6,25 @@
 //! yields the outcome unknown, never a second run.
 //!
 //! ```
-//! use cuminarch_once::{KeyDecision, KeyTable, KeyTableSettings};
+//! use cuminarch_once::{KeyDecision, KeyTable, KeyTableSettings, RequestFingerprint};
 //! use cuminarch_types::{CallId, Incarnation, MonoTime};
 //!
 //! let settings = KeyTableSettings::new();
 //! let mut table = KeyTable::new(settings, "kasse-1".parse()?, Incarnation::new(7));
 //! let key = table.mint(MonoTime::ZERO);
-//! assert_eq!(table.begin(&key, CallId::new(1), MonoTime::ZERO), KeyDecision::Run);
-//! assert_eq!(table.begin(&key, CallId::new(2), MonoTime::ZERO), KeyDecision::InProgress);
+//! let order = RequestFingerprint::new("POST", "/orders", None);
+//! let now = MonoTime::ZERO;
+//! assert_eq!(table.begin(&key, order, CallId::new(1), now), KeyDecision::Run);
+//! assert_eq!(table.begin(&key, order, CallId::new(2), now), KeyDecision::InProgress);
 //! # Ok::<(), cuminarch_types::ParseError>(())
 //! ```
 
 mod bound_key;
+mod fingerprint;
 mod key_table;
 mod stored_answer;
 
 pub use bound_key::BoundKey;
+pub use fingerprint::RequestFingerprint;
 pub use key_table::{KeyDecision, KeyResult, KeyTable, KeyTableSettings};
 pub use stored_answer::StoredAnswer;
