--- a/cuminarch-engine/src/event.rs
+++ b/cuminarch-engine/src/event.rs
@@ -1,4 +1,4 @@
-use cuminarch_once::{BoundKey, StoredAnswer};
+use cuminarch_once::{BoundKey, ClaimOutcome, StoredAnswer};
 use cuminarch_protocol::{Member, Receipt};
 use cuminarch_types::{AttemptId, CallId};
 
@@ -15,6 +15,16 @@
     Unavailable,
 }
 
+impl From<ClaimOutcome> for ClaimResult {
+    fn from(outcome: ClaimOutcome) -> Self {
+        match outcome {
+            ClaimOutcome::Granted => Self::Granted,
+            ClaimOutcome::HeldBy(key) => Self::HeldBy(key),
+            ClaimOutcome::Unavailable => Self::Unavailable,
+        }
+    }
+}
+
 /// How an answer of the own upstream ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LocalEnd {
--- a/cuminarch-once/src/bound_key.rs
+++ b/cuminarch-once/src/bound_key.rs
@@ -1,12 +1,15 @@
 use std::fmt;
 use std::str::FromStr;
 
+use compact_str::{CompactString, ToCompactString};
 use cuminarch_types::{EndpointId, Incarnation, ParseError};
+use serde::{Deserialize, Serialize};
 
 /// An idempotency key that only one process may run.
 ///
 /// Written as `ck1:<endpoint>:<incarnation>:<minted_ms>:<serial>`.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "CompactString", into = "CompactString")]
 pub struct BoundKey {
     /// The endpoint that may run the request.
     pub endpoint: EndpointId,
@@ -55,3 +58,17 @@
         Ok(Self { endpoint, incarnation, minted_ms, serial })
     }
 }
+
+impl TryFrom<CompactString> for BoundKey {
+    type Error = ParseError;
+
+    fn try_from(text: CompactString) -> Result<Self, ParseError> {
+        text.parse()
+    }
+}
+
+impl From<BoundKey> for CompactString {
+    fn from(key: BoundKey) -> Self {
+        key.to_compact_string()
+    }
+}
--- /dev/null
+++ b/cuminarch-once/src/claim_shard.rs
@@ -0,0 +1,116 @@
+use std::fmt;
+use std::str::FromStr;
+
+use cuminarch_types::{ClientKey, ParseError};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::BoundKey;
+
+/// Number of the object that holds the claim of a client's key.
+///
+/// Written as four hexadecimal digits. Every process has to compute the same
+/// number for the same key, so the function never changes.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct ClaimShardId(u16);
+
+impl ClaimShardId {
+    /// The shard of a key.
+    #[must_use]
+    pub fn of_key(key: &ClientKey) -> Self {
+        let bytes = xxh3_64(key.as_str().as_bytes()).to_be_bytes();
+        Self(u16::from_be_bytes([bytes[0], bytes[1]]))
+    }
+}
+
+impl fmt::Display for ClaimShardId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:04x}", self.0)
+    }
+}
+
+impl FromStr for ClaimShardId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        u16::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ParseError::new("ClaimShardId", text, "it is not hexadecimal"))
+    }
+}
+
+/// One claim: the process that may run the requests of a client's key.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimEntry {
+    /// The client's key.
+    pub key: ClientKey,
+    /// What it is bound to.
+    pub bound: BoundKey,
+    /// When it was claimed, in seconds since the epoch by the claimant's clock.
+    pub claimed_s: u64,
+}
+
+/// The claims of all keys of one shard, held in one object of the platform.
+///
+/// Old claims leave the object when a new one is written, so that expiry
+/// costs no call of its own.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimShard {
+    /// The claims, the earliest written first.
+    pub entries: Vec<ClaimEntry>,
+}
+
+/// Bounds of the claims on the platform.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClaimSettings {
+    /// Age in seconds below which a claim is never dropped.
+    pub retention_s: u64,
+    /// Claims that a shard keeps although they are older.
+    pub keep_entries: usize,
+    /// Most claims of a shard; more are not granted.
+    pub max_entries: usize,
+    /// Most calls to the platform for one claim.
+    pub max_calls: u32,
+}
+
+impl ClaimSettings {
+    /// One day, 32 kept, 4096 at most, 6 calls.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self { retention_s: 24 * 3_600, keep_entries: 32, max_entries: 4_096, max_calls: 6 }
+    }
+}
+
+impl Default for ClaimSettings {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ClaimShard {
+    /// What a key is bound to, if it is claimed.
+    #[must_use]
+    pub fn holder(&self, key: &ClientKey) -> Option<&BoundKey> {
+        self.entries.iter().find(|entry| entry.key == *key).map(|entry| &entry.bound)
+    }
+
+    /// The shard with one more claim and without expired ones, or nothing if it is full.
+    #[must_use]
+    pub fn with_claim(&self, claim: ClaimEntry, settings: &ClaimSettings) -> Option<Self> {
+        let now_s = claim.claimed_s;
+        let is_expired = |entry: &ClaimEntry| entry.claimed_s + settings.retention_s <= now_s;
+        let mut excess = (self.entries.len() + 1).saturating_sub(settings.keep_entries);
+        let mut entries = Vec::with_capacity(self.entries.len() + 1);
+        for entry in &self.entries {
+            if excess > 0 && is_expired(entry) {
+                excess -= 1;
+            } else {
+                entries.push(entry.clone());
+            }
+        }
+        entries.push(claim);
+        (entries.len() <= settings.max_entries).then_some(Self { entries })
+    }
+}
--- a/cuminarch-once/src/lib.rs
+++ b/cuminarch-once/src/lib.rs
@@ -3,7 +3,8 @@
 //! A key is bound to one incarnation of one endpoint. Only that process may
 //! run the request, and it remembers every key until the key expires, so no
 //! agreement with others is needed. A key bound to a process that is gone
-//! yields the outcome unknown, never a second run.
+//! yields the outcome unknown, never a second run. A key that a client chose
+//! itself is bound to a process by a [`Claim`] on the platform.
 //!
 //! ```
 //! use cuminarch_once::{KeyDecision, KeyTable, KeyTableSettings, RequestFingerprint};
@@ -20,11 +21,15 @@
 //! ```
 
 mod bound_key;
+mod claim;
+mod claim_shard;
 mod fingerprint;
 mod key_table;
 mod stored_answer;
 
 pub use bound_key::BoundKey;
+pub use claim::{Claim, ClaimOutcome, ClaimReply, ClaimStep, ShardState};
+pub use claim_shard::{ClaimEntry, ClaimSettings, ClaimShard, ClaimShardId};
 pub use fingerprint::RequestFingerprint;
 pub use key_table::{KeyDecision, KeyResult, KeyTable, KeyTableSettings};
 pub use stored_answer::StoredAnswer;
