--- /dev/null
+++ b/cuminarch-testing/tests/library_choice.rs
@@ -0,0 +1,70 @@
+//! Shows why `tiny_http` is not used on the data path: after an answer that
+//! breaks off midway the connection goes on, so that a caller cannot tell it
+//! from a whole one or reads the next answer as the rest of it.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use rstest::rstest;
+use tiny_http::{Response, Server, StatusCode};
+
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Yields ten bytes, then fails.
+struct BreakingBody {
+    is_begun: bool,
+}
+
+impl Read for BreakingBody {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        if self.is_begun {
+            return Err(io::Error::other("the upstream died"));
+        }
+        self.is_begun = true;
+        buffer[..10].copy_from_slice(b"0123456789");
+        Ok(10)
+    }
+}
+
+fn serve_broken_then_whole(length: Option<usize>) -> SocketAddr {
+    let server = Server::http("127.0.0.1:0").unwrap();
+    let address = server.server_addr().to_ip().unwrap();
+    thread::spawn(move || {
+        let body = BreakingBody { is_begun: false };
+        let broken = Response::new(StatusCode(200), Vec::new(), body, length, None);
+        let _ = server.recv().unwrap().respond(broken.with_chunked_threshold(usize::MAX));
+        let _ = server.recv().unwrap().respond(Response::from_string("second answer"));
+    });
+    address
+}
+
+/// What a caller reads after the head of the broken answer.
+fn read_two_answers(address: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    let request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    stream.write_all(request).unwrap();
+    thread::sleep(Duration::from_millis(100));
+    stream.write_all(request).unwrap();
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    while let Ok(count) = stream.read(&mut buffer) {
+        if count == 0 {
+            break;
+        }
+        bytes.extend_from_slice(&buffer[..count]);
+    }
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    text.split_once("\r\n\r\n").unwrap().1.to_owned()
+}
+
+#[rstest]
+#[case::known_length(Some(1_000))]
+#[case::chunked(None)]
+fn tiny_http_goes_on_after_a_broken_answer(#[case] length: Option<usize>) {
+    let rest = read_two_answers(serve_broken_then_whole(length));
+    println!("{length:?}: {rest:?}");
+    assert!(rest.contains("second answer"), "the connection was closed: {rest:?}");
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,8 @@
 //! Developer tasks: `cargo xtask lint`, `test`, `doc`, `ci` and `bench`.
 
+mod style;
+
+use std::path::Path;
 use std::process::Command as Process;
 
 use clap::{Arg, Command};
@@ -31,6 +34,14 @@
 }
 
 fn lint() -> Result<()> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let findings = style::check(&root)?;
+    for finding in &findings {
+        eprintln!("{finding}");
+    }
+    if !findings.is_empty() {
+        bail!("{} departures from the house style", findings.len());
+    }
     cargo(&["fmt", "--all", "--check"])?;
     cargo(&["clippy", "--workspace", "--all-targets", "--quiet", "--", "-D", "warnings"])
 }
--- /dev/null
+++ b/xtask/src/style.rs
@@ -0,0 +1,80 @@
+//! Checks of the house style that neither rustfmt nor clippy knows.
+
+use std::fmt;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use eyre::Result;
+
+/// Longest source file in lines.
+const MAX_FILE_LINES: usize = 500;
+
+/// One departure from the house style.
+#[derive(Debug)]
+pub struct Finding {
+    file: PathBuf,
+    line: usize,
+    what: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}:{}: {}", self.file.display(), self.line, self.what)
+    }
+}
+
+/// Checks every source file below `root`.
+pub fn check(root: &Path) -> Result<Vec<Finding>> {
+    let mut findings = Vec::new();
+    for file in source_files(root)? {
+        let text = fs::read_to_string(&file)?;
+        check_length(&file, &text, &mut findings);
+        check_derives(&file, &text, &mut findings);
+    }
+    Ok(findings)
+}
+
+fn source_files(root: &Path) -> Result<Vec<PathBuf>> {
+    let mut files = Vec::new();
+    let mut folders = vec![root.to_owned()];
+    while let Some(folder) = folders.pop() {
+        for entry in fs::read_dir(&folder)? {
+            let path = entry?.path();
+            let name = path.file_name().map(|name| name.to_string_lossy().into_owned());
+            let is_skipped = name.is_none_or(|name| name == "target" || name.starts_with('.'));
+            if is_skipped {
+                continue;
+            }
+            if path.is_dir() {
+                folders.push(path);
+            } else if path.extension().is_some_and(|extension| extension == "rs") {
+                files.push(path);
+            }
+        }
+    }
+    files.sort();
+    Ok(files)
+}
+
+fn check_length(file: &Path, text: &str, findings: &mut Vec<Finding>) {
+    let lines = text.lines().count();
+    if lines > MAX_FILE_LINES {
+        let what = format!("{lines} lines, more than {MAX_FILE_LINES}");
+        findings.push(Finding { file: file.to_owned(), line: 1, what });
+    }
+}
+
+fn check_derives(file: &Path, text: &str, findings: &mut Vec<Finding>) {
+    const OPENING: &str = "#[derive(";
+    for (start, _) in text.match_indices(OPENING) {
+        let list = &text[start + OPENING.len()..];
+        let Some(end) = list.find(")]") else { continue };
+        let names: Vec<&str> =
+            list[..end].split(',').map(str::trim).filter(|name| !name.is_empty()).collect();
+        if !names.is_sorted() {
+            let line = text[..start].lines().count() + 1;
+            let what = format!("derives are not in alphabetical order: {}", names.join(", "));
+            findings.push(Finding { file: file.to_owned(), line, what });
+        }
+    }
+}
