fix: send a key to the endpoint that it is bound to

Cause: a request whose key is bound to endpoint 0 and that reaches endpoint 1 of the same service was answered unknown, since endpoint 1 looked the key up in its own table. Ruled out: a lost key (the first send through the minting node completes). Change: such a call goes out to the endpoint of its key.

--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -14,7 +14,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::call::Call;
-use crate::{Action, Direction, EngineSettings, EngineSummary, Event, Refusal};
+use crate::{
+    Action, Arrival, Direction, EngineSettings, EngineSummary, Event, Refusal, RequestKey,
+};
 
 /// Decides on every call of one node.
 #[derive(Debug)]
@@ -75,7 +77,7 @@
     pub fn handle(&mut self, event: Event, now: MonoTime) -> Vec<Action> {
         let mut actions = Vec::new();
         match event {
-            Event::Arrive(call, arrival) => match arrival.direction.clone() {
+            Event::Arrive(call, arrival) => match self.direction_of(&arrival) {
                 Direction::Inbound => self.arrive_inbound(call, &arrival, now, &mut actions),
                 Direction::Outbound(service) => {
                     self.arrive_outbound(call, service, &arrival, now, &mut actions);
@@ -146,6 +148,22 @@
         }
     }
 
+    /// Where a call goes: one whose key is bound to another endpoint of the own
+    /// service goes there, since only that process may run it.
+    fn direction_of(&self, arrival: &Arrival) -> Direction {
+        match &arrival.key {
+            Some(RequestKey::Bound(key))
+                if arrival.share.is_none() && key.endpoint != self.settings.endpoint =>
+            {
+                match &arrival.direction {
+                    Direction::Inbound => Direction::Outbound(self.settings.service.clone()),
+                    outbound @ Direction::Outbound(_) => outbound.clone(),
+                }
+            }
+            _ => arrival.direction.clone(),
+        }
+    }
+
     pub(crate) fn next_attempt(&mut self) -> AttemptId {
         let attempt = self.next_attempt;
         self.next_attempt = attempt.next();
--- a/cuminarch-testing/src/upstream_server.rs
+++ b/cuminarch-testing/src/upstream_server.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -59,6 +60,7 @@
     behaviour: Mutex<UpstreamBehaviour>,
     slots: Semaphore,
     runs: AtomicU64,
+    runs_by_target: Mutex<BTreeMap<String, u64>>,
 }
 
 /// An upstream on loopback. Its answer repeats the request's target, so that a
@@ -80,8 +82,12 @@
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let slots = Semaphore::new(behaviour.slots);
-        let shared =
-            Arc::new(Shared { behaviour: Mutex::new(behaviour), slots, runs: AtomicU64::new(0) });
+        let shared = Arc::new(Shared {
+            behaviour: Mutex::new(behaviour),
+            slots,
+            runs: AtomicU64::new(0),
+            runs_by_target: Mutex::default(),
+        });
         let served = Arc::clone(&shared);
         thread::Builder::new()
             .name("upstream".to_owned())
@@ -101,6 +107,13 @@
         self.shared.runs.load(Ordering::Relaxed)
     }
 
+    /// Number of requests that it began to run for one target.
+    #[must_use]
+    pub fn runs_of(&self, target: &str) -> u64 {
+        let runs = self.shared.runs_by_target.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.get(target).copied().unwrap_or(0)
+    }
+
     /// Changes the behaviour for later requests; the number of slots stays.
     pub fn update(&self, change: impl FnOnce(&mut UpstreamBehaviour)) {
         change(&mut self.shared.behaviour.lock().unwrap_or_else(PoisonError::into_inner));
@@ -135,6 +148,7 @@
     let token = request.headers().get("cuminarch-request").cloned();
     let _ = request.into_body().collect().await;
     shared.runs.fetch_add(1, Ordering::Relaxed);
+    count_run(&shared, &target);
     let permit = shared.slots.acquire().await;
     tokio::time::sleep(behaviour.service_time).await;
     drop(permit);
@@ -155,6 +169,11 @@
     Ok(plain(StatusCode::OK, body))
 }
 
+fn count_run(shared: &Shared, target: &str) {
+    let mut runs = shared.runs_by_target.lock().unwrap_or_else(PoisonError::into_inner);
+    *runs.entry(target.to_owned()).or_default() += 1;
+}
+
 fn plain(status: StatusCode, body: String) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
     *response.status_mut() = status;
