--- /dev/null
+++ b/cuminarch-bench/src/capacity/mod.rs
@@ -0,0 +1,175 @@
+//! Memory of a node's state, measured at several sizes, with its slope.
+//!
+//! What was built for a reading is never freed, so that a later reading
+//! is not served from memory freed before it. The figures are readings of the process's resident memory, so they differ a
+//! little between runs and are never bounded.
+
+mod memory;
+mod slope;
+
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminarch_config::Policy;
+use cuminarch_engine::{Arrival, Engine, EngineSettings, Event};
+use cuminarch_node::{Node, NodeSettings};
+use cuminarch_once::{KeyResult, KeyTable, KeyTableSettings, StoredAnswer};
+use cuminarch_protocol::{AnswerHead, Member, MemberState};
+use cuminarch_testing::{PlatformServer, UpstreamBehaviour, UpstreamServer};
+use cuminarch_types::{CallId, EndpointId, Incarnation, MonoTime, RequestId};
+use eyre::Result;
+
+use crate::Verdict;
+use memory::growth_bytes;
+use slope::{Point, print_slope};
+
+const MEMBER_COUNTS: [usize; 4] = [120, 240, 430, 860];
+const KEY_COUNTS: [usize; 3] = [10_000, 30_000, 90_000];
+const CALL_COUNTS: [usize; 3] = [2_000, 6_000, 18_000];
+const CONNECTION_COUNTS: [usize; 3] = [300, 900, 1_700];
+/// Engines built for one reading, so that it stands out from the noise.
+const ENGINES_PER_READING: usize = 50;
+/// Calls held by one engine; it runs some and queues the rest.
+const CALLS_PER_ENGINE: usize = 100;
+const STORED_BODY_BYTES: usize = 1_024;
+
+/// Runs the benchmark and prints its tables.
+///
+/// # Errors
+///
+/// Fails when a node or a stand-in cannot be started.
+pub fn run() -> Result<Verdict> {
+    print_slope("members known to an engine", "member", &members()?);
+    print_slope("idempotency keys with an answer of 1 KiB", "key", &keys()?);
+    print_slope("calls in progress in an engine", "call", &calls()?);
+    print_slope("idle connections of callers at a node", "connection", &connections()?);
+    Ok(Verdict::new())
+}
+
+fn engine() -> Result<Engine> {
+    let settings = EngineSettings::new(
+        "katalog-1".parse()?,
+        "katalog".parse()?,
+        "zrh-a".parse()?,
+        "ch-central".parse()?,
+    );
+    Ok(Engine::new(settings, Arc::new(Policy::safe_default())))
+}
+
+fn member(index: usize) -> Result<Member> {
+    let address = format!("10.0.{}.{}:7000", index / 250, index % 250).parse()?;
+    Ok(Member {
+        endpoint: format!("service-{}-endpoint-{index}", index % 160).parse()?,
+        service: format!("service-{}", index % 160).parse()?,
+        zone: format!("zone-{}", index % 5).parse()?,
+        region: format!("region-{}", index % 2).parse()?,
+        incarnation: Incarnation::new(1),
+        data_address: address,
+        control_address: address,
+        state: MemberState::Active,
+    })
+}
+
+fn members() -> Result<Vec<Point>> {
+    let mut points = Vec::new();
+    let mut kept = Vec::new();
+    for count in MEMBER_COUNTS {
+        let mut engines = Vec::new();
+        for _ in 0..ENGINES_PER_READING {
+            engines.push(engine()?);
+        }
+        let members: Vec<Member> = (0..count).map(member).collect::<Result<_>>()?;
+        let bytes = growth_bytes(|| {
+            for engine in &mut engines {
+                for member in &members {
+                    engine.handle(Event::Member(Box::new(member.clone())), MonoTime::ZERO);
+                }
+            }
+        });
+        points.push(Point { count, bytes: bytes / ENGINES_PER_READING as u64 });
+        kept.push(engines);
+    }
+    std::mem::forget(kept);
+    Ok(points)
+}
+
+fn keys() -> Result<Vec<Point>> {
+    let mut points = Vec::new();
+    let mut kept = Vec::new();
+    for count in KEY_COUNTS {
+        let endpoint: EndpointId = "kasse-1".parse()?;
+        let settings = KeyTableSettings { max_answer_bytes: usize::MAX, ..KeyTableSettings::new() };
+        let mut table = KeyTable::new(settings, endpoint, Incarnation::new(1));
+        let bytes = growth_bytes(|| {
+            for index in 0..count {
+                let key = table.mint(MonoTime::ZERO);
+                let call = CallId::new(index as u64);
+                table.begin(&key, call, MonoTime::ZERO);
+                table.finish(&key, call, KeyResult::Completed(Some(Box::new(stored_answer()))));
+            }
+        });
+        points.push(Point { count: table.len(), bytes });
+        kept.push(table);
+    }
+    std::mem::forget(kept);
+    Ok(points)
+}
+
+fn stored_answer() -> StoredAnswer {
+    let head = AnswerHead { status: 200, headers: Vec::new(), body_len_bytes: Some(1_024) };
+    StoredAnswer { head, body: vec![0; STORED_BODY_BYTES] }
+}
+
+fn calls() -> Result<Vec<Point>> {
+    let mut points = Vec::new();
+    let mut kept = Vec::new();
+    for count in CALL_COUNTS {
+        let mut engines = Vec::new();
+        for _ in 0..count / CALLS_PER_ENGINE {
+            engines.push(engine()?);
+        }
+        let bytes = growth_bytes(|| {
+            for engine in &mut engines {
+                for index in 0..CALLS_PER_ENGINE {
+                    let call = engine.next_call();
+                    let root = RequestId::new(index as u128);
+                    let arrival = Arrival::inbound(root, "GET", "/patterns/1");
+                    engine.handle(Event::arrive(call, arrival), MonoTime::ZERO);
+                }
+            }
+        });
+        points.push(Point { count, bytes });
+        kept.push(engines);
+    }
+    std::mem::forget(kept);
+    Ok(points)
+}
+
+fn connections() -> Result<Vec<Point>> {
+    let platform = PlatformServer::start()?;
+    let upstream = UpstreamServer::start(UpstreamBehaviour::new(Duration::ZERO))?;
+    let mut points = Vec::new();
+    for count in CONNECTION_COUNTS {
+        let text = format!(
+            "fleet: bench\nendpoint: katalog-1\nservice: katalog\nzone: a\nregion: r\n\
+             caller_address: 127.0.0.1:0\negress_address: 127.0.0.1:0\n\
+             data_address: 127.0.0.1:0\ncontrol_address: 127.0.0.1:0\n\
+             admin_address: 127.0.0.1:0\nupstream_address: {}\nplatform_address: {}\n",
+            upstream.address(),
+            platform.address()
+        );
+        let node = Node::start(NodeSettings::parse(&text)?)?;
+        let mut streams = Vec::new();
+        let bytes = growth_bytes(|| {
+            for _ in 0..count {
+                streams.extend(TcpStream::connect(node.caller_address()));
+            }
+            std::thread::sleep(Duration::from_millis(500));
+        });
+        points.push(Point { count: streams.len(), bytes });
+        drop(streams);
+        node.shutdown();
+    }
+    Ok(points)
+}
--- a/cuminarch-bench/src/lib.rs
+++ b/cuminarch-bench/src/lib.rs
@@ -15,6 +15,7 @@
 mod known_red;
 mod verdict;
 
+pub mod capacity;
 pub mod control;
 pub mod decisions;
 pub mod overhead;
--- a/cuminarch-bench/src/main.rs
+++ b/cuminarch-bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgAction, Command};
-use cuminarch_bench::{KnownRed, Verdict, control, decisions, overhead};
+use cuminarch_bench::{KnownRed, Verdict, capacity, control, decisions, overhead};
 
 fn command() -> Command {
     let check = Arg::new("check")
@@ -15,6 +15,7 @@
         .about("Benchmarks of cuminarch")
         .subcommand_required(true)
         .arg(check)
+        .subcommand(Command::new("capacity").about("Memory of a node's state, with slopes"))
         .subcommand(Command::new("control").about("Membership and configuration, virtual time"))
         .subcommand(Command::new("decisions").about("Policy under load, virtual time"))
         .subcommand(Command::new("overhead").about("Time added to a call, real sockets"))
@@ -35,6 +36,10 @@
 fn main() -> ExitCode {
     let matches = command().get_matches();
     let verdict = match matches.subcommand_name() {
+        Some("capacity") => capacity::run().unwrap_or_else(|error| {
+            eprintln!("capacity: {error:?}");
+            Verdict::new()
+        }),
         Some("control") => control::run(),
         Some("decisions") => decisions::run(),
         _ => overhead::run(),
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -11,7 +11,12 @@
 fn command() -> Command {
     let bench = Command::new("bench")
         .about("Run one benchmark and print its table")
-        .arg(Arg::new("name").required(true).value_parser(["overhead", "decisions", "control"]))
+        .arg(Arg::new("name").required(true).value_parser([
+            "capacity",
+            "control",
+            "decisions",
+            "overhead",
+        ]))
         .arg(Arg::new("rest").num_args(0..).trailing_var_arg(true).allow_hyphen_values(true));
     Command::new("xtask")
         .about("Developer tasks")
