feat(bench): drive the engine through overloads in virtual time

One real engine for each endpoint of both users' fleets and of a chain of 14, beside a naive mesh (retries at each layer, unbounded queues) and an oracle that refuses at the top by class. A quarter of each endpoint's slots is simulated and demand is scaled with them.

The limiter counts the time of deeper services as its own latency, so the top service collapses to its smallest limit.

--- /dev/null
+++ b/cuminarch-bench/src/decisions/figures.rs
@@ -0,0 +1,115 @@
+//! Figures of one run.
+
+use super::oracle;
+use super::scenario::Scenario;
+use super::world::Root;
+
+const STEP_US: u64 = 200_000;
+const WINDOW_US: u64 = 1_000_000;
+/// A request counts for recovery if it is completed this soon.
+const PROMPT_US: u64 = 1_000_000;
+const RECOVERED: f64 = 0.99;
+
+/// What one side did in one scenario.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    /// Whole requests completed while the cause acted, as a share of the oracle's.
+    pub goodput: f64,
+    /// Share completed of each kind.
+    pub by_kind: Vec<f64>,
+    /// Share of protected requests completed of those that the oracle completes.
+    pub protected: f64,
+    /// Whether all protected demand fits.
+    pub protected_fits: bool,
+    /// The oracle's share of each kind.
+    pub oracle_by_kind: Vec<f64>,
+    pub attempts_mean: f64,
+    pub attempts_max: u32,
+    /// Share of the work below the first service done for requests that failed.
+    pub waste: f64,
+    /// Time from the end of the cause until promptly completed requests reach
+    /// 99% of what they were before; none if they never do.
+    pub recovery_s: Option<f64>,
+}
+
+impl Figures {
+    /// Figures of the requests of one run.
+    pub fn new(scenario: &Scenario, roots: &[Root]) -> Self {
+        let (begin_us, end_us) = scenario.cause_us;
+        let kinds = scenario.system.kinds.len();
+        let mut arrived = vec![0.0; kinds];
+        let mut completed = vec![0.0; kinds];
+        let mut finished_within = 0.0;
+        for root in roots {
+            if (begin_us..end_us).contains(&root.arrived_us) {
+                arrived[root.kind] += 1.0;
+                completed[root.kind] += f64::from(u8::from(root.done_us.is_some()));
+            }
+            let is_within = |at_us: u64| (begin_us..end_us).contains(&at_us);
+            finished_within += f64::from(u8::from(root.done_us.is_some_and(is_within)));
+        }
+        let span_s = (end_us - begin_us) as f64 / 1e6;
+        let oracle = oracle::completed(scenario, &arrived, span_s);
+        let oracle_sum: f64 = oracle.iter().sum();
+        let share = |part: f64, whole: f64| if whole > 0.0 { part / whole } else { 1.0 };
+        let protected = |counts: &[f64]| -> f64 {
+            let kinds = scenario.system.kinds.iter().zip(counts);
+            kinds.filter(|(kind, _)| kind.is_protected).map(|(_, count)| *count).sum()
+        };
+        Self {
+            goodput: share(finished_within, oracle_sum),
+            by_kind: completed.iter().zip(&arrived).map(|(c, a)| share(*c, *a)).collect(),
+            protected: share(protected(&completed), protected(&oracle)),
+            protected_fits: protected(&oracle) >= protected(&arrived) - 1e-6,
+            oracle_by_kind: oracle.iter().zip(&arrived).map(|(o, a)| share(*o, *a)).collect(),
+            attempts_mean: share(
+                roots.iter().map(|root| f64::from(root.attempts)).sum(),
+                roots.len() as f64,
+            ),
+            attempts_max: roots.iter().map(|root| root.attempts).max().unwrap_or(0),
+            waste: waste(scenario, roots),
+            recovery_s: recovery_s(scenario, roots),
+        }
+    }
+}
+
+/// Work below the first service that no completed request needed.
+fn waste(scenario: &Scenario, roots: &[Root]) -> f64 {
+    let settled_us = scenario.end_us.saturating_sub(WINDOW_US * 2);
+    let roots = roots.iter().filter(|root| root.arrived_us < settled_us);
+    let (mut all, mut lost) = (0.0, 0.0);
+    for root in roots {
+        all += root.deep_us as f64;
+        if root.done_us.is_none() {
+            lost += root.deep_us as f64;
+        }
+    }
+    if all > 0.0 { lost / all } else { 0.0 }
+}
+
+fn recovery_s(scenario: &Scenario, roots: &[Root]) -> Option<f64> {
+    let (begin_us, end_us) = scenario.cause_us;
+    let before = prompt_share(roots, begin_us - 3 * WINDOW_US, begin_us)?;
+    let mut from_us = end_us;
+    let mut found_us = None;
+    while from_us + WINDOW_US + PROMPT_US <= scenario.end_us {
+        let share = prompt_share(roots, from_us, from_us + WINDOW_US).unwrap_or(1.0);
+        if share < RECOVERED * before {
+            found_us = None;
+        } else if found_us.is_none() {
+            found_us = Some(from_us);
+        }
+        from_us += STEP_US;
+    }
+    found_us.map(|found_us| (found_us - end_us) as f64 / 1e6)
+}
+
+/// Share of the requests that came within a span and were completed promptly.
+fn prompt_share(roots: &[Root], from_us: u64, to_us: u64) -> Option<f64> {
+    let first = roots.partition_point(|root| root.arrived_us < from_us);
+    let last = roots.partition_point(|root| root.arrived_us < to_us);
+    let span = &roots[first..last];
+    let is_prompt = |root: &&Root| root.done_us.is_some_and(|at| at - root.arrived_us <= PROMPT_US);
+    let prompt = span.iter().filter(is_prompt).count();
+    (!span.is_empty()).then(|| prompt as f64 / span.len() as f64)
+}
--- a/cuminarch-bench/src/decisions/mod.rs
+++ b/cuminarch-bench/src/decisions/mod.rs
@@ -1,9 +1,147 @@
 //! Policy under load in virtual time, beside a naive version and an oracle.
+//!
+//! One engine for each endpoint of the users' fleets is driven event by event.
+//! A quarter of each endpoint's slots is simulated, and demand is scaled with
+//! them. The same requests, from the same seeds, also go through a naive mesh
+//! with retries at each layer and unbounded queues.
 
-use crate::Verdict;
+mod figures;
+mod layered;
+mod naive;
+mod oracle;
+mod scenario;
+mod system;
+mod world;
+
+use std::sync::Mutex;
+use std::thread;
+
+use crate::{Bound, Case, Verdict};
+use figures::Figures;
+use layered::Layered;
+use naive::Naive;
+use scenario::{Cause, Scenario};
+use world::World;
+
+const THREADS: usize = 4;
+const GOODPUT: f64 = 0.95;
+const PROTECTED: f64 = 0.999;
+const RECOVERY_S: f64 = 2.0;
+/// Stands for a recovery that was not seen.
+const NEVER_S: f64 = 999.0;
+
+struct Row {
+    scenario: Scenario,
+    layered: Figures,
+    naive: Figures,
+}
 
 /// Runs the benchmark, prints its table and returns the bounded figures.
 #[must_use]
 pub fn run() -> Verdict {
-    Verdict::new()
+    run_matching("")
+}
+
+/// Runs the scenarios whose name contains `part`.
+#[must_use]
+pub fn run_matching(part: &str) -> Verdict {
+    let scenarios = Scenario::all().into_iter().filter(|scenario| scenario.name.contains(part));
+    let rows = run_all(scenarios.collect());
+    print_table(&rows);
+    let mut verdict = Verdict::new();
+    for row in &rows {
+        record(row, &mut verdict);
+    }
+    verdict
+}
+
+fn run_all(scenarios: Vec<Scenario>) -> Vec<Row> {
+    let waiting = Mutex::new(scenarios.into_iter().enumerate().collect::<Vec<_>>());
+    let done = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                loop {
+                    let next = waiting.lock().ok().and_then(|mut waiting| waiting.pop());
+                    let Some((index, scenario)) = next else { break };
+                    let row = run_one(scenario);
+                    if let Ok(mut done) = done.lock() {
+                        done.push((index, row));
+                    }
+                }
+            });
+        }
+    });
+    let mut rows = done.into_inner().unwrap_or_default();
+    rows.sort_by_key(|(index, _)| *index);
+    rows.into_iter().map(|(_, row)| row).collect()
+}
+
+fn run_one(scenario: Scenario) -> Row {
+    let mut world = World::new(scenario.clone());
+    let mut mesh = Layered::new(&world);
+    world.run(&mut mesh);
+    let layered = Figures::new(&scenario, &world.roots);
+    let mut world = World::new(scenario.clone());
+    world.run(&mut Naive::default());
+    let naive = Figures::new(&scenario, &world.roots);
+    Row { scenario, layered, naive }
+}
+
+fn print_table(rows: &[Row]) {
+    println!("goodput: share of the oracle's; prot.: protected completed of what fits; recovery:");
+    println!("seconds to 99% of prompt answers; att.: attempts a request; waste: deep work lost");
+    println!(
+        "{:24} {:9} {:>7} {:>7} {:>8} {:>5} {:>4} {:>6}  completed by kind (oracle)",
+        "scenario", "side", "goodput", "prot.", "recovery", "att.", "max", "waste"
+    );
+    for row in rows {
+        print_side(row, "cuminarch", &row.layered);
+        print_side(row, "naive", &row.naive);
+    }
+}
+
+fn print_side(row: &Row, side: &str, figures: &Figures) {
+    let recovery = figures.recovery_s.map_or("never".to_owned(), |span| format!("{span:.1}"));
+    let kinds = row.scenario.system.kinds.iter();
+    let by_kind: Vec<String> = kinds
+        .zip(figures.by_kind.iter().zip(&figures.oracle_by_kind))
+        .map(|(kind, (share, oracle))| format!("{} {share:.3} ({oracle:.2})", kind.name))
+        .collect();
+    println!(
+        "{:24} {:9} {:>7} {:>7} {:>8} {:5.1} {:4} {:6.3}  {}",
+        row.scenario.name,
+        side,
+        share_text(row, figures.goodput, 3),
+        share_text(row, figures.protected, 4),
+        recovery,
+        figures.attempts_mean,
+        figures.attempts_max,
+        figures.waste,
+        by_kind.join(", ")
+    );
+}
+
+/// A share of the oracle's; the retry storm has no oracle, as nothing runs in it.
+fn share_text(row: &Row, share: f64, digits: usize) -> String {
+    if row.scenario.cause == Cause::RetryStorm {
+        return "-".to_owned();
+    }
+    format!("{share:.digits$}")
+}
+
+fn record(row: &Row, verdict: &mut Verdict) {
+    let name = |figure: &str| format!("decisions/{}/{figure}", row.scenario.name);
+    let figures = &row.layered;
+    let attempts = f64::from(figures.attempts_max);
+    verdict.record(Case::new(name("attempts"), attempts, Bound::AtMost(f64::from(system::GRANT))));
+    let recovery_s = figures.recovery_s.unwrap_or(NEVER_S);
+    verdict.record(Case::new(name("recovery"), recovery_s, Bound::AtMost(RECOVERY_S)));
+    if matches!(row.scenario.cause, Cause::Surge(_)) {
+        verdict.record(Case::new(name("goodput"), figures.goodput, Bound::AtLeast(GOODPUT)));
+        if figures.protected_fits {
+            let bound = Bound::AtLeast(PROTECTED);
+            verdict.record(Case::new(name("protected"), figures.protected, bound));
+        }
+    }
 }
--- /dev/null
+++ b/cuminarch-bench/src/decisions/naive.rs
@@ -0,0 +1,175 @@
+//! The naive version: retries at each layer, no shared budget, unbounded
+//! queues, static limits, no deadlines or cancellation carried.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt;
+
+use super::scenario::Cause;
+use super::world::{CausePhase, Due, Mesh, World};
+
+const TIMEOUT_US: u64 = 500_000;
+const TRIES: u32 = 3;
+
+/// Events of the naive mesh.
+#[derive(Clone, Debug)]
+pub enum NaiveEvent {
+    Arrive { call: u64 },
+    Answer { call: u64, is_ok: bool },
+    Timeout { call: u64 },
+    ClientAnswer { root: usize, send: u32, is_ok: bool },
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Origin {
+    Client { send: u32 },
+    Parent { call: u64 },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct NaiveCall {
+    root: usize,
+    depth: usize,
+    endpoint: usize,
+    origin: Origin,
+    tries: u32,
+    child: Option<u64>,
+}
+
+/// Calls of the naive mesh; a call's id is also its job's.
+#[derive(Debug, Default)]
+pub struct Naive {
+    calls: BTreeMap<u64, NaiveCall>,
+    next: u64,
+    is_lying: bool,
+}
+
+type NaiveWorld = World<NaiveEvent>;
+
+impl Naive {
+    fn start(&mut self, world: &mut NaiveWorld, call: NaiveCall, delay_us: u64) -> u64 {
+        self.next += 1;
+        world.roots[call.root].attempts += 1;
+        self.calls.insert(self.next, call);
+        world.after(delay_us, Due::Mesh(NaiveEvent::Arrive { call: self.next }));
+        self.next
+    }
+
+    fn call_deeper(&mut self, world: &mut NaiveWorld, id: u64) {
+        let Some(parent) = self.calls.get(&id).copied() else { return };
+        let kind = world.roots[parent.root].kind;
+        let service = world.scenario.system.kinds[kind].chain[parent.depth + 1];
+        let endpoint = self.choose(world, service);
+        let delay_us = world.between_us(parent.endpoint, endpoint);
+        let origin = Origin::Parent { call: id };
+        let depth = parent.depth + 1;
+        let child = NaiveCall { depth, endpoint, origin, tries: 0, child: None, ..parent };
+        let child = self.start(world, child, delay_us);
+        if let Some(parent) = self.calls.get_mut(&id) {
+            parent.tries += 1;
+            parent.child = Some(child);
+        }
+        world.after(TIMEOUT_US, Due::Mesh(NaiveEvent::Timeout { call: child }));
+    }
+
+    /// The less loaded of two random endpoints, going by their load reports.
+    fn choose(&self, world: &mut NaiveWorld, service: usize) -> usize {
+        let all: Vec<usize> = (0..world.servers.len())
+            .filter(|index| world.servers[*index].service == service)
+            .collect();
+        let first = all[world.rng.random_range(0..all.len())];
+        let second = all[world.rng.random_range(0..all.len())];
+        let report = |endpoint| {
+            let lies = self.is_lying && endpoint == all[0];
+            if lies { 0 } else { world.load(endpoint) }
+        };
+        if report(second) < report(first) { second } else { first }
+    }
+
+    fn finish(&mut self, world: &mut NaiveWorld, id: u64, is_ok: bool) {
+        let Some(call) = self.calls.remove(&id) else { return };
+        world.release(call.endpoint, id);
+        match call.origin {
+            Origin::Client { send } => {
+                let event = NaiveEvent::ClientAnswer { root: call.root, send, is_ok };
+                world.after(NaiveWorld::client_delay_us(), Due::Mesh(event));
+            }
+            Origin::Parent { call: parent } => {
+                let Some(parent) = self.calls.get(&parent) else { return };
+                let delay_us = world.between_us(call.endpoint, parent.endpoint);
+                let event = NaiveEvent::Answer { call: id, is_ok };
+                self.calls.insert(id, call);
+                world.after(delay_us, Due::Mesh(event));
+            }
+        }
+    }
+
+    fn child_ended(&mut self, world: &mut NaiveWorld, child: u64, is_ok: bool) {
+        let Some(Origin::Parent { call: id }) = self.calls.get(&child).map(|call| call.origin)
+        else {
+            return;
+        };
+        let Some(parent) = self.calls.get_mut(&id) else { return };
+        if parent.child != Some(child) {
+            return;
+        }
+        parent.child = None;
+        if is_ok {
+            self.finish(world, id, true);
+        } else if parent.tries < TRIES {
+            self.call_deeper(world, id);
+        } else {
+            self.finish(world, id, false);
+        }
+    }
+}
+
+impl Mesh for Naive {
+    type Event = NaiveEvent;
+
+    fn client_send(&mut self, world: &mut NaiveWorld, root: usize, endpoint: usize) {
+        let origin = Origin::Client { send: world.roots[root].sends };
+        let call = NaiveCall { root, depth: 0, endpoint, origin, tries: 0, child: None };
+        self.start(world, call, NaiveWorld::client_delay_us());
+    }
+
+    fn client_cancel(&mut self, _world: &mut NaiveWorld, _root: usize) {}
+
+    fn work_done(&mut self, world: &mut NaiveWorld, _endpoint: usize, job: u64) {
+        let Some(call) = self.calls.get(&job) else { return };
+        let chain = &world.scenario.system.kinds[world.roots[call.root].kind].chain;
+        if call.depth + 1 < chain.len() {
+            self.call_deeper(world, job);
+        } else {
+            self.finish(world, job, true);
+        }
+    }
+
+    fn event(&mut self, world: &mut NaiveWorld, event: NaiveEvent) {
+        match event {
+            NaiveEvent::Arrive { call } => {
+                let Some(found) = self.calls.get(&call).copied() else { return };
+                if !world.servers[found.endpoint].is_lost {
+                    world.enqueue(found.endpoint, call, found.root, found.depth);
+                }
+            }
+            NaiveEvent::Answer { call, is_ok } => {
+                self.child_ended(world, call, is_ok);
+                self.calls.remove(&call);
+            }
+            NaiveEvent::Timeout { call } => self.child_ended(world, call, false),
+            NaiveEvent::ClientAnswer { root, send, is_ok } => {
+                world.client_answer(root, send, is_ok);
+            }
+        }
+    }
+
+    fn cause(&mut self, world: &mut NaiveWorld, phase: CausePhase) {
+        if world.scenario.cause == Cause::LyingReports {
+            self.is_lying = phase != CausePhase::Ends;
+        }
+        if phase == CausePhase::Begins && world.scenario.cause == Cause::LostZone {
+            self.calls.retain(|_, call| world.servers[call.endpoint].zone != 0);
+        }
+    }
+}
--- /dev/null
+++ b/cuminarch-bench/src/decisions/system.rs
@@ -0,0 +1,183 @@
+//! The users' fleets as the benchmark sees them: services, endpoints, requests.
+
+use cuminarch_config::{ClassEntry, Policy, RuleEntry, Sheet};
+use cuminarch_types::{Attempts, ClassName, Revision};
+
+/// Time between two services of the same availability zone, one way, in microseconds.
+pub const SAME_ZONE_US: u64 = 100;
+/// Time between a client and a node, one way, in microseconds.
+pub const CLIENT_US: u64 = 8_000;
+/// Time to open a connection, in microseconds.
+pub const CONNECT_US: u64 = 1_000;
+/// Attempts granted to a request, all its sends together.
+pub const GRANT: u32 = 64;
+/// Time that a class grants to a request, in milliseconds.
+pub const DEADLINE_MS: u64 = 2_000;
+const RETRY_PERCENT: u32 = 10;
+
+/// One service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    pub name: String,
+    pub endpoints: usize,
+    pub slots: usize,
+    pub work_us: u64,
+}
+
+/// One kind of request: a chain of services, each calling the next.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    pub name: &'static str,
+    pub weight: f64,
+    pub is_protected: bool,
+    pub chain: Vec<usize>,
+}
+
+/// One fleet; kinds are in the order of refusal, the first refused first.
+#[derive(Clone, Debug)]
+pub struct System {
+    pub name: &'static str,
+    pub zones: usize,
+    pub between_zones_us: u64,
+    pub services: Vec<Service>,
+    pub kinds: Vec<Kind>,
+    /// The service that saturates first.
+    pub bottleneck: usize,
+    /// The service that is made slow.
+    pub deep: usize,
+}
+
+fn service(name: &str, endpoints: usize, slots: usize, work_us: u64) -> Service {
+    Service { name: name.to_owned(), endpoints, slots, work_us }
+}
+
+const fn kind(name: &'static str, weight: f64, is_protected: bool, chain: Vec<usize>) -> Kind {
+    Kind { name, weight, is_protected, chain }
+}
+
+impl System {
+    /// Part of the users' slots that is simulated.
+    pub const SLOT_SHARE: usize = 4;
+
+    /// The Verband: a status check passes through four services.
+    pub fn verband() -> Self {
+        let share = Self::SLOT_SHARE;
+        Self {
+            name: "verband",
+            zones: 3,
+            between_zones_us: 1_500,
+            services: vec![
+                service("katalog", 6, 140 / share, 5_000),
+                service("auftrag", 3, 40 / share, 20_000),
+                service("bildarchiv", 3, 270 / share, 30_000),
+                service("kasse", 4, 200 / share, 10_000),
+            ],
+            kinds: vec![
+                kind("browse", 0.40, false, vec![0]),
+                kind("proof", 0.13, false, vec![0, 2]),
+                kind("status", 0.35, false, vec![0, 1, 2, 3]),
+                kind("deposit", 0.07, true, vec![0, 3]),
+                kind("approval", 0.05, true, vec![0, 1, 3]),
+            ],
+            bottleneck: 1,
+            deep: 2,
+        }
+    }
+
+    /// Dukkeøye: a booking passes through three services.
+    pub fn dukkeoye() -> Self {
+        let share = Self::SLOT_SHARE;
+        Self {
+            name: "dukkeoye",
+            zones: 3,
+            between_zones_us: 1_000,
+            services: vec![
+                service("katalog", 4, 120 / share, 5_000),
+                service("benk", 3, 160 / share, 15_000),
+                service("veiledning", 3, 160 / share, 25_000),
+                service("deler", 3, 50 / share, 20_000),
+            ],
+            kinds: vec![
+                kind("browse", 0.40, false, vec![0]),
+                kind("guide", 0.15, false, vec![0, 2]),
+                kind("lookup", 0.35, false, vec![0, 3]),
+                kind("booking", 0.10, true, vec![0, 1, 3]),
+            ],
+            bottleneck: 3,
+            deep: 3,
+        }
+    }
+
+    /// A chain of 14 services of which the last is the bottleneck.
+    pub fn deep_chain() -> Self {
+        const DEPTH: usize = 14;
+        let mut services: Vec<Service> =
+            (1..DEPTH).map(|depth| service(&format!("layer{depth:02}"), 3, 60, 5_000)).collect();
+        services.push(service("layer14", 3, 6, 20_000));
+        let all: Vec<usize> = (0..DEPTH).collect();
+        Self {
+            name: "chain14",
+            zones: 3,
+            between_zones_us: 1_500,
+            services,
+            kinds: vec![
+                kind("browse", 0.40, false, vec![0, 1]),
+                kind("status", 0.45, false, all.clone()),
+                kind("approval", 0.15, true, all),
+            ],
+            bottleneck: DEPTH - 1,
+            deep: DEPTH - 1,
+        }
+    }
+
+    /// Time that a request of this kind holds a slot of each service of its
+    /// chain when nothing waits, `slow` being a service and its factor.
+    pub fn slot_times_us(&self, kind: &Kind, slow: Option<(usize, f64)>) -> Vec<(usize, f64)> {
+        let mut times = Vec::new();
+        let mut below_us = 0.0;
+        for service in kind.chain.iter().rev() {
+            let factor = slow.filter(|slow| slow.0 == *service).map_or(1.0, |slow| slow.1);
+            let total_us = self.services[*service].work_us as f64 * factor + below_us;
+            times.push((*service, total_us));
+            below_us = total_us + 2.0 * SAME_ZONE_US as f64;
+        }
+        times
+    }
+
+    /// Requests a second, all kinds together, that saturate the bottleneck.
+    pub fn capacity_per_s(&self) -> f64 {
+        let mut load = vec![0.0; self.services.len()];
+        for kind in &self.kinds {
+            for (service, time_us) in self.slot_times_us(kind, None) {
+                load[service] += kind.weight * time_us / 1e6;
+            }
+        }
+        let slots = self.services.iter().map(|service| (service.endpoints * service.slots) as f64);
+        slots.zip(load).map(|(slots, load)| slots / load).fold(f64::INFINITY, f64::min)
+    }
+
+    /// The policy of the fleet: one class for each kind, in order of refusal.
+    pub fn policy(&self) -> Policy {
+        let class = |kind: &Kind| ClassName::new(kind.name).expect("a valid name");
+        let classes = self.kinds.iter().map(|kind| ClassEntry {
+            name: class(kind),
+            grant_attempts: Attempts::new(GRANT),
+            deadline_ms: DEADLINE_MS,
+            retry_percent: RETRY_PERCENT,
+            protected: kind.is_protected,
+        });
+        let rules = self.kinds.iter().map(|kind| RuleEntry {
+            class: class(kind),
+            services: Vec::new(),
+            methods: Vec::new(),
+            path: format!("/{}/**", kind.name).into(),
+            idempotent: !kind.is_protected,
+        });
+        let sheet = Sheet {
+            classes: classes.collect(),
+            rules: rules.collect(),
+            default_class: class(&self.kinds[0]),
+        };
+        Policy::from_sheet(Revision::new(1), &sheet).expect("a valid sheet")
+    }
+}
--- a/cuminarch-bench/src/main.rs
+++ b/cuminarch-bench/src/main.rs
@@ -16,7 +16,11 @@
         .subcommand_required(true)
         .arg(check)
         .subcommand(Command::new("control").about("Membership and configuration, virtual time"))
-        .subcommand(Command::new("decisions").about("Policy under load, virtual time"))
+        .subcommand(
+            Command::new("decisions").about("Policy under load, virtual time").arg(
+                Arg::new("only").long("only").help("Run the scenarios with this in their name"),
+            ),
+        )
         .subcommand(Command::new("overhead").about("Time added to a call, real sockets"))
 }
 
@@ -34,9 +38,12 @@
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
-    let verdict = match matches.subcommand_name() {
-        Some("control") => control::run(),
-        Some("decisions") => decisions::run(),
+    let verdict = match matches.subcommand() {
+        Some(("control", _)) => control::run(),
+        Some(("decisions", matches)) => {
+            let only = matches.get_one::<String>("only").map_or("", String::as_str);
+            decisions::run_matching(only)
+        }
         _ => overhead::run(),
     };
     let is_good = report(&verdict, &KnownRed::of_repository());
