perf(admission): limit by windows of own service time

Cause: the limiter counted time of deeper services as its own latency and fell for good when service times vary. Now the engine subtracts the time in which a child call was under way, and the limiter works on windows of 40 samples: it rises while the mean stays within 1.6 of a reference, falls by the gradient, and takes a slower time for the reference when a fall of the limit did not shorten it.

Under a surge browsing is still starved, since a level learned from a deep service is applied to every class.

--- a/cuminarch-admission/src/admission.rs
+++ b/cuminarch-admission/src/admission.rs
@@ -125,8 +125,8 @@
         }
     }
 
-    /// Frees the slot of a request; `latency` is its time in the upstream, if
-    /// it counts as a measurement. Returns what becomes of waiting requests.
+    /// Frees the slot of a request; `latency` is its time in the upstream without
+    /// the time of deeper calls, if it counts as a measurement. Returns what becomes of waiting requests.
     pub fn finish(
         &mut self,
         call: CallId,
@@ -137,7 +137,7 @@
         if self.running.remove(&call)
             && let Some(latency) = latency
         {
-            self.limiter.observe(latency, running);
+            self.limiter.observe(latency, running, now);
         }
         self.poll(now)
     }
--- a/cuminarch-admission/src/limiter.rs
+++ b/cuminarch-admission/src/limiter.rs
@@ -1,27 +1,65 @@
 use std::time::Duration;
 
-use cuminarch_types::ConcurrencyLimit;
+use cuminarch_types::{ConcurrencyLimit, MonoTime};
 
 use crate::AdmissionSettings;
 
-/// Adaptive concurrency limit: rises while latency stays near its floor, falls
-/// by a factor when it does not.
+/// Adaptive concurrency limit from the service time that the node measures.
+///
+/// Samples are gathered in windows. While the mean of a window stays within a
+/// tolerance of the service time without queueing, the limit rises as far as
+/// it is used; beyond, it falls by the gradient between both, as in Netflix's
+/// *concurrency-limits* and TCP Vegas (Brakmo et al., SIGCOMM 1994).
+///
+/// A fall that does not shorten the service time shows that the upstream
+/// itself became slower, not that requests queue in it: the measured time then
+/// becomes the new reference and the limit rises again.
 #[derive(Clone, Debug)]
 pub struct Limiter {
     settings: AdmissionSettings,
     limit_milli: u64,
-    floor: Option<Duration>,
+    reference: Option<Duration>,
+    window: Window,
+    fall: Option<Fall>,
+}
+
+/// Samples since the last change.
+#[derive(Clone, Copy, Debug, Default)]
+struct Window {
+    since: Option<MonoTime>,
+    sum: Duration,
+    samples: u32,
+    most_running: usize,
+}
+
+/// State when the limit began to fall.
+#[derive(Clone, Copy, Debug)]
+struct Fall {
+    limit_milli: u64,
+    mean: Duration,
 }
 
 impl Limiter {
-    const TOLERANCE: u32 = 3;
-    const FLOOR_SLACK: Duration = Duration::from_millis(5);
+    const MIN_WINDOW: Duration = Duration::from_millis(100);
+    const MAX_WINDOW: Duration = Duration::from_secs(1);
+    const FULL_WINDOW_SAMPLES: u32 = 40;
+    /// Mean service time over the reference at which the limit stays, in percent.
+    const TOLERANCE_PERCENT: u32 = 160;
+    const MAX_RISE_PERCENT: u64 = 125;
+    const MIN_FALL_PERCENT: u64 = 75;
+    /// Share of the limit that must be in use for it to rise, in percent.
+    const USED_PERCENT: u64 = 80;
+    /// A fall is judged once the limit is below this share of where it began.
+    const JUDGED_FALL_PERCENT: u64 = 65;
+    /// The upstream became slower if the mean is still above this share.
+    const SAME_MEAN_PERCENT: u32 = 80;
 
     /// A limiter of a cold endpoint.
     #[must_use]
     pub const fn new(settings: AdmissionSettings) -> Self {
         let limit_milli = settings.initial_limit.get() as u64 * 1_000;
-        Self { settings, limit_milli, floor: None }
+        let window = Window { since: None, sum: Duration::ZERO, samples: 0, most_running: 0 };
+        Self { settings, limit_milli, reference: None, window, fall: None }
     }
 
     /// The limit in force.
@@ -30,21 +68,65 @@
         ConcurrencyLimit::new(u32::try_from(self.limit_milli / 1_000).unwrap_or(u32::MAX))
     }
 
-    /// Notes the time that one request took while `running` requests ran.
-    pub fn observe(&mut self, latency: Duration, running: usize) {
-        let floor = self.floor.map_or(latency, |floor| {
-            let drifted = floor + (latency.saturating_sub(floor)) / 1_000;
-            drifted.min(latency)
-        });
-        self.floor = Some(floor);
+    /// Mean service time without queueing, if it is known.
+    #[must_use]
+    pub const fn reference(&self) -> Option<Duration> {
+        self.reference
+    }
+
+    /// Notes the service time of one request that ended while `running` ran.
+    pub fn observe(&mut self, service_time: Duration, running: usize, now: MonoTime) {
+        let since = *self.window.since.get_or_insert(now);
+        self.window.sum += service_time;
+        self.window.samples += 1;
+        self.window.most_running = self.window.most_running.max(running);
+        let age = now.since(since);
+        let is_full = self.window.samples >= Self::FULL_WINDOW_SAMPLES && age >= Self::MIN_WINDOW;
+        if is_full || age >= Self::MAX_WINDOW {
+            let window = std::mem::take(&mut self.window);
+            self.adapt(window.sum / window.samples, window.most_running);
+        }
+    }
+
+    fn adapt(&mut self, mean: Duration, most_running: usize) {
+        let mean = mean.max(Duration::from_micros(1));
+        let reference = self.learn(mean);
+        let target = reference * Self::TOLERANCE_PERCENT / 100;
+        let gradient_percent = (target.as_micros() * 100 / mean.as_micros().max(1)) as u64;
+        let is_used = most_running as u64 * 1_000 * 100 >= self.limit_milli * Self::USED_PERCENT;
+        if gradient_percent >= 100 {
+            self.fall = None;
+            if is_used {
+                self.scale(gradient_percent.min(Self::MAX_RISE_PERCENT));
+            }
+            return;
+        }
+        let fall = *self.fall.get_or_insert(Fall { limit_milli: self.limit_milli, mean });
+        if self.limit_milli * 100 > fall.limit_milli * Self::JUDGED_FALL_PERCENT {
+            self.scale(gradient_percent.max(Self::MIN_FALL_PERCENT));
+        } else if mean > fall.mean * Self::SAME_MEAN_PERCENT / 100 {
+            self.reference = Some(mean);
+            self.limit_milli = fall.limit_milli;
+            self.fall = None;
+        } else {
+            self.fall = Some(Fall { limit_milli: self.limit_milli, mean });
+        }
+    }
+
+    /// Takes a mean into the reference, which only ever falls here.
+    fn learn(&mut self, mean: Duration) -> Duration {
+        let reference = match self.reference {
+            Some(reference) if mean < reference => (reference + mean) / 2,
+            Some(reference) => reference,
+            None => mean,
+        };
+        self.reference = Some(reference);
+        reference
+    }
+
+    fn scale(&mut self, percent: u64) {
         let min_milli = u64::from(self.settings.min_limit.get()) * 1_000;
         let max_milli = u64::from(self.settings.max_limit.get()) * 1_000;
-        let is_slow = latency > floor * Self::TOLERANCE + Self::FLOOR_SLACK;
-        let is_used = running as u64 * 2_000 >= self.limit_milli;
-        if is_slow {
-            self.limit_milli = (self.limit_milli - self.limit_milli / 50).max(min_milli);
-        } else if is_used {
-            self.limit_milli = (self.limit_milli + 200).min(max_milli);
-        }
+        self.limit_milli = (self.limit_milli * percent / 100).clamp(min_milli, max_milli);
     }
 }
--- a/cuminarch-engine/src/call.rs
+++ b/cuminarch-engine/src/call.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use cuminarch_attempts::Budget;
 use cuminarch_config::Rule;
@@ -17,6 +18,7 @@
     pub deadline: MonoTime,
     pub parent: Option<CallId>,
     pub children: BTreeSet<CallId>,
+    pub deeper: DeeperTime,
     /// Attempts that the call and everything beneath it may spend.
     pub budget: Budget,
     /// Highest admission level met.
@@ -31,6 +33,32 @@
     pub stage: Stage,
 }
 
+/// Time in which at least one child was under way.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DeeperTime {
+    total: Duration,
+    since: Option<MonoTime>,
+}
+
+impl DeeperTime {
+    /// Notes that the first child began.
+    pub fn begin(&mut self, now: MonoTime) {
+        self.since.get_or_insert(now);
+    }
+
+    /// Notes that the last child ended.
+    pub fn end(&mut self, now: MonoTime) {
+        if let Some(since) = self.since.take() {
+            self.total += now.since(since);
+        }
+    }
+
+    /// Time so far.
+    pub const fn total(&self) -> Duration {
+        self.total
+    }
+}
+
 /// How far a call has come.
 #[derive(Clone, Debug)]
 pub enum Stage {
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -152,10 +152,11 @@
         attempt
     }
 
-    pub(crate) fn insert(&mut self, id: CallId, call: Call) {
+    pub(crate) fn insert(&mut self, id: CallId, call: Call, now: MonoTime) {
         self.deadlines.insert((call.deadline, id));
         if let Some(parent) = call.parent.and_then(|parent| self.calls.get_mut(&parent)) {
             parent.children.insert(id);
+            parent.deeper.begin(now);
         }
         self.calls.insert(id, call);
     }
@@ -174,6 +175,9 @@
         }
         if let Some(parent) = call.parent.and_then(|parent| self.calls.get_mut(&parent)) {
             parent.children.remove(&id);
+            if parent.children.is_empty() {
+                parent.deeper.end(now);
+            }
             parent.level = parent.level.max(call.level);
         }
         let own_level = self.admission.level();
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -10,7 +10,7 @@
 use cuminarch_protocol::Receipt;
 use cuminarch_types::{Attempts, CallId, MonoTime, Outcome, Rank};
 
-use crate::call::{Call, Stage};
+use crate::call::{Call, DeeperTime, Stage};
 use crate::{Action, Arrival, ClaimResult, Engine, LocalEnd, Refusal, RefusalReason, RequestKey};
 
 impl Engine {
@@ -30,7 +30,7 @@
         let rank = call.rank;
         let class = call.rule.class.clone();
         let is_first = arrival.share.is_none();
-        self.insert(id, call);
+        self.insert(id, call, now);
         if self.draining {
             let refusal = Refusal::not_run(RefusalReason::Draining);
             return self.refuse(id, refusal.with_retry_after(Duration::ZERO), now, actions);
@@ -58,6 +58,7 @@
             deadline: now.after(remaining),
             parent: arrival.parent,
             children: BTreeSet::new(),
+            deeper: DeeperTime::default(),
             budget: Budget::new(granted),
             level: Rank::MIN,
             key: None,
@@ -154,6 +155,7 @@
             (Stage::Running { since, .. }, KeyResult::Unknown) => Some(now.since(*since)),
             _ => None,
         };
+        let latency = latency.map(|latency| latency.saturating_sub(call.deeper.total()));
         let class = call.rule.class.clone();
         if let Some(key) = call.key.clone() {
             self.keys.finish(&key, id, result);
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -40,7 +40,7 @@
             Sending { service: service.clone(), tried: Vec::new(), retries: 0, current: None };
         call.stage = Stage::Sending(sending);
         let rank = call.rank;
-        self.insert(id, call);
+        self.insert(id, call, now);
         if rank < self.router.level(&service, now) {
             let refusal = Refusal::not_run(RefusalReason::OverloadedBehind);
             return self.refuse(id, refusal.with_retry_after(Admission::RETRY_AFTER), now, actions);
