fix(admission): leave samples from an earlier limit out of a window

Cause: status checks completed for ten seconds after a surge. The limit of the bottleneck ran away: requests that queued in the upstream under the larger limit were still measured after its fall, so the fall seemed to shorten nothing and the queueing time became the reference. Samples of requests that began before the last change are now left out. The benchmark's clients no longer take answers to sends that they gave up.

--- a/cuminarch-admission/src/admission.rs
+++ b/cuminarch-admission/src/admission.rs
@@ -49,7 +49,7 @@
 pub struct Admission {
     settings: AdmissionSettings,
     limiter: Limiter,
-    running: BTreeSet<CallId>,
+    running: BTreeMap<CallId, MonoTime>,
     waiting: BTreeMap<CallId, Waiting>,
     queue: BTreeSet<(Rank, CallId)>,
     level: Rank,
@@ -65,7 +65,7 @@
         Self {
             settings,
             limiter: Limiter::new(settings),
-            running: BTreeSet::new(),
+            running: BTreeMap::new(),
             waiting: BTreeMap::new(),
             queue: BTreeSet::new(),
             level: Rank::MIN,
@@ -108,7 +108,7 @@
             return Self::refuse();
         }
         if self.has_room() && self.queue.is_empty() {
-            self.running.insert(call);
+            self.running.insert(call, now);
             return OfferReply { decision: Offer::Run, evicted: None };
         }
         if self.queue.len() < self.settings.max_queue {
@@ -134,10 +134,10 @@
         now: MonoTime,
     ) -> Vec<QueueEvent> {
         let running = self.running.len();
-        if self.running.remove(&call)
+        if let Some(began) = self.running.remove(&call)
             && let Some(latency) = latency
         {
-            self.limiter.observe(latency, running, now);
+            self.limiter.observe(latency, began, running, now);
         }
         self.poll(now)
     }
@@ -167,7 +167,7 @@
         while self.has_room() {
             let Some((_, call)) = self.queue.last().copied() else { break };
             self.dequeue(call);
-            self.running.insert(call);
+            self.running.insert(call, now);
             events.push(QueueEvent::Run(call));
         }
         events
--- a/cuminarch-admission/src/limiter.rs
+++ b/cuminarch-admission/src/limiter.rs
@@ -21,6 +21,7 @@
     reference: Option<Duration>,
     window: Window,
     fall: Option<Fall>,
+    changed_at: MonoTime,
 }
 
 /// Samples since the last change.
@@ -59,7 +60,14 @@
     pub const fn new(settings: AdmissionSettings) -> Self {
         let limit_milli = settings.initial_limit.get() as u64 * 1_000;
         let window = Window { since: None, sum: Duration::ZERO, samples: 0, most_running: 0 };
-        Self { settings, limit_milli, reference: None, window, fall: None }
+        Self {
+            settings,
+            limit_milli,
+            reference: None,
+            window,
+            fall: None,
+            changed_at: MonoTime::ZERO,
+        }
     }
 
     /// The limit in force.
@@ -74,8 +82,18 @@
         self.reference
     }
 
-    /// Notes the service time of one request that ended while `running` ran.
-    pub fn observe(&mut self, service_time: Duration, running: usize, now: MonoTime) {
+    /// Notes the service time of one request that began at `began` and ended
+    /// while `running` ran. One that began under an earlier limit shows nothing.
+    pub fn observe(
+        &mut self,
+        service_time: Duration,
+        began: MonoTime,
+        running: usize,
+        now: MonoTime,
+    ) {
+        if began < self.changed_at {
+            return;
+        }
         let since = *self.window.since.get_or_insert(now);
         self.window.sum += service_time;
         self.window.samples += 1;
@@ -84,11 +102,11 @@
         let is_full = self.window.samples >= Self::FULL_WINDOW_SAMPLES && age >= Self::MIN_WINDOW;
         if is_full || age >= Self::MAX_WINDOW {
             let window = std::mem::take(&mut self.window);
-            self.adapt(window.sum / window.samples, window.most_running);
+            self.adapt(window.sum / window.samples, window.most_running, now);
         }
     }
 
-    fn adapt(&mut self, mean: Duration, most_running: usize) {
+    fn adapt(&mut self, mean: Duration, most_running: usize, now: MonoTime) {
         let mean = mean.max(Duration::from_micros(1));
         let reference = self.learn(mean);
         let target = reference * Self::TOLERANCE_PERCENT / 100;
@@ -97,16 +115,17 @@
         if gradient_percent >= 100 {
             self.fall = None;
             if is_used {
-                self.scale(gradient_percent.min(Self::MAX_RISE_PERCENT));
+                self.scale(gradient_percent.min(Self::MAX_RISE_PERCENT), now);
             }
             return;
         }
         let fall = *self.fall.get_or_insert(Fall { limit_milli: self.limit_milli, mean });
         if self.limit_milli * 100 > fall.limit_milli * Self::JUDGED_FALL_PERCENT {
-            self.scale(gradient_percent.max(Self::MIN_FALL_PERCENT));
+            self.scale(gradient_percent.max(Self::MIN_FALL_PERCENT), now);
         } else if mean > fall.mean * Self::SAME_MEAN_PERCENT / 100 {
             self.reference = Some(mean);
             self.limit_milli = fall.limit_milli;
+            self.changed_at = now;
             self.fall = None;
         } else {
             self.fall = Some(Fall { limit_milli: self.limit_milli, mean });
@@ -124,7 +143,8 @@
         reference
     }
 
-    fn scale(&mut self, percent: u64) {
+    fn scale(&mut self, percent: u64, now: MonoTime) {
+        self.changed_at = now;
         let min_milli = u64::from(self.settings.min_limit.get()) * 1_000;
         let max_milli = u64::from(self.settings.max_limit.get()) * 1_000;
         self.limit_milli = (self.limit_milli * percent / 100).clamp(min_milli, max_milli);
--- a/cuminarch-bench/src/decisions/world.rs
+++ b/cuminarch-bench/src/decisions/world.rs
@@ -25,12 +25,28 @@
     pub kind: usize,
     pub arrived_us: u64,
     pub sends: u32,
+    /// The send whose answer the client waits for.
+    pub waiting_for: Option<u32>,
     pub done_us: Option<u64>,
     pub attempts: u32,
     /// Work done for it below the first service.
     pub deep_us: u64,
 }
 
+impl Root {
+    const fn new(kind: usize, arrived_us: u64) -> Self {
+        Self {
+            kind,
+            arrived_us,
+            sends: 0,
+            waiting_for: None,
+            done_us: None,
+            attempts: 0,
+            deep_us: 0,
+        }
+    }
+}
+
 /// A piece of work at one endpoint.
 #[derive(Clone, Copy, Debug)]
 struct Job {
@@ -206,14 +222,7 @@
 
     fn arrive(&mut self) {
         let kind = self.draw_kind();
-        let root = Root {
-            kind,
-            arrived_us: self.now_us,
-            sends: 0,
-            done_us: None,
-            attempts: 0,
-            deep_us: 0,
-        };
+        let root = Root::new(kind, self.now_us);
         self.roots.push(root);
         self.after(0, Due::Send(self.roots.len() - 1));
         let rate = self.scenario.demand_per_s(self.now_us);
@@ -240,6 +249,7 @@
         }
         self.roots[root].sends += 1;
         let send = self.roots[root].sends;
+        self.roots[root].waiting_for = Some(send);
         let first = self.scenario.system.kinds[self.roots[root].kind].chain[0];
         let reachable: Vec<usize> = (0..self.servers.len())
             .filter(|index| self.servers[*index].service == first && !self.servers[*index].is_lost)
@@ -250,8 +260,8 @@
     }
 
     fn client_timeout<M: Mesh<Event = E>>(&mut self, root: usize, send: u32, mesh: &mut M) {
-        let state = &self.roots[root];
-        if state.done_us.is_none() && state.sends == send {
+        if self.roots[root].waiting_for == Some(send) {
+            self.roots[root].waiting_for = None;
             mesh.client_cancel(self, root);
             self.client_retry(root);
         }
@@ -273,12 +283,13 @@
     /// A client gets the final answer to a send.
     pub fn client_answer(&mut self, root: usize, send: u32, is_ok: bool) {
         let state = &mut self.roots[root];
-        if state.done_us.is_some() {
+        if state.waiting_for != Some(send) {
             return;
         }
+        state.waiting_for = None;
         if is_ok {
             state.done_us = Some(self.now_us);
-        } else if state.sends == send {
+        } else {
             self.client_retry(root);
         }
     }
@@ -412,8 +423,7 @@
         let copies = self.scenario.demand_per_s(self.now_us) * 2.0;
         for _ in 0..copies as usize {
             let kind = self.draw_kind();
-            let arrived_us = self.now_us;
-            let root = Root { kind, arrived_us, sends: 0, done_us: None, attempts: 0, deep_us: 0 };
+            let root = Root::new(kind, self.now_us);
             self.roots.push(root);
             self.after(0, Due::Send(self.roots.len() - 1));
         }
