feat(admission): refuse at the top by levels learned from deep services

Cause: status checks waited in the bottleneck's queue and held the slots of the top service, so browsing, which does not touch the bottleneck, starved.

Each endpoint now adapts an admission level per window (after DAGOR): up to where the offered requests are as many as were started, down in doubling steps. Receipts carry the highest level of the chain back. A call spills over to an endpoint that may admit it; an overloaded refusal is retried only if there is such an endpoint. A door with room admits whatever comes. Rule carries its number for this (cuminarch-config, cuminarch-types).

--- a/cuminarch-admission/src/admission.rs
+++ b/cuminarch-admission/src/admission.rs
@@ -3,7 +3,7 @@
 
 use cuminarch_types::{CallId, ConcurrencyLimit, MonoTime, Rank};
 
-use crate::{AdmissionSettings, Limiter};
+use crate::{AdmissionSettings, LevelControl, Limiter};
 
 /// What becomes of an offered request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -52,7 +52,7 @@
     running: BTreeMap<CallId, MonoTime>,
     waiting: BTreeMap<CallId, Waiting>,
     queue: BTreeSet<(Rank, CallId)>,
-    level: Rank,
+    level: LevelControl,
 }
 
 impl Admission {
@@ -68,14 +68,14 @@
             running: BTreeMap::new(),
             waiting: BTreeMap::new(),
             queue: BTreeSet::new(),
-            level: Rank::MIN,
+            level: LevelControl::new(settings.target_wait),
         }
     }
 
-    /// Requests of a lower rank are refused at once.
+    /// Requests of a lower rank are refused at once unless there is room.
     #[must_use]
     pub const fn level(&self) -> Rank {
-        self.level
+        self.level.level()
     }
 
     /// The concurrency limit in force.
@@ -104,24 +104,31 @@
         deadline: MonoTime,
         now: MonoTime,
     ) -> OfferReply {
-        if rank < self.level {
-            return Self::refuse();
-        }
+        self.level.advance(now);
+        self.level.offered(rank);
         if self.has_room() && self.queue.is_empty() {
+            self.level.started(Duration::ZERO);
             self.running.insert(call, now);
             return OfferReply { decision: Offer::Run, evicted: None };
         }
+        if rank < self.level.level() {
+            return Self::refuse();
+        }
         if self.queue.len() < self.settings.max_queue {
             self.enqueue(call, Waiting { rank, since: now, deadline });
             return OfferReply { decision: Offer::Wait, evicted: None };
         }
         match self.queue.first().copied() {
             Some((lowest, evicted)) if lowest < rank => {
+                self.level.refused();
                 self.dequeue(evicted);
                 self.enqueue(call, Waiting { rank, since: now, deadline });
                 OfferReply { decision: Offer::Wait, evicted: Some(evicted) }
             }
-            _ => Self::refuse(),
+            _ => {
+                self.level.refused();
+                Self::refuse()
+            }
         }
     }
 
@@ -151,6 +158,7 @@
     /// Starts waiting requests while there is room and drops those that cannot
     /// finish before their deadline.
     pub fn poll(&mut self, now: MonoTime) -> Vec<QueueEvent> {
+        self.level.advance(now);
         let mut events = Vec::new();
         let expired: Vec<CallId> = self
             .waiting
@@ -162,11 +170,13 @@
             .collect();
         for call in expired {
             self.dequeue(call);
+            self.level.refused();
             events.push(QueueEvent::Refuse(call));
         }
         while self.has_room() {
             let Some((_, call)) = self.queue.last().copied() else { break };
-            self.dequeue(call);
+            let since = self.dequeue(call).map_or(now, |waiting| waiting.since);
+            self.level.started(now.since(since));
             self.running.insert(call, now);
             events.push(QueueEvent::Run(call));
         }
@@ -182,10 +192,10 @@
         self.waiting.insert(call, waiting);
     }
 
-    fn dequeue(&mut self, call: CallId) {
-        if let Some(waiting) = self.waiting.remove(&call) {
-            self.queue.remove(&(waiting.rank, call));
-        }
+    fn dequeue(&mut self, call: CallId) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&call)?;
+        self.queue.remove(&(waiting.rank, call));
+        Some(waiting)
     }
 
     const fn refuse() -> OfferReply {
--- /dev/null
+++ b/cuminarch-admission/src/level.rs
@@ -0,0 +1,123 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cuminarch_types::{MonoTime, Rank};
+
+/// Adapts the admission level of one endpoint from window to window.
+///
+/// While requests wait too long or are refused for want of capacity, the level
+/// rises to where the offered requests above it are as many as were started.
+/// Otherwise it sinks in steps that double, so that a refusal does not outlive
+/// its cause. The scheme follows DAGOR (Zhou et al., SoCC 2018), which moves
+/// the level by fixed shares.
+#[derive(Clone, Debug)]
+pub struct LevelControl {
+    target_wait: Duration,
+    level: Rank,
+    step: u16,
+    since: MonoTime,
+    offers: u32,
+    starts: u32,
+    refusals: u32,
+    waited: Duration,
+    offered_milli: BTreeMap<Rank, u64>,
+    started_milli: u64,
+}
+
+impl LevelControl {
+    const MIN_WINDOW: Duration = Duration::from_millis(100);
+    const MAX_WINDOW: Duration = Duration::from_millis(500);
+    const FULL_WINDOW_OFFERS: u32 = 20;
+    const FIRST_STEP: u16 = 2;
+    const LAST_STEP: u16 = 256;
+    /// Share of the counts that is kept from one window to the next, in percent.
+    const KEPT_PERCENT: u64 = 75;
+    const LEAST_MILLI: u64 = 50;
+
+    /// A level that admits everything.
+    #[must_use]
+    pub const fn new(target_wait: Duration) -> Self {
+        Self {
+            target_wait,
+            level: Rank::MIN,
+            step: Self::FIRST_STEP,
+            since: MonoTime::ZERO,
+            offers: 0,
+            starts: 0,
+            refusals: 0,
+            waited: Duration::ZERO,
+            offered_milli: BTreeMap::new(),
+            started_milli: 0,
+        }
+    }
+
+    /// The level in force.
+    #[must_use]
+    pub const fn level(&self) -> Rank {
+        self.level
+    }
+
+    /// Notes that a request was offered.
+    pub fn offered(&mut self, rank: Rank) {
+        self.offers += 1;
+        *self.offered_milli.entry(rank).or_default() += 1_000;
+    }
+
+    /// Notes that a request was started after it had waited.
+    pub fn started(&mut self, waited: Duration) {
+        self.starts += 1;
+        self.started_milli += 1_000;
+        self.waited += waited;
+    }
+
+    /// Notes that a request was refused for want of capacity.
+    pub const fn refused(&mut self) {
+        self.refusals += 1;
+    }
+
+    /// Adapts the level if the window is over.
+    pub fn advance(&mut self, now: MonoTime) {
+        let age = now.since(self.since);
+        let is_full = age >= Self::MIN_WINDOW && self.offers >= Self::FULL_WINDOW_OFFERS;
+        if !is_full && age < Self::MAX_WINDOW {
+            return;
+        }
+        let is_overloaded = self.refusals > 0 || self.waited > self.target_wait * self.starts;
+        if is_overloaded {
+            self.step = Self::FIRST_STEP;
+            self.level = self.level.max(self.fitting_level());
+        } else {
+            self.level = Rank::new(self.level.get().saturating_sub(self.step));
+            self.step = (self.step * 2).min(Self::LAST_STEP);
+        }
+        self.open_window(now);
+    }
+
+    /// The lowest level above which no more is offered than was started.
+    fn fitting_level(&self) -> Rank {
+        let mut above_milli = 0;
+        let mut level = Rank::MAX;
+        for (rank, count_milli) in self.offered_milli.iter().rev() {
+            above_milli += count_milli;
+            if above_milli > self.started_milli {
+                let next = Rank::new(rank.get() + 1);
+                return next.min(level);
+            }
+            level = *rank;
+        }
+        Rank::MIN
+    }
+
+    fn open_window(&mut self, now: MonoTime) {
+        self.since = now;
+        self.offers = 0;
+        self.starts = 0;
+        self.refusals = 0;
+        self.waited = Duration::ZERO;
+        self.started_milli = self.started_milli * Self::KEPT_PERCENT / 100;
+        self.offered_milli.retain(|_, count_milli| {
+            *count_milli = *count_milli * Self::KEPT_PERCENT / 100;
+            *count_milli >= Self::LEAST_MILLI
+        });
+    }
+}
--- a/cuminarch-admission/src/lib.rs
+++ b/cuminarch-admission/src/lib.rs
@@ -18,9 +18,11 @@
 //! ```
 
 mod admission;
+mod level;
 mod limiter;
 mod settings;
 
 pub use admission::{Admission, Offer, OfferReply, QueueEvent};
+pub use level::LevelControl;
 pub use limiter::Limiter;
 pub use settings::AdmissionSettings;
--- a/cuminarch-config/src/policy.rs
+++ b/cuminarch-config/src/policy.rs
@@ -3,13 +3,15 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use cuminarch_types::{Attempts, ClassName, Priority, Revision, ServiceName};
+use cuminarch_types::{Attempts, ClassName, Priority, Revision, RuleNumber, ServiceName};
 
 use crate::{ClassEntry, RuleEntry, Sheet, SheetError};
 
 /// What applies to one request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Rule {
+    /// Which rule of the sheet it is.
+    pub number: RuleNumber,
     /// Class of the request.
     pub class: ClassName,
     /// Place of the class in the order of refusal.
@@ -109,6 +111,7 @@
     fn matcher(sheet: &Sheet, index: usize, entry: &RuleEntry) -> Result<Matcher, SheetError> {
         let mut rule = Self::class_rule(sheet, &entry.class, &format!("rules[{index}].class"))?;
         rule.idempotent = entry.idempotent;
+        rule.number = RuleNumber::new(u32::try_from(index + 1).unwrap_or(u32::MAX));
         Ok(Matcher {
             services: entry.services.clone(),
             methods: entry.methods.clone(),
@@ -121,6 +124,7 @@
 impl Rule {
     fn of_class(entry: &ClassEntry, position: usize) -> Self {
         Self {
+            number: RuleNumber::default(),
             class: entry.name.clone(),
             priority: Priority::new(u8::try_from(position).unwrap_or(u8::MAX)),
             grant: entry.grant_attempts,
--- a/cuminarch-engine/src/call.rs
+++ b/cuminarch-engine/src/call.rs
@@ -4,6 +4,7 @@
 use cuminarch_attempts::Budget;
 use cuminarch_config::Rule;
 use cuminarch_once::BoundKey;
+use cuminarch_routing::CallKind;
 use cuminarch_types::{
     AttemptId, Attempts, CallId, ClientKey, EndpointId, MonoTime, Rank, RequestId, ServiceName,
 };
@@ -23,6 +24,8 @@
     pub budget: Budget,
     /// Highest admission level met.
     pub level: Rank,
+    /// Whether a call to another service was made for it.
+    pub has_called: bool,
     pub key: Option<BoundKey>,
     /// Client's own key, as long as it is not bound.
     pub client_key: Option<ClientKey>,
@@ -33,6 +36,13 @@
     pub stage: Stage,
 }
 
+impl Call {
+    /// What routing needs to know of the call.
+    pub const fn kind(&self) -> CallKind {
+        CallKind { rule: self.rule.number, rank: self.rank }
+    }
+}
+
 /// Time in which at least one child was under way.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct DeeperTime {
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -6,9 +6,9 @@
 use cuminarch_config::Policy;
 use cuminarch_once::{BoundKey, KeyTable};
 use cuminarch_protocol::Receipt;
-use cuminarch_routing::Router;
+use cuminarch_routing::{LearnedLevel, Router};
 use cuminarch_types::{
-    AttemptId, CallId, ClassName, ConcurrencyLimit, MonoTime, Outcome, Rank, ServiceName,
+    AttemptId, CallId, ConcurrencyLimit, MonoTime, Outcome, RuleNumber, ServiceName,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -29,7 +29,7 @@
     pub(crate) deadlines: BTreeSet<(MonoTime, CallId)>,
     pub(crate) ratios: BTreeMap<ServiceName, RetryRatio>,
     pub(crate) needs: BTreeMap<ServiceName, NeedEstimator>,
-    pub(crate) levels_behind: BTreeMap<ClassName, (Rank, MonoTime)>,
+    pub(crate) levels_behind: BTreeMap<RuleNumber, LearnedLevel>,
     pub(crate) backoff: Backoff,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) draining: bool,
@@ -109,6 +109,8 @@
         let is_newer = policy.revision() > self.policy.revision();
         if is_newer {
             self.policy = policy;
+            self.router.forget_levels();
+            self.levels_behind.clear();
         }
         is_newer
     }
@@ -170,6 +172,10 @@
     ) -> Option<Receipt> {
         let call = self.calls.remove(&id)?;
         self.deadlines.remove(&(call.deadline, id));
+        if call.parent.is_none() && call.has_called {
+            let level = LearnedLevel::new(call.level, now);
+            self.levels_behind.insert(call.rule.number, level);
+        }
         for child in call.children {
             self.cancel(child, now, actions);
         }
@@ -179,6 +185,7 @@
                 parent.deeper.end(now);
             }
             parent.level = parent.level.max(call.level);
+            parent.has_called = true;
         }
         let own_level = self.admission.level();
         Some(Receipt { unspent: call.budget.held(), level: call.level.max(own_level) })
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -8,15 +8,12 @@
 use cuminarch_config::Rule;
 use cuminarch_once::{BoundKey, KeyDecision, KeyResult};
 use cuminarch_protocol::Receipt;
-use cuminarch_types::{Attempts, CallId, MonoTime, Outcome, Rank};
+use cuminarch_types::{Attempts, CallId, MonoTime, Outcome, Rank, RuleNumber};
 
 use crate::call::{Call, DeeperTime, Stage};
 use crate::{Action, Arrival, ClaimResult, Engine, LocalEnd, Refusal, RefusalReason, RequestKey};
 
 impl Engine {
-    /// Time after which a level learned from deeper services no longer counts.
-    const LEVEL_BEHIND_LIFETIME: Duration = Duration::from_secs(1);
-
     pub(crate) fn arrive_inbound(
         &mut self,
         id: CallId,
@@ -28,7 +25,7 @@
         let rule = self.policy.rule(service, &arrival.method, &arrival.target).clone();
         let call = self.new_call(arrival, rule, now);
         let rank = call.rank;
-        let class = call.rule.class.clone();
+        let rule = call.rule.number;
         let is_first = arrival.share.is_none();
         self.insert(id, call, now);
         if self.draining {
@@ -39,7 +36,11 @@
             let refusal = Refusal::not_run(RefusalReason::BudgetExhausted);
             return self.refuse(id, refusal, now, actions);
         }
-        if rank < self.level_behind(&class, now) {
+        let level_behind = self.level_behind(rule, now);
+        if rank < level_behind {
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.level = level_behind;
+            }
             let refusal = Refusal::not_run(RefusalReason::OverloadedBehind);
             return self.refuse(id, refusal.with_retry_after(Admission::RETRY_AFTER), now, actions);
         }
@@ -61,6 +62,7 @@
             deeper: DeeperTime::default(),
             budget: Budget::new(granted),
             level: Rank::MIN,
+            has_called: false,
             key: None,
             client_key: None,
             replayable: arrival.replayable,
@@ -156,12 +158,10 @@
             _ => None,
         };
         let latency = latency.map(|latency| latency.saturating_sub(call.deeper.total()));
-        let class = call.rule.class.clone();
         if let Some(key) = call.key.clone() {
             self.keys.finish(&key, id, result);
         }
         let receipt = self.remove(id, now, actions).unwrap_or_default();
-        self.levels_behind.insert(class, (receipt.level, now));
         let events = self.admission.finish(id, latency, now);
         self.apply_queue_events(events, now, actions);
         receipt
@@ -189,11 +189,8 @@
         spent
     }
 
-    fn level_behind(&self, class: &cuminarch_types::ClassName, now: MonoTime) -> Rank {
-        match self.levels_behind.get(class) {
-            Some((level, noted)) if now.since(*noted) < Self::LEVEL_BEHIND_LIFETIME => *level,
-            _ => Rank::MIN,
-        }
+    fn level_behind(&self, rule: RuleNumber, now: MonoTime) -> Rank {
+        self.levels_behind.get(&rule).map_or(Rank::MIN, |level| level.at(now))
     }
 
     fn check_key(
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -40,8 +40,10 @@
             Sending { service: service.clone(), tried: Vec::new(), retries: 0, current: None };
         call.stage = Stage::Sending(sending);
         let rank = call.rank;
+        let level = self.router.level(&service, call.rule.number, now);
+        call.level = level;
         self.insert(id, call, now);
-        if rank < self.router.level(&service, now) {
+        if rank < level {
             let refusal = Refusal::not_run(RefusalReason::OverloadedBehind);
             return self.refuse(id, refusal.with_retry_after(Admission::RETRY_AFTER), now, actions);
         }
@@ -101,7 +103,8 @@
         {
             return;
         }
-        let may_retry = refused.refusal.outcome == Outcome::NotRun;
+        let is_not_run = refused.refusal.outcome == Outcome::NotRun;
+        let may_retry = is_not_run && self.has_alternative(id, now);
         self.retry_or_refuse(id, may_retry, refused.refusal, now, actions);
     }
 
@@ -199,7 +202,17 @@
         }
         let service = sending.service.clone();
         let tried = sending.tried.clone();
-        self.router.pick(&service, &tried, now).or_else(|| self.router.pick(&service, &[], now))
+        let kind = call.kind();
+        self.router
+            .pick(&service, kind, &tried, now)
+            .or_else(|| self.router.pick(&service, kind, &[], now))
+    }
+
+    /// Whether an endpoint that was not tried yet may admit the call.
+    fn has_alternative(&self, id: CallId, now: MonoTime) -> bool {
+        let Some(call) = self.calls.get(&id) else { return false };
+        let Stage::Sending(sending) = &call.stage else { return false };
+        self.router.has_alternative(&sending.service, call.kind(), &sending.tried, now)
     }
 
     fn lend(&mut self, id: CallId, attempt: AttemptId) -> Option<Attempts> {
@@ -256,10 +269,12 @@
         let Some(owner) = self.calls.get_mut(&owner) else { return };
         let Some(receipt) = receipt else { return owner.budget.forfeit(attempt) };
         owner.budget.settle(attempt, receipt.unspent);
-        owner.level = owner.level.max(receipt.level);
         let spent = flight.share.saturating_sub(receipt.unspent);
         self.needs.entry(service.clone()).or_default().observe(spent);
-        self.router.note_level(&service, receipt.level, now);
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let rule = call.rule.number;
+        self.router.note_level(&service, &flight.endpoint, rule, receipt.level, now);
+        call.level = self.router.level(&service, rule, now);
     }
 
     /// Sends the call to the process that its key is bound to. Returns whether it did.
--- a/cuminarch-routing/src/lib.rs
+++ b/cuminarch-routing/src/lib.rs
@@ -5,13 +5,15 @@
 //! Leaving endpoints are never chosen.
 //!
 //! ```
-//! use cuminarch_routing::Router;
+//! use cuminarch_routing::{CallKind, Router};
 //!
 //! let mut router = Router::new("zrh-a".parse()?, "ch-central".parse()?, 42);
-//! assert!(router.pick(&"katalog".parse()?, &[], Default::default()).is_none());
+//! assert!(router.pick(&"katalog".parse()?, CallKind::default(), &[], Default::default()).is_none());
 //! # Ok::<(), cuminarch_types::ParseError>(())
 //! ```
 
+mod learned_level;
 mod router;
 
-pub use router::{CallSample, Router, Target};
+pub use learned_level::LearnedLevel;
+pub use router::{CallKind, CallSample, Router, Target};
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -3,10 +3,14 @@
 use std::time::Duration;
 
 use cuminarch_protocol::{Member, MemberState};
-use cuminarch_types::{EndpointId, Incarnation, MonoTime, Rank, RegionName, ServiceName, ZoneName};
+use cuminarch_types::{
+    EndpointId, Incarnation, MonoTime, Rank, RegionName, RuleNumber, ServiceName, ZoneName,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::LearnedLevel;
+
 /// Where a call is sent.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Target {
@@ -18,6 +22,15 @@
     pub data_address: SocketAddr,
 }
 
+/// What matters of a call when its endpoint is chosen.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CallKind {
+    /// The rule that covers it.
+    pub rule: RuleNumber,
+    /// Its place in the refusal order.
+    pub rank: Rank,
+}
+
 /// What one finished call shows about its endpoint.
 #[derive(Clone, Copy, Debug)]
 pub enum CallSample {
@@ -37,6 +50,7 @@
     in_flight: u32,
     failures: u32,
     avoid_until: MonoTime,
+    levels: BTreeMap<RuleNumber, LearnedLevel>,
 }
 
 /// Endpoints by service, and what the node has seen of each.
@@ -46,12 +60,9 @@
     region: RegionName,
     rng: ChaCha8Rng,
     services: BTreeMap<ServiceName, BTreeMap<EndpointId, Entry>>,
-    levels: BTreeMap<ServiceName, (Rank, MonoTime)>,
 }
 
 impl Router {
-    /// Time after which a learned admission level no longer counts.
-    const LEVEL_LIFETIME: Duration = Duration::from_secs(1);
     const FAILURES_TO_AVOID: u32 = 3;
     const AVOID_TIME: Duration = Duration::from_secs(2);
 
@@ -59,7 +70,7 @@
     #[must_use]
     pub fn new(zone: ZoneName, region: RegionName, seed: u64) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        Self { zone, region, rng, services: BTreeMap::new(), levels: BTreeMap::new() }
+        Self { zone, region, rng, services: BTreeMap::new() }
     }
 
     /// Takes in what is known of a member; older statements are ignored.
@@ -69,9 +80,7 @@
             Some(entry) if !member.replaces(&entry.member) => {}
             Some(entry) if entry.member.incarnation == member.incarnation => entry.member = member,
             _ => {
-                let entry =
-                    Entry { in_flight: 0, failures: 0, avoid_until: MonoTime::ZERO, member };
-                endpoints.insert(entry.member.endpoint.clone(), entry);
+                endpoints.insert(member.endpoint.clone(), Entry::new(member));
             }
         }
     }
@@ -93,6 +102,7 @@
     pub fn pick(
         &mut self,
         service: &ServiceName,
+        kind: CallKind,
         exclude: &[EndpointId],
         now: MonoTime,
     ) -> Option<Target> {
@@ -111,7 +121,7 @@
             } else {
                 2
             };
-            (avoided, distance)
+            (avoided, !entry.admits(kind, now), distance)
         };
         let best = usable.iter().map(tier).min()?;
         let candidates: Vec<&Entry> =
@@ -151,17 +161,51 @@
         }
     }
 
-    /// Notes the admission level that an answer carried back.
-    pub fn note_level(&mut self, service: &ServiceName, level: Rank, now: MonoTime) {
-        self.levels.insert(service.clone(), (level, now));
+    /// Notes the admission level that the answer to a call under `rule` carried back.
+    pub fn note_level(
+        &mut self,
+        service: &ServiceName,
+        endpoint: &EndpointId,
+        rule: RuleNumber,
+        level: Rank,
+        now: MonoTime,
+    ) {
+        if let Some(entry) = self.entry(service, endpoint) {
+            entry.levels.insert(rule, LearnedLevel::new(level, now));
+        }
     }
 
-    /// Rank below which calls to the service are refused before they are sent.
+    /// Rank below which no endpoint of the service is known to admit calls under `rule`.
     #[must_use]
-    pub fn level(&self, service: &ServiceName, now: MonoTime) -> Rank {
-        match self.levels.get(service) {
-            Some((level, noted)) if now.since(*noted) < Self::LEVEL_LIFETIME => *level,
-            _ => Rank::MIN,
+    pub fn level(&self, service: &ServiceName, rule: RuleNumber, now: MonoTime) -> Rank {
+        let Some(endpoints) = self.services.get(service) else { return Rank::MIN };
+        let usable = endpoints.values().filter(|entry| entry.is_usable(now));
+        usable.map(|entry| entry.level(rule, now)).min().unwrap_or(Rank::MIN)
+    }
+
+    /// Whether an endpoint outside `exclude` may admit a call of this kind.
+    #[must_use]
+    pub fn has_alternative(
+        &self,
+        service: &ServiceName,
+        kind: CallKind,
+        exclude: &[EndpointId],
+        now: MonoTime,
+    ) -> bool {
+        let Some(endpoints) = self.services.get(service) else { return false };
+        let is_other = |entry: &&Entry| !exclude.contains(&entry.member.endpoint);
+        endpoints
+            .values()
+            .filter(is_other)
+            .any(|entry| entry.is_usable(now) && entry.admits(kind, now))
+    }
+
+    /// Forgets all levels, which belong to the rules of one policy.
+    pub fn forget_levels(&mut self) {
+        for endpoints in self.services.values_mut() {
+            for entry in endpoints.values_mut() {
+                entry.levels.clear();
+            }
         }
     }
 
@@ -176,6 +220,28 @@
 }
 
 impl Entry {
+    const fn new(member: Member) -> Self {
+        Self {
+            in_flight: 0,
+            failures: 0,
+            avoid_until: MonoTime::ZERO,
+            levels: BTreeMap::new(),
+            member,
+        }
+    }
+
+    fn is_usable(&self, now: MonoTime) -> bool {
+        self.member.state == MemberState::Active && self.avoid_until <= now
+    }
+
+    fn level(&self, rule: RuleNumber, now: MonoTime) -> Rank {
+        self.levels.get(&rule).map_or(Rank::MIN, |level| level.at(now))
+    }
+
+    fn admits(&self, kind: CallKind, now: MonoTime) -> bool {
+        kind.rank >= self.level(kind.rule, now)
+    }
+
     fn target(&self) -> Target {
         Target {
             endpoint: self.member.endpoint.clone(),
--- a/cuminarch-types/src/id.rs
+++ b/cuminarch-types/src/id.rs
@@ -70,6 +70,11 @@
     Incarnation,
     u64
 );
+number_type!(
+    /// Place of a rule in the sheet, from 1; 0 stands for the default class.
+    RuleNumber,
+    u32
+);
 number_type!(
     /// Revision of the configuration; a higher one replaces a lower one, never the reverse.
     Revision,
