--- a/cuminarch-bench/src/main.rs
+++ b/cuminarch-bench/src/main.rs
@@ -17,7 +17,11 @@
         .arg(check)
         .subcommand(Command::new("capacity").about("Memory of a node's state, with slopes"))
         .subcommand(Command::new("control").about("Membership and configuration, virtual time"))
-        .subcommand(Command::new("decisions").about("Policy under load, virtual time"))
+        .subcommand(
+            Command::new("decisions").about("Policy under load, virtual time").arg(
+                Arg::new("only").long("only").help("Run the scenarios with this in their name"),
+            ),
+        )
         .subcommand(Command::new("overhead").about("Time added to a call, real sockets"))
 }
 
@@ -35,13 +39,16 @@
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
-    let verdict = match matches.subcommand_name() {
-        Some("capacity") => capacity::run().unwrap_or_else(|error| {
+    let verdict = match matches.subcommand() {
+        Some(("capacity", _)) => capacity::run().unwrap_or_else(|error| {
             eprintln!("capacity: {error:?}");
             Verdict::new()
         }),
-        Some("control") => control::run(),
-        Some("decisions") => decisions::run(),
+        Some(("control", _)) => control::run(),
+        Some(("decisions", matches)) => {
+            let only = matches.get_one::<String>("only").map_or("", String::as_str);
+            decisions::run_matching(only)
+        }
         _ => overhead::run(),
     };
     let is_good = report(&verdict, &KnownRed::of_repository());
