--- a/cuminarch-engine/src/budget.rs
+++ b/cuminarch-engine/src/budget.rs
@@ -41,15 +41,17 @@
         now: MonoTime,
     ) {
         let Some(sending) = self.sending_mut(id) else { return };
-        sending.current = None;
+        let Some(flight) = sending.current.take() else { return };
         let service = sending.service.clone();
         let owner_id = self.owner(id);
         self.freed.insert(owner_id);
         let Some(owner) = self.calls.get_mut(&owner_id) else { return };
         let Some(receipt) = receipt else { return owner.budget.forfeit(attempt) };
         owner.budget.settle(attempt, receipt.unspent);
-        owner.level = owner.level.max(receipt.level);
-        self.router.note_level(&service, receipt.level, now);
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let rule = call.rule.number;
+        self.router.note_level(&service, &flight.endpoint, rule, receipt.level, now);
+        call.level = self.router.level(&service, rule, now);
     }
 
     /// Learns what an answered attempt spent of its share.
--- a/cuminarch-engine/src/call.rs
+++ b/cuminarch-engine/src/call.rs
@@ -1,8 +1,10 @@
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use cuminarch_attempts::Budget;
 use cuminarch_config::Rule;
 use cuminarch_once::{BoundKey, RequestFingerprint};
+use cuminarch_routing::CallKind;
 use cuminarch_types::{
     AttemptId, Attempts, CallId, ClientKey, EndpointId, MonoTime, Rank, RequestId, ServiceName,
 };
@@ -17,10 +19,13 @@
     pub deadline: MonoTime,
     pub parent: Option<CallId>,
     pub children: BTreeSet<CallId>,
+    pub deeper: DeeperTime,
     /// Attempts that the call and everything beneath it may spend.
     pub budget: Budget,
     /// Highest admission level met.
     pub level: Rank,
+    /// Whether a call to another service was made for it.
+    pub has_called: bool,
     pub key: Option<BoundKey>,
     /// Whether the request carries an idempotency key of any kind.
     pub has_key: bool,
@@ -38,6 +43,39 @@
     pub stage: Stage,
 }
 
+impl Call {
+    /// What routing needs to know of the call.
+    pub const fn kind(&self) -> CallKind {
+        CallKind { rule: self.rule.number, rank: self.rank }
+    }
+}
+
+/// Time in which at least one child was under way.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DeeperTime {
+    total: Duration,
+    since: Option<MonoTime>,
+}
+
+impl DeeperTime {
+    /// Notes that the first child began.
+    pub fn begin(&mut self, now: MonoTime) {
+        self.since.get_or_insert(now);
+    }
+
+    /// Notes that the last child ended.
+    pub fn end(&mut self, now: MonoTime) {
+        if let Some(since) = self.since.take() {
+            self.total += now.since(since);
+        }
+    }
+
+    /// Time so far.
+    pub const fn total(&self) -> Duration {
+        self.total
+    }
+}
+
 /// How far a call has come.
 #[derive(Clone, Debug)]
 pub enum Stage {
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -6,9 +6,9 @@
 use cuminarch_config::Policy;
 use cuminarch_once::{BoundKey, KeyTable};
 use cuminarch_protocol::Receipt;
-use cuminarch_routing::Router;
+use cuminarch_routing::{LearnedLevel, Router};
 use cuminarch_types::{
-    AttemptId, CallId, ClassName, ConcurrencyLimit, MonoTime, Rank, ServiceName,
+    AttemptId, CallId, ClassName, ConcurrencyLimit, MonoTime, RuleNumber, ServiceName,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -31,7 +31,7 @@
     pub(crate) needs: BTreeMap<(ServiceName, ClassName), NeedEstimator>,
     /// Calls whose budget has changed since their children were last sent.
     pub(crate) freed: BTreeSet<CallId>,
-    pub(crate) levels_behind: BTreeMap<ClassName, (Rank, MonoTime)>,
+    pub(crate) levels_behind: BTreeMap<RuleNumber, LearnedLevel>,
     pub(crate) backoff: Backoff,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) draining: bool,
@@ -113,6 +113,8 @@
         let is_newer = policy.revision() > self.policy.revision();
         if is_newer {
             self.policy = policy;
+            self.router.forget_levels();
+            self.levels_behind.clear();
         }
         is_newer
     }
@@ -156,10 +158,11 @@
         attempt
     }
 
-    pub(crate) fn insert(&mut self, id: CallId, call: Call) {
+    pub(crate) fn insert(&mut self, id: CallId, call: Call, now: MonoTime) {
         self.deadlines.insert((call.deadline, id));
         if let Some(parent) = call.parent.and_then(|parent| self.calls.get_mut(&parent)) {
             parent.children.insert(id);
+            parent.deeper.begin(now);
         }
         self.calls.insert(id, call);
     }
@@ -173,6 +176,10 @@
     ) -> Option<Receipt> {
         let call = self.calls.remove(&id)?;
         self.deadlines.remove(&(call.deadline, id));
+        if call.parent.is_none() && call.has_called {
+            let level = LearnedLevel::new(call.level, now);
+            self.levels_behind.insert(call.rule.number, level);
+        }
         if let Stage::Sending(Sending { retry_at: Some(retry_at), .. }) = call.stage {
             self.retries.remove(&(retry_at, id));
         }
@@ -181,7 +188,11 @@
         }
         if let Some(parent) = call.parent.and_then(|parent| self.calls.get_mut(&parent)) {
             parent.children.remove(&id);
+            if parent.children.is_empty() {
+                parent.deeper.end(now);
+            }
             parent.level = parent.level.max(call.level);
+            parent.has_called = true;
         }
         let own_level = self.admission.level();
         Some(Receipt { unspent: call.budget.held(), level: call.level.max(own_level) })
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -24,7 +24,7 @@
         if let Some(parent_id) = arrival.parent {
             let Some(parent) = self.running_parent(parent_id, arrival) else {
                 call.parent = None;
-                self.insert(id, call);
+                self.insert(id, call, now);
                 let refusal = Refusal::not_run(RefusalReason::ParentEnded);
                 return self.refuse(id, refusal, now, actions);
             };
@@ -38,8 +38,10 @@
         }
         call.stage = Stage::Sending(Sending::new(service.clone()));
         let rank = call.rank;
-        self.insert(id, call);
-        if rank < self.router.level(&service, now) {
+        let level = self.router.level(&service, call.rule.number, now);
+        call.level = level;
+        self.insert(id, call, now);
+        if rank < level {
             let refusal = Refusal::not_run(RefusalReason::OverloadedBehind);
             return self.refuse(id, refusal.with_retry_after(Admission::RETRY_AFTER), now, actions);
         }
@@ -110,7 +112,7 @@
         if is_not_run {
             self.note_proof(id, &refusal);
         }
-        let may_retry = is_not_run && refusal.reason.may_retry();
+        let may_retry = is_not_run && refusal.reason.may_retry() && self.has_alternative(id, now);
         self.retry_or_refuse(id, may_retry, refusal, now, actions);
     }
 
@@ -243,7 +245,17 @@
         }
         let service = sending.service.clone();
         let tried = sending.tried.clone();
-        self.router.pick(&service, &tried, now).or_else(|| self.router.pick(&service, &[], now))
+        let kind = call.kind();
+        self.router
+            .pick(&service, kind, &tried, now)
+            .or_else(|| self.router.pick(&service, kind, &[], now))
+    }
+
+    /// Whether an endpoint that was not tried yet may admit the call.
+    fn has_alternative(&self, id: CallId, now: MonoTime) -> bool {
+        let Some(call) = self.calls.get(&id) else { return false };
+        let Stage::Sending(sending) = &call.stage else { return false };
+        self.router.has_alternative(&sending.service, call.kind(), &sending.tried, now)
     }
 
     fn flight(&mut self, id: CallId, attempt: AttemptId) -> Option<&mut Flight> {
--- a/cuminarch-engine/tests/keys.rs
+++ b/cuminarch-engine/tests/keys.rs
@@ -48,8 +48,14 @@
         let policy = Policy::from_sheet(Revision::new(1), &sheet).unwrap();
         let engine = Engine::new(settings, Arc::new(policy));
         let mut node = Self { engine, now: MonoTime::from_millis(1) };
+        node.know("kasse-2");
+        node
+    }
+
+    /// Makes an active peer of the same service known.
+    fn know(&mut self, endpoint: &str) {
         let peer = Member {
-            endpoint: "kasse-2".parse().unwrap(),
+            endpoint: endpoint.parse().unwrap(),
             service: "kasse".parse().unwrap(),
             zone: "zrh-a".parse().unwrap(),
             region: "ch-central".parse().unwrap(),
@@ -58,8 +64,7 @@
             control_address: "127.0.0.1:2".parse().unwrap(),
             state: MemberState::Active,
         };
-        node.handle(Event::Member(Box::new(peer)));
-        node
+        self.handle(Event::Member(Box::new(peer)));
     }
 
     fn handle(&mut self, event: Event) -> Vec<Action> {
@@ -222,6 +227,7 @@
 #[test]
 fn child_that_waits_for_a_retry_is_answered_when_its_parent_ends() {
     let mut node = Node::new();
+    node.know("kasse-3");
     let key = node.mint();
     let (parent, _) = node.arrive(approval(&key));
     let child = Arrival::outbound("kasse".parse().unwrap(), RequestId::new(7), "POST", "/")
