feat(claims): run claims on the platform

run_claim carries out the steps of cuminarch_once::Claim on an ObjectStore; the node's control thread is to call it in place of its own try_claim. A new package, so that the decision packages stay free of I/O.

Counted in its tests: two platform calls for a new key, one for a bound key, three when the answer to the write is lost, none for expiry.

--- /dev/null
+++ b/cuminarch-claims/src/run.rs
@@ -0,0 +1,67 @@
+use cuminarch_once::{
+    Claim, ClaimOutcome, ClaimReply, ClaimShard, ClaimShardId, ClaimStep, ShardState,
+};
+use cuminarch_platform::{Expect, Object, ObjectPath, ObjectStore, ObjectVersion, PlatformError};
+
+/// Where a shard of claims is kept.
+///
+/// # Errors
+///
+/// Fails if the platform allows no such path.
+pub fn claim_path(shard: ClaimShardId) -> Result<ObjectPath, PlatformError> {
+    ObjectPath::new(format!("claims/{shard}"))
+        .map_err(|error| PlatformError::Protocol { reason: error.to_string() })
+}
+
+/// Runs a claim to its end: a read and a write if nothing goes wrong, a read
+/// if the key is already bound.
+pub fn run_claim(store: &dyn ObjectStore, mut claim: Claim) -> ClaimOutcome {
+    let Ok(path) = claim_path(claim.shard()) else { return ClaimOutcome::Unavailable };
+    let mut step = claim.start();
+    loop {
+        let reply = match step {
+            ClaimStep::Read => read(store, &path),
+            ClaimStep::Write(state) => write(store, &path, &state),
+            ClaimStep::Done(outcome) => return outcome,
+        };
+        step = claim.next(reply);
+    }
+}
+
+fn read(store: &dyn ObjectStore, path: &ObjectPath) -> ClaimReply<ObjectVersion> {
+    let state = match store.get(path) {
+        Ok(Some(object)) => state_of(&object),
+        Ok(None) => Some(ShardState { version: None, shard: ClaimShard::default() }),
+        Err(_) => None,
+    };
+    state.map_or(ClaimReply::Unavailable, ClaimReply::Read)
+}
+
+fn write(
+    store: &dyn ObjectStore,
+    path: &ObjectPath,
+    state: &ShardState<ObjectVersion>,
+) -> ClaimReply<ObjectVersion> {
+    let Ok(value) = serde_json::to_string(&state.shard) else { return ClaimReply::Unavailable };
+    let expect = state.version.map_or(Expect::Absent, Expect::Version);
+    match store.put(path, &value, expect) {
+        Ok(_) => ClaimReply::Written,
+        Err(PlatformError::Conflict { current, .. }) => {
+            ClaimReply::Conflict(current.as_deref().and_then(state_of))
+        }
+        Err(PlatformError::Ambiguous { .. } | PlatformError::Protocol { .. }) => {
+            ClaimReply::Ambiguous
+        }
+        Err(
+            PlatformError::Unavailable { .. }
+            | PlatformError::RateLimited
+            | PlatformError::TooLarge { .. },
+        ) => ClaimReply::Unavailable,
+    }
+}
+
+/// The shard in an object; none if it has another shape, which is never overwritten.
+fn state_of(object: &Object) -> Option<ShardState<ObjectVersion>> {
+    let shard = serde_json::from_str(&object.value).ok()?;
+    Some(ShardState { version: Some(object.version), shard })
+}
--- /dev/null
+++ b/cuminarch-claims/tests/claims.rs
@@ -0,0 +1,132 @@
+//! Claims against a store in memory with faults.
+
+#![allow(clippy::unwrap_used)]
+
+use std::sync::Barrier;
+use std::thread;
+
+use cuminarch_claims::{claim_path, run_claim};
+use cuminarch_once::{BoundKey, Claim, ClaimOutcome, ClaimSettings, ClaimShard, ClaimShardId};
+use cuminarch_platform::{Expect, ObjectStore};
+use cuminarch_testing::{MemoryStore, PlatformFault};
+use cuminarch_types::ClientKey;
+use rstest::rstest;
+
+const DAY_S: u64 = 24 * 3_600;
+
+fn bound(endpoint: usize) -> BoundKey {
+    format!("ck1:kasse-{endpoint}:7:0:1").parse().unwrap()
+}
+
+fn claim_at(key: &str, endpoint: usize, now_s: u64) -> Claim {
+    Claim::new(ClaimSettings::new(), key.parse().unwrap(), bound(endpoint), now_s)
+}
+
+fn shard_of(store: &MemoryStore, key: &str) -> ClaimShard {
+    let path = claim_path(ClaimShardId::of_key(&key.parse().unwrap())).unwrap();
+    let object = store.get(&path).unwrap().unwrap();
+    serde_json::from_str(&object.value).unwrap()
+}
+
+#[rstest]
+#[case::granted(PlatformFault::None, ClaimOutcome::Granted, 2)]
+#[case::lost_answer_is_settled_by_reading(PlatformFault::LoseAnswers, ClaimOutcome::Granted, 3)]
+#[case::down(PlatformFault::Down, ClaimOutcome::Unavailable, 1)]
+fn claim_of_a_new_key(
+    #[case] fault: PlatformFault,
+    #[case] expected: ClaimOutcome,
+    #[case] calls: u64,
+) {
+    let store = MemoryStore::new();
+    store.set_fault(fault);
+    assert_eq!(run_claim(&store, claim_at("order-7", 1, 0)), expected);
+    assert_eq!(store.calls(), calls);
+}
+
+#[test]
+fn claim_of_a_bound_key_costs_one_read() {
+    let store = MemoryStore::new();
+    run_claim(&store, claim_at("order-7", 1, 0));
+    let before = store.calls();
+    let second = run_claim(&store, claim_at("order-7", 2, 5 * DAY_S));
+    assert_eq!(second, ClaimOutcome::HeldBy(bound(1)));
+    assert_eq!(store.calls() - before, 1);
+}
+
+#[test]
+fn shard_of_another_shape_is_never_overwritten() {
+    let store = MemoryStore::new();
+    let path = claim_path(ClaimShardId::of_key(&"order-7".parse().unwrap())).unwrap();
+    store.put(&path, "{\"later\": 1}", Expect::Absent).unwrap();
+    assert_eq!(run_claim(&store, claim_at("order-7", 1, 0)), ClaimOutcome::Unavailable);
+    assert_eq!(store.get(&path).unwrap().unwrap().value, "{\"later\": 1}");
+}
+
+#[test]
+fn one_of_many_claims_at_once_is_granted() {
+    let store = MemoryStore::new();
+    let barrier = Barrier::new(8);
+    let outcomes: Vec<ClaimOutcome> = thread::scope(|scope| {
+        let claims: Vec<_> = (0..8)
+            .map(|endpoint| {
+                let (store, barrier) = (store.clone(), &barrier);
+                scope.spawn(move || {
+                    barrier.wait();
+                    run_claim(&store, claim_at("order-7", endpoint, 0))
+                })
+            })
+            .collect();
+        claims.into_iter().map(|claim| claim.join().unwrap()).collect()
+    });
+    let granted = outcomes.iter().filter(|outcome| **outcome == ClaimOutcome::Granted);
+    assert_eq!(granted.count(), 1, "{outcomes:?}");
+    assert!(!outcomes.contains(&ClaimOutcome::Unavailable));
+}
+
+/// Keys that share a shard.
+fn keys_of_one_shard(count: usize) -> Vec<String> {
+    let shard = ClaimShardId::of_key(&"order-0".parse().unwrap());
+    (0..)
+        .map(|number| format!("order-{number}"))
+        .filter(|key| ClaimShardId::of_key(&key.parse::<ClientKey>().unwrap()) == shard)
+        .take(count)
+        .collect()
+}
+
+#[test]
+fn expired_claims_leave_the_shard_without_a_call_of_their_own() {
+    let store = MemoryStore::new();
+    let keys = keys_of_one_shard(40);
+    for key in &keys[..38] {
+        assert_eq!(run_claim(&store, claim_at(key, 1, 0)), ClaimOutcome::Granted);
+    }
+    run_claim(&store, claim_at(&keys[38], 1, DAY_S - 1));
+    assert_eq!(shard_of(&store, &keys[0]).entries.len(), 39, "none is dropped too early");
+    let before = store.calls();
+    run_claim(&store, claim_at(&keys[39], 1, DAY_S));
+    let shard = shard_of(&store, &keys[0]);
+    assert_eq!(store.calls() - before, 3, "a read and a write, and the read of this test");
+    assert_eq!(shard.entries.len(), ClaimSettings::new().keep_entries);
+    assert!(shard.holder(&keys[38].parse().unwrap()).is_some());
+}
+
+#[test]
+fn full_shard_grants_no_more() {
+    let store = MemoryStore::new();
+    let settings = ClaimSettings { keep_entries: 2, max_entries: 2, ..ClaimSettings::new() };
+    let keys = keys_of_one_shard(3);
+    let run = |key: &str, now_s| {
+        run_claim(&store, Claim::new(settings, key.parse().unwrap(), bound(1), now_s))
+    };
+    assert_eq!(run(&keys[0], 0), ClaimOutcome::Granted);
+    assert_eq!(run(&keys[1], 0), ClaimOutcome::Granted);
+    assert_eq!(run(&keys[2], DAY_S - 1), ClaimOutcome::Unavailable);
+    assert_eq!(run(&keys[2], DAY_S), ClaimOutcome::Granted);
+}
+
+#[test]
+fn shard_numbers_never_change() {
+    let shard = |key: &str| ClaimShardId::of_key(&key.parse().unwrap()).to_string();
+    let numbers = ["order-7", "order-8", "a"].map(shard);
+    assert_eq!(numbers, ["52d2", "8149", "e6c6"]);
+}
