feat: check sheets as a whole and name what a change weakens

Cause: a sheet was refused with its first fault only, without a line; rules hidden by earlier ones, misplaced protected classes and misread patterns went into force unseen, and nothing noticed that a change made a non-idempotent kind of request idempotent.

Change: SheetReport reads the YAML into a tree with places and names every fault with path, line and column. RequestSpace walks all kinds of requests that a set of rules can tell apart; from it follow exactly which rules can never match and what one policy weakens against another. Requests that no rule covers are idempotent only if their method is safe; before, a forgotten POST could be repeated. Doubled and trailing slashes and percent-encoding no longer lead around a rule.

Found on the way: the differential test showed that the walk has to go one segment beyond the longest pattern (`/*/*` does not cover `/a/a/**`).

Ruled out: typed spans for each field (they stop at the first fault of shape).

--- /dev/null
+++ b/cuminarch-config/src/check.rs
@@ -0,0 +1,258 @@
+//! Checks a sheet as a whole.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cuminarch_types::{ClassName, Priority, ServiceName};
+
+use crate::pattern::PathPattern;
+use crate::policy::{Matcher, Rule};
+use crate::space::RequestSpace;
+use crate::{ClassEntry, Fault, FaultKind, RuleEntry, Sheet};
+
+/// Names every fault of a sheet whose entries have the right shape.
+pub(crate) fn check(sheet: &Sheet) -> Vec<Fault> {
+    let mut checker = Checker { sheet, faults: Vec::new() };
+    checker.services();
+    checker.classes();
+    checker.order_of_refusal();
+    for (index, rule) in sheet.rules.iter().enumerate() {
+        checker.rule(index, rule);
+    }
+    checker.uses();
+    checker.overlaps();
+    checker.faults
+}
+
+struct Checker<'a> {
+    sheet: &'a Sheet,
+    faults: Vec<Fault>,
+}
+
+/// What is known of a pair of rules that share requests.
+#[derive(Default)]
+struct Overlaps {
+    reached: BTreeSet<usize>,
+    covered_by: BTreeMap<usize, BTreeSet<usize>>,
+    hidden: BTreeMap<(usize, usize), String>,
+    beyond: BTreeSet<(usize, usize)>,
+}
+
+impl Checker<'_> {
+    /// Largest number of classes; each has a priority of its own.
+    const MAX_CLASSES: usize = Priority::HIGHEST.get() as usize + 1;
+    /// Most attempts that one request may be granted.
+    const MAX_GRANT_ATTEMPTS: u64 = 4_096;
+    /// Depth of the longest chain of services.
+    const MAX_DEPTH: u32 = 14;
+    /// Shortest deadline in milliseconds.
+    const MIN_DEADLINE_MS: u64 = 10;
+    /// Longest deadline in milliseconds.
+    const MAX_DEADLINE_MS: u64 = 3_600_000;
+    /// Most retries per hundred first attempts.
+    const MAX_RETRY_PERCENT: u64 = 100;
+    /// Most retries per hundred first attempts in a class of non-idempotent rules.
+    const MAX_NON_IDEMPOTENT_RETRY_PERCENT: u32 = 50;
+
+    fn fault(&mut self, path: impl Into<String>, kind: FaultKind) {
+        self.faults.push(Fault::new(path, kind));
+    }
+
+    fn range(&mut self, path: String, value: u64, min: u64, max: u64) {
+        if value < min || value > max {
+            self.fault(path, FaultKind::OutOfRange { value, min, max });
+        }
+    }
+
+    fn services(&mut self) {
+        self.repeated("services", self.sheet.services.iter().map(ServiceName::as_str));
+    }
+
+    fn repeated<'a>(&mut self, path: &str, entries: impl Iterator<Item = &'a str>) {
+        let mut seen = BTreeSet::new();
+        for (index, entry) in entries.enumerate() {
+            if !seen.insert(entry) {
+                self.fault(format!("{path}[{index}]"), FaultKind::Repeated { entry: entry.into() });
+            }
+        }
+    }
+
+    fn classes(&mut self) {
+        let sheet = self.sheet;
+        let count = sheet.classes.len();
+        if count == 0 {
+            self.fault("classes", FaultKind::NoClasses);
+        }
+        if count > Self::MAX_CLASSES {
+            let max = Self::MAX_CLASSES;
+            self.fault("classes", FaultKind::TooManyClasses { count, max });
+        }
+        let mut first_of: BTreeMap<&ClassName, usize> = BTreeMap::new();
+        for (index, entry) in sheet.classes.iter().enumerate() {
+            if let Some(&first) = first_of.get(&entry.name) {
+                let kind = FaultKind::DuplicateClass { class: entry.name.clone(), first };
+                self.fault(format!("classes[{index}].name"), kind);
+            } else {
+                first_of.insert(&entry.name, index);
+            }
+            self.class(index, entry);
+        }
+    }
+
+    fn class(&mut self, index: usize, entry: &ClassEntry) {
+        let path = |key: &str| format!("classes[{index}].{key}");
+        let grant = entry.grant_attempts.get();
+        self.range(path("grant_attempts"), u64::from(grant), 1, Self::MAX_GRANT_ATTEMPTS);
+        if (1..Self::MAX_DEPTH).contains(&grant) {
+            let kind = FaultKind::ShortGrant { grant, depth: Self::MAX_DEPTH };
+            self.fault(path("grant_attempts"), kind);
+        }
+        let (min, max) = (Self::MIN_DEADLINE_MS, Self::MAX_DEADLINE_MS);
+        self.range(path("deadline_ms"), entry.deadline_ms, min, max);
+        let retry_percent = u64::from(entry.retry_percent);
+        self.range(path("retry_percent"), retry_percent, 0, Self::MAX_RETRY_PERCENT);
+    }
+
+    fn order_of_refusal(&mut self) {
+        let classes = &self.sheet.classes;
+        let Some(last) = classes.iter().rposition(|entry| !entry.protected) else { return };
+        let unprotected = &classes[last].name;
+        for (index, entry) in classes[..last].iter().enumerate() {
+            if entry.protected {
+                let kind = FaultKind::ProtectedTooEarly {
+                    class: entry.name.clone(),
+                    unprotected: unprotected.clone(),
+                };
+                self.fault(format!("classes[{index}].protected"), kind);
+            }
+        }
+    }
+
+    fn rule(&mut self, index: usize, entry: &RuleEntry) {
+        let path = |key: &str| format!("rules[{index}].{key}");
+        self.repeated(&path("services"), entry.services.iter().map(ServiceName::as_str));
+        self.repeated(
+            &path("methods"),
+            entry.methods.iter().map(compact_str::CompactString::as_str),
+        );
+        let declared = &self.sheet.services;
+        for (place, service) in entry.services.iter().enumerate() {
+            if !declared.is_empty() && !declared.contains(service) {
+                let kind = FaultKind::UnknownService { service: service.clone() };
+                self.fault(format!("rules[{index}].services[{place}]"), kind);
+            }
+        }
+        for (place, method) in entry.methods.iter().enumerate() {
+            let is_method = !method.is_empty()
+                && method.bytes().all(|byte| byte.is_ascii_uppercase() || byte == b'-');
+            if !is_method {
+                let kind = FaultKind::InvalidMethod { method: method.clone() };
+                self.fault(format!("rules[{index}].methods[{place}]"), kind);
+            }
+        }
+        if let Some(reason) = PathPattern::fault_of(&entry.path) {
+            let kind = FaultKind::InvalidPattern { pattern: entry.path.clone(), reason };
+            self.fault(path("path"), kind);
+        }
+        match self.sheet.classes.iter().find(|class| class.name == entry.class) {
+            None => {
+                self.fault(path("class"), FaultKind::UnknownClass { class: entry.class.clone() });
+            }
+            Some(class) if !entry.idempotent => self.non_idempotent(index, class),
+            Some(_) => {}
+        }
+    }
+
+    fn non_idempotent(&mut self, index: usize, class: &ClassEntry) {
+        let path = format!("rules[{index}].class");
+        let retry_percent = class.retry_percent;
+        if retry_percent > Self::MAX_NON_IDEMPOTENT_RETRY_PERCENT {
+            let kind = FaultKind::NonIdempotentRetries { class: class.name.clone(), retry_percent };
+            self.fault(path.clone(), kind);
+        }
+        if !class.protected {
+            let kind = FaultKind::NonIdempotentUnprotected { class: class.name.clone() };
+            self.fault(path, kind);
+        }
+    }
+
+    fn uses(&mut self) {
+        let sheet = self.sheet;
+        let default = &sheet.default_class;
+        if !sheet.classes.iter().any(|entry| entry.name == *default) {
+            self.fault("default_class", FaultKind::UnknownClass { class: default.clone() });
+        }
+        let mut used: BTreeSet<&ClassName> = sheet.rules.iter().map(|rule| &rule.class).collect();
+        used.insert(default);
+        for (index, entry) in sheet.classes.iter().enumerate() {
+            if !used.contains(&entry.name) {
+                let kind = FaultKind::UnusedClass { class: entry.name.clone() };
+                self.fault(format!("classes[{index}].name"), kind);
+            }
+        }
+    }
+
+    /// Finds rules that can never match and rules that take non-idempotent
+    /// requests from later ones. Rules with a fault of their own are left out.
+    fn overlaps(&mut self) {
+        let sheet = self.sheet;
+        let is_sound = |entry: &RuleEntry| PathPattern::fault_of(&entry.path).is_none();
+        let kept: Vec<usize> =
+            (0..sheet.rules.len()).filter(|&index| is_sound(&sheet.rules[index])).collect();
+        let placeholder = ClassEntry::default();
+        let matchers: Vec<Matcher> = kept
+            .iter()
+            .map(|&index| Matcher::new(&sheet.rules[index], Rule::of_class(&placeholder, 0)))
+            .collect();
+        let mut overlaps = Overlaps::default();
+        let result = RequestSpace::new(matchers.iter().collect()).visit(&mut |sample, matched| {
+            let fits = |&&index: &&usize| {
+                let matcher = &matchers[index];
+                matcher.covers_service(&sample.service) && matcher.covers_method(&sample.method)
+            };
+            let fitting: Vec<usize> = matched.iter().filter(fits).copied().collect();
+            let example = || format!("{} {} of {}", sample.method, sample.path, sample.service);
+            overlaps.note(&fitting, &matchers, example);
+        });
+        if result.is_err() {
+            return self.fault("rules", FaultKind::TooComplex);
+        }
+        self.report_overlaps(&kept, overlaps);
+    }
+
+    fn report_overlaps(&mut self, kept: &[usize], mut overlaps: Overlaps) {
+        for (place, &index) in kept.iter().enumerate() {
+            if !overlaps.reached.contains(&place) {
+                let covered_by = overlaps.covered_by.remove(&place).unwrap_or_default();
+                let covered_by = covered_by.iter().map(|&earlier| kept[earlier]).collect();
+                self.fault(format!("rules[{index}]"), FaultKind::NeverMatches { covered_by });
+            }
+        }
+        for ((earlier, later), example) in overlaps.hidden {
+            let is_exception = !overlaps.beyond.contains(&(earlier, later));
+            if !is_exception && overlaps.reached.contains(&later) {
+                let kind = FaultKind::HidesNonIdempotent { later: kept[later], example };
+                self.fault(format!("rules[{}]", kept[earlier]), kind);
+            }
+        }
+    }
+}
+
+impl Overlaps {
+    /// Notes one kind of requests and the rules that fit it, in order.
+    fn note(&mut self, fitting: &[usize], matchers: &[Matcher], example: impl Fn() -> String) {
+        let Some((&first, rest)) = fitting.split_first() else { return };
+        self.reached.insert(first);
+        let is_idempotent = |index: usize| matchers[index].rule.idempotent;
+        for &later in rest {
+            self.covered_by.entry(later).or_default().insert(first);
+            if is_idempotent(first) && !is_idempotent(later) {
+                self.hidden.entry((first, later)).or_insert_with(&example);
+            }
+        }
+        if is_idempotent(first) {
+            let others = (first + 1..matchers.len()).filter(|&later| !is_idempotent(later));
+            let others = others.filter(|later| !rest.contains(later));
+            self.beyond.extend(others.map(|later| (first, later)));
+        }
+    }
+}
--- /dev/null
+++ b/cuminarch-config/src/decode.rs
@@ -0,0 +1,249 @@
+//! Turns the tree of a sheet into typed entries and names every fault of shape.
+
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+use compact_str::CompactString;
+use cuminarch_types::{Attempts, ClassName};
+
+use crate::sheet::{ClassEntry, RuleEntry, Sheet, default_retry_percent};
+use crate::tree::{Entry, Node, Value};
+use crate::{Fault, FaultKind, Position};
+
+const SHEET_KEYS: &[&str] = &["services", "classes", "rules", "default_class"];
+const CLASS_KEYS: &[&str] =
+    &["name", "grant_attempts", "deadline_ms", "retry_percent", "protected"];
+const RULE_KEYS: &[&str] = &["class", "services", "methods", "path", "idempotent"];
+
+/// A sheet read from a tree, whole or in part.
+#[derive(Debug)]
+pub(crate) struct Draft {
+    /// Entries that could be read.
+    pub sheet: Sheet,
+    /// Faults of shape.
+    pub faults: Vec<Fault>,
+    /// Place of each path in the text.
+    pub positions: BTreeMap<String, Position>,
+}
+
+/// Reads a tree.
+pub(crate) fn decode(root: &Node) -> Draft {
+    let mut decoder = Decoder::default();
+    let sheet = decoder.sheet(root);
+    Draft { sheet, faults: decoder.faults, positions: decoder.positions }
+}
+
+#[derive(Default)]
+struct Decoder {
+    faults: Vec<Fault>,
+    positions: BTreeMap<String, Position>,
+}
+
+/// The keys of one mapping.
+struct Fields<'a> {
+    path: String,
+    position: Position,
+    entries: &'a [Entry],
+}
+
+impl Decoder {
+    fn fault(&mut self, path: &str, position: Position, kind: FaultKind) {
+        self.faults.push(Fault::new(path, kind).with_position(Some(position)));
+    }
+
+    fn wrong_type(&mut self, path: &str, node: &Node, expected: &'static str) {
+        let kind = FaultKind::WrongType { expected, found: node.value.type_name() };
+        self.fault(path, node.position, kind);
+    }
+
+    fn fields<'a>(&mut self, path: &str, node: &'a Node, known: &[&str]) -> Option<Fields<'a>> {
+        self.positions.insert(path.to_owned(), node.position);
+        let Value::Map(entries) = &node.value else {
+            self.wrong_type(path, node, "a mapping");
+            return None;
+        };
+        for entry in entries {
+            if !known.contains(&entry.key.as_str()) {
+                let expected = known.join(", ");
+                let kind = FaultKind::UnknownKey { key: entry.key.clone(), expected };
+                self.fault(path, entry.position, kind);
+            }
+        }
+        Some(Fields { path: path.to_owned(), position: node.position, entries })
+    }
+
+    fn optional<'a>(&mut self, fields: &Fields<'a>, key: &str) -> Option<(String, &'a Node)> {
+        let entry = fields.entries.iter().find(|entry| entry.key == key)?;
+        let path = join(&fields.path, key);
+        self.positions.insert(path.clone(), entry.value.position);
+        Some((path, &entry.value))
+    }
+
+    fn required<'a>(
+        &mut self,
+        fields: &Fields<'a>,
+        key: &'static str,
+    ) -> Option<(String, &'a Node)> {
+        let found = self.optional(fields, key);
+        if found.is_none() {
+            self.fault(&fields.path, fields.position, FaultKind::MissingKey { key });
+        }
+        found
+    }
+
+    fn sheet(&mut self, root: &Node) -> Sheet {
+        let Some(fields) = self.fields("", root, SHEET_KEYS) else { return Sheet::default() };
+        let services = self.list(&fields, "services", Self::name);
+        let classes = match self.required(&fields, "classes") {
+            Some((path, node)) => self.items(&path, node, Self::class),
+            None => Vec::new(),
+        };
+        let rules = self.list(&fields, "rules", Self::rule);
+        let default_class = self.required_name(&fields, "default_class");
+        let placeholder = Sheet::default().default_class;
+        let default_class = default_class.unwrap_or(placeholder);
+        Sheet { services, classes, rules, default_class }
+    }
+
+    fn class(&mut self, path: &str, node: &Node) -> Option<ClassEntry> {
+        let fields = self.fields(path, node, CLASS_KEYS)?;
+        let name = self.required_name(&fields, "name");
+        let grant = self.required(&fields, "grant_attempts");
+        let grant = grant.and_then(|(path, node)| self.count(&path, node));
+        let deadline = self.required(&fields, "deadline_ms");
+        let deadline = deadline.and_then(|(path, node)| self.integer(&path, node));
+        let retry_percent = match self.optional(&fields, "retry_percent") {
+            Some((path, node)) => self.count(&path, node),
+            None => Some(default_retry_percent()),
+        };
+        let protected = match self.optional(&fields, "protected") {
+            Some((path, node)) => self.boolean(&path, node),
+            None => Some(false),
+        };
+        Some(ClassEntry {
+            name: name?,
+            grant_attempts: Attempts::new(grant?),
+            deadline_ms: deadline?,
+            retry_percent: retry_percent?,
+            protected: protected?,
+        })
+    }
+
+    fn rule(&mut self, path: &str, node: &Node) -> Option<RuleEntry> {
+        let fields = self.fields(path, node, RULE_KEYS)?;
+        let class: Option<ClassName> = self.required_name(&fields, "class");
+        let services = self.list(&fields, "services", Self::name);
+        let methods = self.list(&fields, "methods", Self::text);
+        let pattern = self.required(&fields, "path");
+        let pattern = pattern.and_then(|(path, node)| self.text(&path, node));
+        let idempotent = self.required(&fields, "idempotent");
+        let idempotent = idempotent.and_then(|(path, node)| self.boolean(&path, node));
+        Some(RuleEntry {
+            class: class?,
+            services,
+            methods,
+            path: pattern?,
+            idempotent: idempotent?,
+        })
+    }
+
+    fn list<T>(
+        &mut self,
+        fields: &Fields<'_>,
+        key: &str,
+        read: impl Fn(&mut Self, &str, &Node) -> Option<T>,
+    ) -> Vec<T> {
+        match self.optional(fields, key) {
+            Some((path, node)) => self.items(&path, node, read),
+            None => Vec::new(),
+        }
+    }
+
+    fn items<T>(
+        &mut self,
+        path: &str,
+        node: &Node,
+        read: impl Fn(&mut Self, &str, &Node) -> Option<T>,
+    ) -> Vec<T> {
+        let Value::List(items) = &node.value else {
+            self.wrong_type(path, node, "a list");
+            return Vec::new();
+        };
+        let mut read_items = Vec::with_capacity(items.len());
+        for (index, item) in items.iter().enumerate() {
+            let path = format!("{path}[{index}]");
+            self.positions.insert(path.clone(), item.position);
+            read_items.extend(read(self, &path, item));
+        }
+        read_items
+    }
+
+    fn required_name<T: FromStr<Err = cuminarch_types::ParseError>>(
+        &mut self,
+        fields: &Fields<'_>,
+        key: &'static str,
+    ) -> Option<T> {
+        let (path, node) = self.required(fields, key)?;
+        self.name(&path, node)
+    }
+
+    fn name<T: FromStr<Err = cuminarch_types::ParseError>>(
+        &mut self,
+        path: &str,
+        node: &Node,
+    ) -> Option<T> {
+        let text = self.text(path, node)?;
+        match text.parse() {
+            Ok(name) => Some(name),
+            Err(error) => {
+                let reason = error.to_string();
+                self.fault(path, node.position, FaultKind::InvalidValue { reason });
+                None
+            }
+        }
+    }
+
+    fn text(&mut self, path: &str, node: &Node) -> Option<CompactString> {
+        match &node.value {
+            Value::Text(text) => Some(text.into()),
+            _ => {
+                self.wrong_type(path, node, "text");
+                None
+            }
+        }
+    }
+
+    fn boolean(&mut self, path: &str, node: &Node) -> Option<bool> {
+        match node.value {
+            Value::Bool(value) => Some(value),
+            _ => {
+                self.wrong_type(path, node, "true or false");
+                None
+            }
+        }
+    }
+
+    fn integer(&mut self, path: &str, node: &Node) -> Option<u64> {
+        match node.value {
+            Value::Integer(value) => Some(value),
+            _ => {
+                self.wrong_type(path, node, "a whole number");
+                None
+            }
+        }
+    }
+
+    fn count(&mut self, path: &str, node: &Node) -> Option<u32> {
+        let value = self.integer(path, node)?;
+        let count = u32::try_from(value).ok();
+        if count.is_none() {
+            let kind = FaultKind::OutOfRange { value, min: 0, max: u64::from(u32::MAX) };
+            self.fault(path, node.position, kind);
+        }
+        count
+    }
+}
+
+fn join(path: &str, key: &str) -> String {
+    if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") }
+}
--- a/cuminarch-config/src/document.rs
+++ b/cuminarch-config/src/document.rs
@@ -13,6 +13,30 @@
     pub sheet: String,
 }
 
+impl ConfigDocument {
+    /// Largest document in bytes, the largest value of the platform.
+    pub const MAX_BYTES: usize = 1024 * 1024;
+
+    /// Room for everything in a document but its sheet, in bytes.
+    const FRAMING_BYTES: usize = 256;
+
+    /// Size of a document in JSON that holds `sheet`, in bytes, never too small.
+    #[must_use]
+    pub fn framed_len_bytes(sheet: &str) -> usize {
+        let escaped: usize = sheet.chars().map(Self::escaped_len_bytes).sum();
+        escaped + Self::FRAMING_BYTES
+    }
+
+    /// Length of a character in a JSON string, in bytes.
+    const fn escaped_len_bytes(letter: char) -> usize {
+        match letter {
+            '"' | '\\' | '\n' | '\r' | '\t' | '\u{8}' | '\u{c}' => 2,
+            '\0'..='\u{1f}' => 6,
+            _ => letter.len_utf8(),
+        }
+    }
+}
+
 /// What the relay of an availability zone reports to the platform.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/cuminarch-config/src/error.rs
+++ b/cuminarch-config/src/error.rs
@@ -1,17 +1,37 @@
-use thiserror::Error;
+use std::fmt;
 
-/// A sheet that cannot be put into force.
-#[derive(Clone, Debug, Eq, Error, PartialEq)]
-pub enum SheetError {
-    /// The text is not YAML of the expected shape.
-    #[error("{0}")]
-    Syntax(String),
-    /// An entry contradicts the rest of the sheet.
-    #[error("{path}: {reason}")]
-    Entry {
-        /// Where in the sheet, such as `rules[2].class`.
-        path: String,
-        /// What is wrong.
-        reason: String,
-    },
+use crate::Fault;
+
+/// A sheet that cannot be put into force, with every fault found.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SheetError {
+    faults: Vec<Fault>,
+}
+
+impl SheetError {
+    /// An error made of the faults of a sheet.
+    #[must_use]
+    pub const fn new(faults: Vec<Fault>) -> Self {
+        Self { faults }
+    }
+
+    /// The faults in order of place.
+    #[must_use]
+    pub fn faults(&self) -> &[Fault] {
+        &self.faults
+    }
 }
+
+impl fmt::Display for SheetError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, fault) in self.faults.iter().enumerate() {
+            if index > 0 {
+                formatter.write_str("\n")?;
+            }
+            fault.fmt(formatter)?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for SheetError {}
--- a/cuminarch-config/src/lib.rs
+++ b/cuminarch-config/src/lib.rs
@@ -31,14 +31,26 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod check;
+mod decode;
 mod document;
 mod error;
+mod fault;
 mod gate;
+mod index;
+mod pattern;
 mod policy;
+mod report;
 mod sheet;
+mod space;
+mod tree;
+mod weakening;
 
 pub use document::{ConfigDocument, ZoneStatus};
 pub use error::SheetError;
+pub use fault::{Fault, FaultKind, Position, Severity};
 pub use gate::{ConfigGate, GateDecision};
 pub use policy::{Policy, Rule};
+pub use report::SheetReport;
 pub use sheet::{ClassEntry, RuleEntry, Sheet};
+pub use weakening::{Weakening, WeakeningKind};
--- a/cuminarch-config/src/policy.rs
+++ b/cuminarch-config/src/policy.rs
@@ -1,11 +1,16 @@
 //! The checked, compiled form of a sheet.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use cuminarch_types::{Attempts, ClassName, Priority, Revision, ServiceName};
 
-use crate::{ClassEntry, RuleEntry, Sheet, SheetError};
+use crate::check::check;
+use crate::index::RuleIndex;
+use crate::pattern::PathPattern;
+use crate::space::SAFE_METHODS;
+use crate::{ClassEntry, RuleEntry, Severity, Sheet, SheetError};
 
 /// What applies to one request.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -26,18 +31,13 @@
     pub protected: bool,
 }
 
+/// One rule with the requests that it covers.
 #[derive(Clone, Debug)]
-struct Matcher {
-    services: Vec<ServiceName>,
-    methods: Vec<CompactString>,
-    path: PathPattern,
-    rule: Rule,
-}
-
-#[derive(Clone, Debug)]
-struct PathPattern {
-    segments: Vec<CompactString>,
-    is_prefix: bool,
+pub(crate) struct Matcher {
+    pub services: Vec<ServiceName>,
+    pub methods: Vec<CompactString>,
+    pub path: PathPattern,
+    pub rule: Rule,
 }
 
 /// All rules of one revision of the configuration.
@@ -45,38 +45,66 @@
 pub struct Policy {
     revision: Revision,
     matchers: Vec<Matcher>,
+    index: RuleIndex,
+    fallback_safe: Rule,
     fallback: Rule,
 }
 
 impl Policy {
-    /// Checks and compiles a sheet.
+    /// Attempts granted by the safe defaults.
+    const DEFAULT_GRANT: Attempts = Attempts::new(64);
+    /// Deadline of the safe defaults in milliseconds.
+    const DEFAULT_DEADLINE_MS: u64 = 10_000;
+
+    /// Checks and compiles a sheet. A request that no rule covers belongs to the
+    /// default class and is idempotent if its method is safe (GET, HEAD, OPTIONS).
     ///
     /// # Errors
     ///
-    /// Fails on the first entry that contradicts the rest of the sheet.
+    /// Fails with every entry that contradicts the rest of the sheet.
     pub fn from_sheet(revision: Revision, sheet: &Sheet) -> Result<Self, SheetError> {
-        let fallback = Self::class_rule(sheet, &sheet.default_class, "default_class")?;
-        let mut matchers = Vec::with_capacity(sheet.rules.len());
-        for (index, entry) in sheet.rules.iter().enumerate() {
-            matchers.push(Self::matcher(sheet, index, entry)?);
+        let faults: Vec<_> =
+            check(sheet).into_iter().filter(|fault| fault.severity() == Severity::Error).collect();
+        if !faults.is_empty() {
+            return Err(SheetError::new(faults));
+        }
+        let classes: BTreeMap<&ClassName, Rule> = sheet
+            .classes
+            .iter()
+            .enumerate()
+            .map(|(position, entry)| (&entry.name, Rule::of_class(entry, position)))
+            .collect();
+        let matchers = sheet
+            .rules
+            .iter()
+            .filter_map(|entry| Some(Matcher::new(entry, classes.get(&entry.class)?.clone())))
+            .collect();
+        match classes.get(&sheet.default_class) {
+            Some(rule) => Ok(Self::new(revision, matchers, rule.clone())),
+            None => Err(SheetError::new(Vec::new())),
         }
-        Ok(Self { revision, matchers, fallback })
     }
 
     /// Rules for a node that has no configuration: one class, nothing may run
-    /// twice but safe methods, and no attempt is repeated.
+    /// twice and no attempt is repeated.
     #[must_use]
     pub fn safe_default() -> Self {
         let class = ClassEntry {
-            name: ClassName::new("default").expect("a valid name"),
-            grant_attempts: Attempts::new(64),
-            deadline_ms: 10_000,
+            name: Sheet::default().default_class,
+            grant_attempts: Self::DEFAULT_GRANT,
+            deadline_ms: Self::DEFAULT_DEADLINE_MS,
             retry_percent: 0,
             protected: false,
         };
-        let mut fallback = Rule::of_class(&class, 0);
-        fallback.idempotent = false;
-        Self { revision: Revision::default(), matchers: Vec::new(), fallback }
+        let mut policy = Self::new(Revision::default(), Vec::new(), Rule::of_class(&class, 0));
+        policy.fallback_safe.idempotent = false;
+        policy
+    }
+
+    fn new(revision: Revision, matchers: Vec<Matcher>, class: Rule) -> Self {
+        let fallback = Rule { idempotent: false, ..class.clone() };
+        let index = RuleIndex::new(&matchers);
+        Self { revision, matchers, index, fallback_safe: class, fallback }
     }
 
     /// The revision of the sheet.
@@ -89,37 +117,43 @@
     #[must_use]
     pub fn rule(&self, service: &ServiceName, method: &str, target: &str) -> &Rule {
         let path = target.split('?').next().unwrap_or(target);
-        self.matchers
+        self.index
+            .candidates(service, path)
             .iter()
-            .find(|matcher| matcher.covers(service, method, path))
-            .map_or(&self.fallback, |matcher| &matcher.rule)
+            .map(|&index| &self.matchers[index])
+            .find(|matcher| matcher.covers_method(method) && matcher.path.covers(path))
+            .map_or_else(|| self.fallback(method), |matcher| &matcher.rule)
     }
 
-    fn class_rule(sheet: &Sheet, class: &ClassName, path: &str) -> Result<Rule, SheetError> {
-        let found = sheet.classes.iter().enumerate().find(|(_, entry)| entry.name == *class);
-        match found {
-            Some((position, entry)) => Ok(Rule::of_class(entry, position)),
-            None => Err(SheetError::Entry {
-                path: path.to_owned(),
-                reason: format!("class {class} is not defined"),
-            }),
+    pub(crate) fn matchers(&self) -> &[Matcher] {
+        &self.matchers
+    }
+
+    /// The first of the given rules that covers service and method, whose path is
+    /// known to fit, with its index; none stands for the fallback.
+    pub(crate) fn first_of(
+        &self,
+        indexes: &[usize],
+        service: &ServiceName,
+        method: &str,
+    ) -> (Option<usize>, &Rule) {
+        let fits = |&&index: &&usize| {
+            let matcher = &self.matchers[index];
+            matcher.covers_service(service) && matcher.covers_method(method)
+        };
+        match indexes.iter().find(fits) {
+            Some(&index) => (Some(index), &self.matchers[index].rule),
+            None => (None, self.fallback(method)),
         }
     }
 
-    fn matcher(sheet: &Sheet, index: usize, entry: &RuleEntry) -> Result<Matcher, SheetError> {
-        let mut rule = Self::class_rule(sheet, &entry.class, &format!("rules[{index}].class"))?;
-        rule.idempotent = entry.idempotent;
-        Ok(Matcher {
-            services: entry.services.clone(),
-            methods: entry.methods.clone(),
-            path: PathPattern::new(&entry.path),
-            rule,
-        })
+    fn fallback(&self, method: &str) -> &Rule {
+        if SAFE_METHODS.contains(&method) { &self.fallback_safe } else { &self.fallback }
     }
 }
 
 impl Rule {
-    fn of_class(entry: &ClassEntry, position: usize) -> Self {
+    pub(crate) fn of_class(entry: &ClassEntry, position: usize) -> Self {
         Self {
             class: entry.name.clone(),
             priority: Priority::new(u8::try_from(position).unwrap_or(u8::MAX)),
@@ -133,32 +167,20 @@
 }
 
 impl Matcher {
-    fn covers(&self, service: &ServiceName, method: &str, path: &str) -> bool {
-        let service_fits = self.services.is_empty() || self.services.contains(service);
-        let method_fits = self.methods.is_empty() || self.methods.iter().any(|m| m == method);
-        service_fits && method_fits && self.path.covers(path)
+    pub(crate) fn new(entry: &RuleEntry, class: Rule) -> Self {
+        Self {
+            services: entry.services.clone(),
+            methods: entry.methods.clone(),
+            path: PathPattern::new(&entry.path),
+            rule: Rule { idempotent: entry.idempotent, ..class },
+        }
     }
-}
 
-impl PathPattern {
-    fn new(text: &str) -> Self {
-        let mut segments: Vec<CompactString> =
-            text.trim_start_matches('/').split('/').map(CompactString::from).collect();
-        let is_prefix = segments.last().is_some_and(|last| last == "**");
-        if is_prefix {
-            segments.pop();
-        }
-        Self { segments, is_prefix }
+    pub(crate) fn covers_service(&self, service: &ServiceName) -> bool {
+        self.services.is_empty() || self.services.contains(service)
     }
 
-    fn covers(&self, path: &str) -> bool {
-        let mut parts = path.trim_start_matches('/').split('/');
-        for segment in &self.segments {
-            match parts.next() {
-                Some(part) if segment == "*" || segment == part => {}
-                _ => return false,
-            }
-        }
-        self.is_prefix || parts.next().is_none()
+    pub(crate) fn covers_method(&self, method: &str) -> bool {
+        self.methods.is_empty() || self.methods.iter().any(|one| one == method)
     }
 }
--- a/cuminarch-config/src/sheet.rs
+++ b/cuminarch-config/src/sheet.rs
@@ -4,7 +4,9 @@
 use cuminarch_types::{Attempts, ClassName, ServiceName};
 use serde::{Deserialize, Serialize};
 
-use crate::SheetError;
+use crate::decode::decode;
+use crate::tree::Node;
+use crate::{Fault, FaultKind, SheetError};
 
 /// One class of requests; the order of classes in the sheet is the order of refusal.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -46,6 +48,9 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Sheet {
+    /// Services that rules may name; none means any.
+    #[serde(default)]
+    pub services: Vec<ServiceName>,
     /// Classes, the first refused first.
     pub classes: Vec<ClassEntry>,
     /// Rules, the first that matches applies.
@@ -55,17 +60,59 @@
     pub default_class: ClassName,
 }
 
-const fn default_retry_percent() -> u32 {
+pub(crate) const fn default_retry_percent() -> u32 {
     10
 }
 
+fn default_class() -> ClassName {
+    ClassName::new("default").expect("a valid name")
+}
+
+impl Default for ClassEntry {
+    fn default() -> Self {
+        Self {
+            name: default_class(),
+            grant_attempts: Attempts::ZERO,
+            deadline_ms: 0,
+            retry_percent: default_retry_percent(),
+            protected: false,
+        }
+    }
+}
+
+impl Default for Sheet {
+    fn default() -> Self {
+        Self {
+            services: Vec::new(),
+            classes: Vec::new(),
+            rules: Vec::new(),
+            default_class: default_class(),
+        }
+    }
+}
+
 impl Sheet {
-    /// Reads a sheet from YAML.
+    /// Reads a sheet from YAML. Whether its entries fit together is checked by
+    /// [`crate::Policy::from_sheet`], and both with places by [`crate::SheetReport`].
     ///
     /// # Errors
     ///
-    /// Fails with position and cause when the text has another shape.
+    /// Fails with every entry that has another shape.
     pub fn parse(text: &str) -> Result<Self, SheetError> {
-        serde_saphyr::from_str(text).map_err(|error| SheetError::Syntax(error.to_string()))
+        let root = Node::parse(text).map_err(|fault| SheetError::new(vec![fault]))?;
+        let draft = decode(&root);
+        if draft.faults.is_empty() { Ok(draft.sheet) } else { Err(SheetError::new(draft.faults)) }
+    }
+
+    /// Writes the sheet as YAML.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the serializer does.
+    pub fn to_yaml(&self) -> Result<String, SheetError> {
+        serde_saphyr::to_string(self).map_err(|error| {
+            let reason = error.to_string();
+            SheetError::new(vec![Fault::new("", FaultKind::Syntax { reason })])
+        })
     }
 }
--- /dev/null
+++ b/cuminarch-config/src/space.rs
@@ -0,0 +1,159 @@
+//! Walks through all kinds of requests that a set of rules can tell apart.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use compact_str::CompactString;
+use cuminarch_types::ServiceName;
+
+use crate::pattern::{PathPattern, Segment};
+use crate::policy::Matcher;
+
+/// Methods that the fallback treats as idempotent, and whose presence is
+/// therefore told apart although no rule may name them.
+pub(crate) const SAFE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
+
+/// A request that stands for all those which the rules cannot tell from it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Sample {
+    pub service: ServiceName,
+    pub method: CompactString,
+    pub path: String,
+}
+
+/// More kinds of paths than are looked at.
+#[derive(Debug)]
+pub(crate) struct TooMany;
+
+/// All kinds of requests that the given rules can tell apart.
+pub(crate) struct RequestSpace<'a> {
+    matchers: Vec<&'a Matcher>,
+    visited: BTreeSet<(usize, Vec<usize>)>,
+    other_segment: String,
+    other_service: ServiceName,
+    other_method: CompactString,
+}
+
+impl<'a> RequestSpace<'a> {
+    /// Most kinds of paths that are looked at.
+    const MAX_STATES: usize = 100_000;
+
+    pub(crate) fn new(matchers: Vec<&'a Matcher>) -> Self {
+        let is_segment = |text: &str| {
+            let mut segments = matchers.iter().flat_map(|matcher| &matcher.path.segments);
+            segments.any(|segment| matches!(segment, Segment::Literal(literal) if literal == text))
+        };
+        let other_segment = unused("other", &is_segment);
+        let is_service = |text: &str| {
+            matchers.iter().flat_map(|matcher| &matcher.services).any(|name| name.as_str() == text)
+        };
+        let other_service = ServiceName::new(unused("other", &is_service));
+        let is_method =
+            |text: &str| matchers.iter().flat_map(|matcher| &matcher.methods).any(|m| m == text);
+        let other_method = unused("OTHER", &is_method).into();
+        Self {
+            visited: BTreeSet::new(),
+            other_segment,
+            other_service: other_service.expect("a short name"),
+            other_method,
+            matchers,
+        }
+    }
+
+    /// Calls `visit` with each kind of request and the indexes of the rules whose
+    /// path pattern fits it, in order.
+    pub(crate) fn visit(
+        &mut self,
+        visit: &mut dyn FnMut(&Sample, &[usize]),
+    ) -> Result<(), TooMany> {
+        let all = (0..self.matchers.len()).collect();
+        self.descend(0, all, String::new(), visit)
+    }
+
+    fn descend(
+        &mut self,
+        depth: usize,
+        live: Vec<usize>,
+        path: String,
+        visit: &mut dyn FnMut(&Sample, &[usize]),
+    ) -> Result<(), TooMany> {
+        if !self.visited.insert((depth, live.clone())) {
+            return Ok(());
+        }
+        if self.visited.len() > Self::MAX_STATES {
+            return Err(TooMany);
+        }
+        self.visit_path(depth, &live, &path, visit);
+        for (segment, live) in self.steps(depth, &live) {
+            self.descend(depth + 1, live, format!("{path}/{segment}"), visit)?;
+        }
+        Ok(())
+    }
+
+    /// The segments that may follow, with the rules that each leaves. Paths are
+    /// followed one segment beyond the longest pattern, where only open ones fit.
+    fn steps(&self, depth: usize, live: &[usize]) -> BTreeMap<CompactString, Vec<usize>> {
+        let pattern = |index: usize| &self.matchers[index].path;
+        let mut steps = BTreeMap::new();
+        if live.iter().all(|&index| pattern(index).segments.len() < depth) {
+            return steps;
+        }
+        let literals = live.iter().filter_map(|&index| match pattern(index).segments.get(depth) {
+            Some(Segment::Literal(literal)) => Some(literal.clone()),
+            _ => None,
+        });
+        let segments: BTreeSet<CompactString> =
+            literals.chain([self.other_segment.as_str().into()]).collect();
+        for segment in segments {
+            let stays = |&&index: &&usize| match pattern(index).segments.get(depth) {
+                Some(expected) => expected.covers(&segment),
+                None => pattern(index).is_open_at(depth),
+            };
+            let left = live.iter().filter(stays).copied().collect();
+            steps.insert(segment, left);
+        }
+        steps
+    }
+
+    fn visit_path(
+        &self,
+        depth: usize,
+        live: &[usize],
+        path: &str,
+        visit: &mut dyn FnMut(&Sample, &[usize]),
+    ) {
+        let fits = |&&index: &&usize| {
+            let pattern: &PathPattern = &self.matchers[index].path;
+            pattern.segments.len() == depth || pattern.is_open_at(depth)
+        };
+        let matched: Vec<usize> = live.iter().filter(fits).copied().collect();
+        let rules = || matched.iter().map(|&index| self.matchers[index]);
+        let mut services: BTreeSet<ServiceName> =
+            rules().flat_map(|rule| rule.services.iter().cloned()).collect();
+        services.insert(self.other_service.clone());
+        let mut methods: BTreeSet<CompactString> =
+            rules().flat_map(|rule| rule.methods.iter().cloned()).collect();
+        methods.extend(SAFE_METHODS.map(CompactString::const_new));
+        methods.insert(self.other_method.clone());
+        let path = if path.is_empty() { "/" } else { path };
+        for service in &services {
+            for method in &methods {
+                let sample = Sample {
+                    service: service.clone(),
+                    method: method.clone(),
+                    path: path.to_owned(),
+                };
+                visit(&sample, &matched);
+            }
+        }
+    }
+}
+
+fn unused(stem: &str, is_used: &dyn Fn(&str) -> bool) -> String {
+    let mut text = stem.to_owned();
+    let mut number = 0_u32;
+    while is_used(&text) {
+        number += 1;
+        text = format!("{stem}{number}");
+    }
+    text
+}
--- /dev/null
+++ b/cuminarch-config/tests/common/mod.rs
@@ -0,0 +1,123 @@
+//! Random sheets and a naive reading of them.
+
+use cuminarch_config::{ClassEntry, RuleEntry, Sheet};
+use cuminarch_types::{Attempts, ClassName, ServiceName};
+use proptest::prelude::*;
+use proptest::sample::{select, subsequence};
+use proptest::test_runner::RngSeed;
+
+pub const SERVICES: [&str; 3] = ["katalog", "kasse", "benk"];
+/// The last two are named by no rule; one is safe, one is not.
+pub const METHODS: [&str; 5] = ["GET", "POST", "PUT", "HEAD", "DELETE"];
+pub const SEGMENTS: [&str; 3] = ["a", "b", "c"];
+
+/// What applies to a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Verdict {
+    pub class: String,
+    pub idempotent: bool,
+    pub protected: bool,
+}
+
+pub fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    }
+}
+
+fn class(name: &str, protected: bool) -> ClassEntry {
+    ClassEntry {
+        name: ClassName::new(name).unwrap(),
+        grant_attempts: Attempts::new(32),
+        deadline_ms: 1_000,
+        retry_percent: 10,
+        protected,
+    }
+}
+
+fn pattern() -> impl Strategy<Value = String> {
+    let segment = select(vec!["a", "b", "*"]);
+    (proptest::collection::vec(segment, 0..4), any::<bool>()).prop_map(
+        |(mut segments, is_prefix)| {
+            if is_prefix {
+                segments.push("**");
+            }
+            format!("/{}", segments.join("/"))
+        },
+    )
+}
+
+fn rule() -> impl Strategy<Value = RuleEntry> {
+    let services = subsequence(SERVICES[..2].to_vec(), 0..=2);
+    let methods = subsequence(METHODS[..3].to_vec(), 0..=2);
+    (select(vec!["low", "high"]), services, methods, pattern(), any::<bool>()).prop_map(
+        |(class, services, methods, path, idempotent)| RuleEntry {
+            class: ClassName::new(class).unwrap(),
+            services: services.into_iter().map(|name| ServiceName::new(name).unwrap()).collect(),
+            methods: methods.into_iter().map(Into::into).collect(),
+            path: path.into(),
+            idempotent,
+        },
+    )
+}
+
+pub fn sheet() -> impl Strategy<Value = Sheet> {
+    proptest::collection::vec(rule(), 0..7).prop_map(|rules| Sheet {
+        services: Vec::new(),
+        classes: vec![class("low", false), class("high", true)],
+        rules,
+        default_class: ClassName::new("low").unwrap(),
+    })
+}
+
+/// All paths of up to four segments.
+pub fn paths() -> Vec<String> {
+    let mut paths = vec![String::new()];
+    let mut longest = paths.clone();
+    for _ in 0..4 {
+        longest = longest
+            .iter()
+            .flat_map(|path| SEGMENTS.map(|segment| format!("{path}/{segment}")))
+            .collect();
+        paths.extend(longest.iter().cloned());
+    }
+    paths[0].push('/');
+    paths
+}
+
+fn covers(pattern: &[&str], path: &[&str]) -> bool {
+    match (pattern.split_first(), path.split_first()) {
+        (Some((&"**", _)), _) | (None, None) => true,
+        (Some((wanted, pattern)), Some((part, path))) => {
+            (*wanted == "*" || wanted == part) && covers(pattern, path)
+        }
+        _ => false,
+    }
+}
+
+fn split(path: &str) -> Vec<&str> {
+    path.split('/').filter(|part| !part.is_empty()).collect()
+}
+
+/// Index of the first rule that covers a request, found by trying one after another.
+pub fn naive_first(sheet: &Sheet, service: &str, method: &str, path: &str) -> Option<usize> {
+    sheet.rules.iter().position(|rule| {
+        (rule.services.is_empty() || rule.services.iter().any(|name| name.as_str() == service))
+            && (rule.methods.is_empty() || rule.methods.iter().any(|one| one == method))
+            && covers(&split(&rule.path), &split(path))
+    })
+}
+
+/// What applies to a request, found by trying one rule after another.
+pub fn naive(sheet: &Sheet, service: &str, method: &str, path: &str) -> Verdict {
+    let rule = naive_first(sheet, service, method, path).map(|index| &sheet.rules[index]);
+    let class = rule.map_or(&sheet.default_class, |rule| &rule.class);
+    Verdict {
+        class: class.to_string(),
+        idempotent: rule.map_or(["GET", "HEAD"].contains(&method), |rule| rule.idempotent),
+        protected: class.as_str() == "high",
+    }
+}
--- /dev/null
+++ b/cuminarch-config/tests/policy.rs
@@ -0,0 +1,148 @@
+//! Policies compared with a naive reading of their sheets.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::{METHODS, SERVICES, Verdict, config, naive, naive_first, paths, sheet};
+use cuminarch_config::{FaultKind, Policy, Sheet, Weakening, WeakeningKind};
+use cuminarch_types::{Revision, ServiceName};
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// All requests of a small world.
+fn requests() -> Vec<(&'static str, &'static str, String)> {
+    let mut requests = Vec::new();
+    for service in SERVICES {
+        for method in METHODS {
+            requests.extend(paths().into_iter().map(|path| (service, method, path)));
+        }
+    }
+    requests
+}
+
+/// Compiles a sheet, leaving out the rules that can never match.
+fn compile(sheet: &mut Sheet) -> Policy {
+    match Policy::from_sheet(Revision::new(1), sheet) {
+        Ok(policy) => policy,
+        Err(error) => {
+            let is_dead = |index: usize| {
+                error.faults().iter().any(|fault| fault.path == format!("rules[{index}]"))
+            };
+            let mut index = 0;
+            sheet.rules.retain(|_| {
+                index += 1;
+                !is_dead(index - 1)
+            });
+            Policy::from_sheet(Revision::new(1), sheet).expect("only dead rules are faults here")
+        }
+    }
+}
+
+fn verdict(policy: &Policy, service: &str, method: &str, path: &str) -> Verdict {
+    let rule = policy.rule(&ServiceName::new(service).unwrap(), method, path);
+    let class = rule.class.to_string();
+    Verdict { class, idempotent: rule.idempotent, protected: rule.protected }
+}
+
+proptest! {
+    #![proptest_config(config(150))]
+
+    #[test]
+    fn lookup_agrees_with_the_naive_matcher(mut sheet in sheet()) {
+        let policy = compile(&mut sheet);
+        for (service, method, path) in requests() {
+            let expected = naive(&sheet, service, method, &path);
+            prop_assert_eq!(verdict(&policy, service, method, &path), expected);
+        }
+    }
+
+    #[test]
+    fn rules_reported_dead_are_just_those_that_win_no_request(sheet in sheet()) {
+        let winners: BTreeSet<usize> = requests()
+            .iter()
+            .filter_map(|(service, method, path)| naive_first(&sheet, service, method, path))
+            .collect();
+        let dead: BTreeSet<String> = (0..sheet.rules.len())
+            .filter(|index| !winners.contains(index))
+            .map(|index| format!("rules[{index}]"))
+            .collect();
+        let result = Policy::from_sheet(Revision::new(1), &sheet);
+        let reported: BTreeSet<String> = match result {
+            Ok(_) => BTreeSet::new(),
+            Err(error) => error.faults().iter().map(|fault| {
+                assert!(matches!(fault.kind, FaultKind::NeverMatches { .. }), "{fault}");
+                fault.path.clone()
+            }).collect(),
+        };
+        prop_assert_eq!(reported, dead);
+    }
+
+    #[test]
+    fn weakening_is_found_just_where_a_request_gets_weaker(
+        mut old_sheet in sheet(),
+        mut new_sheet in sheet(),
+    ) {
+        let old = compile(&mut old_sheet);
+        let new = compile(&mut new_sheet);
+        let mut expected = BTreeSet::new();
+        for (service, method, path) in requests() {
+            let before = naive(&old_sheet, service, method, &path);
+            let after = naive(&new_sheet, service, method, &path);
+            if !before.idempotent && after.idempotent {
+                expected.insert(WeakeningKind::BecomesIdempotent);
+            }
+            if before.protected && !after.protected {
+                expected.insert(WeakeningKind::LosesProtection);
+            }
+        }
+        let found = Weakening::between(&old, &new);
+        for one in &found {
+            let before = old.rule(&one.service, &one.method, &one.path);
+            let after = new.rule(&one.service, &one.method, &one.path);
+            let is_weaker = match one.kind {
+                WeakeningKind::BecomesIdempotent => !before.idempotent && after.idempotent,
+                WeakeningKind::LosesProtection => before.protected && !after.protected,
+                WeakeningKind::NotComparable => false,
+            };
+            prop_assert!(is_weaker, "{}", one);
+        }
+        prop_assert_eq!(found.iter().map(|one| one.kind).collect::<BTreeSet<_>>(), expected);
+    }
+}
+
+#[rstest]
+#[case::plain("/approvals/7", true)]
+#[case::query("/approvals/7?a=/b", true)]
+#[case::trailing_slash("/approvals/7/", true)]
+#[case::doubled_slash("//approvals//7", true)]
+#[case::encoded("/%61pprovals/7", true)]
+#[case::encoded_slash_is_no_border("/approvals%2F7", false)]
+#[case::broken_encoding("/%6", false)]
+#[case::encoded_at_the_end("/approvals/%", true)]
+fn spelling_does_not_lead_around_a_rule(#[case] target: &str, #[case] is_covered: bool) {
+    let sheet = Sheet::parse(
+        "classes:
+  - {name: low, grant_attempts: 32, deadline_ms: 1000}
+  - {name: high, grant_attempts: 32, deadline_ms: 1000, protected: true}
+rules:
+  - {class: high, path: /approvals/*, idempotent: false}
+default_class: low
+",
+    );
+    let policy = Policy::from_sheet(Revision::new(1), &sheet.unwrap()).unwrap();
+    let rule = policy.rule(&ServiceName::new("auftrag").unwrap(), "POST", target);
+    assert_eq!(rule.protected, is_covered);
+}
+
+#[test]
+fn safe_default_repeats_nothing() {
+    let policy = Policy::safe_default();
+    for method in METHODS {
+        let rule = policy.rule(&ServiceName::new("any").unwrap(), method, "/");
+        assert!(!rule.idempotent);
+        assert_eq!(rule.retry_percent, 0);
+        assert!(rule.grant.get() >= 14);
+    }
+    assert_eq!(policy.revision(), Revision::new(0));
+}
