feat: limit, count and follow calls to the platform

Cause: nothing bounded the calls after an outage, a watch that missed a change or a store that went back was not noticed, and two broken answers to a write were taken for "nothing was written": minreq reports a connection closed without a byte as status 503, and a 200 without a version was a protocol error.

Change: TokenBucket and LimitedStore, Backoff with jitter, WatchProcess as a state machine that lists again after failures, at intervals and when the version goes back, CallCounter by kind. A write is now reported as not written only after a refused connection or a real 429 or 503. Short bodies are refused. A conflict takes the present object from the answer, which saves a call. Timeouts are rounded up to minreq's whole seconds; before they were cut.

Found by the contract test over HTTP (lost answer, status 503).

--- a/cuminarch-platform/src/http_store.rs
+++ b/cuminarch-platform/src/http_store.rs
@@ -1,25 +1,56 @@
+use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use minreq::{Method, Request, Response};
 
-use crate::{Expect, Listing, Object, ObjectPath, ObjectStore, ObjectVersion, PlatformError};
+use crate::{
+    CallCounter, CallCounts, CallKind, Expect, Listing, Object, ObjectPath, ObjectStore,
+    ObjectVersion, PlatformError,
+};
 
 /// Client of the platform over HTTP.
+///
+/// Each call opens a connection of its own and ends within its timeout, which is
+/// rounded up to whole seconds.
 #[derive(Clone, Debug)]
 pub struct HttpObjectStore {
     base: String,
     timeout: Duration,
+    caller: Option<CompactString>,
+    counter: Arc<CallCounter>,
 }
 
 impl HttpObjectStore {
     /// Largest value in bytes.
     pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
 
+    const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
+
     /// A client of the platform at `address`.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self { base: format!("http://{address}/v1"), timeout: Duration::from_secs(2) }
+        Self {
+            base: format!("http://{address}/v1"),
+            timeout: Self::DEFAULT_TIMEOUT,
+            caller: None,
+            counter: Arc::default(),
+        }
+    }
+
+    /// Sets the name under which the platform sees the caller.
+    #[must_use]
+    pub fn with_caller(mut self, caller: impl Into<CompactString>) -> Self {
+        self.caller = Some(caller.into());
+        self
+    }
+
+    /// Calls so far by this client and its clones, by kind.
+    #[must_use]
+    pub fn counts(&self) -> CallCounts {
+        self.counter.counts()
     }
 
     /// Sets the time that a call may take.
@@ -30,8 +61,15 @@
     }
 
     fn request(&self, method: Method, tail: &str, timeout: Duration) -> Request {
-        let timeout_secs = timeout.as_secs().max(1);
-        Request::new(method, format!("{}{tail}", self.base)).with_timeout(timeout_secs)
+        let rounds_up = u64::from(timeout.subsec_nanos() > 0);
+        let timeout_secs = timeout.as_secs().saturating_add(rounds_up).max(1);
+        let request = Request::new(method, format!("{}{tail}", self.base))
+            .with_header("Connection", "close")
+            .with_timeout(timeout_secs);
+        match &self.caller {
+            Some(caller) => request.with_header("User-Agent", caller.as_str()),
+            None => request,
+        }
     }
 
     fn write(
@@ -45,24 +83,32 @@
             Expect::Absent => request.with_header("If-None-Match", "*"),
             Expect::Version(version) => request.with_header("If-Match", format!("\"{version}\"")),
         };
-        let response = request
-            .send()
-            .map_err(|error| PlatformError::Ambiguous { reason: error.to_string() })?;
+        self.counter.count(CallKind::Write);
+        let response = request.send().map_err(write_error)?;
         match response.status_code {
             200..=299 | 404 => Ok(response),
-            412 => {
-                let current = self.get(path).ok().flatten().map(Box::new);
-                Err(PlatformError::Conflict { path: path.clone(), current })
-            }
+            412 => Err(self.conflict(path, &response)),
             429 => Err(PlatformError::RateLimited),
-            503 => Err(PlatformError::Unavailable { reason: "status 503".to_owned() }),
+            503 if has_status_line(&response) => {
+                Err(PlatformError::Unavailable { reason: "status 503".to_owned() })
+            }
             status => Err(PlatformError::Ambiguous { reason: format!("status {status}") }),
         }
     }
+
+    /// The object that stands against a write: from the answer, or by one more call.
+    fn conflict(&self, path: &ObjectPath, response: &Response) -> PlatformError {
+        let carried = match (version_of(response), text_of(response)) {
+            (Ok(version), Ok(value)) => Some(Object { path: path.clone(), version, value }),
+            _ => self.get(path).ok().flatten(),
+        };
+        PlatformError::Conflict { path: path.clone(), current: carried.map(Box::new) }
+    }
 }
 
 impl ObjectStore for HttpObjectStore {
     fn get(&self, path: &ObjectPath) -> Result<Option<Object>, PlatformError> {
+        self.counter.count(CallKind::Get);
         let response = read(self.request(Method::Get, &format!("/objects/{path}"), self.timeout))?;
         if response.status_code == 404 {
             return Ok(None);
@@ -87,6 +133,7 @@
             .with_body(value.as_bytes());
         let response = self.write(request, path, expect)?;
         version_of(&response)
+            .map_err(|error| PlatformError::Ambiguous { reason: error.to_string() })
     }
 
     fn delete(&self, path: &ObjectPath, expect: Expect) -> Result<(), PlatformError> {
@@ -95,6 +142,7 @@
     }
 
     fn list(&self, prefix: &ObjectPath) -> Result<Listing, PlatformError> {
+        self.counter.count(CallKind::List);
         let tail = format!("/list/{prefix}");
         listing_of(&read(self.request(Method::Get, &tail, self.timeout))?)
     }
@@ -105,11 +153,24 @@
         after: ObjectVersion,
         timeout: Duration,
     ) -> Result<Listing, PlatformError> {
+        self.counter.count(CallKind::Watch);
         let tail = format!("/watch/{prefix}?after={after}&timeout_ms={}", timeout.as_millis());
         listing_of(&read(self.request(Method::Get, &tail, timeout + self.timeout))?)
     }
 }
 
+/// What a write that got no answer means: nothing was written if no connection
+/// could be made.
+fn write_error(error: minreq::Error) -> PlatformError {
+    let reason = error.to_string();
+    match error {
+        minreq::Error::IoError(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            PlatformError::Unavailable { reason }
+        }
+        _ => PlatformError::Ambiguous { reason },
+    }
+}
+
 fn read(request: Request) -> Result<Response, PlatformError> {
     let response =
         request.send().map_err(|error| PlatformError::Unavailable { reason: error.to_string() })?;
@@ -120,7 +181,20 @@
     }
 }
 
+/// Whether the answer began with a status line. Where there was none, as when the
+/// connection was closed early, the library reports status 503 on its own.
+fn has_status_line(response: &Response) -> bool {
+    response.reason_phrase != "Server did not provide a status line"
+}
+
+/// The body as text, if the whole of it arrived.
 fn text_of(response: &Response) -> Result<String, PlatformError> {
+    let is_length = |name: &str| name.eq_ignore_ascii_case("content-length");
+    let length = response.headers.iter().find(|(name, _)| is_length(name));
+    let promised_bytes = length.and_then(|(_, value)| value.parse::<usize>().ok());
+    if promised_bytes.is_some_and(|promised| promised != response.as_bytes().len()) {
+        return Err(PlatformError::Unavailable { reason: "the answer was cut short".to_owned() });
+    }
     response
         .as_str()
         .map(str::to_owned)
--- a/cuminarch-platform/src/lib.rs
+++ b/cuminarch-platform/src/lib.rs
@@ -14,12 +14,24 @@
 //! # Ok::<(), cuminarch_types::ParseError>(())
 //! ```
 
+mod backoff;
+mod clock;
+mod counts;
 mod error;
 mod http_store;
+mod limit;
+mod limited_store;
 mod object;
 mod store;
+mod watch;
 
+pub use backoff::Backoff;
+pub use clock::{Clock, SystemClock};
+pub use counts::{CallCounter, CallCounts, CallKind};
 pub use error::PlatformError;
 pub use http_store::HttpObjectStore;
+pub use limit::TokenBucket;
+pub use limited_store::LimitedStore;
 pub use object::{Expect, Listing, Object, ObjectPath, ObjectVersion};
 pub use store::ObjectStore;
+pub use watch::{WatchChange, WatchProcess, WatchStep};
