test: give the stand-in platform limits, cuts, slowness and restores

The server answered a lost write with status 500, because tiny_http answers a dropped request itself; it now closes the connection without a byte.

--- a/cuminarch-testing/src/lib.rs
+++ b/cuminarch-testing/src/lib.rs
@@ -17,11 +17,17 @@
 //! ```
 
 mod caller;
+mod manual_clock;
 mod memory_store;
+mod platform_fault;
 mod platform_server;
+mod store_limits;
 mod upstream_server;
 
 pub use caller::{CallerAnswer, HttpCaller};
-pub use memory_store::{MemoryStore, PlatformFault};
+pub use manual_clock::ManualClock;
+pub use memory_store::{MemoryStore, StoreSnapshot};
+pub use platform_fault::PlatformFault;
 pub use platform_server::PlatformServer;
+pub use store_limits::StoreLimits;
 pub use upstream_server::{UpstreamBehaviour, UpstreamServer};
--- a/cuminarch-testing/src/memory_store.rs
+++ b/cuminarch-testing/src/memory_store.rs
@@ -1,35 +1,48 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use cuminarch_platform::{
-    Expect, Listing, Object, ObjectPath, ObjectStore, ObjectVersion, PlatformError,
+    CallCounter, CallCounts, CallKind, Clock, Expect, HttpObjectStore, Listing, Object, ObjectPath,
+    ObjectStore, ObjectVersion, PlatformError, SystemClock,
 };
 
-/// What is wrong with the platform at the moment.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum PlatformFault {
-    /// Nothing.
-    #[default]
-    None,
-    /// Every call fails.
-    Down,
-    /// Writes take effect, but their answers are lost.
-    LoseAnswers,
+use crate::store_limits::LimitState;
+use crate::{PlatformFault, StoreLimits};
+
+/// Everything a store held at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct StoreSnapshot {
+    objects: BTreeMap<ObjectPath, Object>,
+    last_version: u64,
 }
 
 #[derive(Debug, Default)]
 struct Inner {
-    objects: BTreeMap<ObjectPath, Object>,
-    last_version: u64,
+    content: StoreSnapshot,
     fault: PlatformFault,
-    calls: u64,
+    cut: BTreeSet<String>,
+    limits: Option<LimitState>,
+    /// Counts restores, so that waiting watches notice them.
+    restores: u64,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    inner: Mutex<Inner>,
+    changed: Condvar,
+    counter: CallCounter,
+    clock: SystemClock,
 }
 
 /// Object store in memory, with faults on command.
+///
+/// Clones share the objects; [`MemoryStore::for_caller`] gives a handle whose
+/// caller can be cut off on its own.
 #[derive(Clone, Debug, Default)]
 pub struct MemoryStore {
-    shared: Arc<(Mutex<Inner>, Condvar)>,
+    shared: Arc<Shared>,
+    caller: String,
 }
 
 impl MemoryStore {
@@ -39,37 +52,123 @@
         Self::default()
     }
 
+    /// A handle on the same store for a named caller.
+    #[must_use]
+    pub fn for_caller(&self, caller: impl Into<String>) -> Self {
+        Self { shared: Arc::clone(&self.shared), caller: caller.into() }
+    }
+
     /// Sets what is wrong from now on.
     pub fn set_fault(&self, fault: PlatformFault) {
         self.lock().fault = fault;
-        self.shared.1.notify_all();
+        self.shared.changed.notify_all();
+    }
+
+    /// Cuts a caller off from the store, or ends the cut.
+    pub fn set_cut(&self, caller: &str, is_cut: bool) {
+        let mut inner = self.lock();
+        if is_cut {
+            inner.cut.insert(caller.to_owned());
+        } else {
+            inner.cut.remove(caller);
+        }
+        self.shared.changed.notify_all();
+    }
+
+    /// Refuses calls above the given rates from now on; none lifts the limits.
+    pub fn set_limits(&self, limits: Option<StoreLimits>) {
+        let now = self.shared.clock.now();
+        self.lock().limits = limits.map(|limits| LimitState::new(limits, now));
+    }
+
+    /// Everything the store holds.
+    #[must_use]
+    pub fn snapshot(&self) -> StoreSnapshot {
+        self.lock().content.clone()
+    }
+
+    /// Goes back to an earlier state, its versions included.
+    pub fn restore(&self, snapshot: &StoreSnapshot) {
+        let mut inner = self.lock();
+        inner.content = snapshot.clone();
+        inner.restores += 1;
+        self.shared.changed.notify_all();
     }
 
     /// Number of calls so far, a waiting watch counting as one.
     #[must_use]
     pub fn calls(&self) -> u64 {
-        self.lock().calls
+        let counts = self.counts();
+        counts.total() + counts.refused
+    }
+
+    /// Calls so far by kind; those above a rate count as refused.
+    #[must_use]
+    pub fn counts(&self) -> CallCounts {
+        self.shared.counter.counts()
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.shared.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.shared.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn begin(&self) -> Result<MutexGuard<'_, Inner>, PlatformError> {
+    fn begin(&self, kind: CallKind) -> Result<MutexGuard<'_, Inner>, PlatformError> {
         let mut inner = self.lock();
-        inner.calls += 1;
+        let now = self.shared.clock.now();
+        if !inner.admit(kind, now) {
+            self.shared.counter.refuse();
+            return Err(PlatformError::RateLimited);
+        }
+        self.shared.counter.count(kind);
+        if let PlatformFault::Slow(delay) = inner.fault {
+            drop(inner);
+            std::thread::sleep(delay);
+            inner = self.lock();
+        }
+        inner.reachable(&self.caller)?;
+        Ok(inner)
+    }
+
+    fn write<T>(
+        &self,
+        path: &ObjectPath,
+        expect: Expect,
+        change: impl FnOnce(&mut StoreSnapshot) -> T,
+    ) -> Result<T, PlatformError> {
+        let mut inner = self.begin(CallKind::Write)?;
+        inner.check(path, expect)?;
+        inner.content.last_version += 1;
+        let value = change(&mut inner.content);
+        self.shared.changed.notify_all();
         match inner.fault {
-            PlatformFault::Down => {
-                Err(PlatformError::Unavailable { reason: "told to be down".to_owned() })
+            PlatformFault::LoseAnswers => {
+                Err(PlatformError::Ambiguous { reason: "told to lose answers".to_owned() })
             }
-            PlatformFault::None | PlatformFault::LoseAnswers => Ok(inner),
+            _ => Ok(value),
         }
     }
 }
 
 impl Inner {
+    fn admit(&mut self, kind: CallKind, now: cuminarch_types::MonoTime) -> bool {
+        match (&mut self.limits, kind) {
+            (None, _) => true,
+            (Some(limits), CallKind::Write) => limits.admit_write(now),
+            (Some(limits), _) => limits.admit_read(now),
+        }
+    }
+
+    fn reachable(&self, caller: &str) -> Result<(), PlatformError> {
+        let reason = match self.fault {
+            PlatformFault::Down => "told to be down",
+            _ if self.cut.contains(caller) => "told to be cut off from this caller",
+            _ => return Ok(()),
+        };
+        Err(PlatformError::Unavailable { reason: reason.to_owned() })
+    }
+
     fn check(&self, path: &ObjectPath, expect: Expect) -> Result<(), PlatformError> {
-        let current = self.objects.get(path);
+        let current = self.content.objects.get(path);
         let fits = match expect {
             Expect::Any => true,
             Expect::Absent => current.is_none(),
@@ -81,30 +180,22 @@
         Err(PlatformError::Conflict { path: path.clone(), current: current.cloned().map(Box::new) })
     }
 
-    fn answer<T>(&self, value: T) -> Result<T, PlatformError> {
-        match self.fault {
-            PlatformFault::LoseAnswers => {
-                Err(PlatformError::Ambiguous { reason: "told to lose answers".to_owned() })
-            }
-            PlatformFault::Down | PlatformFault::None => Ok(value),
-        }
-    }
-
     fn listing(&self, prefix: &ObjectPath, after: ObjectVersion) -> Listing {
         let objects = self
+            .content
             .objects
             .values()
             .filter(|object| object.path.as_str().starts_with(prefix.as_str()))
             .filter(|object| object.version > after)
             .cloned()
             .collect();
-        Listing { version: ObjectVersion::new(self.last_version), objects }
+        Listing { version: ObjectVersion::new(self.content.last_version), objects }
     }
 }
 
 impl ObjectStore for MemoryStore {
     fn get(&self, path: &ObjectPath) -> Result<Option<Object>, PlatformError> {
-        Ok(self.begin()?.objects.get(path).cloned())
+        Ok(self.begin(CallKind::Get)?.content.objects.get(path).cloned())
     }
 
     fn put(
@@ -113,27 +204,26 @@
         value: &str,
         expect: Expect,
     ) -> Result<ObjectVersion, PlatformError> {
-        let mut inner = self.begin()?;
-        inner.check(path, expect)?;
-        inner.last_version += 1;
-        let version = ObjectVersion::new(inner.last_version);
-        let object = Object { path: path.clone(), version, value: value.to_owned() };
-        inner.objects.insert(path.clone(), object);
-        self.shared.1.notify_all();
-        inner.answer(version)
+        let max_bytes = HttpObjectStore::MAX_VALUE_BYTES;
+        if value.len() > max_bytes {
+            return Err(PlatformError::TooLarge { len_bytes: value.len(), max_bytes });
+        }
+        self.write(path, expect, |content| {
+            let version = ObjectVersion::new(content.last_version);
+            let object = Object { path: path.clone(), version, value: value.to_owned() };
+            content.objects.insert(path.clone(), object);
+            version
+        })
     }
 
     fn delete(&self, path: &ObjectPath, expect: Expect) -> Result<(), PlatformError> {
-        let mut inner = self.begin()?;
-        inner.check(path, expect)?;
-        inner.last_version += 1;
-        inner.objects.remove(path);
-        self.shared.1.notify_all();
-        inner.answer(())
+        self.write(path, expect, |content| {
+            content.objects.remove(path);
+        })
     }
 
     fn list(&self, prefix: &ObjectPath) -> Result<Listing, PlatformError> {
-        Ok(self.begin()?.listing(prefix, ObjectVersion::default()))
+        Ok(self.begin(CallKind::List)?.listing(prefix, ObjectVersion::default()))
     }
 
     fn watch(
@@ -143,18 +233,18 @@
         timeout: Duration,
     ) -> Result<Listing, PlatformError> {
         let until = Instant::now() + timeout;
-        let mut inner = self.begin()?;
+        let mut inner = self.begin(CallKind::Watch)?;
+        let restores = inner.restores;
         loop {
+            inner.reachable(&self.caller)?;
             let listing = inner.listing(prefix, after);
             let left = until.saturating_duration_since(Instant::now());
-            if !listing.objects.is_empty() || left.is_zero() {
+            let is_back = listing.version < after || inner.restores != restores;
+            if !listing.objects.is_empty() || is_back || left.is_zero() {
                 return Ok(listing);
             }
-            if inner.fault == PlatformFault::Down {
-                return Err(PlatformError::Unavailable { reason: "told to be down".to_owned() });
-            }
-            inner =
-                self.shared.1.wait_timeout(inner, left).unwrap_or_else(PoisonError::into_inner).0;
+            let waited = self.shared.changed.wait_timeout(inner, left);
+            inner = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
     }
 }
--- a/cuminarch-testing/src/platform_server.rs
+++ b/cuminarch-testing/src/platform_server.rs
@@ -4,7 +4,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use cuminarch_platform::{Expect, ObjectPath, ObjectStore, ObjectVersion, PlatformError};
+use cuminarch_platform::{Expect, Object, ObjectPath, ObjectStore, ObjectVersion, PlatformError};
 use tiny_http::{Header, Method, Request, Response, Server};
 
 use crate::MemoryStore;
@@ -63,14 +63,18 @@
     let store = store.clone();
     thread::spawn(move || {
         while let Ok(mut request) = server.recv() {
-            if let Some(answer) = answer(&store, &mut request) {
-                let _ = request.respond(answer);
+            let store = store.for_caller(header(&request, "User-Agent").unwrap_or_default());
+            match answer(&store, &mut request) {
+                Some(answer) => drop(request.respond(answer)),
+                None => drop(request.into_writer()),
             }
         }
     })
 }
 
-/// The answer to a request; none where it is to be lost.
+/// The answer to a request; none where it is to be lost, in which case the
+/// connection closes without a byte. (A request that is merely dropped would be
+/// answered by the library with status 500.)
 fn answer(store: &MemoryStore, request: &mut Request) -> Option<Answer> {
     let url = request.url().to_owned();
     let (path, query) = url.split_once('?').unwrap_or((&url, ""));
@@ -93,7 +97,8 @@
     };
     match result {
         Ok(answer) => Some(answer),
-        Err(PlatformError::Conflict { .. }) => Some(status(412)),
+        Err(PlatformError::Conflict { current, .. }) => Some(conflict(current.as_deref())),
+        Err(PlatformError::TooLarge { .. }) => Some(status(413)),
         Err(PlatformError::Ambiguous { .. }) => None,
         Err(PlatformError::RateLimited) => Some(status(429)),
         Err(_) => Some(status(503)),
@@ -120,14 +125,26 @@
     Ok(versioned(status(200), version))
 }
 
+/// The answer to a write that the present object forbids, with that object.
+fn conflict(current: Option<&Object>) -> Answer {
+    match current {
+        None => status(412),
+        Some(object) => {
+            let answer = Response::from_string(object.value.as_str()).with_status_code(412);
+            versioned(answer, object.version)
+        }
+    }
+}
+
+fn header<'a>(request: &'a Request, name: &'static str) -> Option<&'a str> {
+    request.headers().iter().find(|header| header.field.equiv(name)).map(|h| h.value.as_str())
+}
+
 fn expectation(request: &Request) -> Expect {
-    let find = |name: &'static str| {
-        request.headers().iter().find(|header| header.field.equiv(name)).map(|h| h.value.as_str())
-    };
-    if find("If-None-Match").is_some() {
+    if header(request, "If-None-Match").is_some() {
         return Expect::Absent;
     }
-    match find("If-Match").and_then(|value| value.trim_matches('"').parse().ok()) {
+    match header(request, "If-Match").and_then(|value| value.trim_matches('"').parse().ok()) {
         Some(version) => Expect::Version(version),
         None => Expect::Any,
     }
