merge: sheet, platform client and stand-in

The model tests' sheet gives the non-idempotent rule a class of its own, since a sheet now refuses a class of non-idempotent rules with more than 50 retries per hundred.

--- a/cuminarch-bench/src/capacity/mod.rs
+++ b/cuminarch-bench/src/capacity/mod.rs
@@ -14,7 +14,7 @@
 use cuminarch_config::Policy;
 use cuminarch_engine::{Arrival, Engine, EngineSettings, Event};
 use cuminarch_node::{Node, NodeSettings};
-use cuminarch_once::{KeyResult, KeyTable, KeyTableSettings, StoredAnswer};
+use cuminarch_once::{KeyResult, KeyTable, KeyTableSettings, RequestFingerprint, StoredAnswer};
 use cuminarch_protocol::{AnswerHead, Member, MemberState};
 use cuminarch_testing::{PlatformServer, UpstreamBehaviour, UpstreamServer};
 use cuminarch_types::{CallId, EndpointId, Incarnation, MonoTime, RequestId};
@@ -101,11 +101,12 @@
         let endpoint: EndpointId = "kasse-1".parse()?;
         let settings = KeyTableSettings { max_answer_bytes: usize::MAX, ..KeyTableSettings::new() };
         let mut table = KeyTable::new(settings, endpoint, Incarnation::new(1));
+        let fingerprint = RequestFingerprint::new("POST", "/approvals/1", None);
         let bytes = growth_bytes(|| {
             for index in 0..count {
                 let key = table.mint(MonoTime::ZERO);
                 let call = CallId::new(index as u64);
-                table.begin(&key, call, MonoTime::ZERO);
+                table.begin(&key, fingerprint, call, MonoTime::ZERO);
                 table.finish(&key, call, KeyResult::Completed(Some(Box::new(stored_answer()))));
             }
         });
--- a/cuminarch-engine/tests/model/site.rs
+++ b/cuminarch-engine/tests/model/site.rs
@@ -113,11 +113,16 @@
     let text = format!(
         "classes:
   - name: work
-    grant_attempts: {}
+    grant_attempts: {0}
     deadline_ms: 4000
     retry_percent: 100
+  - name: once
+    grant_attempts: {0}
+    deadline_ms: 4000
+    retry_percent: 50
+    protected: true
 rules:
-  - class: work
+  - class: once
     methods: [POST]
     path: /once
     idempotent: false
