feat(protocol): number a member's statements and shorten heartbeats

A member can refute a suspicion without a new process: Member gains `statement`, between incarnation and state in the order of statements. Heartbeats lose the fields that the link's hello already gives.

--- a/cuminarch-node/src/node.rs
+++ b/cuminarch-node/src/node.rs
@@ -135,6 +135,7 @@
         zone: settings.zone.clone(),
         region: settings.region.clone(),
         incarnation,
+        statement: 0,
         data_address: data,
         control_address: settings.control_address,
         state: MemberState::Active,
--- a/cuminarch-protocol/src/control.rs
+++ b/cuminarch-protocol/src/control.rs
@@ -1,7 +1,9 @@
 //! Messages of a control link.
 
+use std::sync::Arc;
+
 use compact_str::CompactString;
-use cuminarch_types::{ChangeId, EndpointId, Incarnation, Revision};
+use cuminarch_types::{ChangeId, EndpointId, Revision, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::codec::{decode, encode_tagged, split_tag};
@@ -19,18 +21,43 @@
     pub member: Member,
 }
 
-/// Periodic sign of life.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// Periodic sign of life, and the answer to one.
+///
+/// Field names are short on the wire, because a relay handles one from each of
+/// its nodes every second.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Heartbeat {
-    /// The sender.
-    pub endpoint: EndpointId,
-    /// The sender's process.
-    pub incarnation: Incarnation,
     /// Revision of the configuration that the sender has in force.
+    #[serde(rename = "r")]
     pub revision: Revision,
-    /// Digest of the member list that the sender holds.
+    /// Digest of the members that the sender knows.
+    #[serde(rename = "d")]
     pub members_digest: u64,
+    /// Zones of which the sender, a relay, hears no relay.
+    #[serde(default, rename = "c", skip_serializing_if = "Vec::is_empty")]
+    pub cut_zones: Vec<ZoneName>,
+    /// Whether the sender, a relay, lacks the platform.
+    #[serde(default, rename = "p", skip_serializing_if = "is_false")]
+    pub lacks_platform: bool,
+}
+
+// Serde passes a reference.
+#[allow(clippy::trivially_copy_pass_by_ref)]
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
+
+/// What a relay has heard of a member that another relay asked about.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Hearsay {
+    /// The member.
+    #[serde(rename = "e")]
+    pub endpoint: EndpointId,
+    /// Time since its last sign of life in milliseconds; none if there was none lately.
+    #[serde(rename = "a")]
+    pub age_ms: Option<u32>,
 }
 
 /// A whole configuration.
@@ -45,22 +72,66 @@
     pub sheet: String,
 }
 
+/// A configuration as a change to an earlier one.
+///
+/// The new sheet is the first `prefix_len_bytes` of the base, then `middle`,
+/// then the last `suffix_len_bytes` of the base.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfigPatch {
+    /// Revision that the change applies to.
+    pub base: Revision,
+    /// Revision that results.
+    pub revision: Revision,
+    /// Identifies the change.
+    pub change: ChangeId,
+    /// Bytes kept from the start of the base.
+    pub prefix_len_bytes: u32,
+    /// Bytes kept from the end of the base.
+    pub suffix_len_bytes: u32,
+    /// Text between the two.
+    pub middle: String,
+    /// Checksum of the resulting sheet.
+    pub checksum: u64,
+}
+
 /// A message of a control link.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+#[serde(deny_unknown_fields)]
 pub enum ControlMessage {
     /// Opens a link.
+    #[serde(rename = "hello")]
     Hello(Box<Hello>),
+    /// Asks for a hello, when the sender of a heartbeat is not known.
+    #[serde(rename = "identify")]
+    Identify,
     /// Sign of life.
+    #[serde(rename = "h")]
     Heartbeat(Heartbeat),
-    /// What the sender believes about some members.
-    Members(Vec<Member>),
-    /// Asks for the receiver's whole member list.
-    PullMembers,
+    /// Answer to a sign of life.
+    #[serde(rename = "a")]
+    Ack(Heartbeat),
+    /// Statements about some members.
+    #[serde(rename = "members")]
+    Members(Vec<Arc<Member>>),
+    /// Digests of the sender's members by bucket; asks for those that differ.
+    #[serde(rename = "buckets")]
+    Buckets(Vec<u64>),
+    /// Asks whether a member was heard of.
+    #[serde(rename = "ask")]
+    Ask(EndpointId),
+    /// Answers that question.
+    #[serde(rename = "heard")]
+    Heard(Hearsay),
     /// Asks for a configuration above this revision.
+    #[serde(rename = "pull")]
     PullConfig(Revision),
     /// Hands over a configuration.
-    Config(Box<ConfigOffer>),
+    #[serde(rename = "config")]
+    Config(Arc<ConfigOffer>),
+    /// Hands over a configuration as a change.
+    #[serde(rename = "patch")]
+    Patch(Arc<ConfigPatch>),
 }
 
 impl ControlMessage {
--- a/cuminarch-protocol/src/member.rs
+++ b/cuminarch-protocol/src/member.rs
@@ -3,7 +3,7 @@
 use cuminarch_types::{EndpointId, Incarnation, RegionName, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 
-/// What is believed about a member; later variants win within an incarnation.
+/// What is believed about a member; later variants win within a statement.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum MemberState {
@@ -31,6 +31,10 @@
     pub region: RegionName,
     /// The process that announced this.
     pub incarnation: Incarnation,
+    /// Number of the statement within the process; the member raises it to
+    /// change its own state or to refute what others say of it.
+    #[serde(default)]
+    pub statement: u32,
     /// Where its node takes data links.
     pub data_address: SocketAddr,
     /// Where its node takes control links.
@@ -42,9 +46,28 @@
 impl Member {
     /// Whether this statement replaces `other` about the same endpoint.
     ///
-    /// A higher incarnation always does; within an incarnation the later state does.
+    /// A higher incarnation always does; within an incarnation the higher
+    /// statement does, and within a statement the later state.
+    ///
+    /// The order follows "SWIM: Scalable Weakly-consistent Infection-style
+    /// Process Group Membership Protocol" (Das, Gupta, Motivala, 2002), whose
+    /// single incarnation number is split here: calls are bound to a process,
+    /// which must not change when a suspicion is refuted.
     #[must_use]
     pub fn replaces(&self, other: &Self) -> bool {
-        (self.incarnation, self.state) > (other.incarnation, other.state)
+        self.order() > other.order()
+    }
+
+    /// Place of the statement among those about the same endpoint.
+    #[must_use]
+    pub const fn order(&self) -> (Incarnation, u32, MemberState) {
+        (self.incarnation, self.statement, self.state)
+    }
+
+    /// The statement with another state.
+    #[must_use]
+    pub fn with_state(mut self, state: MemberState) -> Self {
+        self.state = state;
+        self
     }
 }
