--- /dev/null
+++ b/cuminarch-membership/src/configuration.rs
@@ -0,0 +1,198 @@
+//! Spreads the configuration and puts rising revisions into force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminarch_config::{ConfigDocument, ConfigGate, GateDecision};
+use cuminarch_protocol::{ConfigOffer, ConfigPatch, ControlMessage};
+use cuminarch_types::{EndpointId, MonoTime, Revision};
+
+use crate::topology::homes;
+use crate::{Fleet, FleetAction, FleetNotice, apply_patch, make_patch};
+
+/// Time that the relay serving a member has before another one helps.
+const HELP_AFTER: Duration = Duration::from_secs(3);
+/// Time that the first push has to arrive before it is repeated.
+const REPAIR_AFTER: Duration = Duration::from_millis(700);
+/// Shortest time between two pushes to one member.
+const OFFER_PERIOD: Duration = Duration::from_millis(1_500);
+/// Time after the start when a node says that it serves by safe defaults.
+const DEFAULTS_AFTER: Duration = Duration::from_secs(3);
+
+/// The configuration in force, and how it is handed on.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigState {
+    pub gate: ConfigGate,
+    in_force_at: MonoTime,
+    whole: Option<Arc<ConfigOffer>>,
+    patch: Option<Arc<ConfigPatch>>,
+    refused: Revision,
+    is_default_told: bool,
+}
+
+impl ConfigState {
+    /// The message that brings a member with revision `held` up to date.
+    fn message_for(&self, held: Revision) -> Option<ControlMessage> {
+        match &self.patch {
+            Some(patch) if patch.base == held => Some(ControlMessage::Patch(Arc::clone(patch))),
+            _ => self.whole.clone().map(ControlMessage::Config),
+        }
+    }
+
+    /// Bytes of memory that the sheets take.
+    pub fn len_bytes(&self) -> usize {
+        let whole = self.whole.as_ref().map_or(0, |offer| offer.sheet.len());
+        let patch = self.patch.as_ref().map_or(0, |patch| patch.middle.len());
+        2 * whole + patch
+    }
+}
+
+impl Fleet {
+    /// Takes in a document from the platform or, if `from` is given, a member.
+    pub(crate) fn offer_config(
+        &mut self,
+        document: &ConfigDocument,
+        from: Option<&EndpointId>,
+        now: MonoTime,
+    ) {
+        let base = self.config.gate.document().cloned();
+        let is_other = base.as_ref().is_some_and(|base| {
+            base.revision == document.revision && base.change != document.change
+        });
+        if is_other {
+            self.notice(FleetNotice::ConfigConflict(document.revision));
+            return;
+        }
+        if document.revision == self.config.refused {
+            return;
+        }
+        match self.config.gate.offer(document) {
+            GateDecision::Accepted(policy) => {
+                self.actions.push(FleetAction::Policy(policy));
+                self.config_accepted(base.as_ref(), document, from, now);
+            }
+            GateDecision::Refused(error) => {
+                self.config.refused = document.revision;
+                self.notice(FleetNotice::ConfigRefused(document.revision, error.to_string()));
+            }
+            _ => {}
+        }
+    }
+
+    fn config_accepted(
+        &mut self,
+        base: Option<&ConfigDocument>,
+        document: &ConfigDocument,
+        from: Option<&EndpointId>,
+        now: MonoTime,
+    ) {
+        self.notice(FleetNotice::ConfigInForce(document.revision));
+        let offer = ConfigOffer {
+            revision: document.revision,
+            change: document.change.clone(),
+            sheet: document.sheet.clone(),
+        };
+        self.config.in_force_at = now;
+        self.config.whole = Some(Arc::new(offer));
+        self.config.patch = base.and_then(|base| make_patch(base, document)).map(Arc::new);
+        self.refresh_topology(now);
+        if !self.topology.is_relay {
+            return;
+        }
+        let served = self.topology.attached.iter().filter(|(_, is_served)| **is_served);
+        let mut targets: Vec<EndpointId> = served.map(|(node, _)| node.clone()).collect();
+        let is_from_zone = from.is_some_and(|from| self.topology.zone_relays.contains(from));
+        if !is_from_zone {
+            targets.extend(self.topology.zone_relays.iter().cloned());
+        }
+        for target in targets.iter().filter(|target| Some(*target) != from) {
+            self.send_config(target, now);
+        }
+    }
+
+    fn send_config(&mut self, to: &EndpointId, now: MonoTime) {
+        let held = self.peer(to).revision;
+        if held >= self.revision() {
+            return;
+        }
+        if let Some(message) = self.config.message_for(held) {
+            self.peer(to).offered_at = Some(now);
+            self.send(to, message);
+        }
+    }
+
+    /// Repeats the push to a member whose sign of life shows a lower revision.
+    pub(crate) fn repair_config(&mut self, to: &EndpointId, now: MonoTime) {
+        let peer = self.peer(to);
+        let held = peer.revision;
+        let was_offered =
+            peer.offered_at.is_some_and(|offered_at| now.since(offered_at) < OFFER_PERIOD);
+        if held >= self.revision() || was_offered {
+            return;
+        }
+        let wait = if self.is_nearest_to(to) { REPAIR_AFTER } else { HELP_AFTER };
+        if now.since(self.config.in_force_at) >= wait {
+            self.send_config(to, now);
+        }
+    }
+
+    /// Whether this relay is the one of its zone that looks after a member.
+    fn is_nearest_to(&self, member: &EndpointId) -> bool {
+        let mut relays = self.topology.zone_relays.clone();
+        relays.push(self.own.endpoint.clone());
+        homes(member, &relays).first() == Some(&self.own.endpoint)
+    }
+
+    pub(crate) fn config_received(
+        &mut self,
+        from: &EndpointId,
+        offer: &ConfigOffer,
+        now: MonoTime,
+    ) {
+        let document = ConfigDocument {
+            revision: offer.revision,
+            change: offer.change.clone(),
+            sheet: offer.sheet.clone(),
+        };
+        self.note_revision(from, offer.revision);
+        self.offer_config(&document, Some(from), now);
+    }
+
+    pub(crate) fn patch_received(&mut self, from: &EndpointId, patch: &ConfigPatch, now: MonoTime) {
+        self.note_revision(from, patch.revision);
+        if patch.revision <= self.revision() {
+            return;
+        }
+        let patched = self.config.gate.document().and_then(|base| apply_patch(base, patch));
+        match patched {
+            Some(document) => self.offer_config(&document, Some(from), now),
+            None => {
+                let revision = self.revision();
+                self.send(from, ControlMessage::PullConfig(revision));
+            }
+        }
+    }
+
+    fn note_revision(&mut self, from: &EndpointId, revision: Revision) {
+        let peer = self.peer(from);
+        peer.revision = peer.revision.max(revision);
+    }
+
+    pub(crate) fn config_pulled(&mut self, from: &EndpointId, above: Revision) {
+        if self.revision() <= above {
+            return;
+        }
+        if let Some(whole) = self.config.whole.clone() {
+            self.send(from, ControlMessage::Config(whole));
+        }
+    }
+
+    /// Says once that no configuration was found.
+    pub(crate) fn check_defaults(&mut self, now: MonoTime) {
+        let is_late = now.since(self.started_at) >= DEFAULTS_AFTER;
+        if is_late && !self.config.is_default_told && self.revision() == Revision::default() {
+            self.config.is_default_told = true;
+            self.notice(FleetNotice::SafeDefaults);
+        }
+    }
+}
--- /dev/null
+++ b/cuminarch-membership/src/detector.rs
@@ -0,0 +1,129 @@
+//! Finds out which members of the own zone have failed.
+//!
+//! Follows SWIM (Das, Gupta, Motivala, 2002) in that a member is suspected
+//! before it is given up and can refute the suspicion, and Lifeguard (Dadgar,
+//! Phillips, Currey, 2017) in that a node that hears little doubts itself.
+//! Unlike there, a member is watched by two relays, and those ask the others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminarch_protocol::{ControlMessage, Hearsay, Member, MemberState};
+use cuminarch_types::{EndpointId, MonoTime};
+
+use crate::fleet::Reach;
+use crate::{Fleet, FleetNotice};
+
+/// Time after which one refuted suspicion is forgotten.
+const FLAP_MEMORY: Duration = Duration::from_secs(60);
+/// Most refuted suspicions that lengthen the time until the next.
+const MAX_FLAPS: u32 = 4;
+/// Fewest watched members of which a majority can be silent.
+const MIN_MAJORITY: usize = 3;
+
+impl Fleet {
+    pub(crate) fn judge_members(&mut self, now: MonoTime) {
+        let attached = self.topology.attached.keys();
+        let watched: Vec<EndpointId> =
+            attached.chain(&self.topology.zone_relays).chain(&self.silent).cloned().collect();
+        let in_doubt: Vec<EndpointId> =
+            watched.iter().filter(|endpoint| self.is_in_doubt(endpoint, now)).cloned().collect();
+        let doubts_itself = watched.len() >= MIN_MAJORITY && in_doubt.len() * 2 > watched.len();
+        for endpoint in in_doubt {
+            self.judge(&endpoint, doubts_itself, now);
+        }
+    }
+
+    fn is_in_doubt(&mut self, endpoint: &EndpointId, now: MonoTime) -> bool {
+        let silence = self.settings.silence;
+        let is_present =
+            self.table.get(endpoint).is_some_and(|member| member.state != MemberState::Gone);
+        let peer = self.peer(endpoint);
+        if peer.flaps > 0 && now.since(peer.flapped_at) > FLAP_MEMORY {
+            peer.flaps -= 1;
+            peer.flapped_at = now;
+        }
+        let watched_since = *peer.watched_since.get_or_insert(now);
+        let last = peer.heard_at.map_or(watched_since, |heard_at| heard_at.max(watched_since));
+        let patience = silence * (1 + peer.flaps);
+        is_present && now.since(last) > patience
+    }
+
+    fn judge(&mut self, endpoint: &EndpointId, doubts_itself: bool, now: MonoTime) {
+        let vote_time = self.settings.vote_time;
+        let voters = self.topology.zone_relays.len();
+        let peer = self.peer(endpoint);
+        let Some(asked_at) = peer.asked_at else {
+            self.ask_relays(endpoint, now);
+            return;
+        };
+        if now.since(asked_at) < vote_time {
+            return;
+        }
+        if peer.concurring == 0 && (doubts_itself && voters > 0) {
+            peer.asked_at = None;
+            return;
+        }
+        self.declare(endpoint, now);
+    }
+
+    fn ask_relays(&mut self, endpoint: &EndpointId, now: MonoTime) {
+        let peer = self.peer(endpoint);
+        peer.asked_at = Some(now);
+        peer.concurring = 0;
+        let relays = self.topology.zone_relays.clone();
+        for relay in relays.iter().filter(|relay| *relay != endpoint) {
+            self.send(relay, ControlMessage::Ask(endpoint.clone()));
+        }
+    }
+
+    /// States that a silent member is suspect, or has gone if it did not refute that.
+    fn declare(&mut self, endpoint: &EndpointId, now: MonoTime) {
+        let Some(held) = self.table.get(endpoint).cloned() else { return };
+        let changed_at = self.table.changed_at(endpoint).unwrap_or(now);
+        let state = match held.state {
+            MemberState::Active => MemberState::Suspect,
+            _ if now.since(changed_at) < self.settings.refute_time => return,
+            MemberState::Suspect | MemberState::Leaving => MemberState::Gone,
+            MemberState::Gone => return,
+        };
+        let statement = Arc::new(Member::clone(&held).with_state(state));
+        if self.merge(&statement, Reach::Everyone, now) {
+            self.notice(match state {
+                MemberState::Suspect => FleetNotice::Suspected(endpoint.clone()),
+                _ => FleetNotice::GivenUp(endpoint.clone()),
+            });
+        }
+    }
+
+    pub(crate) fn asked(&mut self, from: &EndpointId, endpoint: EndpointId, now: MonoTime) {
+        let silence = self.settings.silence;
+        let heard_at = self.peers.get(&endpoint).and_then(|peer| peer.heard_at);
+        let age = heard_at.map(|heard_at| now.since(heard_at)).filter(|age| *age < silence);
+        let age_ms = age.and_then(|age| u32::try_from(age.as_millis()).ok());
+        self.send(from, ControlMessage::Heard(Hearsay { endpoint, age_ms }));
+    }
+
+    pub(crate) fn hearsay_received(&mut self, hearsay: &Hearsay, now: MonoTime) {
+        let Some(peer) = self.peers.get_mut(&hearsay.endpoint) else { return };
+        if peer.asked_at.is_none() {
+            return;
+        }
+        match hearsay.age_ms {
+            None => peer.concurring += 1,
+            Some(age_ms) => {
+                let micros = now.as_micros().saturating_sub(u64::from(age_ms) * 1_000);
+                let heard_at = Some(MonoTime::from_micros(micros));
+                peer.heard_at = peer.heard_at.max(heard_at);
+                peer.asked_at = None;
+            }
+        }
+    }
+
+    /// Notes that a suspicion was refuted; the next one takes longer.
+    pub(crate) fn note_flap(&mut self, endpoint: &EndpointId, now: MonoTime) {
+        let peer = self.peer(endpoint);
+        peer.flaps = (peer.flaps + 1).min(MAX_FLAPS);
+        peer.flapped_at = now;
+    }
+}
--- /dev/null
+++ b/cuminarch-membership/src/event.rs
@@ -0,0 +1,104 @@
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use cuminarch_config::ConfigDocument;
+use cuminarch_protocol::{ControlMessage, Member};
+use cuminarch_types::{EndpointId, ParseError, ZoneName};
+use serde::{Deserialize, Serialize};
+
+/// Version of an object of the platform's store, or of the whole store.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StoreVersion(u64);
+
+impl StoreVersion {
+    /// Wraps a version.
+    #[must_use]
+    pub const fn new(value: u64) -> Self {
+        Self(value)
+    }
+
+    /// The version itself.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for StoreVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
+impl FromStr for StoreVersion {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        text.parse()
+            .map(Self)
+            .map_err(|_| ParseError::new("StoreVersion", text, "it is not a number"))
+    }
+}
+
+/// Value of the object `members/ZONE`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ZoneMembers {
+    /// The zone.
+    pub zone: ZoneName,
+    /// Its members that have not gone.
+    pub members: Vec<Arc<Member>>,
+}
+
+/// The object `members/ZONE` with its version.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ZoneObject {
+    /// Version of the object.
+    pub version: StoreVersion,
+    /// Its value.
+    pub value: ZoneMembers,
+}
+
+/// What came of a call to the platform.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PlatformReply {
+    /// Objects under `members/`: all of them, or those that a watch saw change.
+    Members {
+        /// Version of the store.
+        version: StoreVersion,
+        /// The objects.
+        zones: Vec<ZoneObject>,
+    },
+    /// The object `config/current`, if there is one or it changed.
+    Config {
+        /// Version of the store.
+        version: StoreVersion,
+        /// The document.
+        document: Option<ConfigDocument>,
+    },
+    /// The own zone's members were written.
+    MembersWritten(StoreVersion),
+    /// They were not, because the object is another one than expected.
+    MembersConflict(Option<ZoneObject>),
+    /// The own zone's status was written.
+    StatusWritten,
+    /// The call failed; a write may have taken effect.
+    Failed,
+}
+
+/// What a [`Fleet`](crate::Fleet) is told.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum FleetEvent {
+    /// Time has passed; expected about every [`Fleet::TICK`](crate::Fleet::TICK).
+    Tick,
+    /// A message came over the link with this member.
+    Received(EndpointId, ControlMessage),
+    /// The link with this member broke.
+    LinkLost(EndpointId),
+    /// A call to the platform ended.
+    Platform(crate::PlatformCall, PlatformReply),
+    /// The own endpoint stops taking work.
+    Leave,
+    /// The own process is about to end.
+    Stop,
+}
--- /dev/null
+++ b/cuminarch-membership/src/fleet.rs
@@ -0,0 +1,294 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminarch_protocol::{ControlMessage, Hello, Member, MemberState};
+use cuminarch_types::{EndpointId, Incarnation, MonoTime, Revision, ZoneName};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::configuration::ConfigState;
+use crate::peer::Peer;
+use crate::platform::PlatformState;
+use crate::topology::{homes, relays, relays_of_zone};
+use crate::{FleetAction, FleetEvent, FleetNotice, FleetSettings, MemberTable};
+
+/// Part of the fleet that has to hear of a statement from this relay.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Reach {
+    /// The nodes that report to this relay.
+    Attached,
+    /// Those and all other relays.
+    Everyone,
+}
+
+/// Relays and reporting members, worked out from the table.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Topology {
+    pub is_stale: bool,
+    pub is_relay: bool,
+    /// Relays of the own zone without this node, the first in rank first.
+    pub zone_relays: Vec<EndpointId>,
+    /// This node's place among the relays of its zone.
+    pub rank: usize,
+    /// Relays of other zones; only known to relays.
+    pub other_relays: Vec<EndpointId>,
+    /// Relays that this node reports to; none if it is a relay.
+    pub homes: Vec<EndpointId>,
+    /// Members that report to this relay, and whether this relay serves them.
+    pub attached: BTreeMap<EndpointId, bool>,
+}
+
+/// What was last told of a member.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct View {
+    pub number: u32,
+    pub incarnation: Incarnation,
+    pub state: MemberState,
+}
+
+/// Membership and configuration as one node sees them.
+#[derive(Debug)]
+pub struct Fleet {
+    pub(crate) settings: FleetSettings,
+    pub(crate) own: Arc<Member>,
+    pub(crate) table: MemberTable,
+    pub(crate) peers: BTreeMap<EndpointId, Peer>,
+    pub(crate) silent: BTreeSet<EndpointId>,
+    pub(crate) topology: Topology,
+    pub(crate) pending: BTreeMap<EndpointId, Reach>,
+    pub(crate) views: BTreeMap<EndpointId, View>,
+    pub(crate) zone_heard: BTreeMap<ZoneName, MonoTime>,
+    pub(crate) cut_zones: BTreeMap<ZoneName, MonoTime>,
+    pub(crate) config: ConfigState,
+    pub(crate) platform: PlatformState,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) started_at: MonoTime,
+    pub(crate) ticked_at: MonoTime,
+    pub(crate) next_heartbeat_at: MonoTime,
+    pub(crate) next_probe_at: MonoTime,
+    pub(crate) next_seed_at: MonoTime,
+    pub(crate) pulled_at: Option<MonoTime>,
+    pub(crate) refuted_at: Option<MonoTime>,
+    pub(crate) announcements_left: u32,
+    pub(crate) is_superseded: bool,
+    pub(crate) has_heard: bool,
+    pub(crate) actions: Vec<FleetAction>,
+}
+
+impl Fleet {
+    /// Time between two ticks.
+    pub const TICK: Duration = Duration::from_millis(250);
+    const MAX_SILENT: usize = 16;
+
+    /// The fleet as a node knows it that has just started.
+    #[must_use]
+    pub fn new(settings: FleetSettings, own: Member, now: MonoTime) -> Self {
+        let own = Arc::new(own);
+        let mut table = MemberTable::new();
+        table.merge(&own, now);
+        let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
+        let platform = PlatformState::new(&mut rng, now);
+        Self {
+            settings,
+            own,
+            table,
+            peers: BTreeMap::new(),
+            silent: BTreeSet::new(),
+            topology: Topology { is_stale: true, ..Topology::default() },
+            pending: BTreeMap::new(),
+            views: BTreeMap::new(),
+            zone_heard: BTreeMap::new(),
+            cut_zones: BTreeMap::new(),
+            config: ConfigState::default(),
+            platform,
+            rng,
+            started_at: now,
+            ticked_at: now,
+            next_heartbeat_at: now,
+            next_probe_at: now,
+            next_seed_at: now,
+            pulled_at: None,
+            refuted_at: None,
+            announcements_left: 0,
+            is_superseded: false,
+            has_heard: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes an event and returns what to do.
+    pub fn handle(&mut self, event: FleetEvent, now: MonoTime) -> Vec<FleetAction> {
+        if !self.is_superseded {
+            match event {
+                FleetEvent::Tick => self.tick(now),
+                FleetEvent::Received(from, message) => self.receive(&from, message, now),
+                FleetEvent::LinkLost(peer) => self.link_lost(&peer, now),
+                FleetEvent::Platform(call, reply) => self.platform_replied(&call, reply, now),
+                FleetEvent::Leave => self.announce_state(MemberState::Leaving, now),
+                FleetEvent::Stop => self.announce_state(MemberState::Gone, now),
+            }
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The message that opens a link of this node.
+    #[must_use]
+    pub fn hello(&self) -> ControlMessage {
+        let member = Member::clone(&self.own);
+        ControlMessage::Hello(Box::new(Hello { fleet: self.settings.fleet.clone(), member }))
+    }
+
+    /// The own entry.
+    #[must_use]
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// All members known.
+    #[must_use]
+    pub const fn table(&self) -> &MemberTable {
+        &self.table
+    }
+
+    /// Revision of the configuration in force.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.config.gate.revision()
+    }
+
+    /// Whether this node is a relay of its zone.
+    #[must_use]
+    pub const fn is_relay(&self) -> bool {
+        self.topology.is_relay
+    }
+
+    fn tick(&mut self, now: MonoTime) {
+        if now.since(self.ticked_at) > self.settings.silence {
+            self.forgive(now);
+        }
+        self.ticked_at = now;
+        self.refresh_topology(now);
+        self.exchange_heartbeats(now);
+        self.contact_seeds(now);
+        if self.topology.is_relay {
+            self.judge_members(now);
+        }
+        self.judge_zones(now);
+        self.repeat_announcement();
+        self.flush_statements(now);
+        self.check_defaults(now);
+        self.drive_platform(now);
+        if self.table.forget_gone(self.settings.tombstone_time, now) > 0 {
+            let table = &self.table;
+            self.peers.retain(|endpoint, _| table.get(endpoint).is_some());
+            self.views.retain(|endpoint, _| table.get(endpoint).is_some());
+        }
+    }
+
+    /// Starts all judgements anew, because this process was paused.
+    fn forgive(&mut self, now: MonoTime) {
+        for peer in self.peers.values_mut() {
+            peer.watched_since = Some(now);
+            peer.unanswered_since = None;
+            peer.asked_at = None;
+        }
+        for heard_at in self.zone_heard.values_mut() {
+            *heard_at = now;
+        }
+        self.silent.clear();
+        self.topology.is_stale = true;
+    }
+
+    pub(crate) fn refresh_topology(&mut self, now: MonoTime) {
+        self.note_silent(now);
+        if !std::mem::take(&mut self.topology.is_stale) {
+            return;
+        }
+        let own = &self.own.endpoint;
+        let mut zone_relays = relays_of_zone(&self.own.zone, &self.table, &self.silent);
+        let rank = zone_relays.iter().position(|relay| relay == own);
+        let attached = rank.map(|_| self.attached(&zone_relays)).unwrap_or_default();
+        let other_relays = rank.map(|_| self.other_relays()).unwrap_or_default();
+        zone_relays.retain(|relay| relay != own);
+        let homes = if rank.is_some() { Vec::new() } else { homes(own, &zone_relays) };
+        self.topology = Topology {
+            is_stale: false,
+            is_relay: rank.is_some(),
+            zone_relays,
+            rank: rank.unwrap_or(usize::MAX),
+            other_relays,
+            homes,
+            attached,
+        };
+        self.stop_watching_others();
+    }
+
+    fn attached(&self, zone_relays: &[EndpointId]) -> BTreeMap<EndpointId, bool> {
+        let in_zone = |member: &&Arc<Member>| {
+            member.zone == self.own.zone
+                && member.state != MemberState::Gone
+                && !zone_relays.contains(&member.endpoint)
+        };
+        let mut attached = BTreeMap::new();
+        for member in self.table.iter().filter(in_zone) {
+            let homes = homes(&member.endpoint, zone_relays);
+            if homes.contains(&self.own.endpoint) {
+                let is_served = homes.first() == Some(&self.own.endpoint);
+                attached.insert(member.endpoint.clone(), is_served);
+            }
+        }
+        attached
+    }
+
+    fn other_relays(&self) -> Vec<EndpointId> {
+        let relays = relays(&self.table, &BTreeSet::new());
+        let others = relays.into_iter().filter(|(zone, _)| *zone != self.own.zone);
+        others.flat_map(|(_, relays)| relays).collect()
+    }
+
+    /// Forgets since when members are watched that this node no longer watches.
+    fn stop_watching_others(&mut self) {
+        let topology = &self.topology;
+        for (endpoint, peer) in &mut self.peers {
+            let is_watched = topology.attached.contains_key(endpoint)
+                || (topology.is_relay && topology.zone_relays.contains(endpoint));
+            if !is_watched {
+                peer.watched_since = None;
+                peer.asked_at = None;
+            }
+        }
+    }
+
+    /// Leaves relays of the own zone out that do not answer.
+    fn note_silent(&mut self, now: MonoTime) {
+        let silence = self.settings.silence;
+        let asked = self.topology.zone_relays.iter().chain(&self.topology.homes);
+        let is_silent = |endpoint: &&EndpointId| {
+            self.peers.get(*endpoint).is_some_and(|peer| peer.is_silent(silence, now))
+        };
+        let found: Vec<EndpointId> = asked.filter(is_silent).cloned().collect();
+        for endpoint in found {
+            if self.silent.len() >= Self::MAX_SILENT {
+                self.silent.clear();
+            }
+            if self.silent.insert(endpoint) {
+                self.topology.is_stale = true;
+            }
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: &EndpointId, message: ControlMessage) {
+        let Some(member) = self.table.get(to) else { return };
+        let address = member.control_address;
+        self.actions.push(FleetAction::Send(to.clone(), address, message));
+    }
+
+    pub(crate) fn notice(&mut self, notice: FleetNotice) {
+        self.actions.push(FleetAction::Notice(notice));
+    }
+
+    pub(crate) fn peer(&mut self, endpoint: &EndpointId) -> &mut Peer {
+        self.peers.entry(endpoint.clone()).or_default()
+    }
+}
--- a/cuminarch-membership/src/lib.rs
+++ b/cuminarch-membership/src/lib.rs
@@ -1,12 +1,55 @@
-//! Knows which endpoints the fleet has and what state each is in.
+//! Knows which endpoints the fleet has, what state each is in, and spreads the
+//! configuration among them.
+//!
+//! [`Fleet`] is the state machine of one node: it takes a [`FleetEvent`] and the
+//! time and returns the [`FleetAction`]s to carry out. It has no thread, socket
+//! or clock. Messages may be lost, repeated or reordered; digests repair what is
+//! lost.
 //!
 //! ```
-//! use cuminarch_membership::MemberTable;
+//! use cuminarch_membership::{Fleet, FleetAction, FleetEvent, FleetSettings};
+//! use cuminarch_protocol::{Member, MemberState};
+//! use cuminarch_types::{Incarnation, MonoTime};
 //!
-//! let table = MemberTable::new();
-//! assert_eq!(table.iter().count(), 0);
+//! let own = Member {
+//!     endpoint: "katalog-1".parse()?,
+//!     service: "katalog".parse()?,
+//!     zone: "zrh-a".parse()?,
+//!     region: "ch-central".parse()?,
+//!     incarnation: Incarnation::new(1),
+//!     statement: 0,
+//!     data_address: "127.0.0.1:7001".parse()?,
+//!     control_address: "127.0.0.1:7002".parse()?,
+//!     state: MemberState::Active,
+//! };
+//! let mut fleet = Fleet::new(FleetSettings::new("shop"), own, MonoTime::ZERO);
+//! let actions = fleet.handle(FleetEvent::Tick, MonoTime::from_millis(250));
+//! assert!(actions.iter().any(|action| matches!(action, FleetAction::View(_))));
+//! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod action;
+mod configuration;
+mod detector;
+mod event;
+mod fleet;
+mod heartbeats;
+mod limiter;
+mod patch;
+mod peer;
+mod platform;
+mod settings;
+mod spread;
+mod summary;
 mod table;
+mod topology;
+mod zones;
 
-pub use table::MemberTable;
+pub use action::{FleetAction, FleetNotice, PlatformCall};
+pub use event::{FleetEvent, PlatformReply, StoreVersion, ZoneMembers, ZoneObject};
+pub use fleet::Fleet;
+pub use patch::{apply_patch, make_patch};
+pub use settings::FleetSettings;
+pub use summary::FleetSummary;
+pub use table::{MemberTable, Merge};
+pub use topology::{homes, relays, relays_of_zone};
--- /dev/null
+++ b/cuminarch-membership/src/patch.rs
@@ -0,0 +1,60 @@
+//! Configurations as changes to the one before.
+
+use cuminarch_config::ConfigDocument;
+use cuminarch_protocol::ConfigPatch;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Largest difference of a patch that is worth sending, as a part of the sheet.
+const WORTH_DIVISOR: usize = 2;
+
+/// The change from `base` to `next`, if it is much smaller than `next`.
+#[must_use]
+pub fn make_patch(base: &ConfigDocument, next: &ConfigDocument) -> Option<ConfigPatch> {
+    let (old, new) = (base.sheet.as_str(), next.sheet.as_str());
+    let prefix = common_prefix(old, new);
+    let suffix = common_suffix(&old[prefix..], &new[prefix..]);
+    let middle = &new[prefix..new.len() - suffix];
+    if middle.len() > new.len() / WORTH_DIVISOR {
+        return None;
+    }
+    Some(ConfigPatch {
+        base: base.revision,
+        revision: next.revision,
+        change: next.change.clone(),
+        prefix_len_bytes: u32::try_from(prefix).ok()?,
+        suffix_len_bytes: u32::try_from(suffix).ok()?,
+        middle: middle.to_owned(),
+        checksum: xxh3_64(new.as_bytes()),
+    })
+}
+
+/// The document that a patch makes of `base`; none if it was not made for it.
+#[must_use]
+pub fn apply_patch(base: &ConfigDocument, patch: &ConfigPatch) -> Option<ConfigDocument> {
+    if base.revision != patch.base {
+        return None;
+    }
+    let prefix = base.sheet.get(..usize::try_from(patch.prefix_len_bytes).ok()?)?;
+    let kept = base.sheet.len().checked_sub(usize::try_from(patch.suffix_len_bytes).ok()?)?;
+    let suffix = base.sheet.get(kept..)?;
+    let sheet = [prefix, &patch.middle, suffix].concat();
+    let is_whole = xxh3_64(sheet.as_bytes()) == patch.checksum;
+    is_whole.then(|| ConfigDocument {
+        revision: patch.revision,
+        change: patch.change.clone(),
+        sheet,
+    })
+}
+
+/// Length of the longest common prefix that ends at a character of both.
+fn common_prefix(left: &str, right: &str) -> usize {
+    let pairs = left.char_indices().zip(right.chars());
+    let differing = pairs.into_iter().find(|((_, left), right)| left != right);
+    differing.map_or(left.len().min(right.len()), |((index, _), _)| index)
+}
+
+/// Length of the longest common suffix that begins at a character of both.
+fn common_suffix(left: &str, right: &str) -> usize {
+    let pairs = left.chars().rev().zip(right.chars().rev());
+    pairs.take_while(|(left, right)| left == right).map(|(left, _)| left.len_utf8()).sum()
+}
--- /dev/null
+++ b/cuminarch-membership/src/platform.rs
@@ -0,0 +1,333 @@
+//! Decides which calls to the platform this node makes, and when.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminarch_config::ZoneStatus;
+use cuminarch_protocol::{Member, MemberState};
+use cuminarch_types::{EndpointId, Incarnation, MonoTime, Revision};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use crate::fleet::Reach;
+use crate::limiter::CallLimiter;
+use crate::{
+    Fleet, FleetAction, FleetNotice, PlatformCall, PlatformReply, StoreVersion, ZoneMembers,
+    ZoneObject,
+};
+
+/// Longest wait before the first call, so that a mass restart is spread out.
+const START_JITTER: Duration = Duration::from_millis(500);
+/// Wait after the first failure; doubled with each further one.
+const BACKOFF: Duration = Duration::from_millis(500);
+/// Longest wait after a failure of a node that reports for its zone.
+const MAX_BACKOFF_REPORTER: Duration = Duration::from_secs(10);
+/// Longest wait after a failure of another node.
+const MAX_BACKOFF: Duration = Duration::from_secs(60);
+/// Calls per second and burst of a node that reports for its zone.
+const REPORTER_RATE: (f64, f64) = (3.0, 8.0);
+/// Calls per second and burst of another node.
+const NODE_RATE: (f64, f64) = (0.1, 3.0);
+/// Shortest time between two writes of the zone's members.
+const WRITE_PERIOD: Duration = Duration::from_secs(2);
+/// Time after which the zone's members are written though nothing changed.
+const REFRESH_PERIOD: Duration = Duration::from_secs(300);
+/// Shortest time between two writes of the zone's status.
+const STATUS_PERIOD: Duration = Duration::from_secs(3);
+/// Time that peers have to hand over a configuration before the platform is asked.
+const PEERS_FIRST: Duration = Duration::from_secs(3);
+/// Failures in a row after which the platform counts as lost.
+const FAILURES_TO_LOSE: u32 = 2;
+
+/// Kind of a call; at most one of each is under way.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum CallKind {
+    Members,
+    Config,
+    PutMembers,
+    PutStatus,
+}
+
+/// Those parts of a zone's members that are worth a write when they change.
+type Written = BTreeMap<EndpointId, (Incarnation, bool)>;
+
+/// What this node knows of the platform.
+#[derive(Debug)]
+pub(crate) struct PlatformState {
+    limiter: CallLimiter,
+    failures: u32,
+    next_call_at: MonoTime,
+    under_way: BTreeSet<CallKind>,
+    members_version: Option<StoreVersion>,
+    config_version: Option<StoreVersion>,
+    object_version: Option<StoreVersion>,
+    written: Written,
+    written_at: Option<MonoTime>,
+    status: Option<ZoneStatus>,
+    status_at: Option<MonoTime>,
+    sequence: u64,
+    next_config_at: MonoTime,
+    pub is_lost: bool,
+}
+
+impl PlatformState {
+    pub fn new(rng: &mut ChaCha8Rng, now: MonoTime) -> Self {
+        let (per_second, burst) = NODE_RATE;
+        let start = now.after(START_JITTER.mul_f64(rng.random_range(0.0..1.0)));
+        Self {
+            limiter: CallLimiter::new(per_second, burst, now),
+            failures: 0,
+            next_call_at: start,
+            under_way: BTreeSet::new(),
+            members_version: None,
+            config_version: None,
+            object_version: None,
+            written: Written::new(),
+            written_at: None,
+            status: None,
+            status_at: None,
+            sequence: 0,
+            next_config_at: now.after(PEERS_FIRST),
+            is_lost: false,
+        }
+    }
+
+    /// Whether the members were read from the platform.
+    pub const fn is_listed(&self) -> bool {
+        self.members_version.is_some()
+    }
+}
+
+const fn kind_of(call: &PlatformCall) -> CallKind {
+    match call {
+        PlatformCall::ListMembers | PlatformCall::WatchMembers(_) => CallKind::Members,
+        PlatformCall::ListConfig | PlatformCall::WatchConfig(_) => CallKind::Config,
+        PlatformCall::PutMembers(..) => CallKind::PutMembers,
+        PlatformCall::PutStatus(_) => CallKind::PutStatus,
+    }
+}
+
+impl Fleet {
+    /// Whether this node speaks to the platform for its zone: the first relay
+    /// in rank that has the platform, or the first of all if none has.
+    pub(crate) fn is_reporter(&self) -> bool {
+        if !self.topology.is_relay {
+            return false;
+        }
+        let lacks =
+            |relay: &EndpointId| self.peers.get(relay).is_some_and(|peer| peer.lacks_platform);
+        let rank = self.topology.rank;
+        let before = &self.topology.zone_relays[..rank.min(self.topology.zone_relays.len())];
+        if self.platform.is_lost && !self.topology.zone_relays.iter().all(lacks) {
+            return false;
+        }
+        before.iter().all(lacks) && (!self.platform.is_lost || rank == 0)
+    }
+
+    pub(crate) fn drive_platform(&mut self, now: MonoTime) {
+        if now < self.platform.next_call_at || self.own.state != MemberState::Active {
+            return;
+        }
+        let is_reporter = self.is_reporter();
+        let (per_second, burst) = if is_reporter { REPORTER_RATE } else { NODE_RATE };
+        self.platform.limiter.set_rate(per_second, burst, now);
+        match self.platform.members_version {
+            None => self.call(PlatformCall::ListMembers, now),
+            Some(version) if is_reporter => self.report(version, now),
+            Some(_) if self.platform.is_lost => self.call(PlatformCall::ListMembers, now),
+            Some(_) => self.ask_for_config(now),
+        }
+    }
+
+    /// Reads the configuration once if no peer hands one over.
+    fn ask_for_config(&mut self, now: MonoTime) {
+        if self.revision() > Revision::default() || now < self.platform.next_config_at {
+            return;
+        }
+        let jitter = self.rng.random_range(0.5..1.5);
+        self.platform.next_config_at = now.after(MAX_BACKOFF.mul_f64(jitter));
+        self.call(PlatformCall::ListConfig, now);
+    }
+
+    /// Makes the calls of the node that speaks for its zone.
+    fn report(&mut self, members_version: StoreVersion, now: MonoTime) {
+        match self.platform.config_version {
+            None => self.call(PlatformCall::ListConfig, now),
+            Some(version) => self.call(PlatformCall::WatchConfig(version), now),
+        }
+        self.call(PlatformCall::WatchMembers(members_version), now);
+        self.write_members(now);
+        self.write_status(now);
+    }
+
+    fn call(&mut self, call: PlatformCall, now: MonoTime) {
+        let kind = kind_of(&call);
+        if self.platform.under_way.contains(&kind) || !self.platform.limiter.take(now) {
+            return;
+        }
+        self.platform.under_way.insert(kind);
+        self.actions.push(FleetAction::Platform(call));
+    }
+
+    fn write_members(&mut self, now: MonoTime) {
+        let platform = &self.platform;
+        let age = platform.written_at.map(|written_at| now.since(written_at));
+        if age.is_some_and(|age| age < WRITE_PERIOD) {
+            return;
+        }
+        let in_zone = |member: &&Arc<Member>| {
+            member.zone == self.own.zone && member.state != MemberState::Gone
+        };
+        let members: Vec<Arc<Member>> = self.table.iter().filter(in_zone).map(as_stated).collect();
+        let content = content_of(&members);
+        let is_due = content != platform.written || age.is_none_or(|age| age >= REFRESH_PERIOD);
+        if !is_due || platform.under_way.contains(&CallKind::PutMembers) {
+            return;
+        }
+        let value = ZoneMembers { zone: self.own.zone.clone(), members };
+        let expected = platform.object_version;
+        self.platform.written = content;
+        self.platform.written_at = Some(now);
+        self.call(PlatformCall::PutMembers(Arc::new(value), expected), now);
+    }
+
+    fn write_status(&mut self, now: MonoTime) {
+        let age = self.platform.status_at.map(|status_at| now.since(status_at));
+        if age.is_some_and(|age| age < STATUS_PERIOD) {
+            return;
+        }
+        let status = self.status();
+        if self.platform.status.as_ref() == Some(&status) {
+            return;
+        }
+        self.platform.status_at = Some(now);
+        self.platform.status = Some(status.clone());
+        self.platform.sequence += 1;
+        let status = ZoneStatus { sequence: self.platform.sequence, ..status };
+        self.call(PlatformCall::PutStatus(status), now);
+    }
+
+    /// What is in force in the own zone, by the relays' reports.
+    fn status(&self) -> ZoneStatus {
+        let highest = self.revision();
+        let own = self.coverage();
+        let mut status = ZoneStatus {
+            zone: self.own.zone.clone(),
+            relay: self.own.endpoint.clone(),
+            sequence: 0,
+            lowest_revision: own.lowest,
+            highest_revision: highest,
+            members: own.members,
+            members_in_force: own.in_force,
+        };
+        for relay in &self.topology.zone_relays {
+            let Some(peer) = self.peers.get(relay) else { continue };
+            let Some(coverage) = peer.coverage else { continue };
+            status.members += coverage.members;
+            status.lowest_revision = status.lowest_revision.min(coverage.lowest);
+            if peer.revision == highest {
+                status.members_in_force += coverage.in_force;
+            }
+        }
+        status
+    }
+
+    pub(crate) fn platform_replied(
+        &mut self,
+        call: &PlatformCall,
+        reply: PlatformReply,
+        now: MonoTime,
+    ) {
+        self.platform.under_way.remove(&kind_of(call));
+        if reply == PlatformReply::Failed {
+            self.platform_failed(call, now);
+            return;
+        }
+        self.platform.failures = 0;
+        if std::mem::take(&mut self.platform.is_lost) {
+            self.notice(FleetNotice::PlatformFound);
+        }
+        match reply {
+            PlatformReply::Members { version, zones } => {
+                self.platform.members_version = Some(version);
+                for object in zones {
+                    self.object_read(object, now);
+                }
+                self.delay_first_write(now);
+            }
+            PlatformReply::Config { version, document } => {
+                self.platform.config_version = Some(version);
+                if let Some(document) = document {
+                    self.offer_config(&document, None, now);
+                }
+            }
+            PlatformReply::MembersWritten(version) => {
+                self.platform.object_version = Some(version);
+            }
+            PlatformReply::MembersConflict(object) => {
+                self.platform.written.clear();
+                self.platform.object_version = None;
+                if let Some(object) = object {
+                    self.object_read(object, now);
+                }
+            }
+            PlatformReply::StatusWritten | PlatformReply::Failed => {}
+        }
+    }
+
+    /// Gives members that start at the same time a chance to find each other
+    /// before each of them writes the zone's members.
+    fn delay_first_write(&mut self, now: MonoTime) {
+        if self.platform.written_at.is_none() {
+            let wait = WRITE_PERIOD.mul_f64(self.rng.random_range(0.75..0.95));
+            let wait_micros = u64::try_from(wait.as_micros()).unwrap_or(0);
+            let micros = now.as_micros().saturating_sub(wait_micros);
+            self.platform.written_at = Some(MonoTime::from_micros(micros));
+        }
+    }
+
+    fn object_read(&mut self, object: ZoneObject, now: MonoTime) {
+        let ZoneObject { version, value } = object;
+        if value.zone == self.own.zone {
+            self.platform.object_version = Some(version);
+            self.platform.written = content_of(&value.members);
+        }
+        for member in value.members.iter().filter(|member| member.zone == value.zone) {
+            self.merge(member, Reach::Everyone, now);
+        }
+    }
+
+    fn platform_failed(&mut self, call: &PlatformCall, now: MonoTime) {
+        let is_reporter = self.is_reporter();
+        let platform = &mut self.platform;
+        platform.failures = platform.failures.saturating_add(1);
+        match call {
+            // The write may have taken effect: read what is there now.
+            PlatformCall::PutMembers(..) => platform.members_version = None,
+            PlatformCall::PutStatus(_) => platform.status = None,
+            _ => {}
+        }
+        let max = if is_reporter { MAX_BACKOFF_REPORTER } else { MAX_BACKOFF };
+        let doubled = BACKOFF.saturating_mul(1_u32 << platform.failures.min(10));
+        let wait = doubled.min(max).mul_f64(self.rng.random_range(0.5..1.0));
+        platform.next_call_at = platform.next_call_at.max(now.after(wait));
+        if platform.failures >= FAILURES_TO_LOSE && !platform.is_lost {
+            platform.is_lost = true;
+            self.notice(FleetNotice::PlatformLost);
+        }
+    }
+}
+
+/// The member without the suspicions of others, which are not worth a write.
+fn as_stated(member: &Arc<Member>) -> Arc<Member> {
+    match member.state {
+        MemberState::Suspect => Arc::new(Member::clone(member).with_state(MemberState::Active)),
+        _ => Arc::clone(member),
+    }
+}
+
+fn content_of(members: &[Arc<Member>]) -> Written {
+    let parts = |member: &Arc<Member>| (member.incarnation, member.state == MemberState::Leaving);
+    members.iter().map(|member| (member.endpoint.clone(), parts(member))).collect()
+}
--- /dev/null
+++ b/cuminarch-membership/src/spread.rs
@@ -0,0 +1,173 @@
+//! Spreads statements about members.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminarch_protocol::{ControlMessage, Member, MemberState};
+use cuminarch_types::{EndpointId, MonoTime};
+
+use crate::fleet::{Reach, View};
+use crate::{Fleet, FleetAction, FleetNotice, Merge};
+
+/// Most statements in one message.
+const MAX_STATEMENTS: usize = 1_024;
+/// Shortest time between two refutations.
+const REFUTE_PERIOD: Duration = Duration::from_millis(500);
+/// Ticks during which an announcement is repeated.
+const ANNOUNCEMENTS: u32 = 4;
+
+impl Fleet {
+    /// Takes in a statement about any member. Returns whether it was new.
+    pub(crate) fn merge(&mut self, member: &Arc<Member>, reach: Reach, now: MonoTime) -> bool {
+        if member.endpoint == self.own.endpoint {
+            self.own_described(member, now);
+            return false;
+        }
+        let held = self.table.get(&member.endpoint).map(|held| (held.incarnation, held.state));
+        if self.table.merge(member, now) != Merge::Newer {
+            return false;
+        }
+        let is_refuted = held == Some((member.incarnation, MemberState::Suspect))
+            && member.state == MemberState::Active;
+        if is_refuted {
+            self.note_flap(&member.endpoint, now);
+        }
+        let reached = self.pending.entry(member.endpoint.clone()).or_insert(reach);
+        *reached = reach.max(*reached);
+        self.topology.is_stale = true;
+        self.show(member, now);
+        true
+    }
+
+    /// Takes in a statement that others make about this node.
+    fn own_described(&mut self, member: &Arc<Member>, now: MonoTime) {
+        if member.incarnation > self.own.incarnation {
+            self.is_superseded = true;
+            self.notice(FleetNotice::Superseded);
+            return;
+        }
+        if member.order() <= self.own.order() {
+            return;
+        }
+        if self.refuted_at.is_some_and(|refuted_at| now.since(refuted_at) < REFUTE_PERIOD) {
+            return;
+        }
+        self.refuted_at = Some(now);
+        let mut own = Member::clone(&self.own);
+        own.statement = member.statement.saturating_add(1);
+        self.state_own(own, now);
+    }
+
+    /// Announces another state of this node.
+    pub(crate) fn announce_state(&mut self, state: MemberState, now: MonoTime) {
+        if self.own.state >= state {
+            return;
+        }
+        let mut own = Member::clone(&self.own).with_state(state);
+        own.statement = own.statement.saturating_add(1);
+        self.refresh_topology(now);
+        self.state_own(own, now);
+        self.announcements_left = ANNOUNCEMENTS;
+        self.announce_directly();
+        self.flush_statements(now);
+    }
+
+    fn state_own(&mut self, own: Member, now: MonoTime) {
+        let own = Arc::new(own);
+        self.table.merge(&own, now);
+        self.show(&own, now);
+        self.pending.insert(own.endpoint.clone(), Reach::Everyone);
+        self.own = own;
+        self.topology.is_stale = true;
+    }
+
+    pub(crate) fn repeat_announcement(&mut self) {
+        if self.announcements_left > 0 {
+            self.announcements_left -= 1;
+            self.announce_directly();
+        }
+    }
+
+    /// Tells the own state to every relay of the zone and every peer heard of.
+    fn announce_directly(&mut self) {
+        let relays = self.topology.zone_relays.iter();
+        let peers = self.peers.iter().filter(|(_, peer)| peer.heard_at.is_some());
+        let mut targets: Vec<EndpointId> =
+            relays.chain(peers.map(|(endpoint, _)| endpoint)).cloned().collect();
+        targets.sort_unstable();
+        targets.dedup();
+        for target in targets {
+            self.send(&target, ControlMessage::Members(vec![Arc::clone(&self.own)]));
+        }
+    }
+
+    pub(crate) fn members_received(
+        &mut self,
+        from: &EndpointId,
+        members: Vec<Arc<Member>>,
+        now: MonoTime,
+    ) {
+        let is_relay =
+            self.topology.zone_relays.contains(from) || self.topology.other_relays.contains(from);
+        let reach = if is_relay { Reach::Attached } else { Reach::Everyone };
+        let mut newer = Vec::new();
+        for member in &members {
+            self.merge(member, reach, now);
+            match self.table.get(&member.endpoint) {
+                Some(held) if held.replaces(member) => newer.push(Arc::clone(held)),
+                _ => {}
+            }
+        }
+        self.send_members(from, newer);
+    }
+
+    pub(crate) fn send_members(&mut self, to: &EndpointId, members: Vec<Arc<Member>>) {
+        for chunk in members.chunks(MAX_STATEMENTS) {
+            self.send(to, ControlMessage::Members(chunk.to_vec()));
+        }
+    }
+
+    /// Sends the statements taken in since the last tick to whom they concern.
+    pub(crate) fn flush_statements(&mut self, _now: MonoTime) {
+        let pending = std::mem::take(&mut self.pending);
+        if pending.is_empty() {
+            return;
+        }
+        let statements = |reach: Reach| -> Vec<Arc<Member>> {
+            let wanted = pending.iter().filter(|(_, pending)| **pending >= reach);
+            wanted.filter_map(|(endpoint, _)| self.table.get(endpoint)).cloned().collect()
+        };
+        let for_all = statements(Reach::Attached);
+        let for_relays = statements(Reach::Everyone);
+        if self.topology.is_relay {
+            for node in self.topology.attached.keys().cloned().collect::<Vec<_>>() {
+                self.send_members(&node, for_all.clone());
+            }
+            let relays = self.topology.zone_relays.iter().chain(&self.topology.other_relays);
+            for relay in relays.cloned().collect::<Vec<_>>() {
+                self.send_members(&relay, for_relays.clone());
+            }
+        } else if pending.contains_key(&self.own.endpoint) {
+            for home in self.topology.homes.clone() {
+                self.send(&home, ControlMessage::Members(vec![Arc::clone(&self.own)]));
+            }
+        }
+    }
+
+    /// Tells the driver what to think of a member, if that changed.
+    pub(crate) fn show(&mut self, member: &Arc<Member>, now: MonoTime) {
+        let state = member.state.max(self.state_of_zone(&member.zone, now));
+        let shown = self.views.get(&member.endpoint).copied();
+        let is_shown =
+            shown.is_some_and(|view| (view.incarnation, view.state) == (member.incarnation, state));
+        if is_shown || (shown.is_none() && state == MemberState::Gone) {
+            return;
+        }
+        let number = shown.map_or(1, |view| view.number.saturating_add(1));
+        let view = View { number, incarnation: member.incarnation, state };
+        self.views.insert(member.endpoint.clone(), view);
+        let mut viewed = Member::clone(member).with_state(state);
+        viewed.statement = number;
+        self.actions.push(FleetAction::View(Box::new(viewed)));
+    }
+}
--- a/cuminarch-membership/src/table.rs
+++ b/cuminarch-membership/src/table.rs
@@ -1,38 +1,158 @@
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
 
-use cuminarch_protocol::Member;
-use cuminarch_types::EndpointId;
+use cuminarch_protocol::{Member, MemberState};
+use cuminarch_types::{EndpointId, MonoTime};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// The latest statement about each member.
-#[derive(Clone, Debug, Default)]
+/// What became of a statement that was taken in.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Merge {
+    /// It replaced what was held.
+    Newer,
+    /// It is held already, or is of no use.
+    Same,
+    /// A later statement is held.
+    Older,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    member: Arc<Member>,
+    changed_at: MonoTime,
+}
+
+/// The latest statement about each member, with digests to compare tables.
+///
+/// Members that have gone are kept for a while, so that a late statement does
+/// not bring them back; they are not part of the digests.
+#[derive(Clone, Debug)]
 pub struct MemberTable {
-    members: BTreeMap<EndpointId, Member>,
+    members: BTreeMap<EndpointId, Entry>,
+    buckets: [u64; Self::BUCKETS],
+}
+
+impl Default for MemberTable {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl MemberTable {
+    /// Number of buckets whose digests are compared.
+    pub const BUCKETS: usize = 32;
+    /// Most endpoints that are remembered.
+    pub const MAX_MEMBERS: usize = 8_192;
+
     /// An empty table.
     #[must_use]
     pub const fn new() -> Self {
-        Self { members: BTreeMap::new() }
+        Self { members: BTreeMap::new(), buckets: [0; Self::BUCKETS] }
     }
 
-    /// Takes in a statement. Returns whether it was newer than what was held.
-    pub fn merge(&mut self, member: &Member) -> bool {
-        let is_newer = self.members.get(&member.endpoint).is_none_or(|held| member.replaces(held));
-        if is_newer {
-            self.members.insert(member.endpoint.clone(), member.clone());
+    /// Takes in a statement.
+    pub fn merge(&mut self, member: &Arc<Member>, now: MonoTime) -> Merge {
+        let bucket = bucket_of(&member.endpoint);
+        let is_full = self.members.len() >= Self::MAX_MEMBERS;
+        match self.members.get_mut(&member.endpoint) {
+            Some(entry) if member.replaces(&entry.member) => {
+                self.buckets[bucket] ^= digest_of(&entry.member) ^ digest_of(member);
+                *entry = Entry { member: Arc::clone(member), changed_at: now };
+                Merge::Newer
+            }
+            Some(entry) if entry.member.replaces(member) => Merge::Older,
+            Some(_) => Merge::Same,
+            None if member.state == MemberState::Gone => Merge::Same,
+            None if is_full => Merge::Same,
+            None => {
+                self.buckets[bucket] ^= digest_of(member);
+                let entry = Entry { member: Arc::clone(member), changed_at: now };
+                self.members.insert(member.endpoint.clone(), entry);
+                Merge::Newer
+            }
         }
-        is_newer
+    }
+
+    /// Forgets members that have been gone for longer than `span`, and returns how many.
+    pub fn forget_gone(&mut self, span: Duration, now: MonoTime) -> usize {
+        let before = self.members.len();
+        self.members.retain(|_, entry| {
+            entry.member.state != MemberState::Gone || now.since(entry.changed_at) <= span
+        });
+        before - self.members.len()
     }
 
     /// What is held of one endpoint.
     #[must_use]
-    pub fn get(&self, endpoint: &EndpointId) -> Option<&Member> {
-        self.members.get(endpoint)
+    pub fn get(&self, endpoint: &EndpointId) -> Option<&Arc<Member>> {
+        self.members.get(endpoint).map(|entry| &entry.member)
+    }
+
+    /// When the statement about an endpoint was taken in.
+    #[must_use]
+    pub fn changed_at(&self, endpoint: &EndpointId) -> Option<MonoTime> {
+        self.members.get(endpoint).map(|entry| entry.changed_at)
     }
 
     /// All statements in order of endpoint.
-    pub fn iter(&self) -> impl Iterator<Item = &Member> {
-        self.members.values()
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Member>> {
+        self.members.values().map(|entry| &entry.member)
+    }
+
+    /// Number of endpoints, those that have gone included.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether nothing is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Digest of all members that have not gone.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.buckets.iter().fold(0, |digest, bucket| digest ^ bucket)
+    }
+
+    /// Digest of each bucket.
+    #[must_use]
+    pub const fn buckets(&self) -> &[u64; Self::BUCKETS] {
+        &self.buckets
+    }
+
+    /// Statements of the buckets whose digest differs from those given.
+    #[must_use]
+    pub fn differing(&self, buckets: &[u64]) -> Vec<Arc<Member>> {
+        let differs = |member: &Arc<Member>| {
+            let bucket = bucket_of(&member.endpoint);
+            buckets.get(bucket) != Some(&self.buckets[bucket])
+        };
+        self.iter().filter(|member| differs(member)).cloned().collect()
+    }
+
+    /// Bytes of memory that one member takes here, texts within the types included.
+    #[must_use]
+    pub const fn bytes_per_member() -> usize {
+        size_of::<Member>() + 2 * size_of::<usize>() + size_of::<Entry>() + size_of::<EndpointId>()
+    }
+}
+
+fn bucket_of(endpoint: &EndpointId) -> usize {
+    let hash = xxh3_64(endpoint.as_str().as_bytes());
+    usize::try_from(hash % MemberTable::BUCKETS as u64).unwrap_or(0)
+}
+
+fn digest_of(member: &Member) -> u64 {
+    if member.state == MemberState::Gone {
+        return 0;
     }
+    let mut bytes = [0_u8; 13];
+    bytes[..8].copy_from_slice(&member.incarnation.get().to_le_bytes());
+    bytes[8..12].copy_from_slice(&member.statement.to_le_bytes());
+    bytes[12] = member.state as u8;
+    xxh3_64_with_seed(member.endpoint.as_str().as_bytes(), xxh3_64(&bytes))
 }
--- a/cuminarch-protocol/src/control.rs
+++ b/cuminarch-protocol/src/control.rs
@@ -40,6 +40,24 @@
     /// Whether the sender, a relay, lacks the platform.
     #[serde(default, rename = "p", skip_serializing_if = "is_false")]
     pub lacks_platform: bool,
+    /// What the sender, a relay, has put into force; told to relays of its zone.
+    #[serde(default, rename = "s", skip_serializing_if = "Option::is_none")]
+    pub coverage: Option<Coverage>,
+}
+
+/// How far the configuration is in force at the members that a relay serves.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Coverage {
+    /// Members served, the relay included.
+    #[serde(rename = "m")]
+    pub members: u32,
+    /// Those that have the relay's revision in force.
+    #[serde(rename = "f")]
+    pub in_force: u32,
+    /// Lowest revision in force at one of them.
+    #[serde(rename = "l")]
+    pub lowest: Revision,
 }
 
 // Serde passes a reference.
--- a/cuminarch-protocol/src/lib.rs
+++ b/cuminarch-protocol/src/lib.rs
@@ -23,7 +23,7 @@
 mod member;
 
 pub use call::{AnswerFrame, AnswerHead, CallFrame, CallHead, HeaderField, Receipt, RefusalHead};
-pub use control::{ConfigOffer, ConfigPatch, ControlMessage, Hearsay, Heartbeat, Hello};
+pub use control::{ConfigOffer, ConfigPatch, ControlMessage, Coverage, Hearsay, Heartbeat, Hello};
 pub use error::ProtocolError;
 pub use limit::FrameLimit;
 pub use member::{Member, MemberState};
