--- a/cuminarch-testing/src/lib.rs
+++ b/cuminarch-testing/src/lib.rs
@@ -20,8 +20,10 @@
 mod memory_store;
 mod platform_server;
 mod upstream_server;
+mod virtual_fleet;
 
 pub use caller::{CallerAnswer, HttpCaller};
 pub use memory_store::{MemoryStore, PlatformFault};
 pub use platform_server::PlatformServer;
 pub use upstream_server::{UpstreamBehaviour, UpstreamServer};
+pub use virtual_fleet::{Counters, Network, VirtualFleet, VirtualNode, VirtualPlatform};
--- /dev/null
+++ b/cuminarch-testing/src/virtual_fleet/counters.rs
@@ -0,0 +1,34 @@
+/// Messages and bytes that a node sent and received.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counters {
+    /// Messages sent.
+    pub sent: u64,
+    /// Messages received.
+    pub received: u64,
+    /// Bytes sent, with the frame headers of the WebSocket.
+    pub sent_bytes: u64,
+    /// Bytes received, likewise.
+    pub received_bytes: u64,
+    /// Links opened.
+    pub links: u64,
+}
+
+impl Counters {
+    /// What was counted since `earlier`.
+    #[must_use]
+    pub const fn since(&self, earlier: &Self) -> Self {
+        Self {
+            sent: self.sent - earlier.sent,
+            received: self.received - earlier.received,
+            sent_bytes: self.sent_bytes - earlier.sent_bytes,
+            received_bytes: self.received_bytes - earlier.received_bytes,
+            links: self.links - earlier.links,
+        }
+    }
+
+    /// Bytes in both directions.
+    #[must_use]
+    pub const fn bytes(&self) -> u64 {
+        self.sent_bytes + self.received_bytes
+    }
+}
--- /dev/null
+++ b/cuminarch-testing/src/virtual_fleet/platform.rs
@@ -0,0 +1,143 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use cuminarch_config::{ConfigDocument, ZoneStatus};
+use cuminarch_membership::{PlatformCall, PlatformReply, StoreVersion, ZoneMembers, ZoneObject};
+use cuminarch_types::{MonoTime, ZoneName};
+
+/// A watch that waits for a change.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// Index of the node.
+    pub node: usize,
+    /// Its process.
+    pub process: u64,
+    /// The call.
+    pub call: PlatformCall,
+    /// When it ends without a change.
+    pub ends_at: MonoTime,
+}
+
+/// The platform's store in virtual time.
+#[derive(Debug, Default)]
+pub struct VirtualPlatform {
+    /// Whether every call fails.
+    pub is_down: bool,
+    /// Zones that cannot reach it.
+    pub cut_zones: BTreeSet<ZoneName>,
+    /// Calls answered or failed, by kind.
+    pub calls: BTreeMap<&'static str, u64>,
+    /// Calls in each second.
+    pub calls_by_second: BTreeMap<u64, u64>,
+    /// What the zones reported.
+    pub status: BTreeMap<ZoneName, ZoneStatus>,
+    version: u64,
+    members: BTreeMap<ZoneName, ZoneObject>,
+    config: Option<(ConfigDocument, u64)>,
+    pub(super) waiting: Vec<Waiting>,
+}
+
+impl VirtualPlatform {
+    /// Time after which a watch ends without a change.
+    pub const WATCH_TIME: Duration = Duration::from_secs(30);
+
+    /// Calls of all kinds.
+    #[must_use]
+    pub fn total_calls(&self) -> u64 {
+        self.calls.values().sum()
+    }
+
+    /// Most calls in one second from `since` on.
+    #[must_use]
+    pub fn peak_since(&self, since: MonoTime) -> u64 {
+        let first = since.as_micros() / 1_000_000;
+        self.calls_by_second.range(first..).map(|(_, calls)| *calls).max().unwrap_or(0)
+    }
+
+    /// Writes the configuration.
+    pub fn publish(&mut self, document: ConfigDocument) {
+        self.version += 1;
+        self.config = Some((document, self.version));
+    }
+
+    /// Members of a zone as written.
+    #[must_use]
+    pub fn zone(&self, zone: &ZoneName) -> Option<&ZoneMembers> {
+        self.members.get(zone).map(|object| &object.value)
+    }
+
+    pub(super) fn count(&mut self, call: &PlatformCall, now: MonoTime) {
+        let kind = match call {
+            PlatformCall::ListMembers => "list members",
+            PlatformCall::WatchMembers(_) => "watch members",
+            PlatformCall::ListConfig => "list config",
+            PlatformCall::WatchConfig(_) => "watch config",
+            PlatformCall::PutMembers(..) => "put members",
+            PlatformCall::PutStatus(_) => "put status",
+        };
+        *self.calls.entry(kind).or_default() += 1;
+        *self.calls_by_second.entry(now.as_micros() / 1_000_000).or_default() += 1;
+    }
+
+    /// Carries out a call from a zone; none if it is a watch that has to wait.
+    pub(super) fn answer(&mut self, call: &PlatformCall, zone: &ZoneName) -> Option<PlatformReply> {
+        if self.is_down || self.cut_zones.contains(zone) {
+            return Some(PlatformReply::Failed);
+        }
+        match call {
+            PlatformCall::ListMembers => Some(self.members_after(0)),
+            PlatformCall::ListConfig => Some(self.config_after(0)),
+            PlatformCall::WatchMembers(after) => {
+                let is_changed =
+                    self.members.values().any(|object| object.version.get() > after.get());
+                is_changed.then(|| self.members_after(after.get()))
+            }
+            PlatformCall::WatchConfig(after) => {
+                let is_changed =
+                    self.config.as_ref().is_some_and(|(_, version)| *version > after.get());
+                is_changed.then(|| self.config_after(after.get()))
+            }
+            PlatformCall::PutMembers(value, expected) => Some(self.put_members(value, *expected)),
+            PlatformCall::PutStatus(status) => {
+                self.status.insert(status.zone.clone(), status.clone());
+                Some(PlatformReply::StatusWritten)
+            }
+        }
+    }
+
+    /// Answer to a watch that ends without a change.
+    pub(super) fn unchanged(&self, call: &PlatformCall) -> PlatformReply {
+        let version = StoreVersion::new(self.version);
+        match call {
+            PlatformCall::WatchConfig(_) => PlatformReply::Config { version, document: None },
+            _ => PlatformReply::Members { version, zones: Vec::new() },
+        }
+    }
+
+    fn members_after(&self, after: u64) -> PlatformReply {
+        let version = StoreVersion::new(self.version);
+        let changed = self.members.values().filter(|object| object.version.get() > after);
+        PlatformReply::Members { version, zones: changed.cloned().collect() }
+    }
+
+    fn config_after(&self, after: u64) -> PlatformReply {
+        let version = StoreVersion::new(self.version);
+        let changed = self.config.as_ref().filter(|(_, version)| *version > after);
+        PlatformReply::Config { version, document: changed.map(|(document, _)| document.clone()) }
+    }
+
+    fn put_members(
+        &mut self,
+        value: &ZoneMembers,
+        expected: Option<StoreVersion>,
+    ) -> PlatformReply {
+        let current = self.members.get(&value.zone);
+        if current.map(|object| object.version) != expected {
+            return PlatformReply::MembersConflict(current.cloned());
+        }
+        self.version += 1;
+        let version = StoreVersion::new(self.version);
+        self.members.insert(value.zone.clone(), ZoneObject { version, value: value.clone() });
+        PlatformReply::MembersWritten(version)
+    }
+}
--- /dev/null
+++ b/cuminarch-testing/src/virtual_fleet/run.rs
@@ -0,0 +1,395 @@
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cuminarch_config::ConfigDocument;
+use cuminarch_membership::{
+    Fleet, FleetAction, FleetEvent, FleetNotice, FleetSettings, PlatformCall, PlatformReply,
+};
+use cuminarch_protocol::{ControlMessage, Member};
+use cuminarch_types::{EndpointId, MonoTime};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::platform::Waiting;
+use super::{Counters, Network, VirtualNode, VirtualPlatform};
+
+/// Something that happens to one process of a node.
+#[derive(Clone, Debug)]
+enum Happening {
+    Tick,
+    Message(usize, ControlMessage, usize),
+    Reply(PlatformCall, PlatformReply),
+    WatchEnd(PlatformCall),
+}
+
+#[derive(Debug)]
+struct Scheduled {
+    at: MonoTime,
+    number: u64,
+    node: usize,
+    process: u64,
+    what: Happening,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.number) == (other.at, other.number)
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+/// A fleet in virtual time.
+pub struct VirtualFleet {
+    /// The platform.
+    pub platform: VirtualPlatform,
+    /// The network.
+    pub network: Network,
+    /// Breaches of what must always hold.
+    pub breaches: Vec<String>,
+    nodes: Vec<VirtualNode>,
+    by_endpoint: BTreeMap<EndpointId, usize>,
+    by_address: BTreeMap<SocketAddr, usize>,
+    links: BTreeSet<(usize, usize)>,
+    queue: BinaryHeap<Reverse<Scheduled>>,
+    number: u64,
+    now: MonoTime,
+    rng: ChaCha8Rng,
+    seeds: Vec<SocketAddr>,
+}
+
+impl VirtualFleet {
+    /// Time of one way to the platform.
+    const PLATFORM_DELAY: Duration = Duration::from_millis(4);
+    /// Header of a WebSocket frame with a mask.
+    const FRAME_BYTES: usize = 6;
+
+    /// A fleet without nodes.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            platform: VirtualPlatform::default(),
+            network: Network::default(),
+            breaches: Vec::new(),
+            nodes: Vec::new(),
+            by_endpoint: BTreeMap::new(),
+            by_address: BTreeMap::new(),
+            links: BTreeSet::new(),
+            queue: BinaryHeap::new(),
+            number: 0,
+            now: MonoTime::ZERO,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            seeds: Vec::new(),
+        }
+    }
+
+    /// Sets the seeds of nodes started from now on.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// The present time.
+    #[must_use]
+    pub const fn now(&self) -> MonoTime {
+        self.now
+    }
+
+    /// All nodes, in the order in which they were added.
+    #[must_use]
+    pub fn nodes(&self) -> &[VirtualNode] {
+        &self.nodes
+    }
+
+    /// Nodes whose process runs.
+    pub fn running(&self) -> impl Iterator<Item = &VirtualNode> {
+        self.nodes.iter().filter(|node| node.is_running)
+    }
+
+    /// Traffic of each node so far.
+    #[must_use]
+    pub fn counters(&self) -> Vec<Counters> {
+        self.nodes.iter().map(|node| node.counters).collect()
+    }
+
+    /// Adds a node and starts it. Returns its index.
+    pub fn add(&mut self, member: Member) -> usize {
+        let index = self.nodes.len();
+        self.by_endpoint.insert(member.endpoint.clone(), index);
+        self.by_address.insert(member.control_address, index);
+        let fleet = self.new_fleet(member);
+        self.nodes.push(VirtualNode {
+            fleet,
+            is_running: true,
+            process: 0,
+            paused_until: MonoTime::ZERO,
+            seen: BTreeMap::new(),
+            in_force: BTreeMap::new(),
+            revision: cuminarch_types::Revision::default(),
+            notices: Vec::new(),
+            counters: Counters::default(),
+        });
+        self.schedule_first_tick(index);
+        index
+    }
+
+    fn new_fleet(&mut self, member: Member) -> Fleet {
+        let settings = FleetSettings::new("virtual")
+            .with_seed(self.rng.random())
+            .with_seeds(self.seeds.clone());
+        Fleet::new(settings, member, self.now)
+    }
+
+    fn schedule_first_tick(&mut self, index: usize) {
+        let jitter = Fleet::TICK.mul_f64(self.rng.random_range(0.0..1.0));
+        self.schedule(index, jitter, Happening::Tick);
+    }
+
+    /// Ends a process without a word.
+    pub fn crash(&mut self, index: usize) {
+        self.nodes[index].is_running = false;
+        self.nodes[index].process += 1;
+        self.links.retain(|(left, right)| *left != index && *right != index);
+    }
+
+    /// Starts a new process of a node that has ended.
+    pub fn restart(&mut self, index: usize) {
+        self.crash(index);
+        let mut member = self.nodes[index].member().clone();
+        member.incarnation = member.incarnation.next();
+        member.statement = 0;
+        member.state = cuminarch_protocol::MemberState::Active;
+        let fleet = self.new_fleet(member);
+        let node = &mut self.nodes[index];
+        node.fleet = fleet;
+        node.is_running = true;
+        node.seen.clear();
+        node.in_force.clear();
+        node.revision = cuminarch_types::Revision::default();
+        self.schedule_first_tick(index);
+    }
+
+    /// Stops a process for a while without its knowledge.
+    pub fn pause(&mut self, index: usize, span: Duration) {
+        self.nodes[index].paused_until = self.now.after(span);
+    }
+
+    /// Lets a node announce that it leaves.
+    pub fn leave(&mut self, index: usize) {
+        self.feed(index, FleetEvent::Leave);
+    }
+
+    /// Lets a process end in order.
+    pub fn stop(&mut self, index: usize) {
+        self.feed(index, FleetEvent::Stop);
+        self.crash(index);
+    }
+
+    /// Writes a configuration to the platform.
+    pub fn publish(&mut self, document: ConfigDocument) {
+        self.platform.publish(document);
+        self.answer_watches();
+    }
+
+    /// Lets time pass.
+    pub fn run_for(&mut self, span: Duration) {
+        let until = self.now.after(span);
+        while self.queue.peek().is_some_and(|Reverse(next)| next.at <= until) {
+            let Some(Reverse(next)) = self.queue.pop() else { break };
+            self.now = next.at;
+            self.happen(next);
+        }
+        self.now = until;
+    }
+
+    /// Lets time pass until a condition holds, checked every `step`. Returns
+    /// whether it held before `limit` had passed.
+    pub fn run_until(
+        &mut self,
+        limit: Duration,
+        step: Duration,
+        is_done: impl Fn(&Self) -> bool,
+    ) -> bool {
+        let until = self.now.after(limit);
+        while self.now < until {
+            if is_done(self) {
+                return true;
+            }
+            self.run_for(step);
+        }
+        is_done(self)
+    }
+
+    fn schedule(&mut self, node: usize, delay: Duration, what: Happening) {
+        self.number += 1;
+        let process = self.nodes[node].process;
+        let at = self.now.after(delay);
+        self.queue.push(Reverse(Scheduled { at, number: self.number, node, process, what }));
+    }
+
+    fn happen(&mut self, next: Scheduled) {
+        let Scheduled { node, process, what, .. } = next;
+        if !self.nodes[node].is_running || self.nodes[node].process != process {
+            return;
+        }
+        let paused_until = self.nodes[node].paused_until;
+        if paused_until > self.now {
+            let delay = paused_until.since(self.now);
+            self.schedule(node, delay, what);
+            return;
+        }
+        match what {
+            Happening::Tick => {
+                self.feed(node, FleetEvent::Tick);
+                self.schedule(node, Fleet::TICK, Happening::Tick);
+            }
+            Happening::Message(from, message, len_bytes) => {
+                let counters = &mut self.nodes[node].counters;
+                counters.received += 1;
+                counters.received_bytes += len_bytes as u64;
+                let from = self.nodes[from].member().endpoint.clone();
+                self.feed(node, FleetEvent::Received(from, message));
+            }
+            Happening::Reply(call, reply) => self.feed(node, FleetEvent::Platform(call, reply)),
+            Happening::WatchEnd(call) => self.end_watch(node, process, call),
+        }
+    }
+
+    fn feed(&mut self, index: usize, event: FleetEvent) {
+        let now = self.now;
+        let actions = self.nodes[index].fleet.handle(event, now);
+        for action in actions {
+            match action {
+                FleetAction::Send(to, address, message) => self.send(index, &to, address, message),
+                FleetAction::Contact(address) => {
+                    if let Some(other) = self.by_address.get(&address).copied() {
+                        self.open_link(index, other);
+                    }
+                }
+                FleetAction::Platform(call) => self.call_platform(index, call),
+                FleetAction::View(member) => {
+                    if !self.nodes[index].view(&member, now) {
+                        let own = &self.nodes[index].member().endpoint;
+                        self.breaches.push(format!("{own} went back to {member:?}"));
+                    }
+                }
+                FleetAction::Policy(policy) => self.put_in_force(index, policy.revision()),
+                FleetAction::Notice(notice) => self.nodes[index].notices.push((now, notice)),
+            }
+        }
+    }
+
+    fn put_in_force(&mut self, index: usize, revision: cuminarch_types::Revision) {
+        let node = &mut self.nodes[index];
+        if revision <= node.revision {
+            self.breaches.push(format!("{} went back to {revision}", node.fleet.own().endpoint));
+        }
+        node.revision = revision;
+        node.in_force.insert(revision, self.now);
+    }
+
+    fn send(&mut self, from: usize, to: &EndpointId, address: SocketAddr, message: ControlMessage) {
+        let by_address = self.by_address.get(&address).copied();
+        let Some(to) = by_address.or_else(|| self.by_endpoint.get(to).copied()) else { return };
+        self.open_link(from, to);
+        let extra = Duration::ZERO;
+        self.transmit(from, to, message, extra);
+    }
+
+    /// Opens a link unless there is one: both sides say hello.
+    fn open_link(&mut self, from: usize, to: usize) {
+        let pair = (from.min(to), from.max(to));
+        if !self.nodes[to].is_running || !self.links.insert(pair) {
+            return;
+        }
+        self.nodes[from].counters.links += 1;
+        let hello = self.nodes[from].fleet.hello();
+        self.transmit(from, to, hello, Duration::ZERO);
+        let hello = self.nodes[to].fleet.hello();
+        self.transmit(to, from, hello, Duration::ZERO);
+    }
+
+    fn transmit(&mut self, from: usize, to: usize, message: ControlMessage, extra: Duration) {
+        let len_bytes = message.encode().map_or(0, |bytes| bytes.len()) + Self::FRAME_BYTES;
+        let counters = &mut self.nodes[from].counters;
+        counters.sent += 1;
+        counters.sent_bytes += len_bytes as u64;
+        let (sender, receiver) = (self.nodes[from].member(), self.nodes[to].member());
+        for delay in self.network.deliver(sender, receiver, &mut self.rng) {
+            let what = Happening::Message(from, message.clone(), len_bytes);
+            self.schedule(to, delay + extra, what);
+        }
+    }
+
+    fn call_platform(&mut self, node: usize, call: PlatformCall) {
+        self.platform.count(&call, self.now);
+        let zone = self.nodes[node].member().zone.clone();
+        match self.platform.answer(&call, &zone) {
+            Some(reply) => {
+                self.schedule(node, 2 * Self::PLATFORM_DELAY, Happening::Reply(call, reply));
+                self.answer_watches();
+            }
+            None => {
+                let process = self.nodes[node].process;
+                let ends_at = self.now.after(VirtualPlatform::WATCH_TIME);
+                let end = Happening::WatchEnd(call.clone());
+                self.schedule(node, VirtualPlatform::WATCH_TIME, end);
+                self.platform.waiting.push(Waiting { node, process, call, ends_at });
+            }
+        }
+    }
+
+    fn answer_watches(&mut self) {
+        for waiting in std::mem::take(&mut self.platform.waiting) {
+            let Waiting { node, process, ref call, .. } = waiting;
+            if self.nodes[node].process != process {
+                continue;
+            }
+            let zone = self.nodes[node].member().zone.clone();
+            match self.platform.answer(call, &zone) {
+                Some(reply) => {
+                    let what = Happening::Reply(call.clone(), reply);
+                    self.schedule(node, Self::PLATFORM_DELAY, what);
+                }
+                None => self.platform.waiting.push(waiting),
+            }
+        }
+    }
+
+    fn end_watch(&mut self, node: usize, process: u64, call: PlatformCall) {
+        let now = self.now;
+        let is_ended = |waiting: &Waiting| {
+            waiting.node == node && waiting.process == process && waiting.ends_at <= now
+        };
+        let Some(position) = self.platform.waiting.iter().position(is_ended) else { return };
+        self.platform.waiting.swap_remove(position);
+        let reply = self.platform.unchanged(&call);
+        self.schedule(node, Self::PLATFORM_DELAY, Happening::Reply(call, reply));
+    }
+
+    /// Takes the platform down or up; watches that wait are broken off.
+    pub fn set_platform_down(&mut self, is_down: bool) {
+        self.platform.is_down = is_down;
+        self.answer_watches();
+    }
+
+    /// Nodes that have reported something, with the count.
+    #[must_use]
+    pub fn count_notices(&self, is_wanted: impl Fn(&FleetNotice) -> bool) -> usize {
+        let notices = self.nodes.iter().flat_map(|node| &node.notices);
+        notices.filter(|(_, notice)| is_wanted(notice)).count()
+    }
+}
