--- a/cuminarch-membership/src/detector.rs
+++ b/cuminarch-membership/src/detector.rs
@@ -5,6 +5,7 @@
 //! Phillips, Currey, 2017) in that a node that hears little doubts itself.
 //! Unlike there, a member is watched by two relays, and those ask the others.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,21 +20,38 @@
 /// Most refuted suspicions that lengthen the time until the next.
 const MAX_FLAPS: u32 = 4;
 /// Fewest watched members of which a majority can be silent.
-const MIN_MAJORITY: usize = 3;
+const MIN_MAJORITY: usize = 2;
 
 impl Fleet {
     pub(crate) fn judge_members(&mut self, now: MonoTime) {
         let attached = self.topology.attached.keys();
-        let watched: Vec<EndpointId> =
+        let watched: BTreeSet<EndpointId> =
             attached.chain(&self.topology.zone_relays).chain(&self.silent).cloned().collect();
         let in_doubt: Vec<EndpointId> =
             watched.iter().filter(|endpoint| self.is_in_doubt(endpoint, now)).cloned().collect();
-        let doubts_itself = watched.len() >= MIN_MAJORITY && in_doubt.len() * 2 > watched.len();
+        let doubts_itself = self.hears_few_of(&watched, now) && !self.hears_a_relay(now);
         for endpoint in in_doubt {
             self.judge(&endpoint, doubts_itself, now);
         }
     }
 
+    /// Whether more than half of these members were not heard of lately.
+    fn hears_few_of(&self, watched: &BTreeSet<EndpointId>, now: MonoTime) -> bool {
+        let silence = self.settings.silence;
+        let is_heard = |endpoint: &&EndpointId| {
+            self.peers.get(*endpoint).is_some_and(|peer| peer.is_heard(silence, now))
+        };
+        let heard = watched.iter().filter(is_heard).count();
+        watched.len() >= MIN_MAJORITY && heard * 2 < watched.len()
+    }
+
+    /// Whether any other relay of any zone was heard of lately.
+    fn hears_a_relay(&self, now: MonoTime) -> bool {
+        let silence = self.settings.silence;
+        let mut relays = self.topology.zone_relays.iter().chain(&self.topology.other_relays);
+        relays.any(|relay| self.peers.get(relay).is_some_and(|peer| peer.is_heard(silence, now)))
+    }
+
     fn is_in_doubt(&mut self, endpoint: &EndpointId, now: MonoTime) -> bool {
         let silence = self.settings.silence;
         let is_present =
@@ -51,7 +69,6 @@
 
     fn judge(&mut self, endpoint: &EndpointId, doubts_itself: bool, now: MonoTime) {
         let vote_time = self.settings.vote_time;
-        let voters = self.topology.zone_relays.len();
         let peer = self.peer(endpoint);
         let Some(asked_at) = peer.asked_at else {
             self.ask_relays(endpoint, now);
@@ -60,7 +77,7 @@
         if now.since(asked_at) < vote_time {
             return;
         }
-        if peer.concurring == 0 && (doubts_itself && voters > 0) {
+        if peer.concurring == 0 && doubts_itself {
             peer.asked_at = None;
             return;
         }
--- a/cuminarch-membership/src/fleet.rs
+++ b/cuminarch-membership/src/fleet.rs
@@ -168,6 +168,8 @@
             self.forgive(now);
         }
         self.ticked_at = now;
+        let own = Arc::clone(&self.own);
+        self.show(&own, now);
         self.refresh_topology(now);
         self.exchange_heartbeats(now);
         self.contact_seeds(now);
