--- a/cuminarch-membership/tests/failures.rs
+++ b/cuminarch-membership/tests/failures.rs
@@ -15,7 +15,7 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 fn zone(index: usize) -> ZoneName {
-    ZONES[index].0.parse().unwrap()
+    ZONES[index].0.parse().expect("a zone")
 }
 
 fn cut_off(fleet: &mut VirtualFleet, lost: usize) {
--- a/cuminarch-membership/tests/histories.rs
+++ b/cuminarch-membership/tests/histories.rs
@@ -69,7 +69,7 @@
 }
 
 fn zone(index: usize) -> ZoneName {
-    ZONES[index].0.parse().unwrap()
+    ZONES[index].0.parse().expect("a zone")
 }
 
 fn carry_out(fleet: &mut VirtualFleet, step: &Step, revision: &mut u64) {
--- a/cuminarch-membership/tests/support/mod.rs
+++ b/cuminarch-membership/tests/support/mod.rs
@@ -19,12 +19,12 @@
 
 pub fn member(index: usize, zones: usize) -> Member {
     let (zone, region) = ZONES[index % zones];
-    let port = 10_000 + u16::try_from(index).unwrap();
+    let port = 10_000 + u16::try_from(index).expect("a valid value");
     Member {
-        endpoint: format!("service-{:03}-{index:04}", index % 160).parse().unwrap(),
-        service: format!("service-{:03}", index % 160).parse().unwrap(),
-        zone: zone.parse().unwrap(),
-        region: region.parse().unwrap(),
+        endpoint: format!("service-{:03}-{index:04}", index % 160).parse().expect("a valid value"),
+        service: format!("service-{:03}", index % 160).parse().expect("a valid value"),
+        zone: zone.parse().expect("a valid value"),
+        region: region.parse().expect("a valid value"),
         incarnation: Incarnation::new(1),
         statement: 0,
         data_address: SocketAddr::from(([10, 0, 0, 1], port)),
@@ -36,7 +36,7 @@
 pub fn document(revision: u64, grant_attempts: u64) -> ConfigDocument {
     ConfigDocument {
         revision: Revision::new(revision),
-        change: format!("change-{revision}").parse().unwrap(),
+        change: format!("change-{revision}").parse().expect("a valid value"),
         sheet: format!(
             "classes:
   - {{name: browse, grant_attempts: {grant_attempts}, deadline_ms: 1000}}
