fix: a resend reaches a leaving process that holds its answer

Cause: the router gave no target for a leaving endpoint, so that the resend of a key held there was told unknown during a graceful shutdown, although a draining node replays what it has completed. Small edit of Router::target in cuminarch-routing, whose only caller is the way to the process of a key.

--- a/cuminarch-engine/tests/keys.rs
+++ b/cuminarch-engine/tests/keys.rs
@@ -49,21 +49,22 @@
         let policy = Policy::from_sheet(Revision::new(1), &sheet).unwrap();
         let engine = Engine::new(settings, Arc::new(policy));
         let mut node = Self { engine, now: MonoTime::from_millis(1) };
-        node.know("kasse-2");
+        node.know("kasse-2", MemberState::Active);
         node
     }
 
-    /// Makes an active peer of the same service known.
-    fn know(&mut self, endpoint: &str) {
+    /// Makes a peer of the same service known.
+    fn know(&mut self, endpoint: &str, state: MemberState) {
         let peer = Member {
             endpoint: endpoint.parse().unwrap(),
             service: "kasse".parse().unwrap(),
             zone: "zrh-a".parse().unwrap(),
             region: "ch-central".parse().unwrap(),
             incarnation: Incarnation::new(5),
+            statement: 0,
             data_address: "127.0.0.1:1".parse().unwrap(),
             control_address: "127.0.0.1:2".parse().unwrap(),
-            state: MemberState::Active,
+            state,
         };
         self.handle(Event::Member(Box::new(peer)));
     }
@@ -146,9 +147,12 @@
     assert_eq!(refusal(&actions).outcome, expected);
 }
 
-#[test]
-fn key_of_another_process_is_forwarded_to_it() {
+#[rstest]
+#[case::active(MemberState::Active)]
+#[case::leaving_but_it_holds_the_answer(MemberState::Leaving)]
+fn key_of_another_process_is_forwarded_to_it(#[case] state: MemberState) {
     let mut node = Node::new();
+    node.know("kasse-2", state);
     let (call, actions) = node.arrive(approval(&RequestKey::Bound(peer_key())));
     let Action::Forward { attempt, forward, .. } = &actions[0] else { panic!("{actions:?}") };
     assert_eq!(forward.target.endpoint.as_str(), "kasse-2");
@@ -228,7 +232,7 @@
 #[test]
 fn child_that_waits_for_a_retry_is_answered_when_its_parent_ends() {
     let mut node = Node::new();
-    node.know("kasse-3");
+    node.know("kasse-3", MemberState::Active);
     let key = node.mint();
     let (parent, _) = node.arrive(approval(&key));
     let child = Arrival::outbound("kasse".parse().unwrap(), RequestId::new(7), "POST", "/")
--- a/cuminarch-engine/tests/model/site.rs
+++ b/cuminarch-engine/tests/model/site.rs
@@ -103,6 +103,7 @@
         zone: format!("zone-{}", zone(site)).parse().unwrap(),
         region: "region".parse().unwrap(),
         incarnation: Incarnation::new(incarnation),
+        statement: 0,
         data_address: format!("127.0.0.1:{}", 10_000 + site).parse().unwrap(),
         control_address: "127.0.0.1:1".parse().unwrap(),
         state,
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -91,11 +91,12 @@
         self.services.contains_key(service)
     }
 
-    /// The target of one endpoint, if it takes work.
+    /// The target of one endpoint, unless it is gone; one that is leaving still
+    /// answers for the idempotency keys that it holds.
     #[must_use]
     pub fn target(&self, endpoint: &EndpointId) -> Option<Target> {
         let entry = self.services.values().find_map(|endpoints| endpoints.get(endpoint))?;
-        (entry.member.state <= MemberState::Suspect).then(|| entry.target())
+        (entry.member.state < MemberState::Gone).then(|| entry.target())
     }
 
     /// Chooses an endpoint that is not in `exclude`.
