--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -164,6 +164,12 @@
         }
     }
 
+    /// Whether new calls are refused.
+    #[must_use]
+    pub const fn is_draining(&self) -> bool {
+        self.draining
+    }
+
     pub(crate) fn next_attempt(&mut self) -> AttemptId {
         let attempt = self.next_attempt;
         self.next_attempt = attempt.next();
--- a/cuminarch-node/src/admin.rs
+++ b/cuminarch-node/src/admin.rs
@@ -1,22 +1,32 @@
 //! Metrics, health and state dump for operators.
 
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::thread::{self, JoinHandle};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use cuminarch_engine::EngineSummary;
 use flume::Sender;
 use serde::Serialize;
-use tiny_http::{Request, Response, Server};
+use tiny_http::{Header, Method, Request, Response, Server};
 
 use crate::data::DataCommand;
+use crate::duty::{Duties, DutyState};
+use crate::metrics::Metrics;
 use crate::{NodeError, NodeSettings};
 
-/// State of a node for operators.
+type Page = Response<std::io::Cursor<Vec<u8>>>;
+
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+const JSON_TYPE: &str = "application/json";
+const TEXT_TYPE: &str = "text/plain; charset=utf-8";
+
+/// State of a node for operators. It holds no request, no body and no key.
 #[derive(Serialize)]
 struct Dump<'a> {
     settings: &'a NodeSettings,
+    duties: BTreeMap<&'static str, DutyState>,
     engine: EngineSummary,
 }
 
@@ -24,6 +34,8 @@
 pub struct AdminThread {
     pub settings: NodeSettings,
     pub commands: Sender<DataCommand>,
+    pub duties: Duties,
+    pub metrics: Metrics,
 }
 
 /// A running admin thread.
@@ -53,35 +65,72 @@
             .map_err(|error| thread_error(std::io::Error::other(error)))?;
         let server = Arc::new(server);
         let served = Arc::clone(&server);
-        let thread = thread::Builder::new()
-            .name("admin".to_owned())
-            .spawn(move || {
-                while let Ok(request) = served.recv() {
-                    self.answer(request);
-                }
-            })
-            .map_err(thread_error)?;
+        let thread = self.duties.clone().spawn("admin", move || {
+            while let Ok(request) = served.recv() {
+                self.answer(request);
+            }
+        })?;
         Ok(AdminHandle { server, thread, address })
     }
 
     fn answer(&self, request: Request) {
-        let response = match request.url() {
-            "/healthz" => Response::from_string("ok\n"),
-            "/dump" => self.dump(),
-            _ => Response::from_string("no such page\n").with_status_code(404),
+        let page = match (request.method(), request.url()) {
+            (Method::Get, "/healthz") => self.health(),
+            (Method::Get, "/dump") => self.dump(),
+            (Method::Get, "/metrics") => self.metrics(),
+            (Method::Get, _) => page(404, TEXT_TYPE, "no such page\n"),
+            _ => page(405, TEXT_TYPE, "only GET\n"),
         };
-        let _ = request.respond(response);
+        let _ = request.respond(page);
+    }
+
+    fn health(&self) -> Page {
+        let failed: Vec<&str> = self
+            .duties
+            .states()
+            .into_iter()
+            .filter(|(_, state)| matches!(state, DutyState::Failed { .. }))
+            .map(|(duty, _)| duty)
+            .collect();
+        match self.summary() {
+            _ if !failed.is_empty() => {
+                page(503, TEXT_TYPE, format!("failed: {}\n", failed.join(", ")))
+            }
+            None => silent(),
+            Some(summary) if summary.draining => page(503, TEXT_TYPE, "draining\n"),
+            Some(_) => page(200, TEXT_TYPE, "ok\n"),
+        }
+    }
+
+    fn metrics(&self) -> Page {
+        match self.summary() {
+            Some(summary) => page(200, METRICS_TYPE, self.metrics.text(&summary)),
+            None => silent(),
+        }
+    }
+
+    fn dump(&self) -> Page {
+        let Some(engine) = self.summary() else { return silent() };
+        let dump = Dump { settings: &self.settings, duties: self.duties.states(), engine };
+        page(200, JSON_TYPE, serde_json::to_string_pretty(&dump).unwrap_or_default())
     }
 
-    fn dump(&self) -> Response<std::io::Cursor<Vec<u8>>> {
+    fn summary(&self) -> Option<EngineSummary> {
         let (sender, receiver) = flume::bounded(1);
-        let asked = self.commands.send_timeout(DataCommand::Summary(sender), Self::SUMMARY_TIMEOUT);
-        let summary = asked.ok().and_then(|()| receiver.recv_timeout(Self::SUMMARY_TIMEOUT).ok());
-        let Some(engine) = summary else {
-            return Response::from_string("the data thread does not answer\n")
-                .with_status_code(503);
-        };
-        let dump = Dump { settings: &self.settings, engine };
-        Response::from_data(serde_json::to_vec_pretty(&dump).unwrap_or_default())
+        let command = DataCommand::Summary(sender);
+        self.commands.send_timeout(command, Self::SUMMARY_TIMEOUT).ok()?;
+        receiver.recv_timeout(Self::SUMMARY_TIMEOUT).ok()
+    }
+}
+
+fn silent() -> Page {
+    page(503, TEXT_TYPE, "the data thread does not answer\n")
+}
+
+fn page(status: u16, content_type: &str, text: impl Into<String>) -> Page {
+    let page = Response::from_string(text).with_status_code(status);
+    match Header::from_bytes("Content-Type", content_type) {
+        Ok(header) => page.with_header(header),
+        Err(()) => page,
     }
 }
--- a/cuminarch-node/src/control.rs
+++ b/cuminarch-node/src/control.rs
@@ -1,6 +1,6 @@
 //! Announces the endpoint on the platform and learns of members and configuration.
 
-use std::thread::{self, JoinHandle};
+use std::thread::JoinHandle;
 
 use cuminarch_config::{ConfigDocument, ConfigGate, GateDecision};
 use cuminarch_engine::ClaimResult;
@@ -12,9 +12,18 @@
 
 use crate::NodeError;
 use crate::data::{ClaimRequest, DataCommand};
+use crate::duty::Duties;
 use crate::event::NodeEvent;
 use crate::timer::Subscription;
 
+/// What the control thread wakes for.
+enum Wake {
+    Stop,
+    Leave,
+    Claim(ClaimRequest),
+    Tick,
+}
+
 /// Everything the control thread starts with.
 pub struct ControlThread {
     pub member: Member,
@@ -22,39 +31,42 @@
     pub ticks: Subscription,
     pub claims: Receiver<ClaimRequest>,
     pub commands: Sender<DataCommand>,
+    /// Told when the node takes no new calls.
+    pub leave: Receiver<()>,
+    /// Closes when the node's calls have ended.
     pub stop: Receiver<()>,
 }
 
 impl ControlThread {
     /// Starts the thread; it ends when the stop channel closes.
-    pub fn spawn(self) -> Result<JoinHandle<()>, NodeError> {
-        thread::Builder::new()
-            .name("control".to_owned())
-            .spawn(move || self.run())
-            .map_err(|source| NodeError::Thread { duty: "control", source })
+    pub fn spawn(self, duties: &Duties) -> Result<JoinHandle<()>, NodeError> {
+        duties.spawn("control", move || self.run())
     }
 
-    fn run(self) {
+    fn run(mut self) {
         let mut table = MemberTable::new();
         let mut gate = ConfigGate::new();
         let mut available = true;
         self.refresh(&mut table, &mut gate, &mut available);
         loop {
-            let is_stopped = flume::Selector::new()
-                .recv(&self.stop, |_| true)
-                .recv(&self.claims, |claim| claim.map(|claim| self.claim(&claim)).is_err())
-                .recv(&self.ticks, |_| {
-                    self.refresh(&mut table, &mut gate, &mut available);
-                    false
-                })
+            let wake = flume::Selector::new()
+                .recv(&self.stop, |_| Wake::Stop)
+                .recv(&self.leave, |told| told.map_or(Wake::Stop, |()| Wake::Leave))
+                .recv(&self.claims, |claim| claim.map_or(Wake::Stop, Wake::Claim))
+                .recv(&self.ticks, |_| Wake::Tick)
                 .wait();
-            if is_stopped {
-                break;
+            match wake {
+                Wake::Stop => break,
+                Wake::Leave => {
+                    self.member.state = MemberState::Leaving;
+                    let _ = self.announce(&self.member);
+                }
+                Wake::Claim(claim) => self.claim(&claim),
+                Wake::Tick => self.refresh(&mut table, &mut gate, &mut available),
             }
         }
-        let mut member = self.member.clone();
-        member.state = MemberState::Gone;
-        let _ = self.announce(&member);
+        self.member.state = MemberState::Gone;
+        let _ = self.announce(&self.member);
     }
 
     fn refresh(&self, table: &mut MemberTable, gate: &mut ConfigGate, available: &mut bool) {
--- /dev/null
+++ b/cuminarch-node/src/data/answer.rs
@@ -0,0 +1,249 @@
+//! Answers as they pass through the node.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cuminarch_engine::{Action, Event, LocalEnd};
+use cuminarch_once::StoredAnswer;
+use cuminarch_protocol::{AnswerFrame, AnswerHead, Receipt};
+use cuminarch_types::{AttemptId, Outcome};
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+
+use super::body::{BODY_IDLE_TIMEOUT, BrokenBody, next_chunk};
+use super::driver::CallGuard;
+use super::link_client::Link;
+use super::local::LocalConnection;
+use crate::metrics::Metrics;
+
+/// Answer of the own upstream, kept while it passes if it is short.
+pub struct LocalSource {
+    pub incoming: Incoming,
+    pub connection: LocalConnection,
+    pub kept: Option<StoredAnswer>,
+    pub node_time: NodeTime,
+}
+
+/// Measures the time that a call spends in the node itself.
+pub struct NodeTime {
+    pub metrics: Metrics,
+    pub before_upstream: Duration,
+    pub head_at: Instant,
+}
+
+impl NodeTime {
+    fn record(&self) {
+        self.metrics.node_time(self.before_upstream + self.head_at.elapsed());
+    }
+}
+
+/// Part of an answer whose call goes on without its caller.
+#[derive(Debug)]
+pub enum DetachedItem {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// The body is whole.
+    End(Receipt),
+    /// The body broke off.
+    Broken(Receipt),
+}
+
+/// Where the body of an answer comes from.
+pub enum AnswerSource {
+    /// The own upstream.
+    Local(Box<LocalSource>),
+    /// Another node.
+    Remote(AttemptId, Box<Link>),
+    /// Memory.
+    Held(Bytes),
+    /// A task that carries the call to its end.
+    Detached(mpsc::Receiver<DetachedItem>),
+}
+
+/// Body of an answer that is passed on as it comes.
+///
+/// The last part of a body of known length is handed out only once the body is
+/// known to be whole: who writes it out asks for nothing after that part.
+pub struct AnswerBody {
+    source: Option<AnswerSource>,
+    guard: Option<CallGuard>,
+    receipt: Receipt,
+    left_bytes: Option<u64>,
+}
+
+impl AnswerBody {
+    /// Longest answer that is kept for resends of its idempotency key.
+    const MAX_KEPT_BYTES: usize = 64 * 1024;
+
+    /// The body of a call in progress.
+    pub fn new(guard: CallGuard, source: AnswerSource, len_bytes: Option<u64>) -> Self {
+        let receipt = Receipt::default();
+        Self { source: Some(source), guard: Some(guard), receipt, left_bytes: len_bytes }
+    }
+
+    /// A body held in memory, of a call that is over.
+    pub const fn held(bytes: Bytes, receipt: Receipt) -> Self {
+        let source = Some(AnswerSource::Held(bytes));
+        Self { source, guard: None, receipt, left_bytes: None }
+    }
+
+    /// The body of a call that another task carries to its end.
+    pub fn detached(items: mpsc::Receiver<DetachedItem>, len_bytes: Option<u64>) -> Self {
+        let source = Some(AnswerSource::Detached(items));
+        Self { source, guard: None, receipt: Receipt::default(), left_bytes: len_bytes }
+    }
+
+    /// What the call leaves of its share; known once the body has ended.
+    pub const fn receipt(&self) -> Receipt {
+        self.receipt
+    }
+
+    /// Takes in the end of a body that has no bytes.
+    pub async fn finish(&mut self) -> Result<(), BrokenBody> {
+        match self.pull().await {
+            None => Ok(()),
+            Some(_) => Err(BrokenBody),
+        }
+    }
+
+    /// The next part; none once the body is whole.
+    pub async fn next(&mut self) -> Option<Result<Bytes, BrokenBody>> {
+        let bytes = match self.pull().await? {
+            Ok(bytes) => bytes,
+            Err(broken) => return Some(Err(broken)),
+        };
+        let Some(left) = self.left_bytes else { return Some(Ok(bytes)) };
+        let len_bytes = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
+        let Some(left) = left.checked_sub(len_bytes) else {
+            self.source = None;
+            return Some(Err(BrokenBody));
+        };
+        self.left_bytes = Some(left);
+        if left == 0 && self.finish().await.is_err() {
+            return Some(Err(BrokenBody));
+        }
+        Some(Ok(bytes))
+    }
+
+    async fn pull(&mut self) -> Option<Result<Bytes, BrokenBody>> {
+        match self.source.take()? {
+            AnswerSource::Local(source) => self.pull_local(source).await,
+            AnswerSource::Remote(attempt, link) => self.pull_remote(attempt, link).await,
+            AnswerSource::Held(bytes) => (!bytes.is_empty()).then_some(Ok(bytes)),
+            AnswerSource::Detached(items) => self.pull_detached(items).await,
+        }
+    }
+
+    async fn pull_local(
+        &mut self,
+        mut source: Box<LocalSource>,
+    ) -> Option<Result<Bytes, BrokenBody>> {
+        match next_chunk(&mut source.incoming).await {
+            Ok(Some(chunk)) => {
+                keep(&mut source.kept, &chunk);
+                self.source = Some(AnswerSource::Local(source));
+                Some(Ok(chunk))
+            }
+            Ok(None) => {
+                source.connection.release();
+                source.node_time.record();
+                self.close_local(LocalEnd::Complete(source.kept.map(Box::new)));
+                None
+            }
+            Err(broken) => {
+                self.close_local(LocalEnd::Broken);
+                Some(Err(broken))
+            }
+        }
+    }
+
+    async fn pull_remote(
+        &mut self,
+        attempt: AttemptId,
+        mut link: Box<Link>,
+    ) -> Option<Result<Bytes, BrokenBody>> {
+        match link.receive(BODY_IDLE_TIMEOUT).await {
+            Ok(AnswerFrame::Body(bytes)) => {
+                self.source = Some(AnswerSource::Remote(attempt, link));
+                Some(Ok(bytes))
+            }
+            Ok(AnswerFrame::BodyEnd(receipt)) => {
+                link.release();
+                self.close_remote(attempt, Some(receipt), Outcome::Completed);
+                None
+            }
+            Ok(AnswerFrame::Broken(receipt)) => {
+                link.release();
+                self.close_remote(attempt, Some(receipt), Outcome::Unknown);
+                Some(Err(BrokenBody))
+            }
+            Ok(_) | Err(_) => {
+                self.close_remote(attempt, None, Outcome::Unknown);
+                Some(Err(BrokenBody))
+            }
+        }
+    }
+
+    async fn pull_detached(
+        &mut self,
+        mut items: mpsc::Receiver<DetachedItem>,
+    ) -> Option<Result<Bytes, BrokenBody>> {
+        match items.recv().await {
+            Some(DetachedItem::Data(bytes)) => {
+                self.source = Some(AnswerSource::Detached(items));
+                Some(Ok(bytes))
+            }
+            Some(DetachedItem::End(receipt)) => {
+                self.receipt = receipt;
+                None
+            }
+            Some(DetachedItem::Broken(receipt)) => {
+                self.receipt = receipt;
+                Some(Err(BrokenBody))
+            }
+            None => Some(Err(BrokenBody)),
+        }
+    }
+
+    fn close_local(&mut self, end: LocalEnd) {
+        let Some(guard) = self.guard.as_mut() else { return };
+        let outcome = match &end {
+            LocalEnd::Complete(_) => Outcome::Completed,
+            LocalEnd::Broken => Outcome::Unknown,
+        };
+        guard.driver().post(Event::LocalEnd(guard.call(), end));
+        self.close(outcome);
+    }
+
+    fn close_remote(&mut self, attempt: AttemptId, receipt: Option<Receipt>, outcome: Outcome) {
+        let Some(guard) = self.guard.as_mut() else { return };
+        guard.driver().post(Event::RemoteEnd { call: guard.call(), attempt, receipt });
+        self.close(outcome);
+    }
+
+    fn close(&mut self, outcome: Outcome) {
+        let Some(mut guard) = self.guard.take() else { return };
+        guard.end(outcome);
+        while let Some(action) = guard.try_next() {
+            if let Action::Close { receipt, .. } = action {
+                self.receipt = receipt;
+            }
+        }
+    }
+}
+
+/// Adds a part to a kept answer; gives the answer up once it is too long.
+fn keep(kept: &mut Option<StoredAnswer>, chunk: &[u8]) {
+    let Some(answer) = kept else { return };
+    if answer.body.len() + chunk.len() > AnswerBody::MAX_KEPT_BYTES {
+        *kept = None;
+    } else {
+        answer.body.extend_from_slice(chunk);
+    }
+}
+
+/// Status and header fields of an answer, with its body.
+pub struct Answer {
+    pub head: AnswerHead,
+    pub body: AnswerBody,
+}
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -4,17 +4,22 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use cuminarch_config::Policy;
+use cuminarch_engine::Direction as CallDirection;
 use cuminarch_engine::{Action, Arrival, ClaimResult, Engine, EngineSummary, Event};
 use cuminarch_once::BoundKey;
 use cuminarch_protocol::Member;
-use cuminarch_types::{CallId, ClientKey};
+use cuminarch_types::{CallId, ClientKey, Outcome};
 use flume::{Receiver, Sender};
+use log::warn;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
 use crate::clock::Clock;
+use crate::event::NodeEvent;
+use crate::metrics::{Direction, Metrics};
 
 /// What other threads ask of the data thread.
 #[derive(Debug)]
@@ -29,8 +34,8 @@
     Drain,
     /// Report the engine's state.
     Summary(Sender<EngineSummary>),
-    /// End once no call is in progress.
-    Stop,
+    /// End once no call is in progress, or after this time.
+    Stop(Duration),
 }
 
 /// A client's key to be bound on the platform.
@@ -56,17 +61,28 @@
     clock: Clock,
     claims: Sender<ClaimRequest>,
     changed: Rc<Notify>,
+    metrics: Metrics,
 }
 
 impl Driver {
-    pub fn new(engine: Engine, clock: Clock, claims: Sender<ClaimRequest>) -> Self {
-        let state = State { engine, mailboxes: BTreeMap::new() };
-        Self { state: Rc::new(RefCell::new(state)), clock, claims, changed: Rc::new(Notify::new()) }
+    pub fn new(
+        engine: Engine,
+        clock: Clock,
+        claims: Sender<ClaimRequest>,
+        metrics: Metrics,
+    ) -> Self {
+        let state = Rc::new(RefCell::new(State { engine, mailboxes: BTreeMap::new() }));
+        Self { state, clock, claims, changed: Rc::new(Notify::new()), metrics }
     }
 
     /// Hands a call to the engine.
     pub fn begin(&self, arrival: Arrival) -> CallGuard {
         let (sender, mailbox) = mpsc::unbounded_channel();
+        let direction = match arrival.direction {
+            CallDirection::Inbound => Direction::Inbound,
+            CallDirection::Outbound(_) => Direction::Outbound,
+        };
+        let begun_at = Instant::now();
         let call = {
             let mut state = self.state.borrow_mut();
             let call = state.engine.next_call();
@@ -74,7 +90,7 @@
             call
         };
         self.post(Event::arrive(call, arrival));
-        CallGuard { driver: self.clone(), call, mailbox }
+        CallGuard { driver: self.clone(), call, mailbox, direction, begun_at, is_over: false }
     }
 
     /// Feeds the engine and hands its actions to the tasks of their calls.
@@ -102,12 +118,17 @@
         self.state.borrow().mailboxes.len()
     }
 
+    /// Whether new calls are refused.
+    pub fn is_draining(&self) -> bool {
+        self.state.borrow().engine.is_draining()
+    }
+
     /// Ticks the engine whenever it asks for it, forever.
     pub async fn run_timers(self) {
         const MAX_SLEEP_MS: u64 = 20;
         loop {
             let now = self.clock.now();
-            let latest = now.after(std::time::Duration::from_millis(MAX_SLEEP_MS));
+            let latest = now.after(Duration::from_millis(MAX_SLEEP_MS));
             let (wake, is_idle) = {
                 let state = self.state.borrow();
                 let wake = state.engine.next_wake().map_or(latest, |wake| wake.min(latest));
@@ -125,8 +146,10 @@
         }
     }
 
-    /// Carries out what other threads ask, until told to stop.
-    pub async fn run_commands(self, commands: Receiver<DataCommand>) {
+    /// Carries out what other threads ask, until told to stop. Returns the
+    /// longest time that calls in progress may still take, or nothing if there
+    /// is nobody left who could tell.
+    pub async fn run_commands(self, commands: Receiver<DataCommand>) -> Option<Duration> {
         while let Ok(command) = commands.recv_async().await {
             match command {
                 DataCommand::Policy(policy) => {
@@ -138,17 +161,25 @@
                 DataCommand::Summary(reply) => {
                     let _ = reply.try_send(self.state.borrow().engine.summary());
                 }
-                DataCommand::Stop => break,
+                DataCommand::Stop(timeout) => return Some(timeout),
             }
         }
+        None
+    }
+
+    /// Waits until no call is in progress.
+    pub async fn idle(&self) {
+        const POLL_PERIOD: Duration = Duration::from_millis(5);
         while self.calls() > 0 {
-            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            tokio::time::sleep(POLL_PERIOD).await;
         }
     }
 
     fn claim(&self, call: CallId, key: ClientKey, bound: BoundKey) {
         let request = ClaimRequest { call, key, bound };
         if self.claims.try_send(request).is_err() {
+            self.metrics.ring_full();
+            warn!("{} ring=claims", NodeEvent::RingFull);
             let driver = self.clone();
             tokio::task::spawn_local(async move {
                 driver.post(Event::Claimed(call, ClaimResult::Unavailable));
@@ -162,6 +193,9 @@
     driver: Driver,
     call: CallId,
     mailbox: Mailbox,
+    direction: Direction,
+    begun_at: Instant,
+    is_over: bool,
 }
 
 impl CallGuard {
@@ -182,10 +216,19 @@
     pub fn try_next(&mut self) -> Option<Action> {
         self.mailbox.try_recv().ok()
     }
+
+    /// Notes how the call ended.
+    pub fn end(&mut self, outcome: Outcome) {
+        if !self.is_over {
+            self.is_over = true;
+            self.driver.metrics.call_ended(self.direction, outcome, self.begun_at.elapsed());
+        }
+    }
 }
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
+        self.end(Outcome::Unknown);
         self.driver.state.borrow_mut().mailboxes.remove(&self.call);
         self.driver.post(Event::Cancel(self.call));
     }
--- a/cuminarch-node/src/data/link_client.rs
+++ b/cuminarch-node/src/data/link_client.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use cuminarch_engine::{Event, Forward, Refusal, RefusalReason, RemoteRefusal};
 use cuminarch_protocol::{
     AnswerFrame, AnswerHead, CallFrame, CallHead, FrameLimit, ProtocolError, RefusalHead,
@@ -15,11 +16,16 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio_tungstenite::WebSocketStream;
-use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::{self, Message};
 
-use super::body::{AnswerSource, RequestBody, next_chunk};
+use super::answer::AnswerSource;
+use super::body::{RequestBody, parts};
+use super::link_hello::{LinkHello, link_config};
 use super::runner::DataContext;
+use super::upload::{Upload, UploadStream};
+
+/// WebSocket of a data link.
+pub type LinkSocket = WebSocketStream<TcpStream>;
 
 /// A data link that failed.
 #[derive(Debug, Error)]
@@ -39,49 +45,56 @@
     /// The peer was silent for too long.
     #[error("no answer in time")]
     Timeout,
-    /// The body of the request broke off.
-    #[error("the request body broke off")]
-    Body,
 }
 
 /// Idle links by address.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct LinkPool {
-    idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<WebSocketStream<TcpStream>>>>>,
+    hello: LinkHello,
+    peers: Rc<RefCell<BTreeMap<SocketAddr, Peer>>>,
+}
+
+/// Links to one peer.
+#[derive(Default)]
+struct Peer {
+    idle: Vec<LinkSocket>,
+    in_use: usize,
 }
 
 /// A link in use; released ones are used again.
 pub struct Link {
-    socket: WebSocketStream<TcpStream>,
+    socket: Option<Socket>,
     address: SocketAddr,
     pool: LinkPool,
 }
 
-/// Bounds of the WebSocket layer on data links.
-pub fn link_config() -> WebSocketConfig {
-    WebSocketConfig::default()
-        .max_message_size(Some(FrameLimit::DATA.as_bytes()))
-        .max_frame_size(Some(FrameLimit::DATA.as_bytes()))
-        .read_buffer_size(16 * 1024)
-        .write_buffer_size(16 * 1024)
-        .max_write_buffer_size(1024 * 1024)
+enum Socket {
+    Whole(Box<LinkSocket>),
+    Uploading(UploadStream, Upload),
 }
 
 impl LinkPool {
     const MAX_IDLE_PER_PEER: usize = 64;
+    const MAX_IN_USE_PER_PEER: usize = 1_024;
     const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+    /// No links yet.
+    pub fn new(hello: LinkHello) -> Self {
+        Self { hello, peers: Rc::new(RefCell::new(BTreeMap::new())) }
+    }
+
     async fn take(&self, address: SocketAddr) -> Result<Link, LinkError> {
-        let idle = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop);
-        if let Some(socket) = idle
-            && !is_closed(&socket)
-        {
-            return Ok(Link { socket, address, pool: self.clone() });
+        let mut link = self.reserve(address)?;
+        while let Some(socket) = self.pop(address) {
+            if is_open(&socket) {
+                link.socket = Some(Socket::Whole(Box::new(socket)));
+                return Ok(link);
+            }
         }
         let open = async {
             let stream = TcpStream::connect(address).await.ok()?;
             stream.set_nodelay(true).ok()?;
-            let url = format!("ws://{address}/data");
+            let url = self.hello.url(address);
             let config = Some(link_config());
             let (socket, _) =
                 tokio_tungstenite::client_async_with_config(url, stream, config).await.ok()?;
@@ -89,33 +102,95 @@
         };
         let socket = tokio::time::timeout(Self::CONNECT_TIMEOUT, open).await;
         let socket = socket.ok().flatten().ok_or(LinkError::Connect)?;
-        Ok(Link { socket, address, pool: self.clone() })
+        link.socket = Some(Socket::Whole(Box::new(socket)));
+        Ok(link)
+    }
+
+    /// Closes the links that no call uses.
+    pub fn close_idle(&self) {
+        for peer in self.peers.borrow_mut().values_mut() {
+            peer.idle.clear();
+        }
+    }
+
+    fn pop(&self, address: SocketAddr) -> Option<LinkSocket> {
+        self.peers.borrow_mut().get_mut(&address)?.idle.pop()
+    }
+
+    /// Counts a link that is about to be used.
+    fn reserve(&self, address: SocketAddr) -> Result<Link, LinkError> {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(address).or_default();
+        if peer.in_use >= Self::MAX_IN_USE_PER_PEER {
+            return Err(LinkError::Connect);
+        }
+        peer.in_use += 1;
+        Ok(Link { socket: None, address, pool: self.clone() })
+    }
+
+    fn put_back(&self, address: SocketAddr, socket: LinkSocket) {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(address).or_default();
+        if peer.idle.len() < Self::MAX_IDLE_PER_PEER {
+            peer.idle.push(socket);
+        }
+    }
+
+    fn forget(&self, address: SocketAddr) {
+        let mut peers = self.peers.borrow_mut();
+        if let Some(peer) = peers.get_mut(&address) {
+            peer.in_use = peer.in_use.saturating_sub(1);
+            if peer.in_use == 0 && peer.idle.is_empty() {
+                peers.remove(&address);
+            }
+        }
     }
 }
 
-/// Whether the peer has closed an idle link, as far as the socket shows.
-fn is_closed(socket: &WebSocketStream<TcpStream>) -> bool {
+/// Whether the peer has left an idle link open, as far as the socket shows.
+fn is_open(socket: &LinkSocket) -> bool {
     let mut byte = [0_u8; 1];
     match socket.get_ref().try_read(&mut byte) {
-        Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
-        Ok(_) => true,
+        Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
+        Ok(_) => false,
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.pool.forget(self.address);
     }
 }
 
 impl Link {
     /// Gives the link back for other calls.
-    pub fn release(self) {
-        let mut idle = self.pool.idle.borrow_mut();
-        let links = idle.entry(self.address).or_default();
-        if links.len() < LinkPool::MAX_IDLE_PER_PEER {
-            links.push(self.socket);
+    pub fn release(mut self) {
+        match self.socket.take() {
+            Some(Socket::Whole(socket)) => {
+                self.pool.put_back(self.address, *socket);
+            }
+            Some(Socket::Uploading(stream, upload)) => {
+                tokio::task::spawn_local(async move {
+                    if let Some(socket) = upload.stop(stream).await {
+                        self.socket = Some(Socket::Whole(Box::new(socket)));
+                        self.release();
+                    }
+                });
+            }
+            None => {}
         }
     }
 
     /// The next frame of the answer.
     pub async fn receive(&mut self, timeout: Duration) -> Result<AnswerFrame, LinkError> {
         loop {
-            let message = tokio::time::timeout(timeout, self.socket.next()).await;
+            let next = async {
+                match self.socket.as_mut()? {
+                    Socket::Whole(socket) => socket.next().await,
+                    Socket::Uploading(stream, _) => stream.next().await,
+                }
+            };
+            let message = tokio::time::timeout(timeout, next).await;
             match message.map_err(|_| LinkError::Timeout)? {
                 Some(Ok(Message::Binary(bytes))) => {
                     return Ok(AnswerFrame::decode(&bytes, FrameLimit::DATA)?);
@@ -127,35 +202,39 @@
         }
     }
 
-    async fn feed(&mut self, frame: &CallFrame) -> Result<(), LinkError> {
-        let message = Message::Binary(frame.encode()?.into());
-        self.socket.feed(message).await.map_err(|error| Box::new(error).into())
-    }
-
+    /// Sends a call; a body that is still coming is sent by a task of its own,
+    /// so that an early answer is read meanwhile.
     async fn send(&mut self, head: CallHead, body: &mut RequestBody) -> Result<(), LinkError> {
-        self.feed(&CallFrame::Head(Box::new(head))).await?;
+        let Some(Socket::Whole(mut socket)) = self.socket.take() else {
+            return Err(LinkError::Closed);
+        };
+        feed(&mut socket, &CallFrame::Head(Box::new(head))).await?;
+        let body = match body {
+            RequestBody::Held(bytes) => RequestBody::Held(bytes.clone()),
+            RequestBody::Passed(..) => std::mem::replace(body, RequestBody::Held(Bytes::new())),
+        };
         match body {
             RequestBody::Held(bytes) => {
-                for chunk in bytes.chunks(RequestBody::MAX_HELD_BYTES) {
-                    self.feed(&CallFrame::Body(chunk.to_vec())).await?;
+                for part in parts(bytes) {
+                    feed(&mut socket, &CallFrame::Body(part)).await?;
                 }
+                feed(&mut socket, &CallFrame::BodyEnd).await?;
+                socket.flush().await.map_err(Box::new)?;
+                self.socket = Some(Socket::Whole(socket));
             }
-            RequestBody::Caller(first, incoming) => {
-                for chunk in first.chunks(RequestBody::MAX_HELD_BYTES) {
-                    self.feed(&CallFrame::Body(chunk.to_vec())).await?;
-                }
-                while let Some(chunk) = next_chunk(incoming).await.map_err(|_| LinkError::Body)? {
-                    for part in chunk.chunks(RequestBody::MAX_HELD_BYTES) {
-                        self.feed(&CallFrame::Body(part.to_vec())).await?;
-                    }
-                }
+            RequestBody::Passed(first, reader) => {
+                let (upload, stream) = Upload::start(*socket, first, reader);
+                self.socket = Some(Socket::Uploading(stream, upload));
             }
         }
-        self.feed(&CallFrame::BodyEnd).await?;
-        self.socket.flush().await.map_err(|error| Box::new(error).into())
+        Ok(())
     }
 }
 
+async fn feed(socket: &mut LinkSocket, frame: &CallFrame) -> Result<(), LinkError> {
+    socket.feed(Message::Binary(frame.encode()?)).await.map_err(|error| Box::new(error).into())
+}
+
 /// Sends one attempt to another node. Returns nothing if there is no answer;
 /// the engine knows by then.
 pub async fn send_call(
@@ -171,6 +250,7 @@
         driver.post(Event::RemoteLost { call, attempt, sent: false });
         return None;
     };
+    context.metrics.attempt_sent();
     let answer = match link.send(head, body).await {
         Ok(()) => link.receive(forward.remaining).await,
         Err(error) => Err(error),
--- a/cuminarch-node/src/data/link_server.rs
+++ b/cuminarch-node/src/data/link_server.rs
@@ -1,47 +1,66 @@
 //! Calls from other nodes to the own upstream.
 
-use std::time::Duration;
+use std::cell::Cell;
+use std::pin::pin;
+use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cuminarch_engine::{Arrival, Refusal};
 use cuminarch_protocol::{AnswerFrame, CallFrame, CallHead, FrameLimit, Receipt, RefusalHead};
+use futures_util::future::poll_immediate;
+use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use log::debug;
 use tokio::net::TcpStream;
-use tokio_tungstenite::WebSocketStream;
+use tokio::sync::mpsc;
 use tokio_tungstenite::tungstenite::Message;
 
-use super::body::{Answer, RequestBody};
-use super::link_client::link_config;
-use super::runner::{CallRequest, DataContext, Reply, run_call};
+use super::answer::Answer;
+use super::body::{BODY_IDLE_TIMEOUT, BodyReader, LinkItem, RequestBody, parts};
+use super::connections::Connection;
+use super::detached::carry_call;
+use super::link_client::LinkSocket;
+use super::link_hello::link_config;
+use super::runner::{CallRequest, DataContext, Reply};
 use crate::event::NodeEvent;
 use crate::headers;
 
-type Socket = WebSocketStream<TcpStream>;
+type Sink = SplitSink<LinkSocket, Message>;
+type Stream = SplitStream<LinkSocket>;
 
-/// Serves one data link until the peer closes it.
-pub async fn serve_link(context: DataContext, stream: TcpStream) {
+/// Longest time to open a link.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
+/// Parts of a request body that wait for the upstream.
+const UPLOAD_RING: usize = 2;
+/// Longest time that a refused body is read and discarded.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Serves one data link until the peer closes it or the node stops.
+pub async fn serve_link(context: DataContext, stream: TcpStream, mut connection: Connection) {
+    let hello = context.hello.clone();
     let config = Some(link_config());
-    let Ok(mut socket) = tokio_tungstenite::accept_async_with_config(stream, config).await else {
+    let open = tokio_tungstenite::accept_hdr_async_with_config(stream, hello, config);
+    let Ok(Ok(socket)) = tokio::time::timeout(OPEN_TIMEOUT, open).await else {
+        debug!("{} data link was not opened", NodeEvent::ConnectionFault);
         return;
     };
-    while let Some(head) = receive_head(&mut socket).await {
-        if serve_call(&context, &mut socket, head).await.is_none() {
-            return;
+    let (mut sink, mut stream) = socket.split();
+    loop {
+        let head = tokio::select! {
+            frame = receive(&mut stream) => frame,
+            () = connection.stopping() => break,
+        };
+        let Some(CallFrame::Head(head)) = head else { break };
+        if serve_call(&context, &mut sink, &mut stream, *head).await.is_none() {
+            break;
         }
     }
+    let _ = sink.close().await;
 }
 
-async fn receive_head(socket: &mut Socket) -> Option<Box<CallHead>> {
-    match receive(socket).await? {
-        CallFrame::Head(head) => Some(head),
-        _ => None,
-    }
-}
-
-async fn receive(socket: &mut Socket) -> Option<CallFrame> {
+async fn receive(stream: &mut Stream) -> Option<CallFrame> {
     loop {
-        match socket.next().await? {
+        match stream.next().await? {
             Ok(Message::Binary(bytes)) => match CallFrame::decode(&bytes, FrameLimit::DATA) {
                 Ok(frame) => return Some(frame),
                 Err(error) => {
@@ -55,72 +74,154 @@
     }
 }
 
-async fn serve_call(context: &DataContext, socket: &mut Socket, head: Box<CallHead>) -> Option<()> {
-    let body = receive_body(socket).await?;
-    let arrival = Arrival::inbound(head.root, &head.method, &head.target)
+async fn receive_in_time(stream: &mut Stream) -> Option<CallFrame> {
+    tokio::time::timeout(BODY_IDLE_TIMEOUT, receive(stream)).await.ok()?
+}
+
+async fn serve_call(
+    context: &DataContext,
+    sink: &mut Sink,
+    stream: &mut Stream,
+    head: CallHead,
+) -> Option<()> {
+    let (upload, items) = mpsc::channel(UPLOAD_RING);
+    let body = receive_body(stream, items).await?;
+    let is_ended = Cell::new(body.is_held());
+    {
+        let mut gone = pin!(pump(stream, upload, &is_ended));
+        let reply = tokio::select! {
+            biased;
+            reply = carry_call(context, arrival(&head, &body), request(head, body)) => reply,
+            () = &mut gone => return None,
+        };
+        tokio::select! {
+            biased;
+            sent = send_reply(sink, reply) => sent?,
+            () = &mut gone => return None,
+        }
+    }
+    if is_ended.get() {
+        return Some(());
+    }
+    tokio::time::timeout(DISCARD_TIMEOUT, discard(stream)).await.ok()?
+}
+
+fn arrival(head: &CallHead, body: &RequestBody) -> Arrival {
+    Arrival::inbound(head.root, &head.method, &head.target)
         .with_share(head.share, head.rank)
         .with_remaining(Some(Duration::from_millis(head.remaining_ms)))
         .with_idempotent(head.idempotent)
-        .with_key(head.key.as_ref().and_then(|key| headers::parse_key(key).ok()));
-    let request = CallRequest {
+        .with_replayable(body.is_held())
+        .with_key(head.key.as_ref().and_then(|key| headers::parse_key(key).ok()))
+}
+
+fn request(head: CallHead, body: RequestBody) -> CallRequest {
+    CallRequest {
         root: head.root,
         service: head.service,
         method: head.method,
         target: head.target,
         headers: head.headers,
-        body: RequestBody::Held(body),
+        body,
         body_len_bytes: head.body_len_bytes,
+        received_at: Instant::now(),
+    }
+}
+
+/// Reads the beginning of a request body, all of it if it is short.
+async fn receive_body(stream: &mut Stream, items: mpsc::Receiver<LinkItem>) -> Option<RequestBody> {
+    let mut held = match receive_in_time(stream).await? {
+        CallFrame::Body(first) => first,
+        CallFrame::BodyEnd => return Some(RequestBody::Held(Bytes::new())),
+        CallFrame::Head(_) | CallFrame::Cancel => return None,
     };
-    let reply = tokio::select! {
-        reply = run_call(context, arrival, request) => reply,
-        _ = receive(socket) => return None,
-    };
-    match reply {
-        Reply::Answer(answer) => send_answer(socket, *answer).await,
-        Reply::Refusal(refusal, receipt) => {
-            let frame = AnswerFrame::Refusal(Box::new(refusal_head(&refusal, receipt)));
-            feed(socket, &frame).await?;
-            socket.flush().await.ok()
+    while held.len() < RequestBody::MAX_HELD_BYTES {
+        match receive_in_time(stream).await? {
+            CallFrame::Body(bytes) => {
+                let mut joined = BytesMut::from(held);
+                joined.extend_from_slice(&bytes);
+                held = joined.freeze();
+            }
+            CallFrame::BodyEnd => return Some(RequestBody::Held(held)),
+            CallFrame::Head(_) | CallFrame::Cancel => return None,
         }
     }
+    Some(RequestBody::Passed(held, BodyReader::Link(items)))
 }
 
-async fn receive_body(socket: &mut Socket) -> Option<Bytes> {
-    let mut body = Vec::new();
+/// Reads the rest of a request body into `upload`, as fast as it is taken, and
+/// then waits. Returns when the peer breaks off or closes the link.
+async fn pump(stream: &mut Stream, upload: mpsc::Sender<LinkItem>, is_ended: &Cell<bool>) {
+    while !is_ended.get() {
+        let item = match receive_in_time(stream).await {
+            Some(CallFrame::Body(bytes)) => LinkItem::Data(bytes),
+            Some(CallFrame::BodyEnd) => {
+                is_ended.set(true);
+                LinkItem::End
+            }
+            Some(CallFrame::Head(_) | CallFrame::Cancel) | None => return,
+        };
+        let _ = upload.send(item).await;
+    }
+    let _ = receive(stream).await;
+}
+
+/// Reads the rest of a body that nobody wants.
+async fn discard(stream: &mut Stream) -> Option<()> {
     loop {
-        match receive(socket).await? {
-            CallFrame::Body(bytes) => body.extend_from_slice(&bytes),
-            CallFrame::BodyEnd => return Some(Bytes::from(body)),
-            CallFrame::Head(_) | CallFrame::Cancel => return None,
+        match receive(stream).await? {
+            CallFrame::Body(_) => {}
+            CallFrame::BodyEnd | CallFrame::Cancel => return Some(()),
+            CallFrame::Head(_) => return None,
         }
     }
 }
 
-async fn send_answer(socket: &mut Socket, mut answer: Answer) -> Option<()> {
-    feed(socket, &AnswerFrame::Head(Box::new(answer.head))).await?;
+async fn send_reply(sink: &mut Sink, reply: Reply) -> Option<()> {
+    match reply {
+        Reply::Answer(answer) => send_answer(sink, *answer).await,
+        Reply::Refusal(refusal, receipt) => {
+            let frame = AnswerFrame::Refusal(Box::new(refusal_head(&refusal, receipt)));
+            feed(sink, &frame).await?;
+            sink.flush().await.ok()
+        }
+    }
+}
+
+async fn send_answer(sink: &mut Sink, mut answer: Answer) -> Option<()> {
+    feed(sink, &AnswerFrame::Head(Box::new(answer.head))).await?;
     loop {
-        match answer.body.next().await {
+        let next = {
+            let mut next = pin!(answer.body.next());
+            match poll_immediate(&mut next).await {
+                Some(next) => next,
+                None => {
+                    sink.flush().await.ok()?;
+                    next.await
+                }
+            }
+        };
+        match next {
             Some(Ok(bytes)) => {
-                for chunk in bytes.chunks(RequestBody::MAX_HELD_BYTES) {
-                    feed(socket, &AnswerFrame::Body(chunk.to_vec())).await?;
+                for part in parts(bytes) {
+                    feed(sink, &AnswerFrame::Body(part)).await?;
                 }
             }
             Some(Err(_)) => {
-                feed(socket, &AnswerFrame::Broken(answer.body.receipt())).await?;
+                feed(sink, &AnswerFrame::Broken(answer.body.receipt())).await?;
                 break;
             }
             None => {
-                feed(socket, &AnswerFrame::BodyEnd(answer.body.receipt())).await?;
+                feed(sink, &AnswerFrame::BodyEnd(answer.body.receipt())).await?;
                 break;
             }
         }
     }
-    socket.flush().await.ok()
+    sink.flush().await.ok()
 }
 
-async fn feed(socket: &mut Socket, frame: &AnswerFrame) -> Option<()> {
-    let bytes = frame.encode().ok()?;
-    socket.feed(Message::Binary(bytes.into())).await.ok()
+async fn feed(sink: &mut Sink, frame: &AnswerFrame) -> Option<()> {
+    sink.feed(Message::Binary(frame.encode().ok()?)).await.ok()
 }
 
 fn refusal_head(refusal: &Refusal, receipt: Receipt) -> RefusalHead {
--- a/cuminarch-node/src/data/listener.rs
+++ b/cuminarch-node/src/data/listener.rs
@@ -1,17 +1,22 @@
 use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
 
 use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::NodeError;
 
 const BACKLOG: i32 = 1_024;
+/// Time after which a connection whose peer takes no bytes breaks off.
+const STALLED_PEER_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Listens on `address` with Nagle's algorithm off; accepted connections inherit it.
+/// Listens on `address` with Nagle's algorithm off and a bound on the time that a
+/// peer may take no bytes; accepted connections inherit both.
 pub fn bind(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, NodeError> {
     let open = || {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
         socket.set_tcp_nodelay(true)?;
+        socket.set_tcp_user_timeout(Some(STALLED_PEER_TIMEOUT))?;
         socket.set_nonblocking(true)?;
         socket.bind(&address.into())?;
         socket.listen(BACKLOG)?;
--- a/cuminarch-node/src/data/local.rs
+++ b/cuminarch-node/src/data/local.rs
@@ -3,26 +3,27 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use cuminarch_engine::Event;
 use cuminarch_once::StoredAnswer;
 use cuminarch_protocol::AnswerHead;
 use cuminarch_types::CallId;
 use futures_util::{StreamExt, stream};
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::Frame;
+use http::HeaderValue;
+use http_body_util::Full;
+use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use super::body::{AnswerSource, BrokenBody, LocalSource, RequestBody, next_chunk};
+use super::answer::{AnswerSource, LocalSource, NodeTime};
+use super::body::RequestBody;
+use super::passed_body::PassedBody;
 use super::runner::{CallRequest, DataContext};
 use crate::headers::{self, end_to_end};
 
-type UpstreamBody = UnsyncBoxBody<Bytes, BrokenBody>;
+type UpstreamBody = PassedBody;
 type Sender = SendRequest<UpstreamBody>;
 
 /// Idle connections to the upstream.
@@ -46,13 +47,16 @@
         Self { address, idle: Rc::new(RefCell::new(Vec::new())) }
     }
 
-    async fn take(&self) -> Option<LocalConnection> {
+    fn take_idle(&self) -> Option<LocalConnection> {
         loop {
-            let Some(sender) = self.idle.borrow_mut().pop() else { break };
+            let sender = self.idle.borrow_mut().pop()?;
             if sender.is_ready() {
                 return Some(LocalConnection { sender, pool: self.clone() });
             }
         }
+    }
+
+    async fn open(&self) -> Option<LocalConnection> {
         let connect = TcpStream::connect(self.address);
         let stream = tokio::time::timeout(Self::CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
@@ -63,55 +67,80 @@
 }
 
 impl LocalConnection {
-    /// Gives the connection back for other calls.
+    /// Gives the connection back for other calls, unless its request is still being sent.
     pub fn release(self) {
         let mut idle = self.pool.idle.borrow_mut();
-        if idle.len() < LocalPool::MAX_IDLE {
+        if self.sender.is_ready() && idle.len() < LocalPool::MAX_IDLE {
             idle.push(self.sender);
         }
     }
 }
 
+/// What the engine says about a call that is to run at the own upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct LocalRun {
+    pub call: CallId,
+    pub remaining: Duration,
+    pub keep_answer: bool,
+}
+
 /// Runs a call at the own upstream. Returns nothing if there is no answer; the
 /// engine knows by then.
 pub async fn run_local(
     context: &DataContext,
-    call: CallId,
+    run: LocalRun,
     request: &CallRequest,
     body: RequestBody,
-    keep_answer: bool,
 ) -> Option<(AnswerHead, AnswerSource)> {
-    let driver = &context.driver;
-    let Some(mut connection) = context.upstream.take().await else {
-        driver.post(Event::LocalFailed { call, sent: false });
-        return None;
-    };
-    let Some(upstream_request) = build_request(context, call, request, body) else {
-        driver.post(Event::LocalFailed { call, sent: false });
+    let call = run.call;
+    let Some(upstream_request) = build_request(context, run, request, body) else {
+        context.driver.post(Event::LocalFailed { call, sent: false });
         return None;
     };
-    let response = match connection.sender.try_send_request(upstream_request).await {
-        Ok(response) => response,
-        Err(mut error) => {
-            let sent = error.take_message().is_none();
-            driver.post(Event::LocalFailed { call, sent });
+    let before_upstream = request.received_at.elapsed();
+    let (response, connection) = match send(&context.upstream, upstream_request).await {
+        Ok(answered) => answered,
+        Err(sent) => {
+            context.driver.post(Event::LocalFailed { call, sent });
             return None;
         }
     };
-    driver.post(Event::LocalHead(call));
+    context.driver.post(Event::LocalHead(call));
+    let metrics = context.metrics.clone();
+    let node_time = NodeTime { metrics, before_upstream, head_at: Instant::now() };
     let (parts, incoming) = response.into_parts();
     let length = parts.headers.get(http::header::CONTENT_LENGTH);
     let body_len_bytes = length.and_then(|value| value.to_str().ok()?.parse().ok());
     let status = parts.status.as_u16();
     let head = AnswerHead { status, headers: end_to_end(&parts.headers), body_len_bytes };
-    let kept = keep_answer.then(|| StoredAnswer { head: head.clone(), body: Vec::new() });
-    let source = LocalSource { incoming, connection, kept };
+    let kept = run.keep_answer.then(|| StoredAnswer { head: head.clone(), body: Vec::new() });
+    let source = LocalSource { incoming, connection, kept, node_time };
     Some((head, AnswerSource::Local(Box::new(source))))
 }
 
+/// Sends a request, first over a kept-alive connection. One that the upstream
+/// closed before any byte was sent is replaced by a new one. On failure tells
+/// whether any byte may have reached the upstream.
+async fn send(
+    pool: &LocalPool,
+    mut request: http::Request<UpstreamBody>,
+) -> Result<(http::Response<Incoming>, LocalConnection), bool> {
+    if let Some(mut connection) = pool.take_idle() {
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => return Ok((response, connection)),
+            Err(mut error) => request = error.take_message().ok_or(true)?,
+        }
+    }
+    let mut connection = pool.open().await.ok_or(false)?;
+    match connection.sender.try_send_request(request).await {
+        Ok(response) => Ok((response, connection)),
+        Err(mut error) => Err(error.take_message().is_none()),
+    }
+}
+
 fn build_request(
     context: &DataContext,
-    call: CallId,
+    run: LocalRun,
     request: &CallRequest,
     body: RequestBody,
 ) -> Option<http::Request<UpstreamBody>> {
@@ -128,25 +157,29 @@
     if let Some(len_bytes) = request.body_len_bytes {
         map.insert(http::header::CONTENT_LENGTH, len_bytes.into());
     }
-    let token = headers::request_value(request.root, call);
+    map.append(http::header::VIA, HeaderValue::from_static(headers::VIA_VALUE));
+    let token = headers::request_value(request.root, run.call);
     map.insert(headers::REQUEST, token.parse().ok()?);
+    let remaining_ms = u64::try_from(run.remaining.as_millis()).unwrap_or(u64::MAX);
+    map.insert(headers::REMAINING_MS, remaining_ms.into());
     Some(built)
 }
 
+/// Body towards the upstream; one that breaks off makes the request break off too.
 fn upstream_body(body: RequestBody) -> UpstreamBody {
     match body {
-        RequestBody::Held(bytes) => Full::new(bytes).map_err(|never| match never {}).boxed_unsync(),
-        RequestBody::Caller(first, incoming) => {
-            let first = stream::iter([Ok(Frame::data(first))]);
-            let rest = stream::unfold(Some(incoming), |state| async {
-                let mut incoming = state?;
-                match next_chunk(&mut incoming).await {
-                    Ok(Some(chunk)) => Some((Ok(Frame::data(chunk)), Some(incoming))),
+        RequestBody::Held(bytes) => UpstreamBody::Held(Full::new(bytes)),
+        RequestBody::Passed(first, reader) => {
+            let first = stream::iter((!first.is_empty()).then(|| Ok(Frame::data(first))));
+            let rest = stream::unfold(Some(reader), |state| async {
+                let mut reader = state?;
+                match reader.next().await {
+                    Ok(Some(chunk)) => Some((Ok(Frame::data(chunk)), Some(reader))),
                     Ok(None) => None,
                     Err(broken) => Some((Err(broken), None)),
                 }
             });
-            StreamBody::new(first.chain(rest)).boxed_unsync()
+            UpstreamBody::Passed(Box::pin(first.chain(rest)))
         }
     }
 }
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -1,15 +1,24 @@
 //! Carries one call from its arrival to its answer.
 
+use std::future::Future;
+use std::time::Instant;
+
 use bytes::Bytes;
 use compact_str::CompactString;
 use cuminarch_engine::{Action, Arrival, Forward, Refusal, RefusalReason};
+use cuminarch_once::StoredAnswer;
 use cuminarch_protocol::{CallHead, HeaderField, Receipt};
-use cuminarch_types::{RequestId, ServiceName};
+use cuminarch_types::{Outcome, RequestId, ServiceName};
 
-use super::body::{Answer, AnswerBody, RequestBody};
+use super::answer::{Answer, AnswerBody};
+use super::body::RequestBody;
+use super::detached::Progress;
 use super::driver::{CallGuard, Driver};
 use super::link_client::{LinkPool, send_call};
-use super::local::{LocalPool, run_local};
+use super::link_hello::LinkHello;
+use super::local::{LocalPool, LocalRun, run_local};
+use super::tasks::Tasks;
+use crate::metrics::Metrics;
 
 /// Everything that tasks of the data thread share.
 #[derive(Clone)]
@@ -18,6 +27,17 @@
     pub upstream: LocalPool,
     pub links: LinkPool,
     pub own_service: ServiceName,
+    pub hello: LinkHello,
+    pub metrics: Metrics,
+    pub tasks: Tasks,
+    pub max_request_body_bytes: u64,
+}
+
+impl DataContext {
+    /// Starts a task; a panic in it ends the data thread.
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.tasks.spawn(task);
+    }
 }
 
 /// A request on its way.
@@ -29,6 +49,7 @@
     pub headers: Vec<HeaderField>,
     pub body: RequestBody,
     pub body_len_bytes: Option<u64>,
+    pub received_at: Instant,
 }
 
 /// How a call ended for its caller.
@@ -40,66 +61,67 @@
 }
 
 /// Runs a call to its answer.
-pub async fn run_call(context: &DataContext, arrival: Arrival, request: CallRequest) -> Reply {
+pub async fn run_call(
+    context: &DataContext,
+    arrival: Arrival,
+    mut request: CallRequest,
+    progress: &Progress,
+) -> Reply {
     let mut guard = context.driver.begin(arrival);
-    let mut request = request;
-    loop {
-        let Some(action) = guard.next().await else { break };
-        match action {
-            Action::RunLocal { keep_answer, .. } => {
-                let body = std::mem::replace(&mut request.body, RequestBody::Held(Bytes::new()));
-                let run = run_local(context, guard.call(), &request, body, keep_answer);
-                let answer = tokio::select! {
-                    answer = run => Ok(answer),
-                    action = guard.next() => Err(action),
-                };
-                match answer {
-                    Ok(Some((head, source))) => {
-                        let body = AnswerBody::new(guard, source);
-                        return Reply::Answer(Box::new(Answer { head, body }));
-                    }
-                    Ok(None) => {}
-                    Err(action) => return interrupted(&mut guard, action).await,
+    while let Some(action) = guard.next().await {
+        let answer = match action {
+            Action::RunLocal { keep_answer, remaining, .. } => {
+                if keep_answer {
+                    progress.set_must_finish();
                 }
+                let local = LocalRun { call: guard.call(), remaining, keep_answer };
+                let body = std::mem::replace(&mut request.body, RequestBody::Held(Bytes::new()));
+                let run = run_local(context, local, &request, body);
+                until_interrupted(&mut guard, run).await
             }
             Action::Forward { attempt, forward, .. } => {
                 let head = call_head(&request, &forward);
-                let send =
-                    send_call(context, guard.call(), attempt, &forward, head, &mut request.body);
-                let answer = tokio::select! {
-                    answer = send => Ok(answer),
-                    action = guard.next() => Err(action),
-                };
-                match answer {
-                    Ok(Some((head, source))) => {
-                        let body = AnswerBody::new(guard, source);
-                        return Reply::Answer(Box::new(Answer { head, body }));
-                    }
-                    Ok(None) => {}
-                    Err(action) => return interrupted(&mut guard, action).await,
-                }
+                let call = guard.call();
+                let send = send_call(context, call, attempt, &forward, head, &mut request.body);
+                until_interrupted(&mut guard, send).await
             }
             Action::Replay { answer, receipt, .. } => {
-                let StoredParts { head, bytes } = StoredParts::from(*answer);
-                let body = AnswerBody::held(guard, bytes, receipt);
+                guard.end(Outcome::Completed);
+                return replayed(*answer, receipt);
+            }
+            Action::Refuse { refusal, receipt, .. } => {
+                guard.end(refusal.outcome);
+                return Reply::Refusal(refusal, receipt);
+            }
+            _ => continue,
+        };
+        match answer {
+            Ok(Some((head, source))) => {
+                let body = AnswerBody::new(guard, source, head.body_len_bytes);
                 return Reply::Answer(Box::new(Answer { head, body }));
             }
-            Action::Refuse { refusal, receipt, .. } => return Reply::Refusal(refusal, receipt),
-            _ => {}
+            Ok(None) => {}
+            Err(action) => return interrupted(&mut guard, action).await,
         }
     }
     no_reply()
 }
 
-struct StoredParts {
-    head: cuminarch_protocol::AnswerHead,
-    bytes: Bytes,
+/// Does some work of a call, unless the engine decides otherwise meanwhile.
+async fn until_interrupted<T>(
+    guard: &mut CallGuard,
+    work: impl Future<Output = T>,
+) -> Result<T, Option<Action>> {
+    tokio::select! {
+        biased;
+        result = work => Ok(result),
+        action = guard.next() => Err(action),
+    }
 }
 
-impl From<cuminarch_once::StoredAnswer> for StoredParts {
-    fn from(answer: cuminarch_once::StoredAnswer) -> Self {
-        Self { head: answer.head, bytes: Bytes::from(answer.body) }
-    }
+fn replayed(answer: StoredAnswer, receipt: Receipt) -> Reply {
+    let body = AnswerBody::held(Bytes::from(answer.body), receipt);
+    Reply::Answer(Box::new(Answer { head: answer.head, body }))
 }
 
 /// Waits for the final answer of a call whose work was stopped.
@@ -107,6 +129,7 @@
     let mut action = first;
     while let Some(found) = action {
         if let Action::Refuse { refusal, receipt, .. } = found {
+            guard.end(refusal.outcome);
             return Reply::Refusal(refusal, receipt);
         }
         action = guard.try_next();
@@ -115,7 +138,7 @@
 }
 
 /// Answer to a call that ended without one, such as one whose parent is over.
-fn no_reply() -> Reply {
+pub fn no_reply() -> Reply {
     Reply::Refusal(Refusal::unknown(RefusalReason::ParentEnded), Receipt::default())
 }
 
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -1,21 +1,34 @@
 use std::future::Future;
 use std::net::TcpListener;
-use std::thread::{self, JoinHandle};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 
 use cuminarch_engine::Engine;
-use cuminarch_types::ServiceName;
 use flume::{Receiver, Sender};
+use log::warn;
 use tokio::net::TcpStream;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::LocalSet;
+use tokio::time::timeout;
 
+use super::connections::{Connection, Connections};
 use super::driver::{ClaimRequest, DataCommand, Driver};
 use super::front::{Side, serve_connection};
 use super::link_client::LinkPool;
+use super::link_hello::LinkHello;
 use super::link_server::serve_link;
 use super::local::LocalPool;
 use super::runner::DataContext;
-use crate::NodeError;
+use super::tasks::{TaskPanics, Tasks};
 use crate::clock::Clock;
+use crate::duty::Duties;
+use crate::event::NodeEvent;
+use crate::metrics::Metrics;
+use crate::{NodeError, NodeSettings};
+
+/// Shortest time that finished answers get to reach their callers at shutdown.
+const MIN_CLOSE_TIME: Duration = Duration::from_secs(1);
+/// Pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Sockets that the data thread listens on.
 pub struct DataListeners {
@@ -29,60 +42,122 @@
     pub engine: Engine,
     pub clock: Clock,
     pub listeners: DataListeners,
-    pub upstream: std::net::SocketAddr,
-    pub own_service: ServiceName,
+    pub settings: NodeSettings,
     pub commands: Receiver<DataCommand>,
     pub claims: Sender<ClaimRequest>,
+    pub metrics: Metrics,
+}
+
+/// Connections by where they came from.
+struct Served {
+    outside: Connections,
+    egress: Connections,
 }
 
 impl DataThread {
+    /// Name of the duty.
+    pub const DUTY: &'static str = "data";
+
     /// Starts the thread; it ends when told to stop.
-    pub fn spawn(self) -> Result<JoinHandle<()>, NodeError> {
-        thread::Builder::new()
-            .name("data".to_owned())
-            .spawn(move || self.run())
-            .map_err(|source| NodeError::Thread { duty: "data", source })
+    pub fn spawn(self, duties: &Duties) -> Result<JoinHandle<()>, NodeError> {
+        duties.spawn(Self::DUTY, move || self.run())
     }
 
     fn run(self) {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let Ok(runtime) = runtime else { return };
+        let runtime = runtime.expect("an event loop can be had");
         LocalSet::new().block_on(&runtime, self.serve());
     }
 
     async fn serve(self) {
-        let driver = Driver::new(self.engine, self.clock, self.claims);
+        let (tasks, mut panics) = Tasks::new();
+        let driver = Driver::new(self.engine, self.clock, self.claims, self.metrics.clone());
+        let hello = LinkHello::new(self.settings.fleet.clone());
         let context = DataContext {
             driver: driver.clone(),
-            upstream: LocalPool::new(self.upstream),
-            links: LinkPool::default(),
-            own_service: self.own_service,
+            upstream: LocalPool::new(self.settings.upstream_address),
+            links: LinkPool::new(hello.clone()),
+            own_service: self.settings.service.clone(),
+            hello,
+            metrics: self.metrics,
+            tasks,
+            max_request_body_bytes: self.settings.max_request_body_bytes,
         };
-        let DataListeners { callers, egress, links } = self.listeners;
-        let http = |side| {
-            let context = context.clone();
-            move |stream| serve_connection(context.clone(), stream, side)
+        let max_open = self.settings.max_connections;
+        let served =
+            Served { outside: Connections::new(max_open), egress: Connections::new(max_open) };
+        listen(&context, self.listeners, &served);
+        context.spawn(driver.clone().run_timers());
+        let stopped = async {
+            if let Some(limit) = driver.clone().run_commands(self.commands).await {
+                shut_down(&context, &served, limit).await;
+            }
         };
-        spawn_local(accept(callers, http(Side::Caller)));
-        spawn_local(accept(egress, http(Side::Upstream)));
-        let linked = context.clone();
-        spawn_local(accept(links, move |stream| serve_link(linked.clone(), stream)));
-        spawn_local(driver.clone().run_timers());
-        driver.run_commands(self.commands).await;
+        tokio::select! {
+            () = stopped => {}
+            () = fail(&mut panics) => {}
+        }
+    }
+}
+
+/// Ends the thread with the panic of one of its tasks.
+async fn fail(panics: &mut TaskPanics) {
+    std::panic::resume_unwind(panics.next().await);
+}
+
+/// Starts to accept connections, each side on its own socket.
+fn listen(context: &DataContext, listeners: DataListeners, served: &Served) {
+    let http = |side| {
+        let context = context.clone();
+        move |stream, connection| serve_connection(context.clone(), stream, side, connection)
+    };
+    let linked = context.clone();
+    let link = move |stream, connection| serve_link(linked.clone(), stream, connection);
+    let outside = &served.outside;
+    context.spawn(accept(context.clone(), listeners.callers, outside.clone(), http(Side::Caller)));
+    context.spawn(accept(context.clone(), listeners.links, outside.clone(), link));
+    let egress = served.egress.clone();
+    context.spawn(accept(context.clone(), listeners.egress, egress, http(Side::Upstream)));
+}
+
+/// Lets calls in progress and their answers end, for at most `limit`. The own
+/// upstream can call other services until the last call has ended.
+async fn shut_down(context: &DataContext, served: &Served, limit: Duration) {
+    let until = Instant::now() + limit;
+    if timeout(limit, context.driver.idle()).await.is_err() {
+        let calls = context.driver.calls();
+        warn!("{} calls={calls} limit_ms={}", NodeEvent::ShutdownTimeout, limit.as_millis());
+    }
+    for connections in [&served.outside, &served.egress] {
+        connections.stop();
+        let left = until.saturating_duration_since(Instant::now()).max(MIN_CLOSE_TIME);
+        let _ = timeout(left, connections.closed()).await;
     }
+    context.links.close_idle();
 }
 
-async fn accept<F>(listener: TcpListener, serve: impl Fn(TcpStream) -> F)
-where
+/// Accepts connections until they are told to end.
+async fn accept<F>(
+    context: DataContext,
+    listener: TcpListener,
+    connections: Connections,
+    serve: impl Fn(TcpStream, Connection) -> F,
+) where
     F: Future<Output = ()> + 'static,
 {
-    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+    let listener = tokio::net::TcpListener::from_std(listener);
+    let listener = listener.expect("a listening socket");
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(serve(stream));
-            }
-            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(20)).await,
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = connections.stopping() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => match connections.add() {
+                Some(connection) => context.spawn(serve(stream, connection)),
+                None => context.metrics.connection_refused(),
+            },
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
 }
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -21,11 +21,15 @@
     ConfigRefused,
     /// A duty ended unexpectedly.
     DutyEnded,
+    /// A ring between threads had no room.
+    RingFull,
+    /// Calls were still in progress at the end of the time for shutdown.
+    ShutdownTimeout,
 }
 
 impl NodeEvent {
     /// Every event, in order of code.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 11] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -35,6 +39,8 @@
         Self::ConfigInForce,
         Self::ConfigRefused,
         Self::DutyEnded,
+        Self::RingFull,
+        Self::ShutdownTimeout,
     ];
 
     /// Number of the event; never given to another event.
@@ -50,6 +56,8 @@
             Self::ConfigInForce => 4001,
             Self::ConfigRefused => 4002,
             Self::DutyEnded => 5001,
+            Self::RingFull => 5002,
+            Self::ShutdownTimeout => 1004,
         }
     }
 
@@ -66,6 +74,8 @@
             Self::ConfigInForce => "config-in-force",
             Self::ConfigRefused => "config-refused",
             Self::DutyEnded => "duty-ended",
+            Self::RingFull => "ring-full",
+            Self::ShutdownTimeout => "shutdown-timeout",
         }
     }
 }
--- a/cuminarch-node/src/headers.rs
+++ b/cuminarch-node/src/headers.rs
@@ -25,6 +25,9 @@
 /// Process that the request's key is bound to.
 pub const BOUND_KEY: &str = "cuminarch-bound-key";
 
+/// What the node adds to the `Via` field of requests.
+pub const VIA_VALUE: &str = "1.1 cuminarch";
+
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
     "keep-alive",
--- a/cuminarch-node/src/lib.rs
+++ b/cuminarch-node/src/lib.rs
@@ -17,13 +17,16 @@
 mod clock;
 mod control;
 mod data;
+mod duty;
 mod error;
 mod event;
 mod headers;
+mod metrics;
 mod node;
 mod settings;
 mod timer;
 
+pub use duty::{DutyFault, DutyState};
 pub use error::NodeError;
 pub use event::NodeEvent;
 pub use node::Node;
--- /dev/null
+++ b/cuminarch-node/src/metrics.rs
@@ -0,0 +1,218 @@
+//! Metrics of a node in the Prometheus text format.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminarch_engine::EngineSummary;
+use cuminarch_types::Outcome;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+/// Where a call goes, as a label.
+#[derive(Clone, Copy, Debug, EncodeLabelValue, Eq, Hash, PartialEq)]
+pub enum Direction {
+    /// To the own upstream.
+    Inbound,
+    /// To another service.
+    Outbound,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct OutcomeLabels {
+    direction: Direction,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct DirectionLabels {
+    direction: Direction,
+}
+
+/// Metrics of the calls in one direction.
+#[derive(Clone, Debug)]
+struct CallMetrics {
+    completed: Counter,
+    not_run: Counter,
+    unknown: Counter,
+    duration: Histogram,
+}
+
+/// Gauges that are set when metrics are read.
+#[derive(Clone, Debug, Default)]
+struct Gauges {
+    calls: Gauge,
+    running: Gauge,
+    waiting: Gauge,
+    limit: Gauge,
+    level: Gauge,
+    keys: Gauge,
+    members: Gauge,
+    revision: Gauge,
+    draining: Gauge,
+}
+
+/// All metrics of a node; handles are cheap to clone and to update.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    inbound: CallMetrics,
+    outbound: CallMetrics,
+    attempts: Counter,
+    node_time: Histogram,
+    connections_refused: Counter,
+    ring_full: Counter,
+    gauges: Gauges,
+    registry: Arc<Registry>,
+}
+
+impl Metrics {
+    const FIRST_BUCKET_SECONDS: f64 = 0.000_05;
+    const BUCKET_FACTOR: f64 = 2.0;
+    const BUCKETS: u16 = 20;
+
+    /// Registers all metrics.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("cuminarch");
+        let calls = Family::<OutcomeLabels, Counter>::default();
+        let duration = Family::<DirectionLabels, Histogram>::new_with_constructor(
+            Self::histogram as fn() -> _,
+        );
+        registry.register("calls", "Calls that ended, by outcome", calls.clone());
+        registry.register_with_unit(
+            "call_duration",
+            "Time from the arrival of a call to the end of its answer",
+            Unit::Seconds,
+            duration.clone(),
+        );
+        let of = |direction| {
+            let outcome = |outcome: Outcome| {
+                calls.get_or_create(&OutcomeLabels { direction, outcome: outcome.as_str() }).clone()
+            };
+            CallMetrics {
+                completed: outcome(Outcome::Completed),
+                not_run: outcome(Outcome::NotRun),
+                unknown: outcome(Outcome::Unknown),
+                duration: duration.get_or_create(&DirectionLabels { direction }).clone(),
+            }
+        };
+        let (inbound, outbound) = (of(Direction::Inbound), of(Direction::Outbound));
+        let attempts = Counter::default();
+        registry.register("attempts", "Attempts sent to other nodes", attempts.clone());
+        let node_time = Self::histogram();
+        registry.register_with_unit(
+            "node_time",
+            "Time that inbound calls spent in the node itself, without the upstream",
+            Unit::Seconds,
+            node_time.clone(),
+        );
+        let connections_refused = Counter::default();
+        let help = "Connections closed at once as there were too many";
+        registry.register("connections_refused", help, connections_refused.clone());
+        let ring_full = Counter::default();
+        registry.register(
+            "ring_full",
+            "Messages between threads that found no room",
+            ring_full.clone(),
+        );
+        let gauges = Gauges::register(&mut registry);
+        let registry = Arc::new(registry);
+        Self {
+            inbound,
+            outbound,
+            attempts,
+            node_time,
+            connections_refused,
+            ring_full,
+            gauges,
+            registry,
+        }
+    }
+
+    fn histogram() -> Histogram {
+        Histogram::new(exponential_buckets(
+            Self::FIRST_BUCKET_SECONDS,
+            Self::BUCKET_FACTOR,
+            Self::BUCKETS,
+        ))
+    }
+
+    /// Notes that a call ended.
+    pub fn call_ended(&self, direction: Direction, outcome: Outcome, duration: Duration) {
+        let metrics = match direction {
+            Direction::Inbound => &self.inbound,
+            Direction::Outbound => &self.outbound,
+        };
+        match outcome {
+            Outcome::Completed => metrics.completed.inc(),
+            Outcome::NotRun => metrics.not_run.inc(),
+            Outcome::Unknown => metrics.unknown.inc(),
+        };
+        metrics.duration.observe(duration.as_secs_f64());
+    }
+
+    /// Notes that an attempt was sent to another node.
+    pub fn attempt_sent(&self) {
+        self.attempts.inc();
+    }
+
+    /// Notes the time that a call spent in the node itself.
+    pub fn node_time(&self, time: Duration) {
+        self.node_time.observe(time.as_secs_f64());
+    }
+
+    /// Notes a connection that was closed at once.
+    pub fn connection_refused(&self) {
+        self.connections_refused.inc();
+    }
+
+    /// Notes a message between threads that found no room.
+    pub fn ring_full(&self) {
+        self.ring_full.inc();
+    }
+
+    /// The text for a scrape.
+    pub fn text(&self, summary: &EngineSummary) -> String {
+        self.gauges.set(summary);
+        let mut text = String::new();
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+impl Gauges {
+    fn register(registry: &mut Registry) -> Self {
+        let gauges = Self::default();
+        let entries = [
+            ("calls_in_progress", "Calls in progress", &gauges.calls),
+            ("calls_running", "Calls that run at the own upstream", &gauges.running),
+            ("calls_waiting", "Calls that wait for the own upstream", &gauges.waiting),
+            ("concurrency_limit", "Most calls that run at the own upstream", &gauges.limit),
+            ("admission_level", "Rank below which calls are refused", &gauges.level),
+            ("idempotency_keys", "Idempotency keys held", &gauges.keys),
+            ("members", "Members known", &gauges.members),
+            ("config_revision", "Revision of the configuration in force", &gauges.revision),
+            ("draining", "1 while new calls are refused", &gauges.draining),
+        ];
+        for (name, help, gauge) in entries {
+            registry.register(name, help, gauge.clone());
+        }
+        gauges
+    }
+
+    fn set(&self, summary: &EngineSummary) {
+        let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.calls.set(count(summary.calls));
+        self.running.set(count(summary.running));
+        self.waiting.set(count(summary.waiting));
+        self.limit.set(i64::from(summary.limit.get()));
+        self.level.set(i64::from(summary.level.get()));
+        self.keys.set(count(summary.keys));
+        self.members.set(count(summary.members));
+        self.revision.set(i64::try_from(summary.revision.get()).unwrap_or(i64::MAX));
+        self.draining.set(i64::from(summary.draining));
+    }
+}
--- a/cuminarch-node/src/node.rs
+++ b/cuminarch-node/src/node.rs
@@ -8,14 +8,16 @@
 use cuminarch_platform::HttpObjectStore;
 use cuminarch_protocol::{Member, MemberState};
 use cuminarch_types::Incarnation;
-use flume::Sender;
+use flume::{Receiver, Sender};
 use log::info;
 
 use crate::admin::{AdminHandle, AdminThread};
 use crate::clock::Clock;
 use crate::control::ControlThread;
 use crate::data::{DataCommand, DataListeners, DataThread, bind};
+use crate::duty::{Duties, DutyFault};
 use crate::event::NodeEvent;
+use crate::metrics::Metrics;
 use crate::timer::TimerService;
 use crate::{NodeError, NodeSettings};
 
@@ -31,9 +33,13 @@
     addresses: Addresses,
     admin: AdminHandle,
     commands: Sender<DataCommand>,
+    duties: Duties,
+    faults: Receiver<DutyFault>,
+    leave: Sender<()>,
     stop: Sender<()>,
-    threads: Vec<JoinHandle<()>>,
+    data: JoinHandle<()>,
     control: JoinHandle<()>,
+    shutdown_timeout: Duration,
 }
 
 impl Node {
@@ -61,17 +67,20 @@
             Engine::new(engine_settings(&settings, incarnation), Arc::new(Policy::safe_default()));
         let (commands, command_ring) = flume::bounded(Self::COMMAND_RING);
         let (claims, claim_ring) = flume::bounded(Self::CLAIM_RING);
+        let (leave, leaving) = flume::bounded(1);
         let (stop, stopped) = flume::bounded(1);
-        let timer =
-            TimerService::start().map_err(|source| NodeError::Thread { duty: "timer", source })?;
+        let (duties, faults) = Duties::new();
+        let metrics = Metrics::new();
+        let (timer, timer_work) = TimerService::prepare();
+        duties.spawn("timer", timer_work)?;
         let data = DataThread {
             engine,
             clock: Clock::new(),
             listeners: DataListeners { callers, egress, links },
-            upstream: settings.upstream_address,
-            own_service: settings.service.clone(),
+            settings: settings.clone(),
             commands: command_ring,
             claims,
+            metrics: metrics.clone(),
         };
         let control = ControlThread {
             member,
@@ -79,14 +88,29 @@
             ticks: timer.subscribe(Self::REFRESH_PERIOD),
             claims: claim_ring,
             commands: commands.clone(),
+            leave: leaving,
             stop: stopped,
         };
-        let threads = vec![data.spawn()?];
-        let control = control.spawn()?;
+        let data = data.spawn(&duties)?;
+        let control = control.spawn(&duties)?;
         let endpoint = settings.endpoint.clone();
-        let admin = AdminThread { settings, commands: commands.clone() }.spawn(admin)?;
+        let shutdown_timeout = Duration::from_millis(settings.shutdown_timeout_ms);
+        let (asked, watched) = (commands.clone(), duties.clone());
+        let admin =
+            AdminThread { settings, commands: asked, duties: watched, metrics }.spawn(admin)?;
         info!("{} endpoint={endpoint} callers={}", NodeEvent::Started, addresses.caller);
-        Ok(Self { addresses, admin, commands, stop, threads, control })
+        Ok(Self {
+            addresses,
+            admin,
+            commands,
+            duties,
+            faults,
+            leave,
+            stop,
+            data,
+            control,
+            shutdown_timeout,
+        })
     }
 
     /// Where callers connect.
@@ -107,16 +131,23 @@
         self.admin.address
     }
 
-    /// Stops gracefully: takes no new calls and waits for those in flight.
+    /// Faults of duties; the node should end at the first one.
+    #[must_use]
+    pub const fn faults(&self) -> &Receiver<DutyFault> {
+        &self.faults
+    }
+
+    /// Stops gracefully: takes no new calls, tells the peers so, and waits for
+    /// the calls in flight, at most as long as the settings say.
     pub fn shutdown(self) {
         info!("{}", NodeEvent::Draining);
         let _ = self.commands.send(DataCommand::Drain);
+        let _ = self.leave.send(());
+        self.duties.expect_end();
+        let _ = self.commands.send(DataCommand::Stop(self.shutdown_timeout));
+        let _ = self.data.join();
         drop(self.stop);
         let _ = self.control.join();
-        let _ = self.commands.send(DataCommand::Stop);
-        for thread in self.threads {
-            let _ = thread.join();
-        }
         self.admin.stop();
         info!("{}", NodeEvent::Stopped);
     }
--- a/cuminarch-node/src/settings.rs
+++ b/cuminarch-node/src/settings.rs
@@ -37,30 +37,139 @@
     /// Longest time to wait for calls in flight at shutdown, in milliseconds.
     #[serde(default = "default_shutdown_timeout_ms")]
     pub shutdown_timeout_ms: u64,
+    /// Longest request body in bytes; longer ones are answered with 413.
+    #[serde(default = "default_max_request_body_bytes")]
+    pub max_request_body_bytes: u64,
+    /// Most connections from callers and peers, and most from the own upstream.
+    #[serde(default = "default_max_connections")]
+    pub max_connections: usize,
 }
 
 const fn default_shutdown_timeout_ms() -> u64 {
     30_000
 }
 
+const fn default_max_request_body_bytes() -> u64 {
+    1024 * 1024 * 1024
+}
+
+const fn default_max_connections() -> usize {
+    4_096
+}
+
 impl NodeSettings {
+    const MAX_SHUTDOWN_TIMEOUT_MS: u64 = 3_600_000;
+    const MAX_FLEET_BYTES: usize = 64;
+
     /// Reads and checks settings.
     ///
     /// # Errors
     ///
-    /// Fails with place and cause when the text is not usable.
+    /// Fails with place and cause when the text is not usable: with the first
+    /// fault of the YAML, or else with all contradictions between values.
     pub fn parse(text: &str) -> Result<Self, NodeError> {
         let settings: Self = serde_saphyr::from_str(text)
             .map_err(|error| NodeError::Settings { reason: error.to_string() })?;
-        settings.check()?;
-        Ok(settings)
+        let faults = settings.faults();
+        if faults.is_empty() {
+            return Ok(settings);
+        }
+        let lines: Vec<String> = faults.iter().map(|fault| fault.describe(text)).collect();
+        Err(NodeError::Settings { reason: lines.join("\n") })
+    }
+
+    fn faults(&self) -> Vec<Fault> {
+        let mut faults = self.address_faults();
+        let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+        let fleet = self.fleet.as_bytes();
+        if fleet.is_empty() || fleet.len() > Self::MAX_FLEET_BYTES {
+            faults.push(Fault::new("fleet", "must have 1 to 64 bytes"));
+        } else if !fleet.iter().copied().all(is_allowed) {
+            let reason = "only ASCII letters, digits, '-', '_' and '.' are allowed";
+            faults.push(Fault::new("fleet", reason));
+        }
+        if !(1..=Self::MAX_SHUTDOWN_TIMEOUT_MS).contains(&self.shutdown_timeout_ms) {
+            let reason = format!("must be 1 to {}", Self::MAX_SHUTDOWN_TIMEOUT_MS);
+            faults.push(Fault::new("shutdown_timeout_ms", reason));
+        }
+        if self.max_request_body_bytes == 0 {
+            faults.push(Fault::new("max_request_body_bytes", "must be at least 1"));
+        }
+        if self.max_connections == 0 {
+            faults.push(Fault::new("max_connections", "must be at least 1"));
+        }
+        faults
     }
 
-    fn check(&self) -> Result<(), NodeError> {
+    fn address_faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
         if !self.egress_address.ip().is_loopback() {
-            let reason = format!("egress_address: {} is not loopback", self.egress_address);
-            return Err(NodeError::Settings { reason });
+            let reason = format!("{} is not loopback", self.egress_address);
+            faults.push(Fault::new("egress_address", reason));
+        }
+        let targets = [
+            ("upstream_address", self.upstream_address),
+            ("platform_address", self.platform_address),
+        ];
+        for (field, address) in targets {
+            if address.port() == 0 {
+                faults.push(Fault::new(field, "needs a port"));
+            }
+        }
+        let listened = self.listened();
+        for (index, (field, address)) in listened.iter().enumerate() {
+            let mut others = listened[..index].iter();
+            if let Some((other, _)) = others.find(|(_, other)| is_same(*address, *other)) {
+                faults.push(Fault::new(field, format!("{address} conflicts with {other}")));
+            }
+        }
+        for (field, address) in targets {
+            let mut own = listened.iter();
+            if let Some((other, _)) = own.find(|(_, other)| is_same(address, *other)) {
+                let reason = format!("{address} is the node's own {other}");
+                faults.push(Fault::new(field, reason));
+            }
+        }
+        faults
+    }
+
+    fn listened(&self) -> [(&'static str, SocketAddr); 5] {
+        [
+            ("caller_address", self.caller_address),
+            ("egress_address", self.egress_address),
+            ("data_address", self.data_address),
+            ("control_address", self.control_address),
+            ("admin_address", self.admin_address),
+        ]
+    }
+}
+
+/// Whether two sockets can't be listened on at once; port 0 takes a free port.
+fn is_same(one: SocketAddr, other: SocketAddr) -> bool {
+    let is_same_host =
+        one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified();
+    is_same_host && one.port() == other.port() && one.port() != 0
+}
+
+/// A value that contradicts another or is out of range.
+struct Fault {
+    field: &'static str,
+    reason: String,
+}
+
+impl Fault {
+    fn new(field: &'static str, reason: impl Into<String>) -> Self {
+        Self { field, reason: reason.into() }
+    }
+
+    /// The fault with the line of its field, if the text names it.
+    fn describe(&self, text: &str) -> String {
+        let is_field = |line: &str| {
+            line.strip_prefix(self.field).is_some_and(|rest| rest.trim_start().starts_with(':'))
+        };
+        match text.lines().position(is_field) {
+            Some(index) => format!("line {}: {}: {}", index + 1, self.field, self.reason),
+            None => format!("{}: {}", self.field, self.reason),
         }
-        Ok(())
     }
 }
--- a/cuminarch-node/src/timer.rs
+++ b/cuminarch-node/src/timer.rs
@@ -27,9 +27,15 @@
     ///
     /// Fails when no thread can be had.
     pub fn start() -> std::io::Result<Self> {
+        let (timer, work) = Self::prepare();
+        thread::Builder::new().name("timer".to_owned()).spawn(work)?;
+        Ok(timer)
+    }
+
+    /// A handle, and the work of the thread behind it.
+    pub(crate) fn prepare() -> (Self, impl FnOnce() + Send + 'static) {
         let (requests, receiver) = flume::bounded(Self::MAX_PENDING_SUBSCRIPTIONS);
-        thread::Builder::new().name("timer".to_owned()).spawn(move || run(&receiver))?;
-        Ok(Self { requests })
+        (Self { requests }, move || run(&receiver))
     }
 
     /// Subscribes to a tick every `period`.
--- a/cuminarch-protocol/src/call.rs
+++ b/cuminarch-protocol/src/call.rs
@@ -1,5 +1,6 @@
 //! Frames of a data link.
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use cuminarch_types::{Attempts, Outcome, Rank, RequestId, ServiceName};
 use serde::{Deserialize, Serialize};
@@ -19,6 +20,7 @@
     /// Field name in lower case.
     pub name: CompactString,
     /// Field value as received.
+    #[serde(with = "crate::byte_string")]
     pub value: Vec<u8>,
 }
 
@@ -103,10 +105,10 @@
     /// Opens a call.
     Head(Box<CallHead>),
     /// Part of the request body.
-    Body(Vec<u8>),
+    Body(Bytes),
     /// The request body is whole.
     BodyEnd,
-    /// The caller no longer wants the answer.
+    /// The sender gives up the rest of the request body, as it has its final answer.
     Cancel,
 }
 
@@ -116,25 +118,25 @@
     /// # Errors
     ///
     /// Fails when a head cannot be written as CBOR.
-    pub fn encode(&self) -> Result<Vec<u8>, ProtocolError> {
+    pub fn encode(&self) -> Result<Bytes, ProtocolError> {
         match self {
-            Self::Head(head) => encode_tagged(TAG_HEAD, head),
+            Self::Head(head) => encode_tagged(TAG_HEAD, head).map(Bytes::from),
             Self::Body(bytes) => Ok(encode_body(bytes)),
-            Self::BodyEnd => Ok(vec![TAG_BODY_END]),
-            Self::Cancel => Ok(vec![TAG_CANCEL]),
+            Self::BodyEnd => Ok(Bytes::from_static(&[TAG_BODY_END])),
+            Self::Cancel => Ok(Bytes::from_static(&[TAG_CANCEL])),
         }
     }
 
-    /// Decodes a frame of at most `limit` bytes.
+    /// Decodes a frame of at most `limit` bytes; a body shares its memory.
     ///
     /// # Errors
     ///
     /// Fails on an empty, too long, unknown or malformed frame.
-    pub fn decode(bytes: &[u8], limit: FrameLimit) -> Result<Self, ProtocolError> {
+    pub fn decode(bytes: &Bytes, limit: FrameLimit) -> Result<Self, ProtocolError> {
         let (tag, content) = split_tag(bytes, limit)?;
         match tag {
             TAG_HEAD => Ok(Self::Head(Box::new(decode(content)?))),
-            TAG_BODY => Ok(Self::Body(content.to_vec())),
+            TAG_BODY => Ok(Self::Body(bytes.slice(1..))),
             TAG_BODY_END => Ok(Self::BodyEnd),
             TAG_CANCEL => Ok(Self::Cancel),
             _ => Err(ProtocolError::UnknownTag { tag }),
@@ -148,7 +150,7 @@
     /// Opens the upstream's answer.
     Head(Box<AnswerHead>),
     /// Part of the answer body.
-    Body(Vec<u8>),
+    Body(Bytes),
     /// The answer body is whole.
     BodyEnd(Receipt),
     /// There is no answer of the upstream.
@@ -163,26 +165,26 @@
     /// # Errors
     ///
     /// Fails when a head cannot be written as CBOR.
-    pub fn encode(&self) -> Result<Vec<u8>, ProtocolError> {
+    pub fn encode(&self) -> Result<Bytes, ProtocolError> {
         match self {
-            Self::Head(head) => encode_tagged(TAG_HEAD, head),
+            Self::Head(head) => encode_tagged(TAG_HEAD, head).map(Bytes::from),
             Self::Body(bytes) => Ok(encode_body(bytes)),
-            Self::BodyEnd(receipt) => encode_tagged(TAG_BODY_END, receipt),
-            Self::Refusal(head) => encode_tagged(TAG_REFUSAL, head),
-            Self::Broken(receipt) => encode_tagged(TAG_CANCEL, receipt),
+            Self::BodyEnd(receipt) => encode_tagged(TAG_BODY_END, receipt).map(Bytes::from),
+            Self::Refusal(head) => encode_tagged(TAG_REFUSAL, head).map(Bytes::from),
+            Self::Broken(receipt) => encode_tagged(TAG_CANCEL, receipt).map(Bytes::from),
         }
     }
 
-    /// Decodes a frame of at most `limit` bytes.
+    /// Decodes a frame of at most `limit` bytes; a body shares its memory.
     ///
     /// # Errors
     ///
     /// Fails on an empty, too long, unknown or malformed frame.
-    pub fn decode(bytes: &[u8], limit: FrameLimit) -> Result<Self, ProtocolError> {
+    pub fn decode(bytes: &Bytes, limit: FrameLimit) -> Result<Self, ProtocolError> {
         let (tag, content) = split_tag(bytes, limit)?;
         match tag {
             TAG_HEAD => Ok(Self::Head(Box::new(decode(content)?))),
-            TAG_BODY => Ok(Self::Body(content.to_vec())),
+            TAG_BODY => Ok(Self::Body(bytes.slice(1..))),
             TAG_BODY_END => Ok(Self::BodyEnd(decode(content)?)),
             TAG_REFUSAL => Ok(Self::Refusal(Box::new(decode(content)?))),
             TAG_CANCEL => Ok(Self::Broken(decode(content)?)),
@@ -191,9 +193,9 @@
     }
 }
 
-fn encode_body(bytes: &[u8]) -> Vec<u8> {
+fn encode_body(bytes: &[u8]) -> Bytes {
     let mut frame = Vec::with_capacity(bytes.len() + 1);
     frame.push(TAG_BODY);
     frame.extend_from_slice(bytes);
-    frame
+    Bytes::from(frame)
 }
--- a/cuminarch-protocol/src/lib.rs
+++ b/cuminarch-protocol/src/lib.rs
@@ -15,6 +15,7 @@
 //! # Ok::<(), cuminarch_protocol::ProtocolError>(())
 //! ```
 
+mod byte_string;
 mod call;
 mod codec;
 mod control;
@@ -25,5 +26,5 @@
 pub use call::{AnswerFrame, AnswerHead, CallFrame, CallHead, HeaderField, Receipt, RefusalHead};
 pub use control::{ConfigOffer, ControlMessage, Heartbeat, Hello};
 pub use error::ProtocolError;
-pub use limit::FrameLimit;
+pub use limit::{FrameLimit, PROTOCOL_VERSION};
 pub use member::{Member, MemberState};
--- a/cuminarch-protocol/src/limit.rs
+++ b/cuminarch-protocol/src/limit.rs
@@ -1,5 +1,8 @@
 use std::fmt;
 
+/// Version of the protocol on data and control links; links between versions are refused.
+pub const PROTOCOL_VERSION: u16 = 1;
+
 /// Largest length of a frame in bytes.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct FrameLimit(usize);
--- a/cuminarch-testing/src/lib.rs
+++ b/cuminarch-testing/src/lib.rs
@@ -19,9 +19,11 @@
 mod caller;
 mod memory_store;
 mod platform_server;
+mod raw_upstream;
 mod upstream_server;
 
 pub use caller::{CallerAnswer, HttpCaller};
 pub use memory_store::{MemoryStore, PlatformFault};
 pub use platform_server::PlatformServer;
+pub use raw_upstream::{AfterAnswer, RawConnection, RawRequest, RawUpstream};
 pub use upstream_server::{UpstreamBehaviour, UpstreamServer};
--- a/cuminarchd/src/main.rs
+++ b/cuminarchd/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Arg, ArgAction, Command};
 use cuminarch_node::{Node, NodeSettings};
 use eyre::{Result, WrapErr};
+use flume::Receiver;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -25,24 +26,44 @@
         )
 }
 
+fn read_settings(path: &str) -> Result<NodeSettings> {
+    let text = std::fs::read_to_string(path).wrap_err_with(|| format!("cannot read {path}"))?;
+    NodeSettings::parse(&text).wrap_err_with(|| path.to_owned())
+}
+
+/// Passes on the first signal to stop; a second one ends the process at once.
+fn watch_signals() -> Result<Receiver<()>> {
+    let mut signals = Signals::new([SIGINT, SIGTERM]).wrap_err("cannot handle signals")?;
+    let (sender, receiver) = flume::bounded(1);
+    std::thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        for (count, _) in signals.forever().enumerate() {
+            if count > 0 {
+                std::process::exit(1);
+            }
+            let _ = sender.try_send(());
+        }
+    })?;
+    Ok(receiver)
+}
+
 fn main() -> Result<()> {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let matches = command().get_matches();
     let path: &String = matches.get_one("settings").expect("a required argument");
-    let text = std::fs::read_to_string(path).wrap_err_with(|| format!("cannot read {path}"))?;
-    let settings = NodeSettings::parse(&text)?;
+    let settings = read_settings(path)?;
     if matches.get_flag("check") {
         println!("{path}: ok");
         return Ok(());
     }
-    let mut signals = Signals::new([SIGINT, SIGTERM]).wrap_err("cannot handle signals")?;
+    let signals = watch_signals()?;
     let node = Node::start(settings)?;
-    signals.forever().next();
-    std::thread::spawn(move || {
-        if signals.forever().next().is_some() {
-            std::process::exit(1);
-        }
-    });
+    let fault = flume::Selector::new()
+        .recv(&signals, |_| None)
+        .recv(node.faults(), |fault| fault.ok())
+        .wait();
+    if let Some(fault) = fault {
+        return Err(fault.into());
+    }
     node.shutdown();
     Ok(())
 }
