fix(once): a key conflict proves nothing, and serials start anywhere

A request with another fingerprint than the key's first was told not-run. Two processes of an endpoint that a wrong clock gave one incarnation took each other's keys for their own; a random first serial keeps them apart. Bodies above 16 KiB do not count in the fingerprint, for whether a node holds a longer one depends on the way the request came.

--- a/cuminarch-engine/src/keys.rs
+++ b/cuminarch-engine/src/keys.rs
@@ -152,10 +152,7 @@
             KeyDecision::InProgress => Refusal::unknown(RefusalReason::KeyInProgress)
                 .with_retry_after(Admission::RETRY_AFTER),
             KeyDecision::Run | KeyDecision::Unknown => Refusal::unknown(RefusalReason::KeyUnknown),
-            KeyDecision::Conflict => {
-                self.prove_not_run(id);
-                Refusal::not_run(RefusalReason::KeyConflict)
-            }
+            KeyDecision::Conflict => Refusal::unknown(RefusalReason::KeyConflict),
             KeyDecision::Full => {
                 self.prove_not_run(id);
                 Refusal::not_run(RefusalReason::KeysExhausted)
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -202,8 +202,7 @@
     /// Notes that the process of the call's key has shown that it did not run.
     fn note_proof(&mut self, id: CallId, refusal: &Refusal) {
         let Some(call) = self.calls.get_mut(&id) else { return };
-        let is_own_key = call.key.is_some() || refusal.reason == RefusalReason::KeyConflict;
-        call.not_run_proven |= is_own_key || refusal.bound_to.is_some();
+        call.not_run_proven |= call.key.is_some() || refusal.bound_to.is_some();
         if call.key.is_none() {
             call.key = refusal.bound_to.clone();
         }
--- a/cuminarch-engine/src/refusal.rs
+++ b/cuminarch-engine/src/refusal.rs
@@ -42,7 +42,7 @@
     /// Whether another attempt may fare better soon.
     #[must_use]
     pub const fn may_retry(self) -> bool {
-        !matches!(self, Self::ClaimUnavailable | Self::KeyConflict)
+        !matches!(self, Self::ClaimUnavailable)
     }
 
     /// Text for logs and callers.
--- a/cuminarch-once/src/fingerprint.rs
+++ b/cuminarch-once/src/fingerprint.rs
@@ -2,7 +2,7 @@
 use std::str::FromStr;
 
 use cuminarch_types::ParseError;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 /// Digest of what a request asks for, to tell a resend from another request
 /// that carries the same idempotency key.
@@ -12,6 +12,16 @@
 pub struct RequestFingerprint(u64);
 
 impl RequestFingerprint {
+    /// Longest body that counts. Whether a longer one is at hand depends on the
+    /// way that a request takes, which must not tell two sends apart.
+    pub const MAX_BODY_BYTES: usize = 16 * 1024;
+
+    /// Digest of a body, unless it is too long to count.
+    #[must_use]
+    pub fn body_digest(body: &[u8]) -> Option<u64> {
+        (body.len() <= Self::MAX_BODY_BYTES).then(|| xxh3_64(body))
+    }
+
     /// The digest of a method, a path with its query, and a digest of the body
     /// if there is one.
     #[must_use]
--- a/cuminarch-once/src/key_table.rs
+++ b/cuminarch-once/src/key_table.rs
@@ -14,6 +14,9 @@
     pub max_keys: usize,
     /// Most bytes of stored answers; older answers are dropped first, their keys stay.
     pub max_answer_bytes: usize,
+    /// Serial number of the first key. Chosen at random it keeps the keys of two
+    /// processes apart even if a wrong clock gave them the same incarnation.
+    pub first_serial: u64,
 }
 
 /// What to do with a request that carries a bound key.
@@ -29,7 +32,7 @@
     InProgress,
     /// It may have run: the key is of another process, expired, or its run broke off.
     Unknown,
-    /// The key belongs to another request; this one has not run.
+    /// The key belongs to another request, which may have run.
     Conflict,
     /// The table is full; it has not run.
     Full,
@@ -86,8 +89,16 @@
             lifetime: Duration::from_secs(600),
             max_keys: 100_000,
             max_answer_bytes: 32 * 1024 * 1024,
+            first_serial: 1,
         }
     }
+
+    /// Sets the serial number of the first key.
+    #[must_use]
+    pub const fn with_first_serial(mut self, first_serial: u64) -> Self {
+        self.first_serial = first_serial;
+        self
+    }
 }
 
 impl Default for KeyTableSettings {
@@ -111,7 +122,7 @@
             settings,
             endpoint,
             incarnation,
-            next_serial: 1,
+            next_serial: settings.first_serial,
             answer_bytes: 0,
             mints: BTreeMap::new(),
             keys: BTreeMap::new(),
--- a/cuminarch-once/tests/key_table.rs
+++ b/cuminarch-once/tests/key_table.rs
@@ -124,3 +124,30 @@
     assert_eq!(decisions, [false, true, false, true], "the earliest answers go first");
     assert_eq!((table.len(), table.answer_bytes()), (4, 200));
 }
+
+#[test]
+fn key_of_an_earlier_process_with_the_same_incarnation_does_not_run() {
+    let mut earlier = table(KeyTableSettings::new().with_first_serial(500));
+    let mut later = table(KeyTableSettings::new().with_first_serial(90_000));
+    let key = earlier.mint(MonoTime::ZERO);
+    later.mint(MonoTime::ZERO);
+    assert_eq!(later.begin(&key, order(), CALL, MonoTime::ZERO), KeyDecision::Unknown);
+}
+
+#[rstest]
+#[case::method("PUT", "/orders", b"{}")]
+#[case::path("POST", "/orders?draft", b"{}")]
+#[case::body("POST", "/orders", b"{ }")]
+#[case::shifted("POST/", "orders", b"{}")]
+fn fingerprints_tell_requests_apart(
+    #[case] method: &str,
+    #[case] target: &str,
+    #[case] body: &[u8],
+) {
+    let of = |method, target, body| {
+        RequestFingerprint::new(method, target, RequestFingerprint::body_digest(body))
+    };
+    assert_ne!(of(method, target, body), of("POST", "/orders", b"{}"));
+    let long = vec![0; RequestFingerprint::MAX_BODY_BYTES + 1];
+    assert_eq!(of("POST", "/", &long), RequestFingerprint::new("POST", "/", None));
+}
