feat(node): number sends, digest bodies and start serials at random

What the driver owes the engine for keys: whether the client numbers its sends, a digest of a short body on both ways in, and a random first serial. Small edits in front.rs, link_server.rs, body.rs, headers.rs and node.rs.

--- a/cuminarch-node/src/data/body.rs
+++ b/cuminarch-node/src/data/body.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use cuminarch_once::RequestFingerprint;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use thiserror::Error;
@@ -84,6 +85,14 @@
         Self::Passed(Bytes::new(), BodyReader::Caller(body))
     }
 
+    /// Digest of the body, if it is short enough to count in a fingerprint.
+    pub fn digest(&self) -> Option<u64> {
+        match self {
+            Self::Held(bytes) => RequestFingerprint::body_digest(bytes),
+            Self::Passed(..) => None,
+        }
+    }
+
     /// Whether the body can be sent again.
     pub const fn is_held(&self) -> bool {
         matches!(self, Self::Held(_))
--- a/cuminarch-node/src/data/front.rs
+++ b/cuminarch-node/src/data/front.rs
@@ -119,7 +119,8 @@
         if is_inbound { Direction::Inbound } else { Direction::Outbound(service.clone()) };
     let arrival = Arrival { direction, ..Arrival::inbound(root, method, target) }
         .with_parent(caller.parent.filter(|_| side == Side::Upstream))
-        .with_resend(caller.resend)
+        .with_send(caller.resend)
+        .with_body_digest(body.digest())
         .with_remaining(caller.remaining)
         .with_replayable(body.is_held())
         .with_key(caller.key);
--- a/cuminarch-node/src/data/link_server.rs
+++ b/cuminarch-node/src/data/link_server.rs
@@ -112,6 +112,7 @@
         .with_remaining(Some(Duration::from_millis(head.remaining_ms)))
         .with_idempotent(head.idempotent)
         .with_replayable(body.is_held())
+        .with_body_digest(body.digest())
         .with_key(head.key.as_ref().and_then(|key| headers::parse_key(key).ok()))
 }
 
--- a/cuminarch-node/src/headers.rs
+++ b/cuminarch-node/src/headers.rs
@@ -47,7 +47,7 @@
     pub root: Option<RequestId>,
     pub parent: Option<CallId>,
     pub remaining: Option<Duration>,
-    pub resend: ResendNumber,
+    pub resend: Option<ResendNumber>,
     pub key: Option<RequestKey>,
 }
 
@@ -68,7 +68,7 @@
             root,
             parent,
             remaining: remaining_ms.map(Duration::from_millis),
-            resend: parsed(headers, SEND)?.unwrap_or_default(),
+            resend: parsed(headers, SEND)?,
             key,
         })
     }
--- a/cuminarch-node/src/node.rs
+++ b/cuminarch-node/src/node.rs
@@ -1,3 +1,4 @@
+use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -5,6 +6,7 @@
 
 use cuminarch_config::Policy;
 use cuminarch_engine::{Engine, EngineSettings};
+use cuminarch_once::KeyTableSettings;
 use cuminarch_platform::HttpObjectStore;
 use cuminarch_protocol::{Member, MemberState};
 use cuminarch_types::Incarnation;
@@ -153,6 +155,11 @@
     }
 }
 
+/// Where the serial numbers of this process's idempotency keys begin.
+fn random_serial() -> u64 {
+    RandomState::new().hash_one(0_u8) >> 1
+}
+
 /// Milliseconds since the epoch: later processes of an endpoint get a higher one.
 fn new_incarnation() -> Incarnation {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -182,4 +189,5 @@
     )
     .with_incarnation(incarnation)
     .with_seed(incarnation.get())
+    .with_keys(KeyTableSettings::new().with_first_serial(random_serial()))
 }
