--- a/cuminarch-engine/src/arrival.rs
+++ b/cuminarch-engine/src/arrival.rs
@@ -99,17 +99,17 @@
         self
     }
 
-    /// Sets which send of the request this is.
+    /// Sets which send of the request this is, as its client states.
     #[must_use]
-    pub fn with_resend(mut self, resend: ResendNumber) -> Self {
-        self.resend = resend;
-        self
+    pub fn with_resend(self, resend: ResendNumber) -> Self {
+        self.with_send(Some(resend))
     }
 
-    /// Sets whether the client numbers its sends.
+    /// Sets which send of the request this is, if the client numbers them.
     #[must_use]
-    pub const fn with_numbered(mut self, is_numbered: bool) -> Self {
-        self.is_numbered = is_numbered;
+    pub fn with_send(mut self, send: Option<ResendNumber>) -> Self {
+        self.resend = send.unwrap_or_default();
+        self.is_numbered = send.is_some();
         self
     }
 
