--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -113,8 +113,8 @@
             self.note_proof(id, &refusal);
         }
         let is_running = refusal.reason == RefusalReason::KeyInProgress;
-        let is_movable = is_not_run && refusal.reason.may_retry() && self.has_alternative(id, now);
-        let may_retry = is_running || is_movable;
+        let is_worth_it = refusal.reason.may_retry() && self.has_way(id, refusal.reason, now);
+        let may_retry = is_running || (is_not_run && is_worth_it);
         self.retry_or_refuse(id, may_retry, refusal, now, actions);
     }
 
@@ -255,6 +255,17 @@
             .or_else(|| self.router.pick(&service, kind, &[], now))
     }
 
+    /// Whether another attempt may fare better. A key leaves one way, on which
+    /// only a failure of the upstream's connection is likely to pass soon.
+    fn has_way(&self, id: CallId, reason: RefusalReason, now: MonoTime) -> bool {
+        let is_pinned =
+            self.calls.get(&id).is_some_and(|call| call.key.is_some() && !call.idempotent);
+        if is_pinned {
+            return reason == RefusalReason::UpstreamFailed;
+        }
+        self.has_alternative(id, now)
+    }
+
     /// Whether an endpoint that was not tried yet may admit the call.
     fn has_alternative(&self, id: CallId, now: MonoTime) -> bool {
         let Some(call) = self.calls.get(&id) else { return false };
--- a/cuminarch-engine/tests/keys.rs
+++ b/cuminarch-engine/tests/keys.rs
@@ -287,3 +287,20 @@
     let (_, actions) = node.arrive(arrival);
     assert!(matches!(actions[..], [Action::Forward { .. }]), "{actions:?}");
 }
+
+#[rstest]
+#[case::overloaded(RefusalReason::Overloaded, false)]
+#[case::upstream_closed(RefusalReason::UpstreamFailed, true)]
+fn keyed_attempt_is_not_repeated_at_an_overloaded_process(
+    #[case] reason: RefusalReason,
+    #[case] repeats: bool,
+) {
+    let mut node = Node::new();
+    node.know("kasse-3", MemberState::Active);
+    let (call, actions) = node.arrive(approval(&RequestKey::Bound(peer_key())));
+    let Action::Forward { attempt, .. } = actions[0] else { panic!("{actions:?}") };
+    let refusal = Refusal::not_run(reason);
+    let refused = RemoteRefusal { refusal, receipt: Receipt::default() };
+    let actions = node.handle(Event::RemoteRefused(call, attempt, Box::new(refused)));
+    assert_eq!(actions.is_empty(), repeats, "{actions:?}");
+}
