--- a/cuminarch-once/src/claim_shard.rs
+++ b/cuminarch-once/src/claim_shard.rs
@@ -9,23 +9,25 @@
 
 /// Number of the object that holds the claim of a client's key.
 ///
-/// Written as four hexadecimal digits. Every process has to compute the same
+/// Written as five hexadecimal digits. Every process has to compute the same
 /// number for the same key, so the function never changes.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct ClaimShardId(u16);
+pub struct ClaimShardId(u32);
 
 impl ClaimShardId {
+    const BITS: u32 = 20;
+
     /// The shard of a key.
     #[must_use]
     pub fn of_key(key: &ClientKey) -> Self {
-        let bytes = xxh3_64(key.as_str().as_bytes()).to_be_bytes();
-        Self(u16::from_be_bytes([bytes[0], bytes[1]]))
+        let hash = xxh3_64(key.as_str().as_bytes());
+        Self((hash >> (u64::BITS - Self::BITS)) as u32)
     }
 }
 
 impl fmt::Display for ClaimShardId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{:04x}", self.0)
+        write!(formatter, "{:05x}", self.0)
     }
 }
 
@@ -33,9 +35,10 @@
     type Err = ParseError;
 
     fn from_str(text: &str) -> Result<Self, ParseError> {
-        u16::from_str_radix(text, 16)
-            .map(Self)
-            .map_err(|_| ParseError::new("ClaimShardId", text, "it is not hexadecimal"))
+        match u32::from_str_radix(text, 16) {
+            Ok(number) if number >> Self::BITS == 0 => Ok(Self(number)),
+            _ => Err(ParseError::new("ClaimShardId", text, "it is not 1 to 5 hexadecimal digits")),
+        }
     }
 }
 
@@ -76,10 +79,10 @@
 }
 
 impl ClaimSettings {
-    /// One day, 32 kept, 3000 at most, 6 calls.
+    /// One day, 8 kept, 3000 at most, 6 calls.
     #[must_use]
     pub const fn new() -> Self {
-        Self { retention_s: 24 * 3_600, keep_entries: 32, max_entries: 3_000, max_calls: 6 }
+        Self { retention_s: 24 * 3_600, keep_entries: 8, max_entries: 3_000, max_calls: 6 }
     }
 }
 
