feat: put one change into force as a state machine

Cause: apply wrote once and lost track: a lost answer was reported as an error, a change made meanwhile was overwritten unseen or reported without its author, a restored platform gave out revisions that nodes ignore, and nothing was kept.

Change: ApplyProcess. The conditional write of config/current accepts a change; before a document is replaced it is saved under config/history, so that a change whose answer was lost is found in place or in the history by its id. The base has to be the highest revision known to the platform or any zone.

Not covered: a platform that goes back and gives the same versions again between a process's reads and its write; no writer can notice that.

--- /dev/null
+++ b/cuminarch-cli/src/apply_process.rs
@@ -0,0 +1,462 @@
+//! Puts one sheet into force, whatever the platform does meanwhile.
+
+use std::time::Duration;
+
+use cuminarch_config::{ConfigDocument, ZoneStatus};
+use cuminarch_platform::{
+    Backoff, Expect, Listing, Object, ObjectPath, ObjectVersion, PlatformError,
+};
+use cuminarch_types::{ChangeId, MonoTime, Revision};
+
+use crate::paths::{CURRENT, HISTORY, STATUS, history_path, object_path, twin_path};
+
+/// A change that an operator asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ApplyRequest {
+    /// Identifies the change.
+    pub change: ChangeId,
+    /// The new sheet as YAML text.
+    pub sheet: String,
+    /// Revision that the operator started from.
+    pub base: Revision,
+    /// Whether the change may have been asked for before.
+    pub is_rerun: bool,
+    /// Whether the platform is known to have lost revisions up to the base.
+    pub is_restored: bool,
+}
+
+/// What the process asks of its driver.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ApplyAction {
+    /// Read an object.
+    Get(ObjectPath),
+    /// Read all objects under a prefix.
+    List(ObjectPath),
+    /// Write an object.
+    Put {
+        /// Its name.
+        path: ObjectPath,
+        /// Its value.
+        value: String,
+        /// What the write requires.
+        expect: Expect,
+    },
+    /// Remove an object.
+    Delete {
+        /// Its name.
+        path: ObjectPath,
+        /// Version that is removed.
+        version: ObjectVersion,
+    },
+    /// Wait.
+    Sleep(Duration),
+    /// Report the outcome; the process is over.
+    Finish(ApplyOutcome),
+}
+
+/// What the driver tells the process.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ApplyEvent {
+    /// The process begins.
+    Started,
+    /// Result of [`ApplyAction::Get`].
+    Got(Result<Option<Object>, PlatformError>),
+    /// Result of [`ApplyAction::List`].
+    Listed(Result<Listing, PlatformError>),
+    /// Result of [`ApplyAction::Put`].
+    Put(Result<ObjectVersion, PlatformError>),
+    /// Result of [`ApplyAction::Delete`].
+    Deleted(Result<(), PlatformError>),
+    /// The wait is over.
+    Woken,
+}
+
+/// How a change ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ApplyOutcome {
+    /// It is accepted.
+    Accepted {
+        /// Its revision.
+        revision: Revision,
+        /// Whether the answer to the write was lost and the change found later.
+        is_settled: bool,
+        /// Whether it is in the history; if not, the next change puts it there.
+        is_recorded: bool,
+        /// Revision that has replaced it already.
+        superseded_by: Option<Revision>,
+    },
+    /// It is not accepted: another change came first.
+    Outdated {
+        /// Highest revision known to the platform or to a zone.
+        highest: Revision,
+        /// The accepted document, if any.
+        current: Option<ConfigDocument>,
+    },
+    /// It is not accepted: the platform does not know the revision it is based on.
+    UnknownBase {
+        /// Highest revision known to the platform or to a zone.
+        highest: Revision,
+    },
+    /// It is not accepted: nothing was written.
+    NotAccepted {
+        /// Why.
+        reason: String,
+    },
+    /// It may be accepted.
+    Unknown {
+        /// Why.
+        reason: String,
+    },
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Stage {
+    ReadingCurrent,
+    ReadingStatus,
+    ReadingHistory,
+    SavingCurrent,
+    Writing,
+    Recording,
+    ListingHistory,
+    Pruning(Vec<Object>),
+    Done,
+}
+
+/// State of one change on its way into force.
+///
+/// The write of `config/current` on condition of its version accepts a change.
+/// Before a document is replaced it is saved under `config/history`, so that a
+/// change whose answer was lost is found there or in place.
+#[derive(Clone, Debug)]
+pub struct ApplyProcess {
+    request: ApplyRequest,
+    until: MonoTime,
+    backoff: Backoff,
+    stage: Stage,
+    current: Option<(Object, ConfigDocument)>,
+    /// Highest revision that a zone reports.
+    in_force: Revision,
+    /// Revision of a write whose outcome is not known.
+    sent: Option<Revision>,
+    is_history_read: bool,
+    /// The accepted document, once it is known to be.
+    accepted: Option<ConfigDocument>,
+    is_twin: bool,
+}
+
+impl ApplyProcess {
+    /// Number of documents that the history keeps.
+    pub const HISTORY_LEN: usize = 50;
+    /// Most documents removed from the history after one change.
+    const MAX_PRUNED: usize = 8;
+    const FIRST_DELAY: Duration = Duration::from_millis(100);
+    const LONGEST_DELAY: Duration = Duration::from_secs(2);
+
+    /// A process that gives up at `until`; `seed` spreads its delays.
+    #[must_use]
+    pub fn new(request: ApplyRequest, until: MonoTime, seed: u64) -> Self {
+        Self {
+            request,
+            until,
+            backoff: Backoff::new(Self::FIRST_DELAY, Self::LONGEST_DELAY, seed),
+            stage: Stage::ReadingStatus,
+            current: None,
+            in_force: Revision::default(),
+            sent: None,
+            is_history_read: false,
+            accepted: None,
+            is_twin: false,
+        }
+    }
+
+    /// Takes in an event and says what to do next.
+    pub fn handle(&mut self, event: ApplyEvent, now: MonoTime) -> ApplyAction {
+        match (self.stage.clone(), event) {
+            (_, ApplyEvent::Started | ApplyEvent::Woken) => self.resume(),
+            (Stage::ReadingCurrent, ApplyEvent::Got(Ok(object))) => self.read_current(object),
+            (Stage::ReadingStatus, ApplyEvent::Listed(Ok(listing))) => self.read_status(&listing),
+            (Stage::ReadingHistory, ApplyEvent::Listed(Ok(listing))) => self.read_history(&listing),
+            (Stage::SavingCurrent, ApplyEvent::Put(result)) => self.saved(result, now),
+            (Stage::Writing, ApplyEvent::Put(result)) => self.written(result, now),
+            (Stage::Recording, ApplyEvent::Put(result)) => self.recorded(result, now),
+            (Stage::ListingHistory, ApplyEvent::Listed(Ok(listing))) => self.prune(listing),
+            (Stage::Pruning(left), ApplyEvent::Deleted(Ok(()))) => self.prune_next(left),
+            (Stage::ListingHistory | Stage::Pruning(_), _) => self.finish_accepted(true, None),
+            (
+                _,
+                ApplyEvent::Got(Err(error))
+                | ApplyEvent::Listed(Err(error))
+                | ApplyEvent::Put(Err(error))
+                | ApplyEvent::Deleted(Err(error)),
+            ) => self.retry(&error, now),
+            (_, event) => self.finish_unsettled(format!("unexpected event {event:?}")),
+        }
+    }
+
+    /// Asks for what the present stage needs.
+    fn resume(&mut self) -> ApplyAction {
+        if self.accepted.is_some() {
+            return self.record();
+        }
+        self.stage = Stage::ReadingStatus;
+        ApplyAction::List(object_path(STATUS))
+    }
+
+    /// Takes in what the zones report. This is read before the accepted document,
+    /// since whatever is in force had been accepted before: were it read after,
+    /// a change accepted in between would look like one that the platform lost.
+    fn read_status(&mut self, listing: &Listing) -> ApplyAction {
+        let reports = listing
+            .objects
+            .iter()
+            .filter_map(|object| serde_json::from_str::<ZoneStatus>(&object.value).ok());
+        self.in_force = reports.map(|status| status.highest_revision).max().unwrap_or_default();
+        self.stage = Stage::ReadingCurrent;
+        ApplyAction::Get(object_path(CURRENT))
+    }
+
+    fn read_current(&mut self, object: Option<Object>) -> ApplyAction {
+        self.is_twin = false;
+        self.current = match object {
+            None => None,
+            Some(object) => match serde_json::from_str::<ConfigDocument>(&object.value) {
+                Ok(document) => Some((object, document)),
+                Err(error) => {
+                    return self.finish_unsettled(format!("{CURRENT} holds no document: {error}"));
+                }
+            },
+        };
+        if let Some((_, document)) = &self.current
+            && document.change == self.request.change
+        {
+            self.accepted = Some(document.clone());
+            return self.record();
+        }
+        let may_be_accepted = self.request.is_rerun || self.sent.is_some();
+        if may_be_accepted && (self.conflict().is_some() || !self.is_history_read) {
+            self.stage = Stage::ReadingHistory;
+            return ApplyAction::List(object_path(HISTORY));
+        }
+        self.proceed()
+    }
+
+    fn read_history(&mut self, listing: &Listing) -> ApplyAction {
+        self.is_history_read = true;
+        let mut documents = documents(listing).map(|(_, document)| document);
+        let found = documents.find(|document| document.change == self.request.change);
+        match found {
+            Some(document) => {
+                self.accepted = Some(document);
+                let superseded_by = self.current_revision();
+                self.finish_accepted(true, Some(superseded_by))
+            }
+            None => self.proceed(),
+        }
+    }
+
+    /// Writes the document, or reports what stands against it.
+    fn proceed(&mut self) -> ApplyAction {
+        if let Some(outcome) = self.conflict() {
+            return self.finish(outcome);
+        }
+        let Some((object, document)) = &self.current else { return self.write() };
+        let path = self.path_in_history(document);
+        let value = object.value.clone();
+        self.stage = Stage::SavingCurrent;
+        ApplyAction::Put { path, value, expect: Expect::Absent }
+    }
+
+    fn path_in_history(&self, document: &ConfigDocument) -> ObjectPath {
+        if self.is_twin {
+            twin_path(document.revision, &document.change)
+        } else {
+            history_path(document.revision)
+        }
+    }
+
+    fn current_revision(&self) -> Revision {
+        self.current.as_ref().map(|(_, document)| document.revision).unwrap_or_default()
+    }
+
+    /// What keeps the change from being written now.
+    fn conflict(&self) -> Option<ApplyOutcome> {
+        let current = self.current_revision();
+        let highest = current.max(self.in_force);
+        let base = self.request.base;
+        if let Some(sent) = self.sent
+            && current < sent
+            && self.in_force >= sent
+        {
+            let reason = format!("the platform has gone back to revision {current}");
+            return Some(ApplyOutcome::Unknown { reason });
+        }
+        if base < highest {
+            let current = self.current.as_ref().map(|(_, document)| document.clone());
+            return Some(ApplyOutcome::Outdated { highest, current });
+        }
+        if base > highest && !self.request.is_restored {
+            return Some(ApplyOutcome::UnknownBase { highest });
+        }
+        None
+    }
+
+    fn saved(
+        &mut self,
+        result: Result<ObjectVersion, PlatformError>,
+        now: MonoTime,
+    ) -> ApplyAction {
+        let change = self.current.as_ref().map(|(_, document)| document.change.clone());
+        match kept(result, change.as_ref()) {
+            Ok(true) => self.write(),
+            Ok(false) => {
+                self.is_twin = true;
+                self.proceed()
+            }
+            Err(error) => self.retry(&error, now),
+        }
+    }
+
+    fn write(&mut self) -> ApplyAction {
+        self.is_twin = false;
+        let document = self.document();
+        let expect = match &self.current {
+            None => Expect::Absent,
+            Some((object, _)) => Expect::Version(object.version),
+        };
+        self.stage = Stage::Writing;
+        ApplyAction::Put { path: object_path(CURRENT), value: to_json(&document), expect }
+    }
+
+    fn document(&self) -> ConfigDocument {
+        ConfigDocument {
+            revision: self.request.base.max(self.in_force).max(self.current_revision()).next(),
+            change: self.request.change.clone(),
+            sheet: self.request.sheet.clone(),
+        }
+    }
+
+    fn written(
+        &mut self,
+        result: Result<ObjectVersion, PlatformError>,
+        now: MonoTime,
+    ) -> ApplyAction {
+        match result {
+            Ok(_) => {
+                self.accepted = Some(self.document());
+                self.record()
+            }
+            Err(PlatformError::Conflict { .. }) => self.resume(),
+            Err(error @ (PlatformError::Unavailable { .. } | PlatformError::RateLimited)) => {
+                self.retry(&error, now)
+            }
+            Err(error @ PlatformError::TooLarge { .. }) => self.finish_unsettled(error.to_string()),
+            Err(error) => {
+                self.sent = Some(self.document().revision);
+                self.is_history_read = false;
+                self.retry(&error, now)
+            }
+        }
+    }
+
+    fn record(&mut self) -> ApplyAction {
+        let Some(document) = &self.accepted else { return self.finish_accepted(false, None) };
+        let path = self.path_in_history(document);
+        let value = to_json(document);
+        self.stage = Stage::Recording;
+        ApplyAction::Put { path, value, expect: Expect::Absent }
+    }
+
+    fn recorded(
+        &mut self,
+        result: Result<ObjectVersion, PlatformError>,
+        now: MonoTime,
+    ) -> ApplyAction {
+        match kept(result, Some(&self.request.change)) {
+            Ok(true) => {
+                self.stage = Stage::ListingHistory;
+                ApplyAction::List(object_path(HISTORY))
+            }
+            Ok(false) if !self.is_twin => {
+                self.is_twin = true;
+                self.record()
+            }
+            Ok(false) => self.finish_accepted(false, None),
+            Err(error) => self.retry(&error, now),
+        }
+    }
+
+    /// Removes the oldest documents beyond those that the history keeps.
+    fn prune(&mut self, listing: Listing) -> ApplyAction {
+        let kept_from = listing.objects.len().saturating_sub(Self::HISTORY_LEN);
+        let surplus = listing.objects.into_iter().take(kept_from.min(Self::MAX_PRUNED)).collect();
+        self.prune_next(surplus)
+    }
+
+    fn prune_next(&mut self, mut surplus: Vec<Object>) -> ApplyAction {
+        let Some(object) = surplus.pop() else { return self.finish_accepted(true, None) };
+        self.stage = Stage::Pruning(surplus);
+        ApplyAction::Delete { path: object.path, version: object.version }
+    }
+
+    fn retry(&mut self, error: &PlatformError, now: MonoTime) -> ApplyAction {
+        if now < self.until {
+            return ApplyAction::Sleep(self.backoff.next_delay());
+        }
+        if self.accepted.is_some() {
+            return self.finish_accepted(false, None);
+        }
+        self.finish_unsettled(error.to_string())
+    }
+
+    fn finish_accepted(
+        &mut self,
+        is_recorded: bool,
+        superseded_by: Option<Revision>,
+    ) -> ApplyAction {
+        let revision = self.accepted.as_ref().map(|document| document.revision).unwrap_or_default();
+        let is_settled = self.sent.is_some();
+        self.finish(ApplyOutcome::Accepted { revision, is_settled, is_recorded, superseded_by })
+    }
+
+    /// Ends without a result: not accepted if nothing was sent.
+    fn finish_unsettled(&mut self, reason: String) -> ApplyAction {
+        let is_open = self.sent.is_some() || self.request.is_rerun;
+        self.finish(if is_open {
+            ApplyOutcome::Unknown { reason }
+        } else {
+            ApplyOutcome::NotAccepted { reason }
+        })
+    }
+
+    fn finish(&mut self, outcome: ApplyOutcome) -> ApplyAction {
+        self.stage = Stage::Done;
+        ApplyAction::Finish(outcome)
+    }
+}
+
+/// Whether a document is in the history now, or another one in its place.
+fn kept(
+    result: Result<ObjectVersion, PlatformError>,
+    change: Option<&ChangeId>,
+) -> Result<bool, PlatformError> {
+    match result {
+        Ok(_) => Ok(true),
+        Err(PlatformError::Conflict { current: Some(object), .. }) => {
+            let held = serde_json::from_str::<ConfigDocument>(&object.value).ok();
+            Ok(held.is_some_and(|held| Some(&held.change) == change))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+fn to_json(document: &ConfigDocument) -> String {
+    serde_json::to_string(document).expect("plain fields")
+}
+
+/// The documents of a listing of the history, in order of revision.
+pub(crate) fn documents(listing: &Listing) -> impl Iterator<Item = (&Object, ConfigDocument)> {
+    listing
+        .objects
+        .iter()
+        .filter_map(|object| Some((object, serde_json::from_str(&object.value).ok()?)))
+}
