feat: operator commands with stable exit codes, as a library

The commands are functions that write to the given outputs; tests run them in virtual time against the stand-in over HTTP, and the program itself for its exit codes, a lost answer and two operators at once.

--- /dev/null
+++ b/cuminarch-cli/src/commands/apply.rs
@@ -0,0 +1,255 @@
+use std::process;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use clap::ArgMatches;
+use cuminarch_config::{ConfigDocument, Sheet, Weakening};
+use cuminarch_platform::{HttpObjectStore, ObjectStore};
+use cuminarch_protocol::Member;
+use cuminarch_types::{ChangeId, Revision, ServiceName, ZoneName};
+
+use crate::commands::change_report::{ChangeReport, LaterChange};
+use crate::commands::wait::wait;
+use crate::commands::{Session, required, store};
+use crate::configuration::{policy, read_current, read_history, read_sheet};
+use crate::driver::{read_until, run_apply};
+use crate::paths::{MEMBERS, object_path};
+use crate::{ApplyOutcome, ApplyProcess, ApplyRequest, CliError, ExitStatus, SheetDiff};
+
+/// Options of commands that change what is in force.
+pub(crate) struct ChangeOptions {
+    change: ChangeId,
+    is_rerun: bool,
+    allows_weaker: bool,
+    limit: Duration,
+    wait: Option<Duration>,
+    zones: Vec<ZoneName>,
+}
+
+/// A sheet with what it was made from.
+pub(crate) struct Submission {
+    pub sheet: String,
+    pub base: Revision,
+    pub is_restored: bool,
+}
+
+impl ChangeOptions {
+    pub(crate) fn new(matches: &ArgMatches) -> Result<Self, CliError> {
+        let given = matches.get_one::<ChangeId>("change").cloned();
+        let wait_limit = Duration::from_millis(required(matches, "wait-limit-ms")?);
+        let zones = matches.get_many::<ZoneName>("zones").unwrap_or_default();
+        Ok(Self {
+            is_rerun: given.is_some(),
+            change: given.map_or_else(new_change_id, Ok)?,
+            allows_weaker: matches.get_flag("allow-weaker"),
+            limit: Duration::from_millis(required(matches, "limit-ms")?),
+            wait: matches.get_flag("wait").then_some(wait_limit),
+            zones: zones.cloned().collect(),
+        })
+    }
+
+    fn seed(&self) -> u64 {
+        self.change.as_str().bytes().fold(0, |seed, byte| seed.rotate_left(7) ^ u64::from(byte))
+    }
+}
+
+/// An id that no other change has: time and process.
+fn new_change_id() -> Result<ChangeId, CliError> {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let text = format!("change-{:x}-{:x}", since.as_nanos(), process::id());
+    ChangeId::new(text).map_err(|error| CliError::Argument(error.to_string()))
+}
+
+/// Puts a sheet into force.
+pub(crate) fn apply(
+    matches: &ArgMatches,
+    session: &mut Session<'_, '_>,
+) -> Result<ExitStatus, CliError> {
+    let path: String = required(matches, "sheet")?;
+    let sheet = read_sheet(&path)?;
+    for warning in &sheet.warnings {
+        session.remark(&format_args!("{path}: {warning}"))?;
+    }
+    let options = ChangeOptions::new(matches)?;
+    let store = store(matches)?;
+    let current = match current(session, &store, &options) {
+        Ok(current) => current,
+        Err(error) => return give_up(session, &options, error),
+    };
+    remark_unannounced(session, &store, &sheet.sheet)?;
+    let base = matches.get_one::<Revision>("base").copied().or(sheet.base);
+    let base = match base {
+        Some(base) => base,
+        None => show_diff(session, current.as_ref(), &sheet.text, &path)?,
+    };
+    let is_restored = matches.get_flag("restored");
+    let submission = Submission { sheet: sheet.text, base, is_restored };
+    submit(session, &store, &options, current.as_ref(), submission)
+}
+
+/// Reads the accepted document, within the time limit.
+pub(crate) fn current(
+    session: &Session<'_, '_>,
+    store: &HttpObjectStore,
+    options: &ChangeOptions,
+) -> Result<Option<ConfigDocument>, CliError> {
+    let until = session.clock.now().after(options.limit);
+    read_until(session.clock, until, options.seed(), || read_current(store))
+}
+
+/// Ends a change that the platform's outage kept from being looked at.
+pub(crate) fn give_up(
+    session: &mut Session<'_, '_>,
+    options: &ChangeOptions,
+    error: CliError,
+) -> Result<ExitStatus, CliError> {
+    let CliError::Platform(error) = error else { return Err(error) };
+    let (change, reason) = (options.change.clone(), error.to_string());
+    let report = if options.is_rerun {
+        ChangeReport::Unknown { change, reason }
+    } else {
+        ChangeReport::NotAccepted { change, reason }
+    };
+    session.report(&report)?;
+    Ok(report.exit_status())
+}
+
+/// Shows what a sheet without a base changes; it is taken to be made from the
+/// accepted one.
+fn show_diff(
+    session: &mut Session<'_, '_>,
+    current: Option<&ConfigDocument>,
+    sheet: &str,
+    path: &str,
+) -> Result<Revision, CliError> {
+    let revision = current.map(|document| document.revision).unwrap_or_default();
+    let old = current.map_or("", |document| document.sheet.as_str());
+    let diff = SheetDiff::between(old, sheet, &format!("revision {revision}"), path);
+    session.remark(&diff)?;
+    Ok(revision)
+}
+
+/// Remarks on services that rules name and no endpoint has announced.
+fn remark_unannounced(
+    session: &mut Session<'_, '_>,
+    store: &dyn ObjectStore,
+    sheet: &Sheet,
+) -> Result<(), CliError> {
+    let Ok(listing) = store.list(&object_path(MEMBERS)) else { return Ok(()) };
+    let announced: Vec<ServiceName> = listing
+        .objects
+        .iter()
+        .filter_map(|object| serde_json::from_str::<Member>(&object.value).ok())
+        .map(|member| member.service)
+        .collect();
+    let named = sheet.rules.iter().flat_map(|rule| &rule.services);
+    for service in named.filter(|service| !announced.is_empty() && !announced.contains(service)) {
+        session.remark(&format_args!("warning: no endpoint has announced service {service}"))?;
+    }
+    Ok(())
+}
+
+/// Puts a sheet into force and waits for the zones if that is wanted.
+pub(crate) fn submit(
+    session: &mut Session<'_, '_>,
+    store: &HttpObjectStore,
+    options: &ChangeOptions,
+    current: Option<&ConfigDocument>,
+    submission: Submission,
+) -> Result<ExitStatus, CliError> {
+    let weakens = weakenings(options, current, &submission)?;
+    if !weakens.is_empty() && !options.allows_weaker {
+        let report = ChangeReport::Weaker { change: options.change.clone(), weakens };
+        session.report(&report)?;
+        return Ok(report.exit_status());
+    }
+    for weakening in weakens {
+        session.remark(&format_args!("weaker: {weakening}"))?;
+    }
+    let base = submission.base;
+    let request = ApplyRequest {
+        change: options.change.clone(),
+        sheet: submission.sheet,
+        base,
+        is_rerun: options.is_rerun,
+        is_restored: submission.is_restored,
+    };
+    let until = session.clock.now().after(options.limit);
+    let mut process = ApplyProcess::new(request, until, options.seed());
+    let outcome = run_apply(&mut process, store, session.clock);
+    let report = report(store, options, base, outcome);
+    session.report(&report)?;
+    match (&report, options.wait) {
+        (ChangeReport::Accepted { revision, .. }, Some(limit)) => {
+            wait(session, store, *revision, &options.zones, limit)
+        }
+        _ => Ok(report.exit_status()),
+    }
+}
+
+/// What a submission weakens against the document that it is made from. Where
+/// another change came first, that is reported instead.
+fn weakenings(
+    options: &ChangeOptions,
+    current: Option<&ConfigDocument>,
+    submission: &Submission,
+) -> Result<Vec<Weakening>, CliError> {
+    match current {
+        Some(document)
+            if document.change != options.change && document.revision <= submission.base =>
+        {
+            let old = policy(document.revision, &document.sheet)?;
+            let new = policy(document.revision, &submission.sheet)?;
+            Ok(Weakening::between(&old, &new))
+        }
+        _ => Ok(Vec::new()),
+    }
+}
+
+fn report(
+    store: &HttpObjectStore,
+    options: &ChangeOptions,
+    base: Revision,
+    outcome: ApplyOutcome,
+) -> ChangeReport {
+    let change = options.change.clone();
+    match outcome {
+        ApplyOutcome::Accepted { revision, is_settled, is_recorded, superseded_by } => {
+            ChangeReport::Accepted { change, revision, is_settled, is_recorded, superseded_by }
+        }
+        ApplyOutcome::Outdated { highest, .. } => outdated(store, change, base, highest),
+        ApplyOutcome::UnknownBase { highest } => {
+            ChangeReport::UnknownBase { change, base, highest }
+        }
+        ApplyOutcome::NotAccepted { reason } => ChangeReport::NotAccepted { change, reason },
+        ApplyOutcome::Unknown { reason } => ChangeReport::Unknown { change, reason },
+    }
+}
+
+/// Describes what was accepted since the base.
+fn outdated(
+    store: &HttpObjectStore,
+    change: ChangeId,
+    base: Revision,
+    highest: Revision,
+) -> ChangeReport {
+    let history = read_history(store).unwrap_or_default();
+    let later = history.iter().filter(|document| document.revision > base);
+    let later = later
+        .map(|document| LaterChange {
+            revision: document.revision,
+            change: document.change.clone(),
+        })
+        .collect();
+    let old = history.iter().find(|document| document.revision == base);
+    let new = history.first().filter(|document| document.revision > base);
+    let diff = match (old, new) {
+        (Some(old), Some(new)) => SheetDiff::between(
+            &old.sheet,
+            &new.sheet,
+            &format!("revision {}", old.revision),
+            &format!("revision {}", new.revision),
+        ),
+        _ => SheetDiff::default(),
+    };
+    ChangeReport::Outdated { change, base, highest, later, diff }
+}
--- /dev/null
+++ b/cuminarch-cli/src/commands/diff.rs
@@ -0,0 +1,49 @@
+use std::fmt;
+
+use clap::ArgMatches;
+use cuminarch_config::Weakening;
+use cuminarch_types::Revision;
+use serde::Serialize;
+
+use crate::commands::{Session, required, store};
+use crate::configuration::{policy, read_current, read_sheet};
+use crate::{CliError, ExitStatus, SheetDiff};
+
+/// What a sheet would change.
+#[derive(Debug, Serialize)]
+struct DiffReport {
+    accepted_revision: Revision,
+    diff: SheetDiff,
+    weakens: Vec<Weakening>,
+}
+
+impl fmt::Display for DiffReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.diff)?;
+        for weakening in &self.weakens {
+            writeln!(formatter, "weaker: {weakening}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Compares a sheet with the accepted one.
+pub(crate) fn diff(
+    matches: &ArgMatches,
+    session: &mut Session<'_, '_>,
+) -> Result<ExitStatus, CliError> {
+    let path: String = required(matches, "sheet")?;
+    let sheet = read_sheet(&path)?;
+    let current = read_current(&store(matches)?)?;
+    let revision = current.as_ref().map(|document| document.revision).unwrap_or_default();
+    let old = current.as_ref().map_or("", |document| document.sheet.as_str());
+    let weakens = match &current {
+        Some(document) => {
+            Weakening::between(&policy(revision, &document.sheet)?, &policy(revision, &sheet.text)?)
+        }
+        None => Vec::new(),
+    };
+    let diff = SheetDiff::between(old, &sheet.text, &format!("revision {revision}"), &path);
+    session.report(&DiffReport { accepted_revision: revision, diff, weakens })?;
+    Ok(ExitStatus::Success)
+}
--- /dev/null
+++ b/cuminarch-cli/src/commands/fleet.rs
@@ -0,0 +1,80 @@
+use std::collections::BTreeMap;
+use std::fmt;
+
+use clap::ArgMatches;
+use cuminarch_config::ZoneStatus;
+use cuminarch_platform::ObjectStore;
+use cuminarch_protocol::{Member, MemberState};
+use cuminarch_types::{ServiceName, ZoneName};
+use serde::Serialize;
+
+use crate::commands::status::zones;
+use crate::commands::{Session, store};
+use crate::paths::{MEMBERS, object_path};
+use crate::{CliError, ExitStatus};
+
+/// Announced endpoints and reports of the zones.
+#[derive(Debug, Serialize)]
+struct FleetReport {
+    services: Vec<ServiceCount>,
+    zones: Vec<ZoneStatus>,
+}
+
+/// Endpoints of one service in one zone.
+#[derive(Debug, Serialize)]
+struct ServiceCount {
+    service: ServiceName,
+    zone: ZoneName,
+    taking_work: u32,
+    leaving: u32,
+}
+
+impl fmt::Display for FleetReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "{:<24} {:<16} {:>12} {:>8}",
+            "service", "zone", "taking work", "leaving"
+        )?;
+        for count in &self.services {
+            let (service, zone) = (count.service.as_str(), count.zone.as_str());
+            let (taking, leaving) = (count.taking_work, count.leaving);
+            writeln!(formatter, "{service:<24} {zone:<16} {taking:>12} {leaving:>8}")?;
+        }
+        for zone in &self.zones {
+            let members = zone.members;
+            writeln!(formatter, "{}: {members} members take work, says {}", zone.zone, zone.relay)?;
+        }
+        Ok(())
+    }
+}
+
+/// Counts the announced endpoints by service and zone.
+pub(crate) fn status(
+    matches: &ArgMatches,
+    session: &mut Session<'_, '_>,
+) -> Result<ExitStatus, CliError> {
+    let store = store(matches)?;
+    let listing = store.list(&object_path(MEMBERS))?;
+    let mut counts: BTreeMap<(ServiceName, ZoneName), (u32, u32)> = BTreeMap::new();
+    for object in &listing.objects {
+        let Ok(member) = serde_json::from_str::<Member>(&object.value) else { continue };
+        let count = counts.entry((member.service, member.zone)).or_default();
+        match member.state {
+            MemberState::Gone => {}
+            MemberState::Leaving => count.1 += 1,
+            MemberState::Active | MemberState::Suspect => count.0 += 1,
+        }
+    }
+    let services = counts
+        .into_iter()
+        .map(|((service, zone), (taking_work, leaving))| ServiceCount {
+            service,
+            zone,
+            taking_work,
+            leaving,
+        })
+        .collect();
+    session.report(&FleetReport { services, zones: zones(&store)? })?;
+    Ok(ExitStatus::Success)
+}
--- /dev/null
+++ b/cuminarch-cli/src/commands/show.rs
@@ -0,0 +1,40 @@
+use std::fmt;
+
+use clap::ArgMatches;
+use cuminarch_config::ConfigDocument;
+use cuminarch_types::Revision;
+use serde::Serialize;
+
+use crate::commands::{Session, store};
+use crate::configuration::{read_current, read_revision, with_header};
+use crate::{CliError, ExitStatus};
+
+/// A document, printed as a sheet that can be edited and applied.
+#[derive(Debug, Serialize)]
+#[serde(transparent)]
+struct ShowReport {
+    document: Option<ConfigDocument>,
+}
+
+impl fmt::Display for ShowReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.document {
+            Some(document) => formatter.write_str(&with_header(document)),
+            None => writeln!(formatter, "# no sheet has been accepted"),
+        }
+    }
+}
+
+/// Prints a sheet with the revision that it was accepted as.
+pub(crate) fn show(
+    matches: &ArgMatches,
+    session: &mut Session<'_, '_>,
+) -> Result<ExitStatus, CliError> {
+    let store = store(matches)?;
+    let document = match matches.get_one::<Revision>("revision") {
+        Some(revision) => Some(read_revision(&store, *revision)?),
+        None => read_current(&store)?,
+    };
+    session.report(&ShowReport { document })?;
+    Ok(ExitStatus::Success)
+}
--- /dev/null
+++ b/cuminarch-cli/src/diff.rs
@@ -0,0 +1,36 @@
+use std::fmt;
+
+use serde::Serialize;
+use similar::TextDiff;
+
+/// Differences of two sheets, line by line.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct SheetDiff {
+    /// The differences in unified form; empty if there are none.
+    pub unified: String,
+}
+
+impl SheetDiff {
+    /// Compares two texts under the given names.
+    #[must_use]
+    pub fn between(old: &str, new: &str, old_name: &str, new_name: &str) -> Self {
+        let diff = TextDiff::from_lines(old, new);
+        let mut unified = diff.unified_diff();
+        Self { unified: unified.header(old_name, new_name).to_string() }
+    }
+
+    /// Whether the texts are the same.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.unified.is_empty()
+    }
+}
+
+impl fmt::Display for SheetDiff {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.is_empty() {
+            return writeln!(formatter, "no differences");
+        }
+        formatter.write_str(&self.unified)
+    }
+}
--- a/cuminarch-cli/src/lib.rs
+++ b/cuminarch-cli/src/lib.rs
@@ -5,8 +5,37 @@
 //! and other programs can call every command. [`ApplyProcess`] is the way of one
 //! change into force as a state machine that does no I/O.
 //!
+//! ```
+//! use cuminarch_cli::{ExitStatus, Outputs, command, run};
+//! use cuminarch_platform::SystemClock;
+//!
+//! let matches = command().try_get_matches_from(["cuminarch", "completions", "bash"])?;
+//! let (mut out, mut errors) = (Vec::new(), Vec::new());
+//! let mut outputs = Outputs { out: &mut out, errors: &mut errors };
+//! assert_eq!(run(&matches, &SystemClock::new(), &mut outputs), ExitStatus::Success);
+//! assert!(!out.is_empty());
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
 
 mod apply_process;
+mod args;
+mod commands;
+mod configuration;
+mod diff;
+mod driver;
+mod error;
+mod exit_status;
+mod output;
 pub mod paths;
+mod wait_process;
 
 pub use apply_process::{ApplyAction, ApplyEvent, ApplyOutcome, ApplyProcess, ApplyRequest};
+pub use args::command;
+pub use commands::run;
+pub use configuration::{CheckedSheet, read_current, read_history, read_revision, read_sheet};
+pub use diff::SheetDiff;
+pub use driver::{read_until, run_apply};
+pub use error::CliError;
+pub use exit_status::ExitStatus;
+pub use output::{OutputFormat, Outputs};
+pub use wait_process::{WaitProcess, WaitStep, ZoneProgress, ZoneState};
--- /dev/null
+++ b/cuminarch-cli/tests/commands.rs
@@ -0,0 +1,312 @@
+//! The commands as functions, against the stand-in platform in virtual time.
+
+mod harness;
+
+use std::time::Duration;
+
+use cuminarch_cli::paths::{HISTORY, object_path};
+use cuminarch_cli::{ApplyProcess, ApplyRequest, ExitStatus, run_apply};
+use cuminarch_platform::{Clock, Expect, ObjectStore};
+use cuminarch_testing::{ManualClock, MemoryStore, PlatformFault, PlatformServer};
+use cuminarch_types::{ChangeId, MonoTime, Revision};
+use harness::{Harness, SHEET, status_of, with_deadline};
+use rstest::rstest;
+
+#[test]
+fn first_sheet_becomes_revision_one_and_is_shown_with_it() {
+    let harness = Harness::new();
+    harness.write("a.yaml", SHEET);
+    let applied = harness.apply("a.yaml", "monday");
+    assert_eq!(applied.status, ExitStatus::Success);
+    assert_eq!(applied.out, "accepted as revision 1 by change monday\n");
+    let shown = harness.run(&["config", "show", "--platform", "@"]);
+    assert_eq!(shown.out, format!("# cuminarch revision: 1\n{SHEET}"));
+}
+
+#[test]
+fn second_of_two_operators_sees_what_came_first() {
+    let harness = Harness::new();
+    harness.write("first.yaml", SHEET);
+    harness.apply("first.yaml", "monday");
+    let shown = harness.run(&["config", "show", "--platform", "@"]).out;
+    harness.write("a.yaml", &with_deadline(&shown, 3000));
+    harness.write("b.yaml", &with_deadline(&shown, 4000));
+    assert_eq!(harness.apply("a.yaml", "from-a").status, ExitStatus::Success);
+    let late = harness.apply("b.yaml", "from-b");
+    assert_eq!(late.status, ExitStatus::Outdated);
+    insta::assert_snapshot!(late.out);
+    let json = harness.run(&[
+        "--output",
+        "json",
+        "config",
+        "apply",
+        "b.yaml",
+        "--platform",
+        "@",
+        "--change",
+        "from-b",
+    ]);
+    insta::assert_snapshot!(json.out);
+    let rebased = harness.run(&[
+        "config",
+        "apply",
+        "b.yaml",
+        "--platform",
+        "@",
+        "--change",
+        "from-b",
+        "--base",
+        "2",
+    ]);
+    assert_eq!(rebased.out, "accepted as revision 3 by change from-b\n");
+    insta::assert_snapshot!(harness.run(&["config", "history", "--platform", "@"]).out);
+}
+
+#[test]
+fn lost_answers_are_settled_and_reported_once() {
+    let harness = Harness::new();
+    harness.write("a.yaml", SHEET);
+    harness.platform().set_fault(PlatformFault::LoseAnswers);
+    let applied = harness.apply("a.yaml", "monday");
+    assert_eq!(applied.status, ExitStatus::Success);
+    insta::assert_snapshot!(applied.out);
+    harness.platform().set_fault(PlatformFault::None);
+    let listing = harness.platform().list(&object_path(HISTORY)).unwrap();
+    assert_eq!(listing.objects.len(), 1);
+}
+
+#[test]
+fn platform_that_stays_down_accepts_nothing() {
+    let harness = Harness::new();
+    harness.write("a.yaml", SHEET);
+    harness.platform().set_fault(PlatformFault::Down);
+    let applied = harness.run(&["config", "apply", "a.yaml", "--platform", "@"]);
+    assert_eq!(applied.status, ExitStatus::Unavailable);
+    assert!(applied.out.starts_with("not accepted: "), "{}", applied.out);
+    assert!(harness.clock.now() >= MonoTime::from_millis(30_000));
+}
+
+#[test]
+fn doubtful_change_is_said_to_be_so_and_settled_by_its_id() {
+    let harness = Harness::new();
+    harness.write("a.yaml", SHEET);
+    harness.platform().set_fault(PlatformFault::LoseAnswers);
+    let doubtful = harness.run_with(
+        &harness.down_at_first_wait(),
+        &["config", "apply", "a.yaml", "--platform", "@", "--change", "monday"],
+    );
+    assert_eq!(doubtful.status, ExitStatus::Unknown);
+    insta::assert_snapshot!(doubtful.out);
+    let again = harness.apply("a.yaml", "monday");
+    assert_eq!(again.status, ExitStatus::Unknown, "the platform is still down");
+    harness.platform().set_fault(PlatformFault::None);
+    let settled = harness.apply("a.yaml", "monday");
+    assert_eq!(settled.out, "accepted as revision 1 by change monday\n");
+}
+
+#[test]
+fn weaker_sheet_needs_leave() {
+    let harness = Harness::new();
+    harness.write("a.yaml", SHEET);
+    harness.apply("a.yaml", "monday");
+    let weaker = SHEET.replace("idempotent: false", "idempotent: true");
+    harness.write("b.yaml", &weaker);
+    let refused = harness.apply("b.yaml", "tuesday");
+    assert_eq!(refused.status, ExitStatus::Weaker);
+    insta::assert_snapshot!(refused.out);
+    let allowed = harness.run(&[
+        "config",
+        "apply",
+        "b.yaml",
+        "--platform",
+        "@",
+        "--change",
+        "tuesday",
+        "--allow-weaker",
+    ]);
+    assert_eq!(allowed.status, ExitStatus::Success);
+    assert!(allowed.errors.contains("weaker: "));
+    let back = harness.run(&["config", "rollback", "1", "--platform", "@", "--change", "back"]);
+    assert_eq!(back.out, "accepted as revision 3 by change back\n");
+    let shown = harness.run(&["config", "show", "--platform", "@"]);
+    assert_eq!(shown.out, format!("# cuminarch revision: 3\n{SHEET}"));
+    let missing = harness.run(&["config", "rollback", "9", "--platform", "@"]);
+    assert_eq!(missing.status, ExitStatus::Usage);
+}
+
+#[rstest]
+#[case::zone_knows_more(true)]
+#[case::only_the_operator_knows(false)]
+fn restored_platform_gives_no_revision_twice(#[case] has_status: bool) {
+    let harness = Harness::new();
+    harness.write("a.yaml", SHEET);
+    harness.apply("a.yaml", "monday");
+    let backup = harness.platform().snapshot();
+    harness.write("b.yaml", &with_deadline(SHEET, 3000));
+    harness.apply("b.yaml", "tuesday");
+    harness.platform().restore(&backup);
+    if has_status {
+        harness.put_status("zrh-a", 2, 5);
+        let stale = harness.apply("a.yaml", "from-one");
+        assert_eq!(stale.status, ExitStatus::Outdated);
+        insta::assert_snapshot!(stale.out);
+        assert_eq!(
+            harness.run(&["config", "status", "--platform", "@"]).status,
+            ExitStatus::NotInForce
+        );
+    }
+    let arguments =
+        ["config", "apply", "b.yaml", "--platform", "@", "--change", "again", "--base", "2"];
+    if !has_status {
+        assert_eq!(harness.run(&arguments).status, ExitStatus::Outdated);
+    }
+    let mut arguments = arguments.to_vec();
+    if !has_status {
+        arguments.push("--restored");
+    }
+    assert_eq!(harness.run(&arguments).out, "accepted as revision 3 by change again\n");
+}
+
+#[test]
+fn wait_names_zones_as_they_come_and_those_that_do_not() {
+    let harness = Harness::new();
+    harness.write("a.yaml", SHEET);
+    harness.put_status("zrh-a", 1, 1);
+    harness.put_status("zrh-b", 0, 1);
+    // A zone has a revision in force that the platform does not know.
+    let waited = harness.run(&[
+        "config",
+        "apply",
+        "a.yaml",
+        "--platform",
+        "@",
+        "--change",
+        "monday",
+        "--wait",
+        "--base",
+        "0",
+        "--zones",
+        "brn-a",
+    ]);
+    assert_eq!(waited.status, ExitStatus::Outdated);
+    harness.put_status("zrh-a", 0, 1);
+    let store = harness.platform().clone();
+    let clock = harness.at_first_wait(move || {
+        let value = serde_json::to_string(&status_of("zrh-a", 1, 2)).unwrap();
+        store.put(&object_path("status/zrh-a"), &value, Expect::Any).unwrap();
+    });
+    let waited = harness.run_with(
+        &clock,
+        &[
+            "config",
+            "apply",
+            "a.yaml",
+            "--platform",
+            "@",
+            "--change",
+            "monday",
+            "--wait",
+            "--zones",
+            "brn-a",
+        ],
+    );
+    assert_eq!(waited.status, ExitStatus::NotInForce);
+    insta::assert_snapshot!(waited.out);
+    harness.put_status("zrh-b", 1, 2);
+    let settled = harness.run(&[
+        "config",
+        "apply",
+        "a.yaml",
+        "--platform",
+        "@",
+        "--change",
+        "monday",
+        "--wait",
+    ]);
+    assert_eq!(settled.status, ExitStatus::Success);
+}
+
+#[test]
+fn history_is_bounded() {
+    let (store, clock) = (MemoryStore::new(), ManualClock::new());
+    for revision in 0..120 {
+        let request = ApplyRequest {
+            change: ChangeId::new(format!("change-{revision}")).unwrap(),
+            sheet: SHEET.to_owned(),
+            base: Revision::new(revision),
+            is_rerun: false,
+            is_restored: false,
+        };
+        let until = clock.now().after(Duration::from_secs(1));
+        run_apply(&mut ApplyProcess::new(request, until, 1), &store, &clock);
+    }
+    let listing = store.list(&object_path(HISTORY)).unwrap();
+    assert_eq!(listing.objects.len(), ApplyProcess::HISTORY_LEN);
+    assert!(listing.objects.iter().any(|object| object.value.contains("change-119")));
+    // Reports, document, predecessor, write, record, history and one removal each.
+    assert!(store.calls() <= 120 * 7, "{} calls", store.calls());
+}
+
+#[rstest]
+#[case::text(&["config", "check", "faulty.yaml"], ExitStatus::Faulty)]
+#[case::json(&["config", "check", "faulty.yaml", "--output", "json"], ExitStatus::Faulty)]
+#[case::warning(&["config", "check", "warning.yaml"], ExitStatus::Success)]
+#[case::denied_warning(&["config", "check", "warning.yaml", "--deny-warnings"], ExitStatus::Faulty)]
+fn checks_name_every_fault(#[case] arguments: &[&str], #[case] expected: ExitStatus) {
+    let harness = Harness::new();
+    harness.write("faulty.yaml", &SHEET.replace("methods: [POST]", "method: POST"));
+    harness.write("warning.yaml", &SHEET.replace("grant_attempts: 32", "grant_attempts: 3"));
+    let checked = harness.run(arguments);
+    assert_eq!(checked.status, expected);
+    let name = std::thread::current().name().unwrap_or_default().replace("::", "_");
+    insta::assert_snapshot!(name, checked.out);
+}
+
+#[test]
+fn diff_names_what_gets_weaker() {
+    let harness = Harness::new();
+    harness.write("a.yaml", SHEET);
+    harness.apply("a.yaml", "monday");
+    harness.write("b.yaml", &SHEET.replace(", protected: true", ""));
+    insta::assert_snapshot!(harness.run(&["config", "diff", "b.yaml", "--platform", "@"]).out);
+}
+
+#[test]
+fn sheet_that_the_platform_cannot_hold_is_refused_before_any_call() {
+    let harness = Harness::new();
+    harness.write("a.yaml", &format!("{SHEET}# {}\n", "x".repeat(1024 * 1024)));
+    assert_eq!(harness.apply("a.yaml", "monday").status, ExitStatus::Faulty);
+    assert_eq!(harness.platform().calls(), 0);
+}
+
+#[test]
+fn fleet_is_counted_by_service_and_zone() {
+    let harness = Harness::new();
+    harness.put_member("kasse-1", "kasse", "zrh-a", "active");
+    harness.put_member("kasse-2", "kasse", "zrh-a", "leaving");
+    harness.put_member("katalog-1", "katalog", "brn-a", "active");
+    harness.put_status("zrh-a", 1, 1);
+    insta::assert_snapshot!(harness.run(&["fleet", "status", "--platform", "@"]).out);
+}
+
+#[test]
+fn unannounced_service_is_remarked_on() {
+    let harness = Harness::new();
+    harness.put_member("kasse-1", "kasse", "zrh-a", "active");
+    harness.write(
+        "a.yaml",
+        &SHEET.replace("path: /approvals", "services: [aufrag], path: /approvals"),
+    );
+    let applied = harness.apply("a.yaml", "monday");
+    assert!(applied.errors.contains("no endpoint has announced service aufrag"));
+}
+
+#[test]
+fn node_that_does_not_answer_is_unavailable() {
+    let harness = Harness::new();
+    let server = PlatformServer::start().unwrap();
+    let address = server.address().to_string();
+    let dumped = harness.run(&["node", "dump", &address]);
+    assert_eq!(dumped.status, ExitStatus::Unavailable);
+    assert!(dumped.errors.contains("status 404"));
+}
--- /dev/null
+++ b/cuminarch-cli/tests/harness/mod.rs
@@ -0,0 +1,156 @@
+//! Runs commands against a stand-in platform.
+
+use std::fs;
+use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use cuminarch_cli::paths::object_path;
+use cuminarch_cli::{ExitStatus, Outputs, command, run};
+use cuminarch_config::ZoneStatus;
+use cuminarch_platform::{Clock, Expect, ObjectStore};
+use cuminarch_testing::{ManualClock, MemoryStore, PlatformFault, PlatformServer};
+use cuminarch_types::{EndpointId, MonoTime, Revision, ZoneName};
+
+pub const SHEET: &str = "\
+classes:
+  - {name: browse, grant_attempts: 32, deadline_ms: 2000}
+  - {name: approval, grant_attempts: 32, deadline_ms: 10000, protected: true}
+rules:
+  - {class: approval, methods: [POST], path: /approvals/**, idempotent: false}
+default_class: browse
+";
+
+/// The sheet with another deadline for browsing.
+pub fn with_deadline(sheet: &str, deadline_ms: u32) -> String {
+    sheet.replace("deadline_ms: 2000", &format!("deadline_ms: {deadline_ms}"))
+}
+
+/// The report of a zone with one member.
+pub fn status_of(zone: &str, revision: u64, sequence: u64) -> ZoneStatus {
+    ZoneStatus {
+        zone: ZoneName::new(zone).unwrap(),
+        relay: EndpointId::new("katalog-1").unwrap(),
+        sequence,
+        lowest_revision: Revision::new(revision),
+        highest_revision: Revision::new(revision),
+        members: 1,
+        members_in_force: 1,
+    }
+}
+
+/// What a command did.
+pub struct Ran {
+    pub status: ExitStatus,
+    pub out: String,
+    pub errors: String,
+}
+
+/// A platform, a clock and a folder for sheets.
+pub struct Harness {
+    server: PlatformServer,
+    folder: PathBuf,
+    pub clock: ManualClock,
+}
+
+impl Harness {
+    pub fn new() -> Self {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("commands-{}-{number}", std::process::id());
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        fs::create_dir_all(&folder).unwrap();
+        Self { server: PlatformServer::start().unwrap(), folder, clock: ManualClock::new() }
+    }
+
+    pub fn platform(&self) -> &MemoryStore {
+        self.server.store()
+    }
+
+    pub fn write(&self, name: &str, text: &str) {
+        fs::write(self.folder.join(name), text).unwrap();
+    }
+
+    /// Runs a command; `@` stands for the platform's address.
+    pub fn run(&self, arguments: &[&str]) -> Ran {
+        self.run_with(&self.clock, arguments)
+    }
+
+    pub fn run_with(&self, clock: &dyn Clock, arguments: &[&str]) -> Ran {
+        let place = |argument: &&str| match *argument {
+            "@" => self.server.address().to_string(),
+            name if name.ends_with(".yaml") => self.folder.join(name).display().to_string(),
+            other => other.to_owned(),
+        };
+        let arguments = std::iter::once("cuminarch".to_owned()).chain(arguments.iter().map(place));
+        let matches = command().try_get_matches_from(arguments).unwrap();
+        let (mut out, mut errors) = (Vec::new(), Vec::new());
+        let mut outputs = Outputs { out: &mut out, errors: &mut errors };
+        let status = run(&matches, clock, &mut outputs);
+        let folder = format!("{}/", self.folder.display());
+        let text = |bytes| String::from_utf8(bytes).unwrap().replace(&folder, "");
+        Ran { status, out: text(out), errors: text(errors) }
+    }
+
+    pub fn apply(&self, sheet: &str, change: &str) -> Ran {
+        self.run(&["config", "apply", sheet, "--platform", "@", "--change", change])
+    }
+
+    pub fn put_status(&self, zone: &str, revision: u64, sequence: u64) {
+        let value = serde_json::to_string(&status_of(zone, revision, sequence)).unwrap();
+        self.platform().put(&object_path(&format!("status/{zone}")), &value, Expect::Any).unwrap();
+    }
+
+    pub fn put_member(&self, endpoint: &str, service: &str, zone: &str, state: &str) {
+        let value = format!(
+            r#"{{"endpoint":"{endpoint}","service":"{service}","zone":"{zone}","region":"r",
+            "incarnation":1,"data_address":"10.0.0.1:1","control_address":"10.0.0.1:2",
+            "state":"{state}"}}"#
+        );
+        let path = object_path(&format!("members/{endpoint}"));
+        self.platform().put(&path, &value, Expect::Any).unwrap();
+    }
+
+    /// A clock at whose first wait something happens.
+    pub fn at_first_wait(&self, event: impl FnOnce() + Send + 'static) -> EventClock {
+        EventClock { inner: ManualClock::new(), event: Mutex::new(Some(Box::new(event))) }
+    }
+
+    /// A clock at whose first wait the platform goes down.
+    pub fn down_at_first_wait(&self) -> EventClock {
+        let store = self.platform().clone();
+        self.at_first_wait(move || store.set_fault(PlatformFault::Down))
+    }
+}
+
+impl Drop for Harness {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Virtual time with something that happens at the first wait.
+pub struct EventClock {
+    inner: ManualClock,
+    event: Mutex<Option<Box<dyn FnOnce() + Send>>>,
+}
+
+impl std::fmt::Debug for EventClock {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.inner.fmt(formatter)
+    }
+}
+
+impl Clock for EventClock {
+    fn now(&self) -> MonoTime {
+        self.inner.now()
+    }
+
+    fn sleep(&self, span: Duration) {
+        self.inner.sleep(span);
+        if let Some(event) = self.event.lock().unwrap().take() {
+            event();
+        }
+    }
+}
--- a/cuminarch-config/src/space.rs
+++ b/cuminarch-config/src/space.rs
@@ -42,14 +42,14 @@
             let mut segments = matchers.iter().flat_map(|matcher| &matcher.path.segments);
             segments.any(|segment| matches!(segment, Segment::Literal(literal) if literal == text))
         };
-        let other_segment = unused("other", &is_segment);
+        let other_segment = unused("any", &is_segment);
         let is_service = |text: &str| {
             matchers.iter().flat_map(|matcher| &matcher.services).any(|name| name.as_str() == text)
         };
-        let other_service = ServiceName::new(unused("other", &is_service));
+        let other_service = ServiceName::new(unused("any", &is_service));
         let is_method =
             |text: &str| matchers.iter().flat_map(|matcher| &matcher.methods).any(|m| m == text);
-        let other_method = unused("OTHER", &is_method).into();
+        let other_method = unused("ANY", &is_method).into();
         Self {
             visited: BTreeSet::new(),
             other_segment,
--- a/cuminarch-config/src/weakening.rs
+++ b/cuminarch-config/src/weakening.rs
@@ -20,7 +20,8 @@
     NotComparable,
 }
 
-/// A kind of requests that a change makes less safe, shown by an example.
+/// A kind of requests that a change makes less safe, shown by an example in
+/// which `any` stands for whatever no rule names.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Weakening {
     /// What is lost.
@@ -86,7 +87,7 @@
 
     fn not_comparable(old: &Policy, new: &Policy) -> Self {
         let any = |text| ServiceName::new(text).expect("a valid name");
-        let sample = Sample { service: any("other"), method: "OTHER".into(), path: "/".to_owned() };
+        let sample = Sample { service: any("any"), method: "ANY".into(), path: "/".to_owned() };
         let old = old.rule(&sample.service, &sample.method, &sample.path);
         let new = new.rule(&sample.service, &sample.method, &sample.path);
         Self::of(WeakeningKind::NotComparable, &sample, &old.class, &new.class)
--- /dev/null
+++ b/cuminarch-testing/tests/limited_store.rs
@@ -0,0 +1,32 @@
+//! The limit on calls, across an outage, in virtual time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminarch_platform::{Clock, LimitedStore, ObjectPath, ObjectStore, PlatformError};
+use cuminarch_testing::{ManualClock, MemoryStore, PlatformFault};
+use cuminarch_types::RatePerSecond;
+
+#[test]
+fn limit_holds_after_an_outage() {
+    let (store, clock) = (MemoryStore::new(), Arc::new(ManualClock::new()));
+    let shared: Arc<dyn Clock> = Arc::clone(&clock) as Arc<dyn Clock>;
+    let limited = LimitedStore::new(Arc::new(store.clone()), shared, RatePerSecond::new(10.0), 5);
+    let path: ObjectPath = "config/current".parse().unwrap();
+    let mut refused = 0;
+    for millis in 0..120_000 {
+        let is_down = (10_000..70_000).contains(&millis);
+        store.set_fault(if is_down { PlatformFault::Down } else { PlatformFault::None });
+        let calls_before = store.calls();
+        if limited.get(&path) == Err(PlatformError::RateLimited) {
+            refused += 1;
+            assert_eq!(store.calls(), calls_before);
+        }
+        clock.advance(Duration::from_millis(1));
+        let elapsed_secs = (millis as f64 + 1.0) / 1_000.0;
+        assert!(store.calls() as f64 <= 5.0 + 10.0 * elapsed_secs);
+    }
+    let counts = limited.counts();
+    assert_eq!((counts.gets, counts.refused), (store.calls(), refused));
+    assert!(counts.gets >= 1_190, "the limit takes more than it has to: {counts:?}");
+}
