--- a/cuminarch-bench/src/main.rs
+++ b/cuminarch-bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgAction, Command};
-use cuminarch_bench::{KnownRed, Verdict, control, decisions, overhead};
+use cuminarch_bench::{KnownRed, Verdict, capacity, control, decisions, overhead};
 
 fn command() -> Command {
     let check = Arg::new("check")
@@ -15,8 +15,13 @@
         .about("Benchmarks of cuminarch")
         .subcommand_required(true)
         .arg(check)
+        .subcommand(Command::new("capacity").about("Memory of a node's state, with slopes"))
         .subcommand(Command::new("control").about("Membership and configuration, virtual time"))
-        .subcommand(Command::new("decisions").about("Policy under load, virtual time"))
+        .subcommand(
+            Command::new("decisions").about("Policy under load, virtual time").arg(
+                Arg::new("only").long("only").help("Run the scenarios with this in their name"),
+            ),
+        )
         .subcommand(Command::new("overhead").about("Time added to a call, real sockets"))
 }
 
@@ -34,9 +39,16 @@
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
-    let verdict = match matches.subcommand_name() {
-        Some("control") => control::run(),
-        Some("decisions") => decisions::run(),
+    let verdict = match matches.subcommand() {
+        Some(("capacity", _)) => capacity::run().unwrap_or_else(|error| {
+            eprintln!("capacity: {error:?}");
+            Verdict::new()
+        }),
+        Some(("control", _)) => control::run(),
+        Some(("decisions", matches)) => {
+            let only = matches.get_one::<String>("only").map_or("", String::as_str);
+            decisions::run_matching(only)
+        }
         _ => overhead::run(),
     };
     let is_good = report(&verdict, &KnownRed::of_repository());
--- a/cuminarch-config/src/policy.rs
+++ b/cuminarch-config/src/policy.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use cuminarch_types::{Attempts, ClassName, Priority, Revision, ServiceName};
+use cuminarch_types::{Attempts, ClassName, Priority, Revision, RuleNumber, ServiceName};
 
 use crate::check::check;
 use crate::index::RuleIndex;
@@ -15,6 +15,8 @@
 /// What applies to one request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Rule {
+    /// Which rule of the sheet it is.
+    pub number: RuleNumber,
     /// Class of the request.
     pub class: ClassName,
     /// Place of the class in the order of refusal.
@@ -101,8 +103,12 @@
         policy
     }
 
-    fn new(revision: Revision, matchers: Vec<Matcher>, class: Rule) -> Self {
-        let fallback = Rule { idempotent: false, ..class.clone() };
+    fn new(revision: Revision, mut matchers: Vec<Matcher>, class: Rule) -> Self {
+        for (position, matcher) in matchers.iter_mut().enumerate() {
+            matcher.rule.number = RuleNumber::new(u32::try_from(position + 1).unwrap_or(u32::MAX));
+        }
+        let number = RuleNumber::new(u32::MAX);
+        let fallback = Rule { number, idempotent: false, ..class.clone() };
         let index = RuleIndex::new(&matchers);
         Self { revision, matchers, index, fallback_safe: class, fallback }
     }
@@ -155,6 +161,7 @@
 impl Rule {
     pub(crate) fn of_class(entry: &ClassEntry, position: usize) -> Self {
         Self {
+            number: RuleNumber::default(),
             class: entry.name.clone(),
             priority: Priority::new(u8::try_from(position).unwrap_or(u8::MAX)),
             grant: entry.grant_attempts,
--- a/cuminarch-engine/src/lib.rs
+++ b/cuminarch-engine/src/lib.rs
@@ -24,10 +24,12 @@
 
 mod action;
 mod arrival;
+mod budget;
 mod call;
 mod engine;
 mod event;
 mod inbound;
+mod keys;
 mod outbound;
 mod refusal;
 mod settings;
--- a/cuminarch-testing/src/lib.rs
+++ b/cuminarch-testing/src/lib.rs
@@ -23,6 +23,7 @@
 mod platform_server;
 mod store_limits;
 mod upstream_server;
+mod virtual_fleet;
 
 pub use caller::{CallerAnswer, HttpCaller};
 pub use manual_clock::ManualClock;
@@ -31,3 +32,4 @@
 pub use platform_server::PlatformServer;
 pub use store_limits::StoreLimits;
 pub use upstream_server::{UpstreamBehaviour, UpstreamServer};
+pub use virtual_fleet::{Counters, Network, VirtualFleet, VirtualNode, VirtualPlatform};
