feat(cli): read the members that the zones' relays write down

The fleet writes one object a zone under members/ since its relays batch; fleet status and the remark on unannounced services read that shape.

--- a/cuminarch-cli/src/commands/apply.rs
+++ b/cuminarch-cli/src/commands/apply.rs
@@ -1,10 +1,10 @@
+use std::collections::BTreeSet;
 use std::process;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clap::ArgMatches;
 use cuminarch_config::{ConfigDocument, Sheet, Weakening};
 use cuminarch_platform::{HttpObjectStore, ObjectStore};
-use cuminarch_protocol::Member;
 use cuminarch_types::{ChangeId, Revision, ServiceName, ZoneName};
 
 use crate::commands::change_report::{ChangeReport, LaterChange};
@@ -12,7 +12,7 @@
 use crate::commands::{Session, required, store};
 use crate::configuration::{policy, read_current, read_history, read_sheet};
 use crate::driver::{read_until, run_apply};
-use crate::paths::{MEMBERS, object_path};
+use crate::members::read_members;
 use crate::{ApplyOutcome, ApplyProcess, ApplyRequest, CliError, ExitStatus, SheetDiff};
 
 /// Options of commands that change what is in force.
@@ -134,15 +134,10 @@
     store: &dyn ObjectStore,
     sheet: &Sheet,
 ) -> Result<(), CliError> {
-    let Ok(listing) = store.list(&object_path(MEMBERS)) else { return Ok(()) };
-    let announced: Vec<ServiceName> = listing
-        .objects
-        .iter()
-        .filter_map(|object| serde_json::from_str::<Member>(&object.value).ok())
-        .map(|member| member.service)
-        .collect();
+    let Ok(members) = read_members(store) else { return Ok(()) };
+    let announced: BTreeSet<&ServiceName> = members.iter().map(|member| &member.service).collect();
     let named = sheet.rules.iter().flat_map(|rule| &rule.services);
-    for service in named.filter(|service| !announced.is_empty() && !announced.contains(service)) {
+    for service in named.filter(|service| !announced.is_empty() && !announced.contains(*service)) {
         session.remark(&format_args!("warning: no endpoint has announced service {service}"))?;
     }
     Ok(())
--- a/cuminarch-cli/src/commands/fleet.rs
+++ b/cuminarch-cli/src/commands/fleet.rs
@@ -3,14 +3,13 @@
 
 use clap::ArgMatches;
 use cuminarch_config::ZoneStatus;
-use cuminarch_platform::ObjectStore;
-use cuminarch_protocol::{Member, MemberState};
+use cuminarch_protocol::MemberState;
 use cuminarch_types::{ServiceName, ZoneName};
 use serde::Serialize;
 
 use crate::commands::status::zones;
 use crate::commands::{Session, store};
-use crate::paths::{MEMBERS, object_path};
+use crate::members::read_members;
 use crate::{CliError, ExitStatus};
 
 /// Announced endpoints and reports of the zones.
@@ -55,11 +54,10 @@
     session: &mut Session<'_, '_>,
 ) -> Result<ExitStatus, CliError> {
     let store = store(matches)?;
-    let listing = store.list(&object_path(MEMBERS))?;
     let mut counts: BTreeMap<(ServiceName, ZoneName), (u32, u32)> = BTreeMap::new();
-    for object in &listing.objects {
-        let Ok(member) = serde_json::from_str::<Member>(&object.value) else { continue };
-        let count = counts.entry((member.service, member.zone)).or_default();
+    for member in read_members(&store)? {
+        let key = (member.service.clone(), member.zone.clone());
+        let count = counts.entry(key).or_default();
         match member.state {
             MemberState::Gone => {}
             MemberState::Leaving => count.1 += 1,
--- a/cuminarch-cli/tests/commands.rs
+++ b/cuminarch-cli/tests/commands.rs
@@ -7,6 +7,7 @@
 use cuminarch_cli::paths::{HISTORY, object_path};
 use cuminarch_cli::{ApplyProcess, ApplyRequest, ExitStatus, run_apply};
 use cuminarch_platform::{Clock, Expect, ObjectStore};
+use cuminarch_protocol::MemberState;
 use cuminarch_testing::{ManualClock, MemoryStore, PlatformFault, PlatformServer};
 use cuminarch_types::{ChangeId, MonoTime, Revision};
 use harness::{Harness, SHEET, status_of, with_deadline};
@@ -282,9 +283,10 @@
 #[test]
 fn fleet_is_counted_by_service_and_zone() {
     let harness = Harness::new();
-    harness.put_member("kasse-1", "kasse", "zrh-a", "active");
-    harness.put_member("kasse-2", "kasse", "zrh-a", "leaving");
-    harness.put_member("katalog-1", "katalog", "brn-a", "active");
+    let kasse =
+        [("kasse-1", "kasse", MemberState::Active), ("kasse-2", "kasse", MemberState::Leaving)];
+    harness.put_members("zrh-a", &kasse);
+    harness.put_members("brn-a", &[("katalog-1", "katalog", MemberState::Active)]);
     harness.put_status("zrh-a", 1, 1);
     insta::assert_snapshot!(harness.run(&["fleet", "status", "--platform", "@"]).out);
 }
@@ -292,7 +294,7 @@
 #[test]
 fn unannounced_service_is_remarked_on() {
     let harness = Harness::new();
-    harness.put_member("kasse-1", "kasse", "zrh-a", "active");
+    harness.put_members("zrh-a", &[("kasse-1", "kasse", MemberState::Active)]);
     harness.write(
         "a.yaml",
         &SHEET.replace("path: /approvals", "services: [aufrag], path: /approvals"),
--- a/cuminarch-cli/tests/harness/mod.rs
+++ b/cuminarch-cli/tests/harness/mod.rs
@@ -2,16 +2,20 @@
 
 use std::fs;
 use std::path::PathBuf;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cuminarch_cli::paths::object_path;
 use cuminarch_cli::{ExitStatus, Outputs, command, run};
 use cuminarch_config::ZoneStatus;
+use cuminarch_membership::ZoneMembers;
 use cuminarch_platform::{Clock, Expect, ObjectStore};
+use cuminarch_protocol::{Member, MemberState};
 use cuminarch_testing::{ManualClock, MemoryStore, PlatformFault, PlatformServer};
-use cuminarch_types::{EndpointId, MonoTime, Revision, ZoneName};
+use cuminarch_types::{
+    EndpointId, Incarnation, MonoTime, RegionName, Revision, ServiceName, ZoneName,
+};
 
 pub const SHEET: &str = "\
 classes:
@@ -102,13 +106,26 @@
         self.platform().put(&object_path(&format!("status/{zone}")), &value, Expect::Any).unwrap();
     }
 
-    pub fn put_member(&self, endpoint: &str, service: &str, zone: &str, state: &str) {
-        let value = format!(
-            r#"{{"endpoint":"{endpoint}","service":"{service}","zone":"{zone}","region":"r",
-            "incarnation":1,"data_address":"10.0.0.1:1","control_address":"10.0.0.1:2",
-            "state":"{state}"}}"#
-        );
-        let path = object_path(&format!("members/{endpoint}"));
+    /// Announces the members of a zone as endpoint, service and state.
+    pub fn put_members(&self, zone: &str, members: &[(&str, &str, MemberState)]) {
+        let zone = ZoneName::new(zone).unwrap();
+        let member = |&(endpoint, service, state): &(&str, &str, MemberState)| {
+            Arc::new(Member {
+                endpoint: EndpointId::new(endpoint).unwrap(),
+                service: ServiceName::new(service).unwrap(),
+                zone: zone.clone(),
+                region: RegionName::new("ch-central").unwrap(),
+                incarnation: Incarnation::new(1),
+                data_address: "10.0.0.1:7001".parse().unwrap(),
+                control_address: "10.0.0.1:7002".parse().unwrap(),
+                state,
+                statement: 1,
+            })
+        };
+        let members = members.iter().map(member).collect();
+        let value = ZoneMembers { zone: zone.clone(), members };
+        let value = serde_json::to_string(&value).unwrap();
+        let path = object_path(&format!("members/{zone}"));
         self.platform().put(&path, &value, Expect::Any).unwrap();
     }
 
