--- a/cuminarch-cli/tests/commands.rs
+++ b/cuminarch-cli/tests/commands.rs
@@ -1,6 +1,7 @@
 //! The commands as functions, against the stand-in platform in virtual time.
 
 mod harness;
+mod zone_status;
 
 use std::time::Duration;
 
@@ -10,8 +11,9 @@
 use cuminarch_protocol::MemberState;
 use cuminarch_testing::{ManualClock, MemoryStore, PlatformFault, PlatformServer};
 use cuminarch_types::{ChangeId, MonoTime, Revision};
-use harness::{Harness, SHEET, status_of, with_deadline};
+use harness::{Harness, SHEET, with_deadline};
 use rstest::rstest;
+use zone_status::status_of;
 
 #[test]
 fn first_sheet_becomes_revision_one_and_is_shown_with_it() {
--- a/cuminarch-cli/tests/harness/mod.rs
+++ b/cuminarch-cli/tests/harness/mod.rs
@@ -8,14 +8,13 @@
 
 use cuminarch_cli::paths::object_path;
 use cuminarch_cli::{ExitStatus, Outputs, command, run};
-use cuminarch_config::ZoneStatus;
 use cuminarch_membership::ZoneMembers;
 use cuminarch_platform::{Clock, Expect, ObjectStore};
 use cuminarch_protocol::{Member, MemberState};
 use cuminarch_testing::{ManualClock, MemoryStore, PlatformFault, PlatformServer};
-use cuminarch_types::{
-    EndpointId, Incarnation, MonoTime, RegionName, Revision, ServiceName, ZoneName,
-};
+use cuminarch_types::{EndpointId, Incarnation, MonoTime, RegionName, ServiceName, ZoneName};
+
+use crate::zone_status::status_of;
 
 pub const SHEET: &str = "\
 classes:
@@ -31,19 +30,6 @@
     sheet.replace("deadline_ms: 2000", &format!("deadline_ms: {deadline_ms}"))
 }
 
-/// The report of a zone with one member.
-pub fn status_of(zone: &str, revision: u64, sequence: u64) -> ZoneStatus {
-    ZoneStatus {
-        zone: ZoneName::new(zone).unwrap(),
-        relay: EndpointId::new("katalog-1").unwrap(),
-        sequence,
-        lowest_revision: Revision::new(revision),
-        highest_revision: Revision::new(revision),
-        members: 1,
-        members_in_force: 1,
-    }
-}
-
 /// What a command did.
 pub struct Ran {
     pub status: ExitStatus,
