--- a/cuminarch-config/tests/policy.rs
+++ b/cuminarch-config/tests/policy.rs
@@ -6,7 +6,7 @@
 
 use common::{METHODS, SERVICES, Verdict, config, naive, naive_first, paths, sheet};
 use cuminarch_config::{FaultKind, Policy, Sheet, Weakening, WeakeningKind};
-use cuminarch_types::{Revision, ServiceName};
+use cuminarch_types::{ClassName, Revision, ServiceName};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -57,6 +57,23 @@
         }
     }
 
+    /// Also for names that YAML could take for numbers, booleans or nothing.
+    #[test]
+    fn printed_sheet_reads_the_same(
+        sheet in sheet(),
+        names in proptest::collection::vec(
+            prop_oneof!["[a-zA-Z0-9_.-]{1,6}", "[0-9]{1,4}", "null|true|no|1e3|0x1f|\\.inf|-"],
+            3,
+        ),
+    ) {
+        let mut sheet = sheet;
+        sheet.default_class = ClassName::new(&names[0]).unwrap();
+        sheet.classes[0].name = ClassName::new(&names[1]).unwrap();
+        sheet.services.push(ServiceName::new(&names[2]).unwrap());
+        let printed = sheet.to_yaml().unwrap();
+        prop_assert_eq!(Sheet::parse(&printed), Ok(sheet), "{}", printed);
+    }
+
     #[test]
     fn rules_reported_dead_are_just_those_that_win_no_request(sheet in sheet()) {
         let winners: BTreeSet<usize> = requests()
