fix: report doubt when the platform lost the revision of an open write

Cause: after a lost answer and a restore, a change that nodes have in force was reported as not accepted: another change had come first, and the history that would have shown ours was gone with the restore. A repeated change (--change) had the same hole, as it does not know what its first run sent.

Change: whoever wins over a write has the revision that the write carried. If that revision is missing while later ones are known, or zones report it while the platform does not know it, the outcome is unknown.

The model now lets "not accepted" pass only where it is true, unless a write slipped through a restore.

--- a/cuminarch-cli/src/apply_process.rs
+++ b/cuminarch-cli/src/apply_process.rs
@@ -250,10 +250,24 @@
                 let superseded_by = self.current_revision();
                 self.finish_accepted(true, Some(superseded_by))
             }
+            None if self.conflict().is_some() && self.is_sent_missing(listing) => {
+                let reason = "its revision is missing from the history".to_owned();
+                self.finish(ApplyOutcome::Unknown { reason })
+            }
             None => self.proceed(),
         }
     }
 
+    /// Whether no change is known to have the revision of a write whose outcome is
+    /// open, although later revisions are. Whoever won over this change has that
+    /// revision, so it is missing only if the platform went back or the history
+    /// no longer reaches that far.
+    fn is_sent_missing(&self, history: &Listing) -> bool {
+        let Some(sent) = self.open_revision() else { return false };
+        let is_kept = documents(history).any(|(_, document)| document.revision == sent);
+        self.current_revision() > sent && !is_kept
+    }
+
     /// Writes the document, or reports what stands against it.
     fn proceed(&mut self) -> ApplyAction {
         if let Some(outcome) = self.conflict() {
@@ -278,12 +292,19 @@
         self.current.as_ref().map(|(_, document)| document.revision).unwrap_or_default()
     }
 
+    /// Revision of a write of this change, by this process or an earlier one,
+    /// whose outcome is not known.
+    fn open_revision(&self) -> Option<Revision> {
+        let earlier = self.request.is_rerun.then(|| self.request.base.next());
+        self.sent.or(earlier)
+    }
+
     /// What keeps the change from being written now.
     fn conflict(&self) -> Option<ApplyOutcome> {
         let current = self.current_revision();
         let highest = current.max(self.in_force);
         let base = self.request.base;
-        if let Some(sent) = self.sent
+        if let Some(sent) = self.open_revision()
             && current < sent
             && self.in_force >= sent
         {
--- a/cuminarch-cli/tests/model/mod.rs
+++ b/cuminarch-cli/tests/model/mod.rs
@@ -391,7 +391,7 @@
                     assert!(landed.iter().any(|landed| landed.revision == *revision));
                 }
                 ApplyOutcome::Unknown { .. } => {}
-                _ if self.restores > 0 => {}
+                _ if self.landed.iter().any(|landed| landed.is_unguarded) => {}
                 _ => assert!(is_lost, "told {outcome:?}, but accepted: {change} {self:?}"),
             }
         }
@@ -418,10 +418,11 @@
                 current.is_some_and(|object| object.value.contains(&format!("\"{change}\"")));
             (in_history.len(), is_current)
         };
-        // What is accepted before a restore, or replaced by a write that a restore
+        // What was accepted before a restore, or before or by a write that a restore
         // made possible, is beyond anyone's keeping.
         let after_restores = |landed: &&Landed| landed.epoch == self.restores;
-        let replaced = self.landed.iter().rposition(|landed| landed.is_unguarded).unwrap_or(0);
+        let last_unguarded = self.landed.iter().rposition(|landed| landed.is_unguarded);
+        let replaced = last_unguarded.map_or(0, |index| index + 1);
         for landed in self.landed.iter().skip(replaced).filter(after_restores) {
             let (in_history, is_current) = kept(&landed.change);
             let is_kept_once = in_history == 1 || (in_history == 0 && is_current);
