--- a/cuminarch-bench/src/capacity/mod.rs
+++ b/cuminarch-bench/src/capacity/mod.rs
@@ -65,6 +65,7 @@
         zone: format!("zone-{}", index % 5).parse()?,
         region: format!("region-{}", index % 2).parse()?,
         incarnation: Incarnation::new(1),
+        statement: 0,
         data_address: address,
         control_address: address,
         state: MemberState::Active,
--- a/cuminarch-engine/tests/keys.rs
+++ b/cuminarch-engine/tests/keys.rs
@@ -61,6 +61,7 @@
             zone: "zrh-a".parse().unwrap(),
             region: "ch-central".parse().unwrap(),
             incarnation: Incarnation::new(5),
+            statement: 0,
             data_address: "127.0.0.1:1".parse().unwrap(),
             control_address: "127.0.0.1:2".parse().unwrap(),
             state: MemberState::Active,
