fix(membership): read and report anew after the platform went back

Cause: after a restore from a backup the zones' old reports are back, and a relay writes its report only when it changes, so nothing in the platform showed which revision is in force: the operator program gave the next change a revision that nodes ignore. Watches also went on after a version that the platform has yet to reach again.

Change: an answer to a watch with an earlier version than it began at makes the relay list members and configuration again and write its zone's report again. The fleet in virtual time can back up and restore its platform.

--- a/cuminarch-membership/src/platform.rs
+++ b/cuminarch-membership/src/platform.rs
@@ -248,6 +248,10 @@
         if std::mem::take(&mut self.platform.is_lost) {
             self.notice(FleetNotice::PlatformFound);
         }
+        if went_back(call, &reply) {
+            self.start_anew();
+            return;
+        }
         match reply {
             PlatformReply::Members { version, zones } => {
                 self.platform.members_version = Some(version);
@@ -276,6 +280,15 @@
         }
     }
 
+    /// Reads and reports everything again after the platform went back to an
+    /// earlier state: a watch after the version known so far would miss whatever
+    /// is written until the platform's version has passed it.
+    fn start_anew(&mut self) {
+        self.platform.members_version = None;
+        self.platform.config_version = None;
+        self.platform.status = None;
+    }
+
     /// Gives members that start at the same time a chance to find each other
     /// before each of them writes the zone's members.
     fn delay_first_write(&mut self, now: MonoTime) {
@@ -319,6 +332,17 @@
     }
 }
 
+/// Whether the answer to a watch shows an earlier version than the watch began at.
+fn went_back(call: &PlatformCall, reply: &PlatformReply) -> bool {
+    match (call, reply) {
+        (PlatformCall::WatchMembers(after), PlatformReply::Members { version, .. })
+        | (PlatformCall::WatchConfig(after), PlatformReply::Config { version, .. }) => {
+            version < after
+        }
+        _ => false,
+    }
+}
+
 /// The member without the suspicions of others, which are not worth a write.
 fn as_stated(member: &Arc<Member>) -> Arc<Member> {
     match member.state {
--- a/cuminarch-membership/tests/failures.rs
+++ b/cuminarch-membership/tests/failures.rs
@@ -186,6 +186,30 @@
     assert!(fleet.breaches.is_empty(), "{:?}", fleet.breaches);
 }
 
+#[test]
+fn changes_after_a_restore_come_into_force_and_zones_report_again() {
+    let mut fleet = settled(30, 5, 11);
+    fleet.publish(document(2, 9));
+    fleet.run_for(12 * SECOND);
+    fleet.platform.back_up();
+    for revision in 3..6 {
+        fleet.publish(document(revision, 9));
+        fleet.run_for(12 * SECOND);
+    }
+    fleet.restore_platform();
+    fleet.run_for(12 * SECOND);
+    let reported = |fleet: &VirtualFleet, revision| {
+        let status = fleet.platform.status.values();
+        status.filter(|status| status.highest_revision == Revision::new(revision)).count()
+    };
+    assert_eq!(reported(&fleet, 5), 5, "the operator learns which revision is in force");
+    fleet.publish(document(6, 9));
+    fleet.run_for(12 * SECOND);
+    assert!(fleet.running().all(|node| node.revision == Revision::new(6)));
+    assert_eq!(reported(&fleet, 6), 5);
+    assert!(fleet.breaches.is_empty(), "{:?}", fleet.breaches);
+}
+
 #[test]
 fn new_nodes_join_by_seeds_while_the_platform_is_down() {
     let mut fleet = settled(30, 5, 12);
--- a/cuminarch-testing/src/virtual_fleet/platform.rs
+++ b/cuminarch-testing/src/virtual_fleet/platform.rs
@@ -34,9 +34,19 @@
     version: u64,
     members: BTreeMap<ZoneName, ZoneObject>,
     config: Option<(ConfigDocument, u64)>,
+    backup: Option<Box<Backup>>,
     pub(super) waiting: Vec<Waiting>,
 }
 
+/// What a platform held at one moment.
+#[derive(Clone, Debug)]
+struct Backup {
+    version: u64,
+    status: BTreeMap<ZoneName, ZoneStatus>,
+    members: BTreeMap<ZoneName, ZoneObject>,
+    config: Option<(ConfigDocument, u64)>,
+}
+
 impl VirtualPlatform {
     /// Time after which a watch ends without a change.
     pub const WATCH_TIME: Duration = Duration::from_secs(30);
@@ -60,6 +70,25 @@
         self.config = Some((document, self.version));
     }
 
+    /// Keeps a backup of everything.
+    pub fn back_up(&mut self) {
+        self.backup = Some(Box::new(Backup {
+            version: self.version,
+            status: self.status.clone(),
+            members: self.members.clone(),
+            config: self.config.clone(),
+        }));
+    }
+
+    /// Goes back to the backup, versions included.
+    pub(super) fn restore(&mut self) {
+        let Some(backup) = self.backup.as_deref().cloned() else { return };
+        self.version = backup.version;
+        self.status = backup.status;
+        self.members = backup.members;
+        self.config = backup.config;
+    }
+
     /// Members of a zone as written.
     #[must_use]
     pub fn zone(&self, zone: &ZoneName) -> Option<&ZoneMembers> {
@@ -90,12 +119,14 @@
             PlatformCall::WatchMembers(after) => {
                 let is_changed =
                     self.members.values().any(|object| object.version.get() > after.get());
-                is_changed.then(|| self.members_after(after.get()))
+                let is_back = self.version < after.get();
+                (is_changed || is_back).then(|| self.members_after(after.get()))
             }
             PlatformCall::WatchConfig(after) => {
                 let is_changed =
                     self.config.as_ref().is_some_and(|(_, version)| *version > after.get());
-                is_changed.then(|| self.config_after(after.get()))
+                let is_back = self.version < after.get();
+                (is_changed || is_back).then(|| self.config_after(after.get()))
             }
             PlatformCall::PutMembers(value, expected) => Some(self.put_members(value, *expected)),
             PlatformCall::PutStatus(status) => {
--- a/cuminarch-testing/src/virtual_fleet/run.rs
+++ b/cuminarch-testing/src/virtual_fleet/run.rs
@@ -204,6 +204,12 @@
         self.answer_watches();
     }
 
+    /// Puts the platform back to its backup.
+    pub fn restore_platform(&mut self) {
+        self.platform.restore();
+        self.answer_watches();
+    }
+
     /// Lets time pass.
     pub fn run_for(&mut self, span: Duration) {
         let until = self.now.after(span);
