perf(admission): sink levels in quiet windows and probe the limit

Cause: a level sank once per full window, and a window with few offers, as after a surge, took 0.5 s. And a fall of the limit to 65% was judged on a mean whose error is as large as the difference, so queueing in an upstream became the reference (seen in a dump of each node every 0.2 s: reference 31 ms where the service time is 20 ms, limit 32 on 12 slots).

Every 0.1 s without overload is now a step down. A fall is judged at 55%, and a limit in use for 2 s is lowered for one window as a probe.

--- a/cuminarch-admission/src/level.rs
+++ b/cuminarch-admission/src/level.rs
@@ -33,6 +33,8 @@
     /// Share of the counts that is kept from one window to the next, in percent.
     const KEPT_PERCENT: u64 = 75;
     const LEAST_MILLI: u64 = 50;
+    /// Steps after which any level has sunk to nothing.
+    const MOST_STEPS: u128 = 40;
 
     /// A level that admits everything.
     #[must_use]
@@ -78,19 +80,28 @@
     /// Adapts the level if the window is over.
     pub fn advance(&mut self, now: MonoTime) {
         let age = now.since(self.since);
-        let is_full = age >= Self::MIN_WINDOW && self.offers >= Self::FULL_WINDOW_OFFERS;
-        if !is_full && age < Self::MAX_WINDOW {
+        if age < Self::MIN_WINDOW {
             return;
         }
         let is_overloaded = self.refusals > 0 || self.waited > self.target_wait * self.starts;
-        if is_overloaded {
+        if !is_overloaded {
+            self.sink(age);
+        } else if self.offers >= Self::FULL_WINDOW_OFFERS || age >= Self::MAX_WINDOW {
             self.step = Self::FIRST_STEP;
             self.level = self.level.max(self.fitting_level());
         } else {
+            return;
+        }
+        self.open_window(now);
+    }
+
+    /// Lowers the level once for each window that passed without overload.
+    fn sink(&mut self, age: Duration) {
+        let windows = age.as_micros() / Self::MIN_WINDOW.as_micros();
+        for _ in 0..windows.min(Self::MOST_STEPS) {
             self.level = Rank::new(self.level.get().saturating_sub(self.step));
             self.step = (self.step * 2).min(Self::LAST_STEP);
         }
-        self.open_window(now);
     }
 
     /// The lowest level above which no more is offered than was started.
--- a/cuminarch-admission/src/limiter.rs
+++ b/cuminarch-admission/src/limiter.rs
@@ -13,14 +13,16 @@
 ///
 /// A fall that does not shorten the service time shows that the upstream
 /// itself became slower, not that requests queue in it: the measured time then
-/// becomes the new reference and the limit rises again.
+/// becomes the new reference and the limit rises again. A limit that is in use
+/// for long is lowered for one window, so that queueing in the upstream never
+/// becomes the reference.
 #[derive(Clone, Debug)]
 pub struct Limiter {
     settings: AdmissionSettings,
     limit_milli: u64,
     reference: Option<Duration>,
     window: Window,
-    fall: Option<Fall>,
+    phase: Phase,
     changed_at: MonoTime,
 }
 
@@ -33,11 +35,15 @@
     most_running: usize,
 }
 
-/// State when the limit began to fall.
+/// What the limiter is doing.
 #[derive(Clone, Copy, Debug)]
-struct Fall {
-    limit_milli: u64,
-    mean: Duration,
+enum Phase {
+    /// The limit rises as far as it is used; all of it has been in use since then.
+    Steady { since: MonoTime },
+    /// The limit falls; what it was before, and the mean then.
+    Falling { limit_milli: u64, mean: Duration },
+    /// The limit is low for one window, to see the service time without queueing.
+    Probing { limit_milli: u64 },
 }
 
 impl Limiter {
@@ -51,9 +57,12 @@
     /// Share of the limit that must be in use for it to rise, in percent.
     const USED_PERCENT: u64 = 80;
     /// A fall is judged once the limit is below this share of where it began.
-    const JUDGED_FALL_PERCENT: u64 = 65;
+    const JUDGED_FALL_PERCENT: u64 = 55;
     /// The upstream became slower if the mean is still above this share.
-    const SAME_MEAN_PERCENT: u32 = 80;
+    const SAME_MEAN_PERCENT: u32 = 85;
+    /// Time for which the limit is in use before it is lowered as a probe.
+    const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+    const PROBE_PERCENT: u64 = 55;
 
     /// A limiter of a cold endpoint.
     #[must_use]
@@ -65,7 +74,7 @@
             limit_milli,
             reference: None,
             window,
-            fall: None,
+            phase: Phase::Steady { since: MonoTime::ZERO },
             changed_at: MonoTime::ZERO,
         }
     }
@@ -110,25 +119,43 @@
         let mean = mean.max(Duration::from_micros(1));
         let reference = self.learn(mean);
         let target = reference * Self::TOLERANCE_PERCENT / 100;
-        let gradient_percent = (target.as_micros() * 100 / mean.as_micros().max(1)) as u64;
+        let gradient_percent = (target.as_micros() * 100 / mean.as_micros()) as u64;
         let is_used = most_running as u64 * 1_000 * 100 >= self.limit_milli * Self::USED_PERCENT;
-        if gradient_percent >= 100 {
-            self.fall = None;
-            if is_used {
-                self.scale(gradient_percent.min(Self::MAX_RISE_PERCENT), now);
-            }
-            return;
+        if let Phase::Probing { limit_milli } = self.phase {
+            self.phase = Phase::Steady { since: now };
+            return self.set(limit_milli, now);
+        }
+        if gradient_percent < 100 {
+            return self.fall(mean, gradient_percent, now);
         }
-        let fall = *self.fall.get_or_insert(Fall { limit_milli: self.limit_milli, mean });
-        if self.limit_milli * 100 > fall.limit_milli * Self::JUDGED_FALL_PERCENT {
+        let since = match self.phase {
+            Phase::Steady { since } if is_used => since,
+            _ => now,
+        };
+        self.phase = Phase::Steady { since };
+        if now.since(since) >= Self::PROBE_INTERVAL {
+            self.phase = Phase::Probing { limit_milli: self.limit_milli };
+            self.scale(Self::PROBE_PERCENT, now);
+        } else if is_used {
+            self.scale(gradient_percent.min(Self::MAX_RISE_PERCENT), now);
+        }
+    }
+
+    fn fall(&mut self, mean: Duration, gradient_percent: u64, now: MonoTime) {
+        let began = match self.phase {
+            Phase::Falling { limit_milli, mean } => (limit_milli, mean),
+            _ => (self.limit_milli, mean),
+        };
+        let (limit_milli, mean_before) = began;
+        self.phase = Phase::Falling { limit_milli, mean: mean_before };
+        if self.limit_milli * 100 > limit_milli * Self::JUDGED_FALL_PERCENT {
             self.scale(gradient_percent.max(Self::MIN_FALL_PERCENT), now);
-        } else if mean > fall.mean * Self::SAME_MEAN_PERCENT / 100 {
+        } else if mean > mean_before * Self::SAME_MEAN_PERCENT / 100 {
             self.reference = Some(mean);
-            self.limit_milli = fall.limit_milli;
-            self.changed_at = now;
-            self.fall = None;
+            self.phase = Phase::Steady { since: now };
+            self.set(limit_milli, now);
         } else {
-            self.fall = Some(Fall { limit_milli: self.limit_milli, mean });
+            self.phase = Phase::Falling { limit_milli: self.limit_milli, mean };
         }
     }
 
@@ -144,9 +171,13 @@
     }
 
     fn scale(&mut self, percent: u64, now: MonoTime) {
-        self.changed_at = now;
+        self.set(self.limit_milli * percent / 100, now);
+    }
+
+    fn set(&mut self, limit_milli: u64, now: MonoTime) {
         let min_milli = u64::from(self.settings.min_limit.get()) * 1_000;
         let max_milli = u64::from(self.settings.max_limit.get()) * 1_000;
-        self.limit_milli = (self.limit_milli * percent / 100).clamp(min_milli, max_milli);
+        self.limit_milli = limit_milli.clamp(min_milli, max_milli);
+        self.changed_at = now;
     }
 }
