feat(routing): spill over between zones and eject by what the node sees

Cause: with four katalog endpoints in three zones one zone gets half of all calls, so its deep endpoint was overloaded at 0.8 of the fleet's capacity while others idled; a slow endpoint that reported to be well kept its share.

A share of calls now leaves the zone while its endpoints answer later than the others (steps of 2.5% each 50 ms), the cheaper of two by latency times calls in flight is taken, silence counts as latency, endpoints that fail three times or are 4x slower than the median are ejected (always less than half) and come back by one probe call with growing pauses, new and returning endpoints get their share over 4 s. A suspect report only counts while the node has no recent answer itself. A call that expires counts as a failure.

--- a/cuminarch-engine/src/call.rs
+++ b/cuminarch-engine/src/call.rs
@@ -39,7 +39,8 @@
 impl Call {
     /// What routing needs to know of the call.
     pub const fn kind(&self) -> CallKind {
-        CallKind { rule: self.rule.number, rank: self.rank }
+        let can_probe = self.idempotent && self.replayable && !self.rule.protected;
+        CallKind { rule: self.rule.number, rank: self.rank, can_probe }
     }
 }
 
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -96,7 +96,7 @@
                 self.remote_lost(call, attempt, sent, now, &mut actions);
             }
             Event::Cancel(call) => self.cancel(call, now, &mut actions),
-            Event::Member(member) => self.router.update(*member),
+            Event::Member(member) => self.router.update(*member, now),
             Event::Tick => self.tick(now, &mut actions),
             Event::Drain => self.draining = true,
         }
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -169,7 +169,7 @@
             idempotent: call.2,
             key,
         };
-        self.router.started(&service, &endpoint);
+        self.router.started(&service, &endpoint, now);
         actions.push(Action::Forward { call: id, attempt, forward: Box::new(forward) });
     }
 
@@ -180,11 +180,18 @@
     }
 
     /// Withdraws the attempt that is under way, if there is one.
-    pub(crate) fn withdraw(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
+    pub(crate) fn withdraw(
+        &mut self,
+        id: CallId,
+        sample: CallSample,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
         let Some((_, sending)) = self.sending(id) else { return };
         let Some(flight) = sending.current.take() else { return };
+        let service = sending.service.clone();
         if !flight.delivering {
-            self.note_sample(id, &flight.endpoint, CallSample::Withdrawn, now);
+            self.router.finished(&service, &flight.endpoint, sample, now);
         }
         let owner = self.owner(id);
         if let Some(owner) = self.calls.get_mut(&owner) {
--- a/cuminarch-engine/src/time.rs
+++ b/cuminarch-engine/src/time.rs
@@ -1,6 +1,7 @@
 //! Deadlines, retries that are due, and cancellation.
 
 use cuminarch_once::KeyResult;
+use cuminarch_routing::CallSample;
 use cuminarch_types::{CallId, MonoTime};
 
 use crate::call::Stage;
@@ -41,13 +42,13 @@
 
     /// Ends a call that its caller no longer wants.
     pub(crate) fn cancel(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
-        if self.stop(id, now, actions).is_some() {
+        if self.stop(id, CallSample::Withdrawn, now, actions).is_some() {
             self.remove(id, now, actions);
         }
     }
 
     fn expire(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
-        let Some(may_have_run) = self.stop(id, now, actions) else { return };
+        let Some(may_have_run) = self.stop(id, CallSample::Failed, now, actions) else { return };
         let reason = RefusalReason::DeadlineExceeded;
         let refusal =
             if may_have_run { Refusal::unknown(reason) } else { Refusal::not_run(reason) };
@@ -56,7 +57,13 @@
 
     /// Stops all work on a call. Returns whether it may have run, or nothing
     /// if there is no such call.
-    fn stop(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) -> Option<bool> {
+    fn stop(
+        &mut self,
+        id: CallId,
+        sample: CallSample,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) -> Option<bool> {
         let call = self.calls.get(&id)?;
         let key = call.key.clone();
         let may_have_run = match &call.stage {
@@ -76,7 +83,7 @@
             let events = self.admission.cancel(id, now);
             self.apply_queue_events(events, now, actions);
         } else {
-            self.withdraw(id, now, actions);
+            self.withdraw(id, sample, now, actions);
         }
         Some(may_have_run)
     }
--- a/cuminarch-routing/src/lib.rs
+++ b/cuminarch-routing/src/lib.rs
@@ -1,8 +1,11 @@
 //! Chooses the endpoint that a call is sent to.
 //!
-//! Endpoints of the caller's own availability zone come first; among them the
-//! better of two random candidates is taken by what the node itself sees.
-//! Leaving endpoints are never chosen.
+//! Endpoints of the caller's own availability zone come first, and calls spill
+//! over to other zones while those answer sooner. Among the candidates the
+//! better of two random ones is taken by what the node itself sees. Endpoints
+//! that fail or are slow are ejected, never most of a service, and return by a
+//! probe; new ones get their share gradually. Leaving endpoints are never
+//! chosen, and reports about health are only hints.
 //!
 //! ```
 //! use cuminarch_routing::{CallKind, Router};
@@ -12,8 +15,13 @@
 //! # Ok::<(), cuminarch_types::ParseError>(())
 //! ```
 
+mod endpoint;
 mod learned_level;
 mod router;
+mod service;
+mod spill;
+mod target;
 
 pub use learned_level::LearnedLevel;
-pub use router::{CallKind, CallSample, Router, Target};
+pub use router::Router;
+pub use target::{CallKind, CallSample, Target};
--- /dev/null
+++ b/cuminarch-routing/src/service.rs
@@ -0,0 +1,215 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cuminarch_protocol::Member;
+use cuminarch_types::{EndpointId, MonoTime, Rank, RegionName, RuleNumber, ZoneName};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use crate::endpoint::Endpoint;
+use crate::spill::Spill;
+use crate::{CallKind, CallSample, Target};
+
+/// Where the node that chooses stands.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub zone: ZoneName,
+    pub region: RegionName,
+}
+
+impl Place {
+    fn distance(&self, member: &Member) -> u8 {
+        if member.zone == self.zone {
+            0
+        } else if member.region == self.region {
+            1
+        } else {
+            2
+        }
+    }
+}
+
+/// Endpoints of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Service {
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    spill: Spill,
+    checked_at: MonoTime,
+}
+
+impl Service {
+    /// Time between two looks at the endpoints' health.
+    const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+    pub fn update(&mut self, member: Member, now: MonoTime) {
+        match self.endpoints.get_mut(&member.endpoint) {
+            Some(held) if !member.replaces(&held.member) => {}
+            Some(held) if held.member.incarnation == member.incarnation => held.member = member,
+            _ => {
+                let endpoint = Endpoint::new(member).with_first_seen(now);
+                self.endpoints.insert(endpoint.member.endpoint.clone(), endpoint);
+            }
+        }
+    }
+
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
+    pub fn get_mut(&mut self, endpoint: &EndpointId) -> Option<&mut Endpoint> {
+        self.endpoints.get_mut(endpoint)
+    }
+
+    pub fn get(&self, endpoint: &EndpointId) -> Option<&Endpoint> {
+        self.endpoints.get(endpoint)
+    }
+
+    pub fn forget_levels(&mut self) {
+        self.endpoints.values_mut().for_each(Endpoint::forget_levels);
+    }
+
+    pub fn level(&self, rule: RuleNumber, now: MonoTime) -> Rank {
+        let healthy = self.endpoints().filter(|endpoint| endpoint.is_healthy(now));
+        healthy.map(|endpoint| endpoint.level(rule, now)).min().unwrap_or(Rank::MIN)
+    }
+
+    pub fn has_alternative(&self, kind: CallKind, exclude: &[EndpointId], now: MonoTime) -> bool {
+        self.endpoints()
+            .filter(|endpoint| !exclude.contains(&endpoint.member.endpoint))
+            .any(|endpoint| endpoint.is_healthy(now) && endpoint.admits(kind, now))
+    }
+
+    pub fn pick(
+        &mut self,
+        place: &Place,
+        kind: CallKind,
+        exclude: &[EndpointId],
+        now: MonoTime,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<Target> {
+        self.check(place, now);
+        let usable: Vec<&Endpoint> = self
+            .endpoints()
+            .filter(|endpoint| endpoint.takes_work())
+            .filter(|endpoint| !exclude.contains(&endpoint.member.endpoint))
+            .collect();
+        if kind.can_probe
+            && let Some(endpoint) = usable.iter().find(|endpoint| endpoint.wants_probe(now))
+        {
+            return Some(endpoint.target());
+        }
+        let healthy = narrow(usable, |endpoint| endpoint.is_healthy(now));
+        let willing = narrow(healthy, |endpoint| endpoint.admits(kind, now));
+        let nearest = self.nearest(place, &willing, rng);
+        let typical = self.median(now).unwrap_or_default();
+        let chosen = choose(&nearest, typical, now, rng)?;
+        let is_held_back = rng.random_range(0..1_000) >= chosen.ramp_milli(now);
+        if is_held_back {
+            let grown: Vec<&Endpoint> =
+                willing.into_iter().filter(|other| other.ramp_milli(now) == 1_000).collect();
+            if let Some(other) = choose(&grown, typical, now, rng) {
+                return Some(other.target());
+            }
+        }
+        Some(chosen.target())
+    }
+
+    pub fn finished(&mut self, endpoint: &EndpointId, sample: CallSample, now: MonoTime) {
+        let median = self.median(now);
+        let Some(found) = self.endpoints.get_mut(endpoint) else { return };
+        found.finished(sample, now);
+        if found.is_ejected() {
+            match sample {
+                CallSample::Answered(_) if !found.is_outlier(median, now) => found.restore(now),
+                CallSample::Answered(_) | CallSample::Failed => found.eject(now),
+                CallSample::Refused | CallSample::Withdrawn => {}
+            }
+        }
+    }
+
+    /// The endpoints of the nearest zone, or those further away for calls that
+    /// spill over.
+    fn nearest<'a>(
+        &self,
+        place: &Place,
+        endpoints: &[&'a Endpoint],
+        rng: &mut ChaCha8Rng,
+    ) -> Vec<&'a Endpoint> {
+        let distance = |endpoint: &&Endpoint| place.distance(&endpoint.member);
+        let Some(least) = endpoints.iter().map(distance).min() else { return Vec::new() };
+        let (near, far): (Vec<&Endpoint>, Vec<&Endpoint>) =
+            endpoints.iter().copied().partition(|endpoint| distance(endpoint) == least);
+        if least > 0 || far.is_empty() || !self.spill.draw(rng) {
+            return near;
+        }
+        let next = far.iter().map(distance).min();
+        far.into_iter().filter(|endpoint| Some(distance(endpoint)) == next).collect()
+    }
+
+    /// Ejects endpoints that fail or are slow, and adapts the spill-over.
+    fn check(&mut self, place: &Place, now: MonoTime) {
+        if now.since(self.checked_at) < Self::CHECK_INTERVAL {
+            return;
+        }
+        self.checked_at = now;
+        self.eject_outliers(now);
+        let mean = |is_near: bool| {
+            let side = self.endpoints().filter(|endpoint| endpoint.is_healthy(now));
+            let side = side.filter(|endpoint| (place.distance(&endpoint.member) == 0) == is_near);
+            mean(side.filter_map(|endpoint| endpoint.latency(now)))
+        };
+        let (near, far) = (mean(true), mean(false));
+        self.spill.adapt(near, far);
+    }
+
+    /// Less than half of the endpoints are ever ejected.
+    fn eject_outliers(&mut self, now: MonoTime) {
+        let median = self.median(now);
+        let known = self.endpoints().filter(|endpoint| endpoint.takes_work()).count();
+        let mut ejected = self.endpoints().filter(|endpoint| endpoint.is_ejected()).count();
+        for endpoint in self.endpoints.values_mut() {
+            let is_allowed = (ejected + 1) * 2 < known;
+            if is_allowed && !endpoint.is_ejected() && endpoint.is_outlier(median, now) {
+                endpoint.eject(now);
+                ejected += 1;
+            }
+        }
+    }
+
+    fn median(&self, now: MonoTime) -> Option<Duration> {
+        let known = self.endpoints().filter(|endpoint| endpoint.is_healthy(now));
+        let mut all: Vec<Duration> = known.filter_map(|endpoint| endpoint.latency(now)).collect();
+        all.sort_unstable();
+        let middle = all.len().checked_sub(1)? / 2;
+        all.get(middle).copied()
+    }
+}
+
+/// Those that fulfil the condition, or all if none does.
+fn narrow(endpoints: Vec<&Endpoint>, condition: impl Fn(&Endpoint) -> bool) -> Vec<&Endpoint> {
+    let some: Vec<&Endpoint> =
+        endpoints.iter().copied().filter(|endpoint| condition(endpoint)).collect();
+    if some.is_empty() { endpoints } else { some }
+}
+
+/// The cheaper of two random endpoints (Mitzenmacher, 2001).
+fn choose<'a>(
+    endpoints: &[&'a Endpoint],
+    typical: Duration,
+    now: MonoTime,
+    rng: &mut ChaCha8Rng,
+) -> Option<&'a Endpoint> {
+    if endpoints.is_empty() {
+        return None;
+    }
+    let first = endpoints[rng.random_range(0..endpoints.len())];
+    let second = endpoints[rng.random_range(0..endpoints.len())];
+    let is_cheaper = second.cost(typical, now) < first.cost(typical, now);
+    Some(if is_cheaper { second } else { first })
+}
+
+fn mean(latencies: impl Iterator<Item = Duration>) -> Option<Duration> {
+    let (sum, count) =
+        latencies.fold((Duration::ZERO, 0), |(sum, count), latency| (sum + latency, count + 1));
+    (count > 0).then(|| sum / count)
+}
