perf(admission): aim at 5 ms of waiting instead of 20 ms

Cause: requests that wait at a deep endpoint hold the slots of all services above it.

Below 5 ms protected requests are refused that could have waited.

--- a/cuminarch-admission/src/settings.rs
+++ b/cuminarch-admission/src/settings.rs
@@ -18,7 +18,7 @@
 }
 
 impl AdmissionSettings {
-    /// A cold limit of 16 between 4 and 1000, 128 waiting, 20 ms of waiting.
+    /// A cold limit of 16 between 4 and 1000, 128 waiting, 5 ms of waiting.
     #[must_use]
     pub const fn new() -> Self {
         Self {
@@ -26,7 +26,7 @@
             min_limit: ConcurrencyLimit::new(4),
             max_limit: ConcurrencyLimit::new(1_000),
             max_queue: 128,
-            target_wait: Duration::from_millis(20),
+            target_wait: Duration::from_millis(5),
         }
     }
 
