--- a/cuminarch-admission/src/admission.rs
+++ b/cuminarch-admission/src/admission.rs
@@ -105,8 +105,9 @@
         now: MonoTime,
     ) -> OfferReply {
         self.level.advance(now);
-        self.level.offered(rank);
-        if self.has_room() && self.queue.is_empty() {
+        let has_room = self.has_room() && self.queue.is_empty();
+        self.level.offered(rank, has_room);
+        if has_room {
             self.level.started(Duration::ZERO);
             self.running.insert(call, now);
             return OfferReply { decision: Offer::Run, evicted: None };
--- a/cuminarch-admission/src/level.rs
+++ b/cuminarch-admission/src/level.rs
@@ -19,6 +19,8 @@
     offers: u32,
     starts: u32,
     refusals: u32,
+    /// Offers that found no room.
+    crowded: u32,
     waited: Duration,
     offered_milli: BTreeMap<Rank, u64>,
     started_milli: u64,
@@ -33,6 +35,8 @@
     /// Share of the counts that is kept from one window to the next, in percent.
     const KEPT_PERCENT: u64 = 75;
     const LEAST_MILLI: u64 = 50;
+    /// Share of offers without room at which the level stays, in percent.
+    const FULL_PERCENT: u32 = 30;
     /// Steps after which any level has sunk to nothing.
     const MOST_STEPS: u128 = 40;
 
@@ -47,6 +51,7 @@
             offers: 0,
             starts: 0,
             refusals: 0,
+            crowded: 0,
             waited: Duration::ZERO,
             offered_milli: BTreeMap::new(),
             started_milli: 0,
@@ -59,9 +64,10 @@
         self.level
     }
 
-    /// Notes that a request was offered.
-    pub fn offered(&mut self, rank: Rank) {
+    /// Notes that a request was offered, and whether it found room.
+    pub fn offered(&mut self, rank: Rank, has_room: bool) {
         self.offers += 1;
+        self.crowded += u32::from(!has_room);
         *self.offered_milli.entry(rank).or_default() += 1_000;
     }
 
@@ -84,7 +90,9 @@
             return;
         }
         let is_overloaded = self.refusals > 0 || self.waited > self.target_wait * self.starts;
-        if !is_overloaded {
+        if !is_overloaded && self.crowded * 100 > self.offers * Self::FULL_PERCENT {
+            self.step = Self::FIRST_STEP;
+        } else if !is_overloaded {
             self.sink(age);
         } else if self.offers >= Self::FULL_WINDOW_OFFERS || age >= Self::MAX_WINDOW {
             self.step = Self::FIRST_STEP;
@@ -124,6 +132,7 @@
         self.offers = 0;
         self.starts = 0;
         self.refusals = 0;
+        self.crowded = 0;
         self.waited = Duration::ZERO;
         self.started_milli = self.started_milli * Self::KEPT_PERCENT / 100;
         self.offered_milli.retain(|_, count_milli| {
