perf(routing): pass levels on with their age, and the median of endpoints

Cause: the lowest of three endpoints' levels was passed up, so all requests between it and the others' went to one endpoint. A receipt now carries the age of its level (Receipt::level_age_ms, cuminarch- protocol; one line in cuminarch-node).

--- a/cuminarch-engine/src/call.rs
+++ b/cuminarch-engine/src/call.rs
@@ -4,7 +4,7 @@
 use cuminarch_attempts::Budget;
 use cuminarch_config::Rule;
 use cuminarch_once::BoundKey;
-use cuminarch_routing::CallKind;
+use cuminarch_routing::{CallKind, LearnedLevel};
 use cuminarch_types::{
     AttemptId, Attempts, CallId, ClientKey, EndpointId, MonoTime, Rank, RequestId, ServiceName,
 };
@@ -23,7 +23,7 @@
     /// Attempts that the call and everything beneath it may spend.
     pub budget: Budget,
     /// Highest admission level met.
-    pub level: Rank,
+    pub level: LearnedLevel,
     /// Whether a call to another service was made for it.
     pub has_called: bool,
     pub key: Option<BoundKey>,
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -173,8 +173,7 @@
         let call = self.calls.remove(&id)?;
         self.deadlines.remove(&(call.deadline, id));
         if call.parent.is_none() && call.has_called {
-            let level = LearnedLevel::new(call.level, now);
-            self.levels_behind.insert(call.rule.number, level);
+            self.levels_behind.insert(call.rule.number, call.level);
         }
         for child in call.children {
             self.cancel(child, now, actions);
@@ -184,11 +183,13 @@
             if parent.children.is_empty() {
                 parent.deeper.end(now);
             }
-            parent.level = parent.level.max(call.level);
+            parent.level = parent.level.higher(call.level, now);
             parent.has_called = true;
         }
-        let own_level = self.admission.level();
-        Some(Receipt { unspent: call.budget.held(), level: call.level.max(own_level) })
+        let own_level = LearnedLevel::new(self.admission.level(), now);
+        let level = call.level.higher(own_level, now);
+        let unspent = call.budget.held();
+        Some(Receipt { unspent, level: level.level(), level_age_ms: level.age_ms(now) })
     }
 
     /// Ends a call with a final answer of the node. A call of which an earlier
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -8,7 +8,8 @@
 use cuminarch_config::Rule;
 use cuminarch_once::{BoundKey, KeyDecision, KeyResult};
 use cuminarch_protocol::Receipt;
-use cuminarch_types::{Attempts, CallId, MonoTime, Outcome, Rank, RuleNumber};
+use cuminarch_routing::LearnedLevel;
+use cuminarch_types::{Attempts, CallId, MonoTime, Outcome, Rank};
 
 use crate::call::{Call, DeeperTime, Stage};
 use crate::{Action, Arrival, ClaimResult, Engine, LocalEnd, Refusal, RefusalReason, RequestKey};
@@ -36,8 +37,8 @@
             let refusal = Refusal::not_run(RefusalReason::BudgetExhausted);
             return self.refuse(id, refusal, now, actions);
         }
-        let level_behind = self.level_behind(rule, now);
-        if rank < level_behind {
+        let level_behind = self.levels_behind.get(&rule).copied().unwrap_or_default();
+        if rank < level_behind.at(now) {
             if let Some(call) = self.calls.get_mut(&id) {
                 call.level = level_behind;
             }
@@ -61,7 +62,7 @@
             children: BTreeSet::new(),
             deeper: DeeperTime::default(),
             budget: Budget::new(granted),
-            level: Rank::MIN,
+            level: LearnedLevel::default(),
             has_called: false,
             key: None,
             client_key: None,
@@ -189,10 +190,6 @@
         spent
     }
 
-    fn level_behind(&self, rule: RuleNumber, now: MonoTime) -> Rank {
-        self.levels_behind.get(&rule).map_or(Rank::MIN, |level| level.at(now))
-    }
-
     fn check_key(
         &mut self,
         id: CallId,
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -3,7 +3,7 @@
 use cuminarch_admission::Admission;
 use cuminarch_once::BoundKey;
 use cuminarch_protocol::Receipt;
-use cuminarch_routing::{CallSample, Target};
+use cuminarch_routing::{CallSample, LearnedLevel, Target};
 use cuminarch_types::{AttemptId, Attempts, CallId, MonoTime, Outcome, ServiceName};
 use rand::RngExt;
 
@@ -43,7 +43,7 @@
         let level = self.router.level(&service, call.rule.number, now);
         call.level = level;
         self.insert(id, call, now);
-        if rank < level {
+        if rank < level.at(now) {
             let refusal = Refusal::not_run(RefusalReason::OverloadedBehind);
             return self.refuse(id, refusal.with_retry_after(Admission::RETRY_AFTER), now, actions);
         }
@@ -280,7 +280,8 @@
         self.needs.entry(service.clone()).or_default().observe(spent);
         let Some(call) = self.calls.get_mut(&id) else { return };
         let rule = call.rule.number;
-        self.router.note_level(&service, &flight.endpoint, rule, receipt.level, now);
+        let level = LearnedLevel::from_age(receipt.level, receipt.level_age_ms, now);
+        self.router.note_level(&service, &flight.endpoint, rule, level);
         call.level = self.router.level(&service, rule, now);
     }
 
--- a/cuminarch-node/src/data/body.rs
+++ b/cuminarch-node/src/data/body.rs
@@ -104,6 +104,7 @@
             receipt: Receipt {
                 unspent: cuminarch_types::Attempts::ZERO,
                 level: cuminarch_types::Rank::MIN,
+                level_age_ms: 0,
             },
         }
     }
--- a/cuminarch-protocol/src/call.rs
+++ b/cuminarch-protocol/src/call.rs
@@ -67,6 +67,8 @@
     pub unspent: Attempts,
     /// Highest admission level met by the call.
     pub level: Rank,
+    /// Time since that level was in force, in milliseconds.
+    pub level_age_ms: u32,
 }
 
 /// Opens an answer.
--- a/cuminarch-routing/src/endpoint.rs
+++ b/cuminarch-routing/src/endpoint.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use cuminarch_protocol::{Member, MemberState};
-use cuminarch_types::{MonoTime, Rank, RuleNumber};
+use cuminarch_types::{MonoTime, RuleNumber};
 
 use crate::{CallKind, CallSample, LearnedLevel, Target};
 
@@ -103,16 +103,16 @@
         self.takes_work() && !self.is_healthy(now) && is_due && self.in_flight == 0 && is_silent
     }
 
-    pub fn level(&self, rule: RuleNumber, now: MonoTime) -> Rank {
-        self.levels.get(&rule).map_or(Rank::MIN, |level| level.at(now))
+    pub fn level(&self, rule: RuleNumber) -> LearnedLevel {
+        self.levels.get(&rule).copied().unwrap_or_default()
     }
 
     pub fn admits(&self, kind: CallKind, now: MonoTime) -> bool {
-        kind.rank >= self.level(kind.rule, now)
+        kind.rank >= self.level(kind.rule).at(now)
     }
 
-    pub fn note_level(&mut self, rule: RuleNumber, level: Rank, now: MonoTime) {
-        self.levels.insert(rule, LearnedLevel::new(level, now));
+    pub fn note_level(&mut self, rule: RuleNumber, level: LearnedLevel) {
+        self.levels.insert(rule, level);
     }
 
     pub fn forget_levels(&mut self) {
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -1,12 +1,12 @@
 use std::collections::BTreeMap;
 
 use cuminarch_protocol::Member;
-use cuminarch_types::{EndpointId, MonoTime, Rank, RegionName, RuleNumber, ServiceName, ZoneName};
+use cuminarch_types::{EndpointId, MonoTime, RegionName, RuleNumber, ServiceName, ZoneName};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::service::{Place, Service};
-use crate::{CallKind, CallSample, Target};
+use crate::{CallKind, CallSample, LearnedLevel, Target};
 
 /// Endpoints by service, and what the node has seen of each.
 #[derive(Clone, Debug)]
@@ -81,19 +81,20 @@
         service: &ServiceName,
         endpoint: &EndpointId,
         rule: RuleNumber,
-        level: Rank,
-        now: MonoTime,
+        level: LearnedLevel,
     ) {
         let service = self.services.get_mut(service);
         if let Some(found) = service.and_then(|service| service.get_mut(endpoint)) {
-            found.note_level(rule, level, now);
+            found.note_level(rule, level);
         }
     }
 
-    /// Rank below which no endpoint of the service is known to admit calls under `rule`.
+    /// Level below which most endpoints of the service are known to refuse calls
+    /// under `rule`.
     #[must_use]
-    pub fn level(&self, service: &ServiceName, rule: RuleNumber, now: MonoTime) -> Rank {
-        self.services.get(service).map_or(Rank::MIN, |service| service.level(rule, now))
+    pub fn level(&self, service: &ServiceName, rule: RuleNumber, now: MonoTime) -> LearnedLevel {
+        let service = self.services.get(service);
+        service.map(|service| service.level(rule, now)).unwrap_or_default()
     }
 
     /// Whether an endpoint outside `exclude` may admit a call of this kind.
--- a/cuminarch-routing/src/service.rs
+++ b/cuminarch-routing/src/service.rs
@@ -2,13 +2,13 @@
 use std::time::Duration;
 
 use cuminarch_protocol::Member;
-use cuminarch_types::{EndpointId, MonoTime, Rank, RegionName, RuleNumber, ZoneName};
+use cuminarch_types::{EndpointId, MonoTime, RegionName, RuleNumber, ZoneName};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
 use crate::endpoint::Endpoint;
 use crate::spill::Spill;
-use crate::{CallKind, CallSample, Target};
+use crate::{CallKind, CallSample, LearnedLevel, Target};
 
 /// Where the node that chooses stands.
 #[derive(Clone, Debug)]
@@ -68,9 +68,13 @@
         self.endpoints.values_mut().for_each(Endpoint::forget_levels);
     }
 
-    pub fn level(&self, rule: RuleNumber, now: MonoTime) -> Rank {
+    /// The median of the levels of the healthy endpoints.
+    pub fn level(&self, rule: RuleNumber, now: MonoTime) -> LearnedLevel {
         let healthy = self.endpoints().filter(|endpoint| endpoint.is_healthy(now));
-        healthy.map(|endpoint| endpoint.level(rule, now)).min().unwrap_or(Rank::MIN)
+        let mut levels: Vec<LearnedLevel> = healthy.map(|endpoint| endpoint.level(rule)).collect();
+        levels.sort_by_key(|level| level.at(now));
+        let middle = levels.len().saturating_sub(1) / 2;
+        levels.get(middle).copied().unwrap_or_default()
     }
 
     pub fn has_alternative(&self, kind: CallKind, exclude: &[EndpointId], now: MonoTime) -> bool {
