--- a/cuminarch-bench/src/decisions/layered.rs
+++ b/cuminarch-bench/src/decisions/layered.rs
@@ -142,6 +142,7 @@
             zone: zone_name(server.zone),
             region: "region".parse().expect("a valid name"),
             incarnation: Incarnation::new(self.nodes[endpoint].incarnation),
+            statement: 0,
             data_address: ([127, 0, 0, 1], port).into(),
             control_address: ([127, 0, 0, 1], port).into(),
             state,
--- a/cuminarch-bench/src/decisions/system.rs
+++ b/cuminarch-bench/src/decisions/system.rs
@@ -174,6 +174,7 @@
             idempotent: !kind.is_protected,
         });
         let sheet = Sheet {
+            services: Vec::new(),
             classes: classes.collect(),
             rules: rules.collect(),
             default_class: class(&self.kinds[0]),
--- a/cuminarch-engine/src/call.rs
+++ b/cuminarch-engine/src/call.rs
@@ -3,7 +3,7 @@
 
 use cuminarch_attempts::Budget;
 use cuminarch_config::Rule;
-use cuminarch_once::BoundKey;
+use cuminarch_once::{BoundKey, RequestFingerprint};
 use cuminarch_routing::{CallKind, LearnedLevel};
 use cuminarch_types::{
     AttemptId, Attempts, CallId, ClientKey, EndpointId, MonoTime, Rank, RequestId, ServiceName,
@@ -27,6 +27,13 @@
     /// Whether a call to another service was made for it.
     pub has_called: bool,
     pub key: Option<BoundKey>,
+    /// Whether the request carries an idempotency key of any kind.
+    pub has_key: bool,
+    pub fingerprint: RequestFingerprint,
+    /// Whether another node sent it, which gives the final answer itself.
+    pub is_remote: bool,
+    /// Whether no send of the key had run it when this call arrived.
+    pub not_run_proven: bool,
     /// Client's own key, as long as it is not bound.
     pub client_key: Option<ClientKey>,
     /// Whether the body can be sent again.
@@ -89,9 +96,28 @@
     pub service: ServiceName,
     pub tried: Vec<EndpointId>,
     pub retries: u32,
+    /// When it is sent next, as long as nothing is under way.
+    pub retry_at: Option<MonoTime>,
+    /// Whether it waits for attempts that its siblings hold.
+    pub is_short: bool,
+    pub share_wait_until: Option<MonoTime>,
     pub current: Option<Flight>,
 }
 
+impl Sending {
+    pub const fn new(service: ServiceName) -> Self {
+        Self {
+            service,
+            tried: Vec::new(),
+            retries: 0,
+            retry_at: None,
+            is_short: false,
+            share_wait_until: None,
+            current: None,
+        }
+    }
+}
+
 /// An attempt under way.
 #[derive(Clone, Debug)]
 pub struct Flight {
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -8,12 +8,12 @@
 use cuminarch_protocol::Receipt;
 use cuminarch_routing::{LearnedLevel, Router};
 use cuminarch_types::{
-    AttemptId, CallId, ConcurrencyLimit, MonoTime, Outcome, RuleNumber, ServiceName,
+    AttemptId, CallId, ClassName, ConcurrencyLimit, MonoTime, RuleNumber, ServiceName,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::call::Call;
+use crate::call::{Call, Sending, Stage};
 use crate::{Action, Direction, EngineSettings, EngineSummary, Event, Refusal};
 
 /// Decides on every call of one node.
@@ -28,7 +28,9 @@
     pub(crate) retries: BTreeSet<(MonoTime, CallId)>,
     pub(crate) deadlines: BTreeSet<(MonoTime, CallId)>,
     pub(crate) ratios: BTreeMap<ServiceName, RetryRatio>,
-    pub(crate) needs: BTreeMap<ServiceName, NeedEstimator>,
+    pub(crate) needs: BTreeMap<(ServiceName, ClassName), NeedEstimator>,
+    /// Calls whose budget has changed since their children were last sent.
+    pub(crate) freed: BTreeSet<CallId>,
     pub(crate) levels_behind: BTreeMap<RuleNumber, LearnedLevel>,
     pub(crate) backoff: Backoff,
     pub(crate) rng: ChaCha8Rng,
@@ -54,6 +56,7 @@
             deadlines: BTreeSet::new(),
             ratios: BTreeMap::new(),
             needs: BTreeMap::new(),
+            freed: BTreeSet::new(),
             levels_behind: BTreeMap::new(),
             backoff: Backoff::default(),
             rng: ChaCha8Rng::seed_from_u64(seed.wrapping_add(1)),
@@ -100,6 +103,7 @@
             Event::Tick => self.tick(now, &mut actions),
             Event::Drain => self.draining = true,
         }
+        self.resume_short(now, &mut actions);
         actions
     }
 
@@ -148,6 +152,12 @@
         }
     }
 
+    /// Whether new calls are refused.
+    #[must_use]
+    pub const fn is_draining(&self) -> bool {
+        self.draining
+    }
+
     pub(crate) fn next_attempt(&mut self) -> AttemptId {
         let attempt = self.next_attempt;
         self.next_attempt = attempt.next();
@@ -175,8 +185,11 @@
         if call.parent.is_none() && call.has_called {
             self.levels_behind.insert(call.rule.number, call.level);
         }
+        if let Stage::Sending(Sending { retry_at: Some(retry_at), .. }) = call.stage {
+            self.retries.remove(&(retry_at, id));
+        }
         for child in call.children {
-            self.cancel(child, now, actions);
+            self.abandon(child, now, actions);
         }
         if let Some(parent) = call.parent.and_then(|parent| self.calls.get_mut(&parent)) {
             parent.children.remove(&id);
@@ -192,8 +205,8 @@
         Some(Receipt { unspent, level: level.level(), level_age_ms: level.age_ms(now) })
     }
 
-    /// Ends a call with a final answer of the node. A call of which an earlier
-    /// attempt may have run is never answered as not run.
+    /// Ends a call with a final answer of the node. A call that may have run
+    /// is never answered as not run.
     pub(crate) fn refuse(
         &mut self,
         call: CallId,
@@ -201,10 +214,7 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
-        let maybe_ran = self.calls.get(&call).is_some_and(|call| call.maybe_ran);
-        if maybe_ran && refusal.outcome == Outcome::NotRun {
-            refusal.outcome = Outcome::Unknown;
-        }
+        self.qualify(call, &mut refusal);
         let receipt = self.remove(call, now, actions).unwrap_or_default();
         actions.push(Action::Refuse { call, refusal, receipt });
     }
--- a/cuminarch-engine/src/time.rs
+++ b/cuminarch-engine/src/time.rs
@@ -4,7 +4,7 @@
 use cuminarch_routing::CallSample;
 use cuminarch_types::{CallId, MonoTime};
 
-use crate::call::Stage;
+use crate::call::{Sending, Stage};
 use crate::{Action, Engine, Refusal, RefusalReason};
 
 impl Engine {
@@ -32,9 +32,7 @@
                 break;
             }
             self.retries.remove(&(at, call));
-            if self.calls.contains_key(&call) {
-                self.send(call, now, actions);
-            }
+            self.send(call, now, actions);
         }
         let events = self.admission.poll(now);
         self.apply_queue_events(events, now, actions);
@@ -47,6 +45,28 @@
         }
     }
 
+    /// Ends a call whose parent is over, with an answer for whoever still waits.
+    pub(crate) fn abandon(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
+        let is_delivering = self.is_delivering(id);
+        let Some(may_have_run) = self.stop(id, CallSample::Withdrawn, now, actions) else { return };
+        if is_delivering {
+            let receipt = self.remove(id, now, actions).unwrap_or_default();
+            return actions.push(Action::Close { call: id, receipt });
+        }
+        let reason = RefusalReason::ParentEnded;
+        let refusal =
+            if may_have_run { Refusal::unknown(reason) } else { Refusal::not_run(reason) };
+        self.refuse(id, refusal, now, actions);
+    }
+
+    fn is_delivering(&self, id: CallId) -> bool {
+        let Some(call) = self.calls.get(&id) else { return false };
+        match &call.stage {
+            Stage::Sending(Sending { current: Some(flight), .. }) => flight.delivering,
+            _ => false,
+        }
+    }
+
     fn expire(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
         let Some(may_have_run) = self.stop(id, CallSample::Failed, now, actions) else { return };
         let reason = RefusalReason::DeadlineExceeded;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,8 @@
 //! Developer tasks: `cargo xtask lint`, `test`, `doc`, `ci` and `bench`.
 
+mod style;
+
+use std::path::Path;
 use std::process::Command as Process;
 
 use clap::{Arg, Command};
@@ -8,7 +11,12 @@
 fn command() -> Command {
     let bench = Command::new("bench")
         .about("Run one benchmark and print its table")
-        .arg(Arg::new("name").required(true).value_parser(["overhead", "decisions", "control"]))
+        .arg(Arg::new("name").required(true).value_parser([
+            "capacity",
+            "control",
+            "decisions",
+            "overhead",
+        ]))
         .arg(Arg::new("rest").num_args(0..).trailing_var_arg(true).allow_hyphen_values(true));
     Command::new("xtask")
         .about("Developer tasks")
@@ -31,8 +39,20 @@
 }
 
 fn lint() -> Result<()> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let findings = style::check(&root)?;
+    for finding in &findings {
+        eprintln!("{finding}");
+    }
+    if !findings.is_empty() {
+        bail!("{} departures from the house style", findings.len());
+    }
     cargo(&["fmt", "--all", "--check"])?;
-    cargo(&["clippy", "--workspace", "--all-targets", "--quiet", "--", "-D", "warnings"])
+    cargo(&["clippy", "--workspace", "--all-targets", "--quiet", "--", "-D", "warnings"])?;
+    let no_unwrap = ["-D", "warnings", "-D", "clippy::unwrap_used"];
+    cargo(
+        &[&["clippy", "--workspace", "--lib", "--bins", "--quiet", "--"][..], &no_unwrap].concat(),
+    )
 }
 
 fn test() -> Result<()> {
