--- a/cuminarch-engine/tests/keys.rs
+++ b/cuminarch-engine/tests/keys.rs
@@ -245,7 +245,7 @@
     let Action::Forward { attempt, .. } = actions[0] else { panic!("{actions:?}") };
     let refused = RemoteRefusal {
         refusal: Refusal::not_run(RefusalReason::Overloaded),
-        receipt: Receipt { unspent: Attempts::ZERO, level: Rank::MIN },
+        receipt: Receipt::default(),
     };
     assert!(node.handle(Event::RemoteRefused(child, attempt, Box::new(refused))).is_empty());
     let actions = node.handle(Event::Cancel(parent));
