feat(bench): overhead of one node and of two, paired call by call

Direct, one node and two nodes are called in turn over kept-alive connections, so that all meet the same moment of the machine; processor time and switches of the data threads and the time inside by the nodes' own clocks stand beside it.

--- /dev/null
+++ b/cuminarch-bench/src/overhead/load.rs
@@ -0,0 +1,159 @@
+use std::time::{Duration, Instant};
+
+use eyre::{Result, eyre};
+use hdrhistogram::Histogram;
+use tokio::task::JoinSet;
+
+use super::caller::LightCaller;
+use super::sites::{Reading, Sites};
+
+/// One load on all three paths.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    /// Connections on each path.
+    pub connections: usize,
+    /// Length of each answer in bytes.
+    pub answer_bytes: usize,
+    /// Calls a second on each path; as many as are answered if there is none.
+    pub rate: Option<u32>,
+    /// How long it lasts.
+    pub time: Duration,
+}
+
+/// What was seen under one load; times in nanoseconds.
+pub struct Outcome {
+    pub direct: Histogram<u64>,
+    pub one_node: Histogram<u64>,
+    pub two_nodes: Histogram<u64>,
+    /// Time added by one node, call by call.
+    pub one_added: Histogram<u64>,
+    /// Time added by two nodes, call by call.
+    pub two_added: Histogram<u64>,
+    pub calls: u64,
+    pub refused: u64,
+    pub single: Reading,
+    pub first: Reading,
+    pub second: Reading,
+}
+
+/// Times of the same call on the three paths.
+struct Sample {
+    direct: Duration,
+    one_node: Option<Duration>,
+    two_nodes: Option<Duration>,
+}
+
+impl Load {
+    /// Puts the load on all paths at once.
+    pub fn run(&self, sites: &Sites) -> Result<Outcome> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let read = || {
+            Ok::<_, eyre::Report>([sites.single.read()?, sites.first.read()?, sites.second.read()?])
+        };
+        let before = read()?;
+        let samples = runtime.block_on(self.call_all(sites))?;
+        let after = read()?;
+        let [single, first, second] =
+            std::array::from_fn(|index| after[index].since(&before[index]));
+        let mut outcome = Outcome::new(single, first, second)?;
+        for sample in &samples {
+            outcome.record(sample);
+        }
+        Ok(outcome)
+    }
+
+    async fn call_all(&self, sites: &Sites) -> Result<Vec<Sample>> {
+        let mut tasks = JoinSet::new();
+        let until = Instant::now() + self.time;
+        for index in 0..self.connections {
+            let callers = [
+                (sites.upstream.address, "none"),
+                (sites.single.node.caller_address(), "single"),
+                (sites.first.node.caller_address(), "second"),
+            ];
+            let [direct, single, pair] = callers;
+            let connect =
+                |(address, service)| LightCaller::connect(address, service, self.answer_bytes);
+            let callers = [connect(direct).await?, connect(single).await?, connect(pair).await?];
+            tasks.spawn(call_in_turn(callers, self.pause(), index, until));
+        }
+        let mut samples = Vec::new();
+        while let Some(result) = tasks.join_next().await {
+            samples.extend(result??);
+        }
+        Ok(samples)
+    }
+
+    /// Time between two rounds of calls of one connection.
+    fn pause(&self) -> Duration {
+        let connections = u32::try_from(self.connections).unwrap_or(u32::MAX);
+        self.rate.map_or(Duration::ZERO, |rate| Duration::from_secs(1) * connections / rate)
+    }
+}
+
+/// Calls on the three paths in turn, each round beginning with another one.
+async fn call_in_turn(
+    mut callers: [LightCaller; 3],
+    pause: Duration,
+    index: usize,
+    until: Instant,
+) -> Result<Vec<Sample>> {
+    let mut samples = Vec::new();
+    // Connections start at different moments of the first pause.
+    let mut next = Instant::now() + pause.mul_f64((index as f64 * 0.618).fract());
+    let mut round = index;
+    while Instant::now() < until {
+        if !pause.is_zero() {
+            tokio::time::sleep_until(next.into()).await;
+            next += pause;
+        }
+        let mut times = [None; 3];
+        for turn in 0..3 {
+            let path = (round + turn) % 3;
+            times[path] = callers[path].call().await?;
+        }
+        round += 1;
+        let [direct, one_node, two_nodes] = times;
+        let direct = direct.ok_or_else(|| eyre!("the upstream refused a call"))?;
+        samples.push(Sample { direct, one_node, two_nodes });
+    }
+    Ok(samples)
+}
+
+impl Outcome {
+    const DIGITS: u8 = 3;
+
+    fn new(single: Reading, first: Reading, second: Reading) -> Result<Self> {
+        let histogram = || Histogram::new(Self::DIGITS);
+        Ok(Self {
+            direct: histogram()?,
+            one_node: histogram()?,
+            two_nodes: histogram()?,
+            one_added: histogram()?,
+            two_added: histogram()?,
+            calls: 0,
+            refused: 0,
+            single,
+            first,
+            second,
+        })
+    }
+
+    fn record(&mut self, sample: &Sample) {
+        let nanos = |time: Duration| u64::try_from(time.as_nanos()).unwrap_or(u64::MAX);
+        self.calls += 1;
+        let _ = self.direct.record(nanos(sample.direct));
+        let paths = [
+            (sample.one_node, &mut self.one_node, &mut self.one_added),
+            (sample.two_nodes, &mut self.two_nodes, &mut self.two_added),
+        ];
+        for (time, whole, added) in paths {
+            let Some(time) = time else {
+                self.refused += 1;
+                continue;
+            };
+            let _ = whole.record(nanos(time));
+            let _ = added.record(nanos(time.saturating_sub(sample.direct)));
+        }
+    }
+}
--- /dev/null
+++ b/cuminarch-bench/src/overhead/sites.rs
@@ -0,0 +1,135 @@
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use cuminarch_node::{Node, NodeSettings};
+use cuminarch_testing::PlatformServer;
+use eyre::{Result, ensure, eyre};
+
+use super::upstream::LightUpstream;
+use super::usage::{self, Usage};
+
+/// A node and its thread that carries calls.
+pub struct Site {
+    pub node: Node,
+    thread: u32,
+}
+
+/// What a node has used, and the time that its calls spent in it, by its own clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reading {
+    pub usage: Usage,
+    pub node_time_seconds: f64,
+    pub node_time_calls: f64,
+}
+
+/// An upstream, a node before it, and a pair of nodes before it.
+pub struct Sites {
+    pub upstream: LightUpstream,
+    pub single: Site,
+    pub first: Site,
+    pub second: Site,
+    _platform: PlatformServer,
+}
+
+impl Sites {
+    const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+    /// Starts everything and waits until the first node knows the second.
+    pub fn start() -> Result<Self> {
+        let platform = PlatformServer::start()?;
+        let upstream = LightUpstream::start()?;
+        let start = |service| Site::start(service, upstream.address, platform.address());
+        let (single, first, second) = (start("single")?, start("first")?, start("second")?);
+        let until = Instant::now() + Self::START_TIMEOUT;
+        while !page(first.node.admin_address(), "/metrics")?.contains("cuminarch_members 3") {
+            ensure!(Instant::now() < until, "the nodes do not find each other");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        Ok(Self { upstream, single, first, second, _platform: platform })
+    }
+
+    /// Lets the nodes' concurrency limits adapt.
+    pub fn warm_up(&self) -> Result<()> {
+        let load = super::Load {
+            connections: 32,
+            answer_bytes: 200,
+            rate: None,
+            time: Duration::from_secs(2),
+        };
+        load.run(self).map(|_| ())
+    }
+
+    /// Stops the nodes.
+    pub fn stop(self) {
+        for site in [self.single, self.first, self.second] {
+            site.node.shutdown();
+        }
+    }
+}
+
+impl Site {
+    fn start(service: &str, upstream: SocketAddr, platform: SocketAddr) -> Result<Self> {
+        let text = format!(
+            "fleet: bench
+endpoint: {service}-1
+service: {service}
+zone: zrh-a
+region: ch-central
+caller_address: 127.0.0.1:0
+egress_address: 127.0.0.1:0
+data_address: 127.0.0.1:0
+control_address: 127.0.0.1:0
+admin_address: 127.0.0.1:0
+upstream_address: {upstream}
+platform_address: {platform}
+"
+        );
+        let before = usage::threads_named("data")?;
+        let node = Node::start(NodeSettings::parse(&text)?)?;
+        // A thread has its name a moment after it was started.
+        std::thread::sleep(Duration::from_millis(100));
+        let mut after = usage::threads_named("data")?;
+        after.retain(|thread| !before.contains(thread));
+        let thread = after.first().copied().ok_or_else(|| eyre!("the node has no data thread"))?;
+        Ok(Self { node, thread })
+    }
+
+    /// What the node has used so far.
+    pub fn read(&self) -> Result<Reading> {
+        let usage = usage::of_thread(self.thread)?;
+        let metrics = page(self.node.admin_address(), "/metrics")?;
+        let sum = |suffix: &str| -> f64 {
+            let name = format!("cuminarch_node_time_seconds_{suffix}{{");
+            let lines = metrics.lines().filter(|line| line.starts_with(&name));
+            lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+        };
+        Ok(Reading { usage, node_time_seconds: sum("sum"), node_time_calls: sum("count") })
+    }
+}
+
+impl Reading {
+    /// What was added since an earlier reading.
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            usage: self.usage - earlier.usage,
+            node_time_seconds: self.node_time_seconds - earlier.node_time_seconds,
+            node_time_calls: self.node_time_calls - earlier.node_time_calls,
+        }
+    }
+
+    /// Mean time of a call in the node in microseconds.
+    pub fn node_time_us(&self) -> f64 {
+        self.node_time_seconds * 1e6 / self.node_time_calls.max(1.0)
+    }
+}
+
+/// A page of a node's admin address.
+fn page(address: SocketAddr, path: &str) -> Result<String> {
+    let mut stream = TcpStream::connect(address)?;
+    let request = format!("GET {path} HTTP/1.1\r\nhost: bench\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes())?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    Ok(text)
+}
--- /dev/null
+++ b/cuminarch-bench/src/overhead/usage.rs
@@ -0,0 +1,57 @@
+use std::fs;
+use std::ops::Sub;
+use std::path::Path;
+
+use eyre::{Result, eyre};
+
+/// What a thread has used of the machine since it started.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Time on a processor in nanoseconds.
+    pub processor_ns: u64,
+    /// Times that it gave the processor up to wait for something.
+    pub voluntary_switches: u64,
+}
+
+impl Sub for Usage {
+    type Output = Self;
+
+    fn sub(self, earlier: Self) -> Self {
+        Self {
+            processor_ns: self.processor_ns.saturating_sub(earlier.processor_ns),
+            voluntary_switches: self.voluntary_switches.saturating_sub(earlier.voluntary_switches),
+        }
+    }
+}
+
+/// Ids of the threads of this process that have this name.
+pub fn threads_named(name: &str) -> Result<Vec<u32>> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir("/proc/self/task")? {
+        let entry = entry?;
+        let thread_name = fs::read_to_string(entry.path().join("comm")).unwrap_or_default();
+        if thread_name.trim() == name {
+            found.push(entry.file_name().to_string_lossy().parse()?);
+        }
+    }
+    found.sort_unstable();
+    Ok(found)
+}
+
+/// What a thread of this process has used.
+pub fn of_thread(thread: u32) -> Result<Usage> {
+    let task = Path::new("/proc/self/task").join(thread.to_string());
+    let schedule = fs::read_to_string(task.join("schedstat"))?;
+    let status = fs::read_to_string(task.join("status"))?;
+    let processor = schedule.split(' ').next().and_then(|text| text.parse().ok());
+    let switches = status
+        .lines()
+        .find_map(|line| line.strip_prefix("voluntary_ctxt_switches:"))
+        .and_then(|text| text.trim().parse().ok());
+    match (processor, switches) {
+        (Some(processor_ns), Some(voluntary_switches)) => {
+            Ok(Usage { processor_ns, voluntary_switches })
+        }
+        _ => Err(eyre!("the system shows no usage of thread {thread}")),
+    }
+}
--- a/cuminarch-node/src/data/answer.rs
+++ b/cuminarch-node/src/data/answer.rs
@@ -14,7 +14,7 @@
 use super::driver::CallGuard;
 use super::link_client::Link;
 use super::local::LocalConnection;
-use crate::metrics::Metrics;
+use crate::metrics::{Direction, Metrics};
 
 /// Answer of the own upstream, kept while it passes if it is short.
 pub struct LocalSource {
@@ -27,16 +27,24 @@
 /// Measures the time that a call spends in the node itself.
 pub struct NodeTime {
     pub metrics: Metrics,
-    pub before_upstream: Duration,
+    pub direction: Direction,
+    pub before_sent: Duration,
     pub head_at: Instant,
 }
 
 impl NodeTime {
     fn record(&self) {
-        self.metrics.node_time(self.before_upstream + self.head_at.elapsed());
+        self.metrics.node_time(self.direction, self.before_sent + self.head_at.elapsed());
     }
 }
 
+/// Answer that comes from another node.
+pub struct RemoteSource {
+    pub attempt: AttemptId,
+    pub link: Link,
+    pub node_time: NodeTime,
+}
+
 /// Part of an answer whose call goes on without its caller.
 #[derive(Debug)]
 pub enum DetachedItem {
@@ -53,7 +61,7 @@
     /// The own upstream.
     Local(Box<LocalSource>),
     /// Another node.
-    Remote(AttemptId, Box<Link>),
+    Remote(Box<RemoteSource>),
     /// Memory.
     Held(Bytes),
     /// A task that carries the call to its end.
@@ -128,7 +136,7 @@
     async fn pull(&mut self) -> Option<Result<Bytes, BrokenBody>> {
         match self.source.take()? {
             AnswerSource::Local(source) => self.pull_local(source).await,
-            AnswerSource::Remote(attempt, link) => self.pull_remote(attempt, link).await,
+            AnswerSource::Remote(source) => self.pull_remote(source).await,
             AnswerSource::Held(bytes) => (!bytes.is_empty()).then_some(Ok(bytes)),
             AnswerSource::Detached(items) => self.pull_detached(items).await,
         }
@@ -159,21 +167,22 @@
 
     async fn pull_remote(
         &mut self,
-        attempt: AttemptId,
-        mut link: Box<Link>,
+        mut source: Box<RemoteSource>,
     ) -> Option<Result<Bytes, BrokenBody>> {
-        match link.receive(BODY_IDLE_TIMEOUT).await {
+        let attempt = source.attempt;
+        match source.link.receive(BODY_IDLE_TIMEOUT).await {
             Ok(AnswerFrame::Body(bytes)) => {
-                self.source = Some(AnswerSource::Remote(attempt, link));
+                self.source = Some(AnswerSource::Remote(source));
                 Some(Ok(bytes))
             }
             Ok(AnswerFrame::BodyEnd(receipt)) => {
-                link.release();
+                source.link.release();
+                source.node_time.record();
                 self.close_remote(attempt, Some(receipt), Outcome::Completed);
                 None
             }
             Ok(AnswerFrame::Broken(receipt)) => {
-                link.release();
+                source.link.release();
                 self.close_remote(attempt, Some(receipt), Outcome::Unknown);
                 Some(Err(BrokenBody))
             }
--- a/cuminarch-node/src/data/link_client.rs
+++ b/cuminarch-node/src/data/link_client.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use cuminarch_engine::{Event, Forward, Refusal, RefusalReason, RemoteRefusal};
@@ -18,11 +18,12 @@
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::{self, Message};
 
-use super::answer::AnswerSource;
+use super::answer::{AnswerSource, NodeTime, RemoteSource};
 use super::body::{RequestBody, parts};
 use super::link_hello::{LinkHello, link_config};
-use super::runner::DataContext;
+use super::runner::{CallRequest, DataContext};
 use super::upload::{Upload, UploadStream};
+use crate::metrics::Direction;
 
 /// WebSocket of a data link.
 pub type LinkSocket = WebSocketStream<TcpStream>;
@@ -242,8 +243,7 @@
     call: CallId,
     attempt: AttemptId,
     forward: &Forward,
-    head: CallHead,
-    body: &mut RequestBody,
+    request: &mut CallRequest,
 ) -> Option<(AnswerHead, AnswerSource)> {
     let driver = &context.driver;
     let Ok(mut link) = context.links.take(forward.target.data_address).await else {
@@ -251,14 +251,20 @@
         return None;
     };
     context.metrics.attempt_sent();
-    let answer = match link.send(head, body).await {
+    let head = call_head(request, forward);
+    let sent = link.send(head, &mut request.body).await;
+    let before_sent = request.received_at.elapsed();
+    let answer = match sent {
         Ok(()) => link.receive(forward.remaining).await,
         Err(error) => Err(error),
     };
     match answer {
         Ok(AnswerFrame::Head(head)) => {
             driver.post(Event::RemoteHead(call, attempt));
-            Some((*head, AnswerSource::Remote(attempt, Box::new(link))))
+            let (metrics, direction) = (context.metrics.clone(), Direction::Outbound);
+            let node_time = NodeTime { metrics, direction, before_sent, head_at: Instant::now() };
+            let source = RemoteSource { attempt, link, node_time };
+            Some((*head, AnswerSource::Remote(Box::new(source))))
         }
         Ok(AnswerFrame::Refusal(head)) => {
             link.release();
@@ -282,3 +288,19 @@
     };
     RemoteRefusal { refusal, receipt: head.receipt }
 }
+
+fn call_head(request: &CallRequest, forward: &Forward) -> CallHead {
+    CallHead {
+        root: request.root,
+        service: request.service.clone(),
+        method: request.method.clone(),
+        target: request.target.clone(),
+        headers: request.headers.clone(),
+        body_len_bytes: request.body_len_bytes,
+        share: forward.share,
+        rank: forward.rank,
+        remaining_ms: u64::try_from(forward.remaining.as_millis()).unwrap_or(u64::MAX),
+        idempotent: forward.idempotent,
+        key: forward.key.as_ref().map(|key| crate::headers::key_text(key).into()),
+    }
+}
--- a/cuminarch-node/src/data/local.rs
+++ b/cuminarch-node/src/data/local.rs
@@ -22,6 +22,7 @@
 use super::passed_body::PassedBody;
 use super::runner::{CallRequest, DataContext};
 use crate::headers::{self, end_to_end};
+use crate::metrics::Direction;
 
 type UpstreamBody = PassedBody;
 type Sender = SendRequest<UpstreamBody>;
@@ -97,7 +98,7 @@
         context.driver.post(Event::LocalFailed { call, sent: false });
         return None;
     };
-    let before_upstream = request.received_at.elapsed();
+    let before_sent = request.received_at.elapsed();
     let (response, connection) = match send(&context.upstream, upstream_request).await {
         Ok(answered) => answered,
         Err(sent) => {
@@ -107,7 +108,8 @@
     };
     context.driver.post(Event::LocalHead(call));
     let metrics = context.metrics.clone();
-    let node_time = NodeTime { metrics, before_upstream, head_at: Instant::now() };
+    let direction = Direction::Inbound;
+    let node_time = NodeTime { metrics, direction, before_sent, head_at: Instant::now() };
     let (parts, incoming) = response.into_parts();
     let length = parts.headers.get(http::header::CONTENT_LENGTH);
     let body_len_bytes = length.and_then(|value| value.to_str().ok()?.parse().ok());
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use cuminarch_engine::{Action, Arrival, Forward, Refusal, RefusalReason};
+use cuminarch_engine::{Action, Arrival, Refusal, RefusalReason};
 use cuminarch_once::StoredAnswer;
-use cuminarch_protocol::{CallHead, HeaderField, Receipt};
+use cuminarch_protocol::{HeaderField, Receipt};
 use cuminarch_types::{Outcome, RequestId, ServiceName};
 
 use super::answer::{Answer, AnswerBody};
@@ -80,9 +80,7 @@
                 until_interrupted(&mut guard, run).await
             }
             Action::Forward { attempt, forward, .. } => {
-                let head = call_head(&request, &forward);
-                let call = guard.call();
-                let send = send_call(context, call, attempt, &forward, head, &mut request.body);
+                let send = send_call(context, guard.call(), attempt, &forward, &mut request);
                 until_interrupted(&mut guard, send).await
             }
             Action::Replay { answer, receipt, .. } => {
@@ -141,19 +139,3 @@
 pub fn no_reply() -> Reply {
     Reply::Refusal(Refusal::unknown(RefusalReason::ParentEnded), Receipt::default())
 }
-
-fn call_head(request: &CallRequest, forward: &Forward) -> CallHead {
-    CallHead {
-        root: request.root,
-        service: request.service.clone(),
-        method: request.method.clone(),
-        target: request.target.clone(),
-        headers: request.headers.clone(),
-        body_len_bytes: request.body_len_bytes,
-        share: forward.share,
-        rank: forward.rank,
-        remaining_ms: u64::try_from(forward.remaining.as_millis()).unwrap_or(u64::MAX),
-        idempotent: forward.idempotent,
-        key: forward.key.as_ref().map(|key| crate::headers::key_text(key).into()),
-    }
-}
--- a/cuminarch-node/src/metrics.rs
+++ b/cuminarch-node/src/metrics.rs
@@ -49,6 +49,7 @@
     not_run: Counter,
     unknown: Counter,
     duration: Histogram,
+    node_time: Histogram,
 }
 
 /// Gauges that are set when metrics are read.
@@ -71,7 +72,6 @@
     inbound: CallMetrics,
     outbound: CallMetrics,
     attempts: Counter,
-    node_time: Histogram,
     connections_refused: Counter,
     ring_full: Counter,
     gauges: Gauges,
@@ -90,6 +90,9 @@
         let duration = Family::<DirectionLabels, Histogram>::new_with_constructor(
             Self::histogram as fn() -> _,
         );
+        let node_time = Family::<DirectionLabels, Histogram>::new_with_constructor(
+            Self::histogram as fn() -> _,
+        );
         registry.register("calls", "Calls that ended, by outcome", calls.clone());
         registry.register_with_unit(
             "call_duration",
@@ -97,6 +100,12 @@
             Unit::Seconds,
             duration.clone(),
         );
+        registry.register_with_unit(
+            "node_time",
+            "Time that completed calls spent in the node itself, until its answer's end was passed on",
+            Unit::Seconds,
+            node_time.clone(),
+        );
         let of = |direction: Direction| {
             let direction = direction.as_str();
             let outcome = |outcome: Outcome| {
@@ -107,18 +116,12 @@
                 not_run: outcome(Outcome::NotRun),
                 unknown: outcome(Outcome::Unknown),
                 duration: duration.get_or_create(&DirectionLabels { direction }).clone(),
+                node_time: node_time.get_or_create(&DirectionLabels { direction }).clone(),
             }
         };
         let (inbound, outbound) = (of(Direction::Inbound), of(Direction::Outbound));
         let attempts = Counter::default();
         registry.register("attempts", "Attempts sent to other nodes", attempts.clone());
-        let node_time = Self::histogram();
-        registry.register_with_unit(
-            "node_time",
-            "Time that inbound calls spent in the node itself, without the upstream",
-            Unit::Seconds,
-            node_time.clone(),
-        );
         let connections_refused = Counter::default();
         let help = "Connections closed at once as there were too many";
         registry.register("connections_refused", help, connections_refused.clone());
@@ -130,16 +133,7 @@
         );
         let gauges = Gauges::register(&mut registry);
         let registry = Arc::new(registry);
-        Self {
-            inbound,
-            outbound,
-            attempts,
-            node_time,
-            connections_refused,
-            ring_full,
-            gauges,
-            registry,
-        }
+        Self { inbound, outbound, attempts, connections_refused, ring_full, gauges, registry }
     }
 
     fn histogram() -> Histogram {
@@ -152,10 +146,7 @@
 
     /// Notes that a call ended.
     pub fn call_ended(&self, direction: Direction, outcome: Outcome, duration: Duration) {
-        let metrics = match direction {
-            Direction::Inbound => &self.inbound,
-            Direction::Outbound => &self.outbound,
-        };
+        let metrics = self.of(direction);
         match outcome {
             Outcome::Completed => metrics.completed.inc(),
             Outcome::NotRun => metrics.not_run.inc(),
@@ -170,8 +161,15 @@
     }
 
     /// Notes the time that a call spent in the node itself.
-    pub fn node_time(&self, time: Duration) {
-        self.node_time.observe(time.as_secs_f64());
+    pub fn node_time(&self, direction: Direction, time: Duration) {
+        self.of(direction).node_time.observe(time.as_secs_f64());
+    }
+
+    const fn of(&self, direction: Direction) -> &CallMetrics {
+        match direction {
+            Direction::Inbound => &self.inbound,
+            Direction::Outbound => &self.outbound,
+        }
     }
 
     /// Notes a connection that was closed at once.
