--- a/cuminarch-node/src/admin.rs
+++ b/cuminarch-node/src/admin.rs
@@ -35,7 +35,7 @@
     pub settings: NodeSettings,
     pub commands: Sender<DataCommand>,
     pub duties: Duties,
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
 }
 
 /// A running admin thread.
--- a/cuminarch-node/src/data/answer.rs
+++ b/cuminarch-node/src/data/answer.rs
@@ -1,5 +1,6 @@
 //! Answers as they pass through the node.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -26,7 +27,7 @@
 
 /// Measures the time that a call spends in the node itself.
 pub struct NodeTime {
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
     pub direction: Direction,
     pub before_sent: Duration,
     pub head_at: Instant,
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -54,16 +54,20 @@
     mailboxes: BTreeMap<CallId, mpsc::UnboundedSender<Action>>,
 }
 
-/// Handle on the engine for the tasks of the data thread.
-#[derive(Clone)]
-pub struct Driver {
-    state: Rc<RefCell<State>>,
+struct Shared {
+    state: RefCell<State>,
     clock: Clock,
     claims: Sender<ClaimRequest>,
-    changed: Rc<Notify>,
+    changed: Notify,
     /// When the engine is ticked next.
-    wake_at: Rc<Cell<MonoTime>>,
-    metrics: Metrics,
+    wake_at: Cell<MonoTime>,
+    metrics: Arc<Metrics>,
+}
+
+/// Handle on the engine for the tasks of the data thread.
+#[derive(Clone)]
+pub struct Driver {
+    shared: Rc<Shared>,
 }
 
 impl Driver {
@@ -73,11 +77,12 @@
         engine: Engine,
         clock: Clock,
         claims: Sender<ClaimRequest>,
-        metrics: Metrics,
+        metrics: Arc<Metrics>,
     ) -> Self {
-        let state = Rc::new(RefCell::new(State { engine, mailboxes: BTreeMap::new() }));
-        let wake_at = Rc::new(Cell::new(Self::NEVER));
-        Self { state, clock, claims, changed: Rc::new(Notify::new()), wake_at, metrics }
+        let state = RefCell::new(State { engine, mailboxes: BTreeMap::new() });
+        let (changed, wake_at) = (Notify::new(), Cell::new(Self::NEVER));
+        let shared = Shared { state, clock, claims, changed, wake_at, metrics };
+        Self { shared: Rc::new(shared) }
     }
 
     /// Hands a call to the engine.
@@ -89,7 +94,7 @@
         };
         let begun_at = Instant::now();
         let call = {
-            let mut state = self.state.borrow_mut();
+            let mut state = self.shared.state.borrow_mut();
             let call = state.engine.next_call();
             state.mailboxes.insert(call, sender);
             call
@@ -100,8 +105,8 @@
 
     /// Feeds the engine and hands its actions to the tasks of their calls.
     pub fn post(&self, event: Event) {
-        let now = self.clock.now();
-        let mut state = self.state.borrow_mut();
+        let now = self.shared.clock.now();
+        let mut state = self.shared.state.borrow_mut();
         let state = &mut *state;
         for action in state.engine.handle(event, now) {
             if let Action::Claim { call, key, bound } = action {
@@ -110,25 +115,26 @@
                 let _ = mailbox.send(action);
             }
         }
-        let wakes_earlier = state.engine.next_wake().is_some_and(|wake| wake < self.wake_at.get());
+        let wakes_earlier =
+            state.engine.next_wake().is_some_and(|wake| wake < self.shared.wake_at.get());
         if wakes_earlier {
-            self.changed.notify_one();
+            self.shared.changed.notify_one();
         }
     }
 
     /// Mints an idempotency key.
     pub fn mint_key(&self) -> BoundKey {
-        self.state.borrow_mut().engine.mint_key(self.clock.now())
+        self.shared.state.borrow_mut().engine.mint_key(self.shared.clock.now())
     }
 
     /// Number of calls in progress.
     pub fn calls(&self) -> usize {
-        self.state.borrow().mailboxes.len()
+        self.shared.state.borrow().mailboxes.len()
     }
 
     /// Whether new calls are refused.
     pub fn is_draining(&self) -> bool {
-        self.state.borrow().engine.is_draining()
+        self.shared.state.borrow().engine.is_draining()
     }
 
     /// Ticks the engine whenever it asks for it, forever.
@@ -141,19 +147,19 @@
         let mut idle_ticks = 0;
         loop {
             if idle_ticks >= IDLE_TICKS {
-                self.wake_at.set(Self::NEVER);
-                self.changed.notified().await;
+                self.shared.wake_at.set(Self::NEVER);
+                self.shared.changed.notified().await;
                 idle_ticks = 0;
             }
-            let now = self.clock.now();
+            let now = self.shared.clock.now();
             let latest = now.after(TICK_PERIOD);
-            let wake = self.state.borrow().engine.next_wake();
+            let wake = self.shared.state.borrow().engine.next_wake();
             let wake = wake.map_or(latest, |wake| wake.min(latest));
-            self.wake_at.set(wake);
-            let sleep = tokio::time::sleep_until(self.clock.instant(wake).into());
+            self.shared.wake_at.set(wake);
+            let sleep = tokio::time::sleep_until(self.shared.clock.instant(wake).into());
             tokio::select! {
                 () = sleep => {}
-                () = self.changed.notified() => continue,
+                () = self.shared.changed.notified() => continue,
             }
             if self.calls() > 0 {
                 self.post(Event::Tick);
@@ -171,13 +177,13 @@
         while let Ok(command) = commands.recv_async().await {
             match command {
                 DataCommand::Policy(policy) => {
-                    self.state.borrow_mut().engine.set_policy(policy);
+                    self.shared.state.borrow_mut().engine.set_policy(policy);
                 }
                 DataCommand::Member(member) => self.post(Event::Member(member)),
                 DataCommand::Claimed(call, result) => self.post(Event::Claimed(call, result)),
                 DataCommand::Drain => self.post(Event::Drain),
                 DataCommand::Summary(reply) => {
-                    let _ = reply.try_send(self.state.borrow().engine.summary());
+                    let _ = reply.try_send(self.shared.state.borrow().engine.summary());
                 }
                 DataCommand::Stop(timeout) => return Some(timeout),
             }
@@ -195,8 +201,8 @@
 
     fn claim(&self, call: CallId, key: ClientKey, bound: BoundKey) {
         let request = ClaimRequest { call, key, bound };
-        if self.claims.try_send(request).is_err() {
-            self.metrics.ring_full();
+        if self.shared.claims.try_send(request).is_err() {
+            self.shared.metrics.ring_full();
             warn!("{} ring=claims", NodeEvent::RingFull);
             let driver = self.clone();
             tokio::task::spawn_local(async move {
@@ -239,7 +245,7 @@
     pub fn end(&mut self, outcome: Outcome) {
         if !self.is_over {
             self.is_over = true;
-            self.driver.metrics.call_ended(self.direction, outcome, self.begun_at.elapsed());
+            self.driver.shared.metrics.call_ended(self.direction, outcome, self.begun_at.elapsed());
         }
     }
 }
@@ -247,7 +253,7 @@
 impl Drop for CallGuard {
     fn drop(&mut self) {
         self.end(Outcome::Unknown);
-        self.driver.state.borrow_mut().mailboxes.remove(&self.call);
+        self.driver.shared.state.borrow_mut().mailboxes.remove(&self.call);
         self.driver.post(Event::Cancel(self.call));
     }
 }
--- a/cuminarch-node/src/data/front.rs
+++ b/cuminarch-node/src/data/front.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -51,8 +52,9 @@
     side: Side,
     mut connection: Connection,
 ) {
+    let context = Rc::new(context);
     let service = service_fn(move |request| {
-        let context = context.clone();
+        let context = Rc::clone(&context);
         async move { Ok::<_, Infallible>(answer(&context, request, side).await) }
     });
     let served = hyper::server::conn::http1::Builder::new()
--- a/cuminarch-node/src/data/link_client.rs
+++ b/cuminarch-node/src/data/link_client.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -261,7 +262,7 @@
     match answer {
         Ok(AnswerFrame::Head(head)) => {
             driver.post(Event::RemoteHead(call, attempt));
-            let (metrics, direction) = (context.metrics.clone(), Direction::Outbound);
+            let (metrics, direction) = (Arc::clone(&context.metrics), Direction::Outbound);
             let node_time = NodeTime { metrics, direction, before_sent, head_at: Instant::now() };
             let source = RemoteSource { attempt, link, node_time };
             Some((*head, AnswerSource::Remote(Box::new(source))))
--- a/cuminarch-node/src/data/local.rs
+++ b/cuminarch-node/src/data/local.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cuminarch_engine::Event;
@@ -107,7 +108,7 @@
         }
     };
     context.driver.post(Event::LocalHead(call));
-    let metrics = context.metrics.clone();
+    let metrics = Arc::clone(&context.metrics);
     let direction = Direction::Inbound;
     let node_time = NodeTime { metrics, direction, before_sent, head_at: Instant::now() };
     let (parts, incoming) = response.into_parts();
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -1,6 +1,7 @@
 //! Carries one call from its arrival to its answer.
 
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -28,7 +29,7 @@
     pub links: LinkPool,
     pub own_service: ServiceName,
     pub hello: LinkHello,
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
     pub tasks: Tasks,
     pub max_request_body_bytes: u64,
 }
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -1,5 +1,6 @@
 use std::future::Future;
 use std::net::TcpListener;
+use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -45,7 +46,7 @@
     pub settings: NodeSettings,
     pub commands: Receiver<DataCommand>,
     pub claims: Sender<ClaimRequest>,
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
 }
 
 /// Connections by where they came from.
--- a/cuminarch-node/src/metrics.rs
+++ b/cuminarch-node/src/metrics.rs
@@ -1,6 +1,5 @@
 //! Metrics of a node in the Prometheus text format.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use cuminarch_engine::EngineSummary;
@@ -66,8 +65,8 @@
     draining: Gauge,
 }
 
-/// All metrics of a node; handles are cheap to clone and to update.
-#[derive(Clone, Debug)]
+/// All metrics of a node.
+#[derive(Debug)]
 pub struct Metrics {
     inbound: CallMetrics,
     outbound: CallMetrics,
@@ -75,7 +74,7 @@
     connections_refused: Counter,
     ring_full: Counter,
     gauges: Gauges,
-    registry: Arc<Registry>,
+    registry: Registry,
 }
 
 impl Metrics {
@@ -132,7 +131,6 @@
             ring_full.clone(),
         );
         let gauges = Gauges::register(&mut registry);
-        let registry = Arc::new(registry);
         Self { inbound, outbound, attempts, connections_refused, ring_full, gauges, registry }
     }
 
--- a/cuminarch-node/src/node.rs
+++ b/cuminarch-node/src/node.rs
@@ -70,7 +70,7 @@
         let (leave, leaving) = flume::bounded(1);
         let (stop, stopped) = flume::bounded(1);
         let (duties, faults) = Duties::new();
-        let metrics = Metrics::new();
+        let metrics = Arc::new(Metrics::new());
         let (timer, timer_work) = TimerService::prepare();
         duties.spawn("timer", timer_work)?;
         let data = DataThread {
