feat(node): time limits on slow senders in the settings

The limits on the head of a request and on pauses within bodies were constants of 30 s and 60 s, so that no test could reach them. They are settings with those defaults now, checked for range, and apply to callers, peers and the upstream.

--- a/cuminarch-node/src/data/answer.rs
+++ b/cuminarch-node/src/data/answer.rs
@@ -11,9 +11,9 @@
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
-use super::body::{BODY_IDLE_TIMEOUT, BrokenBody, next_chunk};
+use super::body::{BrokenBody, next_chunk};
 use super::driver::CallGuard;
-use super::link_client::Link;
+use super::link_pool::Link;
 use super::local::LocalConnection;
 use crate::metrics::{Direction, Metrics};
 
@@ -23,6 +23,7 @@
     pub connection: LocalConnection,
     pub kept: Option<StoredAnswer>,
     pub node_time: NodeTime,
+    pub idle_timeout: Duration,
 }
 
 /// Measures the time that a call spends in the node itself.
@@ -44,6 +45,7 @@
     pub attempt: AttemptId,
     pub link: Link,
     pub node_time: NodeTime,
+    pub idle_timeout: Duration,
 }
 
 /// Part of an answer whose call goes on without its caller.
@@ -147,7 +149,7 @@
         &mut self,
         mut source: Box<LocalSource>,
     ) -> Option<Result<Bytes, BrokenBody>> {
-        match next_chunk(&mut source.incoming).await {
+        match next_chunk(&mut source.incoming, source.idle_timeout).await {
             Ok(Some(chunk)) => {
                 keep(&mut source.kept, &chunk);
                 self.source = Some(AnswerSource::Local(source));
@@ -171,7 +173,7 @@
         mut source: Box<RemoteSource>,
     ) -> Option<Result<Bytes, BrokenBody>> {
         let attempt = source.attempt;
-        match source.link.receive(BODY_IDLE_TIMEOUT).await {
+        match source.link.receive(source.idle_timeout).await {
             Ok(AnswerFrame::Body(bytes)) => {
                 self.source = Some(AnswerSource::Remote(source));
                 Some(Ok(bytes))
--- a/cuminarch-node/src/data/body.rs
+++ b/cuminarch-node/src/data/body.rs
@@ -10,9 +10,6 @@
 
 use super::caller_body::CallerBody;
 
-/// Longest pause within a body.
-pub const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// Longest part of a body in one frame of a data link, in bytes.
 pub const MAX_CHUNK_BYTES: usize = 64 * 1024;
 
@@ -90,10 +87,14 @@
     }
 }
 
-/// Reads the next data of an HTTP body; none at its end.
-pub async fn next_chunk(incoming: &mut Incoming) -> Result<Option<Bytes>, BrokenBody> {
+/// Reads the next data of an HTTP body; none at its end. A body that pauses for
+/// longer than `idle_timeout` counts as broken.
+pub async fn next_chunk(
+    incoming: &mut Incoming,
+    idle_timeout: Duration,
+) -> Result<Option<Bytes>, BrokenBody> {
     loop {
-        let frame = tokio::time::timeout(BODY_IDLE_TIMEOUT, incoming.frame()).await;
+        let frame = tokio::time::timeout(idle_timeout, incoming.frame()).await;
         match frame {
             Ok(None) => return Ok(None),
             Ok(Some(Ok(frame))) => {
--- a/cuminarch-node/src/data/caller_body.rs
+++ b/cuminarch-node/src/data/caller_body.rs
@@ -6,6 +6,7 @@
 use hyper::body::{Body, Incoming};
 
 use super::body::{BrokenBody, next_chunk};
+use super::limits::DataLimits;
 
 /// Longest time that an unwanted body is read, so that the caller gets to see
 /// its answer before the connection closes.
@@ -15,14 +16,20 @@
 /// and discarded.
 pub struct CallerBody {
     incoming: Option<Incoming>,
-    max_bytes: u64,
+    left_bytes: u64,
+    idle_timeout: Duration,
     is_awaited: bool,
 }
 
 impl CallerBody {
-    /// A body of at most `max_bytes`.
-    pub const fn new(incoming: Incoming, max_bytes: u64) -> Self {
-        Self { incoming: Some(incoming), max_bytes, is_awaited: false }
+    /// A body within the limits.
+    pub const fn new(incoming: Incoming, limits: DataLimits) -> Self {
+        Self {
+            incoming: Some(incoming),
+            left_bytes: limits.max_request_body_bytes,
+            idle_timeout: limits.body_idle_timeout,
+            is_awaited: false,
+        }
     }
 
     /// Sets whether the caller sends the body only when asked to.
@@ -36,9 +43,9 @@
     pub async fn next(&mut self) -> Result<Option<Bytes>, BrokenBody> {
         self.is_awaited = false;
         let incoming = self.incoming.as_mut().ok_or(BrokenBody)?;
-        let Some(chunk) = next_chunk(incoming).await? else { return Ok(None) };
+        let Some(chunk) = next_chunk(incoming, self.idle_timeout).await? else { return Ok(None) };
         let len_bytes = u64::try_from(chunk.len()).unwrap_or(u64::MAX);
-        self.max_bytes = self.max_bytes.checked_sub(len_bytes).ok_or(BrokenBody)?;
+        self.left_bytes = self.left_bytes.checked_sub(len_bytes).ok_or(BrokenBody)?;
         Ok(Some(chunk))
     }
 }
@@ -53,5 +60,5 @@
 }
 
 async fn discard(mut incoming: Incoming) {
-    while let Ok(Some(_)) = next_chunk(&mut incoming).await {}
+    while let Ok(Some(_)) = next_chunk(&mut incoming, DISCARD_TIMEOUT).await {}
 }
--- /dev/null
+++ b/cuminarch-node/src/data/link_pool.rs
@@ -0,0 +1,231 @@
+//! Data links to other nodes, kept open for further calls; one call at a time on each.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminarch_protocol::{AnswerFrame, CallFrame, CallHead, FrameLimit, ProtocolError};
+use futures_util::{SinkExt, StreamExt};
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::{self, Message};
+
+use super::body::{RequestBody, parts};
+use super::link_hello::{LinkHello, link_config};
+use super::upload::{Upload, UploadStream};
+
+/// WebSocket of a data link.
+pub type LinkSocket = WebSocketStream<TcpStream>;
+
+/// A data link that failed.
+#[derive(Debug, Error)]
+pub enum LinkError {
+    /// No link could be opened in time.
+    #[error("cannot connect")]
+    Connect,
+    /// The link broke.
+    #[error("link: {0}")]
+    Socket(#[from] Box<tungstenite::Error>),
+    /// The peer sent something malformed.
+    #[error("peer: {0}")]
+    Protocol(#[from] ProtocolError),
+    /// The peer closed the link.
+    #[error("closed by the peer")]
+    Closed,
+    /// The peer was silent for too long.
+    #[error("no answer in time")]
+    Timeout,
+}
+
+/// Idle links by address.
+#[derive(Clone)]
+pub struct LinkPool {
+    hello: LinkHello,
+    peers: Rc<RefCell<BTreeMap<SocketAddr, Peer>>>,
+}
+
+/// Links to one peer.
+#[derive(Default)]
+struct Peer {
+    idle: Vec<LinkSocket>,
+    in_use: usize,
+}
+
+/// A link in use; released ones are used again.
+pub struct Link {
+    socket: Option<Socket>,
+    address: SocketAddr,
+    pool: LinkPool,
+}
+
+enum Socket {
+    Whole(Box<LinkSocket>),
+    Uploading(UploadStream, Upload),
+}
+
+impl LinkPool {
+    const MAX_IDLE_PER_PEER: usize = 64;
+    const MAX_IN_USE_PER_PEER: usize = 1_024;
+    const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+    /// No links yet.
+    pub fn new(hello: LinkHello) -> Self {
+        Self { hello, peers: Rc::new(RefCell::new(BTreeMap::new())) }
+    }
+
+    /// A link to a node, one that is idle if there is any.
+    pub async fn take(&self, address: SocketAddr) -> Result<Link, LinkError> {
+        let mut link = self.reserve(address)?;
+        while let Some(socket) = self.pop(address) {
+            if is_open(&socket) {
+                link.socket = Some(Socket::Whole(Box::new(socket)));
+                return Ok(link);
+            }
+        }
+        let open = async {
+            let stream = TcpStream::connect(address).await.ok()?;
+            stream.set_nodelay(true).ok()?;
+            let url = self.hello.url(address);
+            let config = Some(link_config());
+            let (socket, _) =
+                tokio_tungstenite::client_async_with_config(url, stream, config).await.ok()?;
+            Some(socket)
+        };
+        let socket = tokio::time::timeout(Self::CONNECT_TIMEOUT, open).await;
+        let socket = socket.ok().flatten().ok_or(LinkError::Connect)?;
+        link.socket = Some(Socket::Whole(Box::new(socket)));
+        Ok(link)
+    }
+
+    /// Closes the links that no call uses.
+    pub fn close_idle(&self) {
+        for peer in self.peers.borrow_mut().values_mut() {
+            peer.idle.clear();
+        }
+    }
+
+    fn pop(&self, address: SocketAddr) -> Option<LinkSocket> {
+        self.peers.borrow_mut().get_mut(&address)?.idle.pop()
+    }
+
+    /// Counts a link that is about to be used.
+    fn reserve(&self, address: SocketAddr) -> Result<Link, LinkError> {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(address).or_default();
+        if peer.in_use >= Self::MAX_IN_USE_PER_PEER {
+            return Err(LinkError::Connect);
+        }
+        peer.in_use += 1;
+        Ok(Link { socket: None, address, pool: self.clone() })
+    }
+
+    fn put_back(&self, address: SocketAddr, socket: LinkSocket) {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(address).or_default();
+        if peer.idle.len() < Self::MAX_IDLE_PER_PEER {
+            peer.idle.push(socket);
+        }
+    }
+
+    fn forget(&self, address: SocketAddr) {
+        let mut peers = self.peers.borrow_mut();
+        if let Some(peer) = peers.get_mut(&address) {
+            peer.in_use = peer.in_use.saturating_sub(1);
+            if peer.in_use == 0 && peer.idle.is_empty() {
+                peers.remove(&address);
+            }
+        }
+    }
+}
+
+/// Whether the peer has left an idle link open, as far as the socket shows.
+fn is_open(socket: &LinkSocket) -> bool {
+    let mut byte = [0_u8; 1];
+    match socket.get_ref().try_read(&mut byte) {
+        Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
+        Ok(_) => false,
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.pool.forget(self.address);
+    }
+}
+
+impl Link {
+    /// Gives the link back for other calls.
+    pub fn release(mut self) {
+        match self.socket.take() {
+            Some(Socket::Whole(socket)) => {
+                self.pool.put_back(self.address, *socket);
+            }
+            Some(Socket::Uploading(stream, upload)) => {
+                tokio::task::spawn_local(async move {
+                    if let Some(socket) = upload.stop(stream).await {
+                        self.socket = Some(Socket::Whole(Box::new(socket)));
+                        self.release();
+                    }
+                });
+            }
+            None => {}
+        }
+    }
+
+    /// The next frame of the answer.
+    pub async fn receive(&mut self, timeout: Duration) -> Result<AnswerFrame, LinkError> {
+        loop {
+            let next = async {
+                match self.socket.as_mut()? {
+                    Socket::Whole(socket) => socket.next().await,
+                    Socket::Uploading(stream, _) => stream.next().await,
+                }
+            };
+            let message = tokio::time::timeout(timeout, next).await;
+            match message.map_err(|_| LinkError::Timeout)? {
+                Some(Ok(Message::Binary(bytes))) => {
+                    return Ok(AnswerFrame::decode(&bytes, FrameLimit::DATA)?);
+                }
+                Some(Ok(Message::Ping(_) | Message::Pong(_))) => {}
+                Some(Ok(_)) | None => return Err(LinkError::Closed),
+                Some(Err(error)) => return Err(Box::new(error).into()),
+            }
+        }
+    }
+
+    /// Sends a call; a body that is still coming is sent by a task of its own,
+    /// so that an early answer is read meanwhile.
+    pub async fn send(&mut self, head: CallHead, body: &mut RequestBody) -> Result<(), LinkError> {
+        let Some(Socket::Whole(mut socket)) = self.socket.take() else {
+            return Err(LinkError::Closed);
+        };
+        feed(&mut socket, &CallFrame::Head(Box::new(head))).await?;
+        let body = match body {
+            RequestBody::Held(bytes) => RequestBody::Held(bytes.clone()),
+            RequestBody::Passed(..) => std::mem::replace(body, RequestBody::Held(Bytes::new())),
+        };
+        match body {
+            RequestBody::Held(bytes) => {
+                for part in parts(bytes) {
+                    feed(&mut socket, &CallFrame::Body(part)).await?;
+                }
+                feed(&mut socket, &CallFrame::BodyEnd).await?;
+                socket.flush().await.map_err(Box::new)?;
+                self.socket = Some(Socket::Whole(socket));
+            }
+            RequestBody::Passed(first, reader) => {
+                let (upload, stream) = Upload::start(*socket, first, reader);
+                self.socket = Some(Socket::Uploading(stream, upload));
+            }
+        }
+        Ok(())
+    }
+}
+
+async fn feed(socket: &mut LinkSocket, frame: &CallFrame) -> Result<(), LinkError> {
+    socket.feed(Message::Binary(frame.encode()?)).await.map_err(|error| Box::new(error).into())
+}
--- a/cuminarch-node/src/data/link_server.rs
+++ b/cuminarch-node/src/data/link_server.rs
@@ -16,11 +16,11 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use super::answer::Answer;
-use super::body::{BODY_IDLE_TIMEOUT, BodyReader, LinkItem, RequestBody, parts};
+use super::body::{BodyReader, LinkItem, RequestBody, parts};
 use super::connections::Connection;
 use super::detached::carry_call;
-use super::link_client::LinkSocket;
 use super::link_hello::link_config;
+use super::link_pool::LinkSocket;
 use super::runner::{CallRequest, DataContext, Reply};
 use crate::event::NodeEvent;
 use crate::headers;
@@ -74,8 +74,8 @@
     }
 }
 
-async fn receive_in_time(stream: &mut Stream) -> Option<CallFrame> {
-    tokio::time::timeout(BODY_IDLE_TIMEOUT, receive(stream)).await.ok()?
+async fn receive_in_time(stream: &mut Stream, idle_timeout: Duration) -> Option<CallFrame> {
+    tokio::time::timeout(idle_timeout, receive(stream)).await.ok()?
 }
 
 async fn serve_call(
@@ -84,11 +84,12 @@
     stream: &mut Stream,
     head: CallHead,
 ) -> Option<()> {
+    let idle_timeout = context.limits.body_idle_timeout;
     let (upload, items) = mpsc::channel(UPLOAD_RING);
-    let body = receive_body(stream, items).await?;
+    let body = receive_body(stream, items, idle_timeout).await?;
     let is_ended = Cell::new(body.is_held());
     {
-        let mut gone = pin!(pump(stream, upload, &is_ended));
+        let mut gone = pin!(pump(stream, upload, &is_ended, idle_timeout));
         let reply = tokio::select! {
             biased;
             reply = carry_call(context, arrival(&head, &body), request(head, body)) => reply,
@@ -129,14 +130,18 @@
 }
 
 /// Reads the beginning of a request body, all of it if it is short.
-async fn receive_body(stream: &mut Stream, items: mpsc::Receiver<LinkItem>) -> Option<RequestBody> {
-    let mut held = match receive_in_time(stream).await? {
+async fn receive_body(
+    stream: &mut Stream,
+    items: mpsc::Receiver<LinkItem>,
+    idle_timeout: Duration,
+) -> Option<RequestBody> {
+    let mut held = match receive_in_time(stream, idle_timeout).await? {
         CallFrame::Body(first) => first,
         CallFrame::BodyEnd => return Some(RequestBody::Held(Bytes::new())),
         CallFrame::Head(_) | CallFrame::Cancel => return None,
     };
     while held.len() < RequestBody::MAX_HELD_BYTES {
-        match receive_in_time(stream).await? {
+        match receive_in_time(stream, idle_timeout).await? {
             CallFrame::Body(bytes) => {
                 let mut joined = BytesMut::from(held);
                 joined.extend_from_slice(&bytes);
@@ -151,9 +156,14 @@
 
 /// Reads the rest of a request body into `upload`, as fast as it is taken, and
 /// then waits. Returns when the peer breaks off or closes the link.
-async fn pump(stream: &mut Stream, upload: mpsc::Sender<LinkItem>, is_ended: &Cell<bool>) {
+async fn pump(
+    stream: &mut Stream,
+    upload: mpsc::Sender<LinkItem>,
+    is_ended: &Cell<bool>,
+    idle_timeout: Duration,
+) {
     while !is_ended.get() {
-        let item = match receive_in_time(stream).await {
+        let item = match receive_in_time(stream, idle_timeout).await {
             Some(CallFrame::Body(bytes)) => LinkItem::Data(bytes),
             Some(CallFrame::BodyEnd) => {
                 is_ended.set(true);
--- a/cuminarch-node/src/data/local.rs
+++ b/cuminarch-node/src/data/local.rs
@@ -117,7 +117,8 @@
     let status = parts.status.as_u16();
     let head = AnswerHead { status, headers: end_to_end(&parts.headers), body_len_bytes };
     let kept = run.keep_answer.then(|| StoredAnswer { head: head.clone(), body: Vec::new() });
-    let source = LocalSource { incoming, connection, kept, node_time };
+    let idle_timeout = context.limits.body_idle_timeout;
+    let source = LocalSource { incoming, connection, kept, node_time, idle_timeout };
     Some((head, AnswerSource::Local(Box::new(source))))
 }
 
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -15,8 +15,10 @@
 use super::body::RequestBody;
 use super::detached::Progress;
 use super::driver::{CallGuard, Driver};
-use super::link_client::{LinkPool, send_call};
+use super::limits::DataLimits;
+use super::link_client::send_call;
 use super::link_hello::LinkHello;
+use super::link_pool::LinkPool;
 use super::local::{LocalPool, LocalRun, run_local};
 use super::tasks::Tasks;
 use crate::metrics::Metrics;
@@ -31,7 +33,7 @@
     pub hello: LinkHello,
     pub metrics: Arc<Metrics>,
     pub tasks: Tasks,
-    pub max_request_body_bytes: u64,
+    pub limits: DataLimits,
 }
 
 impl DataContext {
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -14,8 +14,9 @@
 use super::connections::{Connection, Connections};
 use super::driver::{ClaimRequest, DataCommand, Driver};
 use super::front::{Side, serve_connection};
-use super::link_client::LinkPool;
+use super::limits::DataLimits;
 use super::link_hello::LinkHello;
+use super::link_pool::LinkPool;
 use super::link_server::serve_link;
 use super::local::LocalPool;
 use super::runner::DataContext;
@@ -82,7 +83,7 @@
             hello,
             metrics: self.metrics,
             tasks,
-            max_request_body_bytes: self.settings.max_request_body_bytes,
+            limits: DataLimits::new(&self.settings),
         };
         let max_open = self.settings.max_connections;
         let served =
--- a/cuminarch-node/src/data/upload.rs
+++ b/cuminarch-node/src/data/upload.rs
@@ -11,7 +11,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use super::body::{BodyReader, parts};
-use super::link_client::LinkSocket;
+use super::link_pool::LinkSocket;
 
 /// The side of a link on which the answer comes.
 pub type UploadStream = SplitStream<LinkSocket>;
--- a/cuminarch-node/src/settings.rs
+++ b/cuminarch-node/src/settings.rs
@@ -40,6 +40,12 @@
     /// Longest request body in bytes; longer ones are answered with 413.
     #[serde(default = "default_max_request_body_bytes")]
     pub max_request_body_bytes: u64,
+    /// Longest time for the head of a request, and for the pause before it, in milliseconds.
+    #[serde(default = "default_head_timeout_ms")]
+    pub head_timeout_ms: u64,
+    /// Longest pause within a body, in milliseconds.
+    #[serde(default = "default_body_idle_timeout_ms")]
+    pub body_idle_timeout_ms: u64,
     /// Most connections from callers and peers, and most from the own upstream.
     #[serde(default = "default_max_connections")]
     pub max_connections: usize,
@@ -53,12 +59,20 @@
     1024 * 1024 * 1024
 }
 
+const fn default_head_timeout_ms() -> u64 {
+    30_000
+}
+
+const fn default_body_idle_timeout_ms() -> u64 {
+    60_000
+}
+
 const fn default_max_connections() -> usize {
     4_096
 }
 
 impl NodeSettings {
-    const MAX_SHUTDOWN_TIMEOUT_MS: u64 = 3_600_000;
+    const MAX_TIMEOUT_MS: u64 = 3_600_000;
     const MAX_FLEET_BYTES: usize = 64;
 
     /// Reads and checks settings.
@@ -88,9 +102,16 @@
             let reason = "only ASCII letters, digits, '-', '_' and '.' are allowed";
             faults.push(Fault::new("fleet", reason));
         }
-        if !(1..=Self::MAX_SHUTDOWN_TIMEOUT_MS).contains(&self.shutdown_timeout_ms) {
-            let reason = format!("must be 1 to {}", Self::MAX_SHUTDOWN_TIMEOUT_MS);
-            faults.push(Fault::new("shutdown_timeout_ms", reason));
+        let timeouts = [
+            ("shutdown_timeout_ms", self.shutdown_timeout_ms),
+            ("head_timeout_ms", self.head_timeout_ms),
+            ("body_idle_timeout_ms", self.body_idle_timeout_ms),
+        ];
+        for (field, timeout_ms) in timeouts {
+            if !(1..=Self::MAX_TIMEOUT_MS).contains(&timeout_ms) {
+                let reason = format!("must be 1 to {}", Self::MAX_TIMEOUT_MS);
+                faults.push(Fault::new(field, reason));
+            }
         }
         if self.max_request_body_bytes == 0 {
             faults.push(Fault::new("max_request_body_bytes", "must be at least 1"));
--- a/cuminarch-node/tests/edges.rs
+++ b/cuminarch-node/tests/edges.rs
@@ -122,3 +122,48 @@
     assert!(metrics.contains(counted), "{metrics}");
     chain.shutdown();
 }
+
+#[test]
+fn a_sender_that_stops_within_the_head_is_disconnected() {
+    let upstream = upstream();
+    let chain = Chain::start_with(1, upstream.address(), "head_timeout_ms: 100");
+    let mut caller = Caller::connect(chain.front());
+    caller.stream.write_all(b"GET / HTTP/1.1\r\nhost:").unwrap();
+    let mut rest = Vec::new();
+    let _ = caller.stream.read_to_end(&mut rest);
+    assert_eq!(upstream.runs(), 0);
+    assert_eq!(chain.call("GET /", &[], b"").text(), "ok");
+    chain.shutdown();
+}
+
+#[rstest]
+#[case::short(100)]
+#[case::long(1_000_000)]
+fn a_sender_that_stops_within_the_body_gets_an_answer(
+    #[values(1, 2)] hops: usize,
+    #[case] length: usize,
+) {
+    let upstream = upstream();
+    let chain = Chain::start_with(hops, upstream.address(), "body_idle_timeout_ms: 100");
+    let mut caller = Caller::connect(chain.front());
+    caller.send("PUT /", &[&format!("content-length: {length}")], b"");
+    caller.stream.write_all(b"only this much").unwrap();
+    let reply = caller.read(false);
+    assert!(matches!(reply.status, 400 | 502 | 503), "{reply:?}");
+    assert_eq!(chain.call("GET /", &[], b"").text(), "ok");
+    chain.shutdown();
+}
+
+#[rstest]
+fn an_upstream_that_stops_within_its_answer_breaks_the_callers_body(#[values(1, 2)] hops: usize) {
+    let upstream = RawUpstream::start(|_, connection| {
+        connection.write(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nonly this much")?;
+        std::thread::sleep(LIVENESS);
+        Ok(AfterAnswer::Close)
+    });
+    let upstream = upstream.unwrap();
+    let chain = Chain::start_with(hops, upstream.address(), "body_idle_timeout_ms: 100");
+    let reply = chain.call("GET /", &[], b"");
+    assert_eq!((reply.status, reply.is_whole), (200, false));
+    chain.shutdown();
+}
--- a/cuminarch-node/tests/intermediary.rs
+++ b/cuminarch-node/tests/intermediary.rs
@@ -299,3 +299,19 @@
     }
     chain.shutdown();
 }
+
+#[rstest]
+fn large_header_fields_pass_in_both_directions(#[values(1, 2)] hops: usize) {
+    let upstream = RawUpstream::start(|request, connection| {
+        let value = request.header("x-large").unwrap_or_default();
+        let head = format!("HTTP/1.1 200 OK\r\nx-large: {value}\r\ncontent-length: 0\r\n\r\n");
+        connection.write(head.as_bytes())?;
+        Ok(AfterAnswer::Keep)
+    });
+    let upstream = upstream.unwrap();
+    let chain = Chain::start(hops, upstream.address());
+    let value = "0123456789".repeat(3_000);
+    let reply = chain.call("GET /", &[&format!("x-large: {value}")], b"");
+    assert_eq!((reply.status, reply.header("x-large")), (200, Some(value.as_str())));
+    chain.shutdown();
+}
