--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -6,17 +6,15 @@
 use cuminarch_config::Policy;
 use cuminarch_once::{BoundKey, KeyTable};
 use cuminarch_protocol::Receipt;
-use cuminarch_routing::Router;
+use cuminarch_routing::{LearnedLevel, Router};
 use cuminarch_types::{
-    AttemptId, CallId, ClassName, ConcurrencyLimit, MonoTime, Outcome, Rank, ServiceName,
+    AttemptId, CallId, ClassName, ConcurrencyLimit, MonoTime, RuleNumber, ServiceName,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::call::Call;
-use crate::{
-    Action, Arrival, Direction, EngineSettings, EngineSummary, Event, Refusal, RequestKey,
-};
+use crate::call::{Call, Sending, Stage};
+use crate::{Action, Direction, EngineSettings, EngineSummary, Event, Refusal};
 
 /// Decides on every call of one node.
 #[derive(Debug)]
@@ -30,8 +28,10 @@
     pub(crate) retries: BTreeSet<(MonoTime, CallId)>,
     pub(crate) deadlines: BTreeSet<(MonoTime, CallId)>,
     pub(crate) ratios: BTreeMap<ServiceName, RetryRatio>,
-    pub(crate) needs: BTreeMap<ServiceName, NeedEstimator>,
-    pub(crate) levels_behind: BTreeMap<ClassName, (Rank, MonoTime)>,
+    pub(crate) needs: BTreeMap<(ServiceName, ClassName), NeedEstimator>,
+    /// Calls whose budget has changed since their children were last sent.
+    pub(crate) freed: BTreeSet<CallId>,
+    pub(crate) levels_behind: BTreeMap<RuleNumber, LearnedLevel>,
     pub(crate) backoff: Backoff,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) draining: bool,
@@ -56,6 +56,7 @@
             deadlines: BTreeSet::new(),
             ratios: BTreeMap::new(),
             needs: BTreeMap::new(),
+            freed: BTreeSet::new(),
             levels_behind: BTreeMap::new(),
             backoff: Backoff::default(),
             rng: ChaCha8Rng::seed_from_u64(seed.wrapping_add(1)),
@@ -77,7 +78,7 @@
     pub fn handle(&mut self, event: Event, now: MonoTime) -> Vec<Action> {
         let mut actions = Vec::new();
         match event {
-            Event::Arrive(call, arrival) => match self.direction_of(&arrival) {
+            Event::Arrive(call, arrival) => match arrival.direction.clone() {
                 Direction::Inbound => self.arrive_inbound(call, &arrival, now, &mut actions),
                 Direction::Outbound(service) => {
                     self.arrive_outbound(call, service, &arrival, now, &mut actions);
@@ -102,6 +103,7 @@
             Event::Tick => self.tick(now, &mut actions),
             Event::Drain => self.draining = true,
         }
+        self.resume_short(now, &mut actions);
         actions
     }
 
@@ -111,6 +113,8 @@
         let is_newer = policy.revision() > self.policy.revision();
         if is_newer {
             self.policy = policy;
+            self.router.forget_levels();
+            self.levels_behind.clear();
         }
         is_newer
     }
@@ -148,22 +152,6 @@
         }
     }
 
-    /// Where a call goes: one whose key is bound to another endpoint of the own
-    /// service goes there, since only that process may run it.
-    fn direction_of(&self, arrival: &Arrival) -> Direction {
-        match &arrival.key {
-            Some(RequestKey::Bound(key))
-                if arrival.share.is_none() && key.endpoint != self.settings.endpoint =>
-            {
-                match &arrival.direction {
-                    Direction::Inbound => Direction::Outbound(self.settings.service.clone()),
-                    outbound @ Direction::Outbound(_) => outbound.clone(),
-                }
-            }
-            _ => arrival.direction.clone(),
-        }
-    }
-
     /// Whether new calls are refused.
     #[must_use]
     pub const fn is_draining(&self) -> bool {
@@ -176,10 +164,11 @@
         attempt
     }
 
-    pub(crate) fn insert(&mut self, id: CallId, call: Call) {
+    pub(crate) fn insert(&mut self, id: CallId, call: Call, now: MonoTime) {
         self.deadlines.insert((call.deadline, id));
         if let Some(parent) = call.parent.and_then(|parent| self.calls.get_mut(&parent)) {
             parent.children.insert(id);
+            parent.deeper.begin(now);
         }
         self.calls.insert(id, call);
     }
@@ -193,19 +182,30 @@
     ) -> Option<Receipt> {
         let call = self.calls.remove(&id)?;
         self.deadlines.remove(&(call.deadline, id));
+        if call.parent.is_none() && call.has_called {
+            let level = LearnedLevel::new(call.level, now);
+            self.levels_behind.insert(call.rule.number, level);
+        }
+        if let Stage::Sending(Sending { retry_at: Some(retry_at), .. }) = call.stage {
+            self.retries.remove(&(retry_at, id));
+        }
         for child in call.children {
-            self.cancel(child, now, actions);
+            self.abandon(child, now, actions);
         }
         if let Some(parent) = call.parent.and_then(|parent| self.calls.get_mut(&parent)) {
             parent.children.remove(&id);
+            if parent.children.is_empty() {
+                parent.deeper.end(now);
+            }
             parent.level = parent.level.max(call.level);
+            parent.has_called = true;
         }
         let own_level = self.admission.level();
         Some(Receipt { unspent: call.budget.held(), level: call.level.max(own_level) })
     }
 
-    /// Ends a call with a final answer of the node. A call of which an earlier
-    /// attempt may have run is never answered as not run.
+    /// Ends a call with a final answer of the node. A call that may have run
+    /// is never answered as not run.
     pub(crate) fn refuse(
         &mut self,
         call: CallId,
@@ -213,10 +213,7 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
-        let maybe_ran = self.calls.get(&call).is_some_and(|call| call.maybe_ran);
-        if maybe_ran && refusal.outcome == Outcome::NotRun {
-            refusal.outcome = Outcome::Unknown;
-        }
+        self.qualify(call, &mut refusal);
         let receipt = self.remove(call, now, actions).unwrap_or_default();
         actions.push(Action::Refuse { call, refusal, receipt });
     }
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -1,10 +1,9 @@
 //! Calls to other services through the nodes of their endpoints.
 
 use cuminarch_admission::Admission;
-use cuminarch_once::BoundKey;
 use cuminarch_protocol::Receipt;
 use cuminarch_routing::{CallSample, Target};
-use cuminarch_types::{AttemptId, Attempts, CallId, MonoTime, Outcome, ServiceName};
+use cuminarch_types::{AttemptId, CallId, MonoTime, Outcome, ServiceName};
 use rand::RngExt;
 
 use crate::call::{Call, Flight, Sending, Stage};
@@ -23,25 +22,26 @@
         let retry_percent = rule.retry_percent;
         let mut call = self.new_call(arrival, rule, now);
         if let Some(parent_id) = arrival.parent {
-            let Some(parent) = self.calls.get(&parent_id) else {
+            let Some(parent) = self.running_parent(parent_id, arrival) else {
+                call.parent = None;
+                self.insert(id, call, now);
                 let refusal = Refusal::not_run(RefusalReason::ParentEnded);
                 return self.refuse(id, refusal, now, actions);
             };
             call.rank = parent.rank;
             call.deadline = call.deadline.min(parent.deadline);
-            call.root = parent.root;
         }
         match &arrival.key {
             Some(RequestKey::Bound(key)) => call.key = Some(key.clone()),
             Some(RequestKey::Client(key)) => call.client_key = Some(key.clone()),
             None => {}
         }
-        let sending =
-            Sending { service: service.clone(), tried: Vec::new(), retries: 0, current: None };
-        call.stage = Stage::Sending(sending);
+        call.stage = Stage::Sending(Sending::new(service.clone()));
         let rank = call.rank;
-        self.insert(id, call);
-        if rank < self.router.level(&service, now) {
+        let level = self.router.level(&service, call.rule.number, now);
+        call.level = level;
+        self.insert(id, call, now);
+        if rank < level {
             let refusal = Refusal::not_run(RefusalReason::OverloadedBehind);
             return self.refuse(id, refusal.with_retry_after(Admission::RETRY_AFTER), now, actions);
         }
@@ -56,7 +56,9 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
-        let Some(flight) = self.flight(id, attempt) else { return };
+        let Some(flight) = self.flight(id, attempt).filter(|flight| !flight.delivering) else {
+            return;
+        };
         flight.delivering = true;
         let endpoint = flight.endpoint.clone();
         let sample = CallSample::Answered(now.since(flight.sent_at));
@@ -75,8 +77,10 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
-        if self.flight(id, attempt).is_none() {
-            return;
+        let Some(flight) = self.flight(id, attempt) else { return };
+        let share = flight.share;
+        if let Some(receipt) = receipt {
+            self.observe_need(id, share, receipt);
         }
         self.settle(id, attempt, receipt, now);
         let receipt = self.remove(id, now, actions).unwrap_or_default();
@@ -91,18 +95,25 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
-        let Some(flight) = self.flight(id, attempt) else { return };
+        let Some(flight) = self.flight(id, attempt).filter(|flight| !flight.delivering) else {
+            return;
+        };
         let endpoint = flight.endpoint.clone();
         self.note_sample(id, &endpoint, CallSample::Refused, now);
         self.settle(id, attempt, Some(refused.receipt), now);
-        let bound_to = refused.refusal.bound_to.clone();
-        if let Some(key) = bound_to
+        let RemoteRefusal { refusal, .. } = refused;
+        if refusal.reason == RefusalReason::KeyBoundElsewhere
+            && let Some(key) = refusal.bound_to.clone()
             && self.follow_key(id, key, now, actions)
         {
             return;
         }
-        let may_retry = refused.refusal.outcome == Outcome::NotRun;
-        self.retry_or_refuse(id, may_retry, refused.refusal, now, actions);
+        let is_not_run = refusal.outcome == Outcome::NotRun;
+        if is_not_run {
+            self.note_proof(id, &refusal);
+        }
+        let may_retry = is_not_run && refusal.reason.may_retry() && self.has_alternative(id, now);
+        self.retry_or_refuse(id, may_retry, refusal, now, actions);
     }
 
     pub(crate) fn remote_lost(
@@ -114,6 +125,9 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(flight) = self.flight(id, attempt) else { return };
+        if flight.delivering {
+            return self.remote_end(id, attempt, None, now, actions);
+        }
         let endpoint = flight.endpoint.clone();
         let share = flight.share;
         self.note_sample(id, &endpoint, CallSample::Failed, now);
@@ -132,15 +146,19 @@
 
     /// Sends the next attempt of a call.
     pub(crate) fn send(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
+        self.unplan(id);
         let Some(target) = self.choose(id, now) else {
             let bound = self.calls.get(&id).is_some_and(|call| call.key.is_some());
             let refusal = if bound {
-                Refusal::unknown(RefusalReason::KeyUnknown)
+                Refusal::not_run(RefusalReason::KeyUnknown)
             } else {
                 Refusal::not_run(RefusalReason::NoEndpoint).with_retry_after(Admission::RETRY_AFTER)
             };
             return self.refuse(id, refusal, now, actions);
         };
+        if self.wait_for_share(id, now) {
+            return;
+        }
         let attempt = self.next_attempt();
         let Some(share) = self.lend(id, attempt) else {
             let refusal = Refusal::not_run(RefusalReason::BudgetExhausted);
@@ -150,6 +168,7 @@
         let Some((call, sending)) = self.sending(id) else { return };
         let endpoint = target.endpoint.clone();
         sending.tried.push(endpoint.clone());
+        sending.is_short = false;
         sending.current = Some(Flight {
             attempt,
             endpoint: endpoint.clone(),
@@ -170,6 +189,32 @@
         actions.push(Action::Forward { call: id, attempt, forward: Box::new(forward) });
     }
 
+    /// The inbound call that made `arrival`, if it still runs. The call ids of
+    /// an earlier process may be in use again, for other requests.
+    fn running_parent(&self, parent: CallId, arrival: &Arrival) -> Option<&Call> {
+        let parent = self.calls.get(&parent)?;
+        let is_running = matches!(parent.stage, Stage::Running { .. });
+        (is_running && parent.root == arrival.root).then_some(parent)
+    }
+
+    /// Notes that the process of the call's key has shown that it did not run.
+    fn note_proof(&mut self, id: CallId, refusal: &Refusal) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let is_own_key = call.key.is_some() || refusal.reason == RefusalReason::KeyConflict;
+        call.not_run_proven |= is_own_key || refusal.bound_to.is_some();
+        if call.key.is_none() {
+            call.key = refusal.bound_to.clone();
+        }
+    }
+
+    /// Withdraws the planned time of the next attempt.
+    fn unplan(&mut self, id: CallId) {
+        let Some((_, sending)) = self.sending(id) else { return };
+        if let Some(retry_at) = sending.retry_at.take() {
+            self.retries.remove(&(retry_at, id));
+        }
+    }
+
     fn request_key(&self, id: CallId) -> Option<RequestKey> {
         let call = self.calls.get(&id)?;
         let client = || call.client_key.clone().map(RequestKey::Client);
@@ -184,6 +229,7 @@
             self.note_sample(id, &flight.endpoint, CallSample::Withdrawn, now);
         }
         let owner = self.owner(id);
+        self.freed.insert(owner);
         if let Some(owner) = self.calls.get_mut(&owner) {
             owner.budget.forfeit(flight.attempt);
         }
@@ -199,22 +245,17 @@
         }
         let service = sending.service.clone();
         let tried = sending.tried.clone();
-        self.router.pick(&service, &tried, now).or_else(|| self.router.pick(&service, &[], now))
-    }
-
-    fn lend(&mut self, id: CallId, attempt: AttemptId) -> Option<Attempts> {
-        let Stage::Sending(sending) = &self.calls.get(&id)?.stage else { return None };
-        let service = sending.service.clone();
-        let owner = self.owner(id);
-        let needs = self.needs.entry(service).or_default();
-        let budget = &mut self.calls.get_mut(&owner)?.budget;
-        let want = needs.share(budget.held());
-        budget.lend(attempt, want).ok()
+        let kind = call.kind();
+        self.router
+            .pick(&service, kind, &tried, now)
+            .or_else(|| self.router.pick(&service, kind, &[], now))
     }
 
-    /// The call whose budget pays for `id`: its parent's, or its own.
-    fn owner(&self, id: CallId) -> CallId {
-        self.calls.get(&id).and_then(|call| call.parent).unwrap_or(id)
+    /// Whether an endpoint that was not tried yet may admit the call.
+    fn has_alternative(&self, id: CallId, now: MonoTime) -> bool {
+        let Some(call) = self.calls.get(&id) else { return false };
+        let Stage::Sending(sending) = &call.stage else { return false };
+        self.router.has_alternative(&sending.service, call.kind(), &sending.tried, now)
     }
 
     fn flight(&mut self, id: CallId, attempt: AttemptId) -> Option<&mut Flight> {
@@ -247,38 +288,6 @@
         self.router.finished(&service, endpoint, sample, now);
     }
 
-    /// Closes the account of an attempt; without a receipt its share is forfeited.
-    fn settle(&mut self, id: CallId, attempt: AttemptId, receipt: Option<Receipt>, now: MonoTime) {
-        let Some((_, sending)) = self.sending(id) else { return };
-        let Some(flight) = sending.current.take() else { return };
-        let service = sending.service.clone();
-        let owner = self.owner(id);
-        let Some(owner) = self.calls.get_mut(&owner) else { return };
-        let Some(receipt) = receipt else { return owner.budget.forfeit(attempt) };
-        owner.budget.settle(attempt, receipt.unspent);
-        owner.level = owner.level.max(receipt.level);
-        let spent = flight.share.saturating_sub(receipt.unspent);
-        self.needs.entry(service.clone()).or_default().observe(spent);
-        self.router.note_level(&service, receipt.level, now);
-    }
-
-    /// Sends the call to the process that its key is bound to. Returns whether it did.
-    fn follow_key(
-        &mut self,
-        id: CallId,
-        key: BoundKey,
-        now: MonoTime,
-        actions: &mut Vec<Action>,
-    ) -> bool {
-        let Some(call) = self.calls.get_mut(&id) else { return false };
-        if call.key.is_some() {
-            return false;
-        }
-        call.key = Some(key);
-        self.send(id, now, actions);
-        true
-    }
-
     fn retry_or_refuse(
         &mut self,
         id: CallId,
@@ -297,6 +306,7 @@
         if may_retry && is_in_time && self.ratios.entry(service).or_default().try_retry() {
             if let Some((_, sending)) = self.sending(id) {
                 sending.retries += 1;
+                sending.retry_at = Some(retry_at);
             }
             self.retries.insert((retry_at, id));
         } else {
--- a/cuminarch-node/src/control.rs
+++ b/cuminarch-node/src/control.rs
@@ -4,7 +4,6 @@
 
 use cuminarch_config::{ConfigDocument, ConfigGate, GateDecision};
 use cuminarch_engine::ClaimResult;
-use cuminarch_membership::MemberTable;
 use cuminarch_platform::{Expect, HttpObjectStore, ObjectPath, ObjectStore, PlatformError};
 use cuminarch_protocol::{Member, MemberState};
 use flume::{Receiver, Sender};
@@ -44,10 +43,9 @@
     }
 
     fn run(mut self) {
-        let mut table = MemberTable::new();
         let mut gate = ConfigGate::new();
         let mut available = true;
-        self.refresh(&mut table, &mut gate, &mut available);
+        self.refresh(&mut gate, &mut available);
         loop {
             let wake = flume::Selector::new()
                 .recv(&self.stop, |_| Wake::Stop)
@@ -62,17 +60,17 @@
                     let _ = self.announce(&self.member);
                 }
                 Wake::Claim(claim) => self.claim(&claim),
-                Wake::Tick => self.refresh(&mut table, &mut gate, &mut available),
+                Wake::Tick => self.refresh(&mut gate, &mut available),
             }
         }
         self.member.state = MemberState::Gone;
         let _ = self.announce(&self.member);
     }
 
-    fn refresh(&self, table: &mut MemberTable, gate: &mut ConfigGate, available: &mut bool) {
+    fn refresh(&self, gate: &mut ConfigGate, available: &mut bool) {
         let result = self
             .announce(&self.member)
-            .and_then(|()| self.read_members(table))
+            .and_then(|()| self.read_members())
             .and_then(|()| self.read_config(gate));
         match result {
             Ok(()) if !*available => info!("{}", NodeEvent::PlatformAvailable),
@@ -88,13 +86,11 @@
         self.store.put(&path, &value, Expect::Any).map(|_| ())
     }
 
-    fn read_members(&self, table: &mut MemberTable) -> Result<(), PlatformError> {
+    fn read_members(&self) -> Result<(), PlatformError> {
         let listing = self.store.list(&path("members")?)?;
         for object in &listing.objects {
             let Ok(member) = serde_json::from_str::<Member>(&object.value) else { continue };
-            if table.merge(&member) {
-                let _ = self.commands.send(DataCommand::Member(Box::new(member)));
-            }
+            let _ = self.commands.send(DataCommand::Member(Box::new(member)));
         }
         Ok(())
     }
