--- /dev/null
+++ b/cuminarch-bench/src/control/departures.rs
@@ -0,0 +1,113 @@
+//! Time until an endpoint that leaves or fails gets no more work.
+
+use std::time::Duration;
+
+use cuminarch_testing::VirtualFleet;
+use cuminarch_types::MonoTime;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::SIZES;
+use super::fleet::settled;
+use super::table::{head, row};
+use crate::{Bound, Case, Verdict};
+
+/// Most time until an endpoint that leaves gets no more work, in seconds.
+const MAX_LEAVING_S: f64 = 2.0;
+/// Endpoints that leave or fail one after the other, for each figure.
+const DEPARTURES: usize = 3;
+/// Time that is watched after each departure.
+const WATCHED: Duration = Duration::from_secs(12);
+/// Part of the pairs of nodes that lose their link.
+const LOST_LINKS: f64 = 0.1;
+
+/// Figures of one fleet size, in seconds.
+pub struct Departures {
+    leaving: f64,
+    leaving_in_outage: f64,
+    leaving_at_once: f64,
+    suspect: f64,
+    gone: f64,
+}
+
+/// Time until no running node uses an endpoint, and until none prefers it.
+fn unused_s(fleet: &VirtualFleet, index: usize, since: MonoTime) -> (f64, f64) {
+    let endpoint = &fleet.nodes()[index].member().endpoint;
+    let time = |at: Option<MonoTime>| at.map_or(f64::INFINITY, |at| at.since(since).as_secs_f64());
+    let others = fleet.running().filter(|node| node.member().endpoint != *endpoint);
+    let seen: Vec<_> = others.filter_map(|node| node.seen.get(endpoint)).collect();
+    let unused = seen.iter().map(|seen| time(seen.unused_since)).fold(0.0, f64::max);
+    let not_active = seen.iter().map(|seen| time(seen.not_active_since)).fold(0.0, f64::max);
+    (unused, not_active)
+}
+
+fn leave(fleet: &mut VirtualFleet, index: usize) -> f64 {
+    let since = fleet.now();
+    fleet.leave(index);
+    fleet.run_for(WATCHED);
+    let (unused, _) = unused_s(fleet, index, since);
+    fleet.stop(index);
+    unused
+}
+
+/// Cuts a part of the links in both directions.
+fn lose_links(fleet: &mut VirtualFleet, seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let endpoints: Vec<_> =
+        fleet.nodes().iter().map(|node| node.member().endpoint.clone()).collect();
+    for (index, left) in endpoints.iter().enumerate() {
+        for right in &endpoints[..index] {
+            if rng.random_range(0.0..1.0) < LOST_LINKS {
+                fleet.network.cut_link(left, right);
+                fleet.network.cut_link(right, left);
+            }
+        }
+    }
+}
+
+/// Measures departures of several kinds.
+pub fn measure(nodes: usize) -> Departures {
+    let mut fleet = settled(nodes);
+    let first = nodes / 3;
+    let mut leaving = 0.0_f64;
+    let (mut suspect, mut gone) = (0.0_f64, 0.0_f64);
+    for index in first..first + DEPARTURES {
+        leaving = leaving.max(leave(&mut fleet, index));
+    }
+    for index in first + DEPARTURES..first + 2 * DEPARTURES {
+        let since = fleet.now();
+        fleet.crash(index);
+        fleet.run_for(WATCHED);
+        let (unused, not_active) = unused_s(&fleet, index, since);
+        gone = gone.max(unused);
+        suspect = suspect.max(not_active);
+    }
+    fleet.set_platform_down(true);
+    fleet.run_for(WATCHED);
+    lose_links(&mut fleet, 7);
+    let leaving_at_once = leave(&mut fleet, 1);
+    let mut leaving_in_outage = 0.0_f64;
+    for index in first + 2 * DEPARTURES..first + 3 * DEPARTURES {
+        leaving_in_outage = leaving_in_outage.max(leave(&mut fleet, index));
+    }
+    Departures { leaving, leaving_in_outage, leaving_at_once, suspect, gone }
+}
+
+/// Prints the table and records the bounded figures.
+pub fn report(departures: &[Departures], verdict: &mut Verdict) {
+    let cases: [(&str, fn(&Departures) -> f64); 3] = [
+        ("leaving", |figures| figures.leaving),
+        ("leaving-outage-10%-links-lost", |figures| figures.leaving_in_outage),
+        ("leaving-as-10%-links-are-lost", |figures| figures.leaving_at_once),
+    ];
+    head("seconds until an endpoint gets no work; nodes", SIZES);
+    for (name, figure) in cases {
+        row(name, departures.iter().map(figure), 2);
+        for (size, figures) in SIZES.iter().zip(departures) {
+            let name = format!("control/{size}/{name}-s");
+            verdict.record(Case::new(name, figure(figures), Bound::AtMost(MAX_LEAVING_S)));
+        }
+    }
+    row("crashed, only as last choice", departures.iter().map(|figures| figures.suspect), 2);
+    row("crashed, none", departures.iter().map(|figures| figures.gone), 2);
+}
--- a/cuminarch-bench/src/control/mod.rs
+++ b/cuminarch-bench/src/control/mod.rs
@@ -1,9 +1,42 @@
 //! Membership and configuration in virtual time at several fleet sizes.
+//!
+//! The state machines are those of the node; network, platform and time are
+//! those of [`cuminarch_testing::VirtualFleet`], so every figure but the
+//! processor time is the same on each run.
+
+mod changes;
+mod departures;
+mod failures;
+mod fleet;
+mod table;
+mod traffic;
+
+use std::thread::{self, ScopedJoinHandle};
 
 use crate::Verdict;
 
+/// Numbers of nodes, in 2 regions and 5 zones.
+const SIZES: [usize; 4] = [30, 120, 430, 860];
+
 /// Runs the benchmark, prints its table and returns the bounded figures.
 #[must_use]
 pub fn run() -> Verdict {
-    Verdict::new()
+    let mut verdict = Verdict::new();
+    let (traffic, changes, departures, failures) = thread::scope(|scope| {
+        let traffic = scope.spawn(|| SIZES.map(traffic::measure));
+        let changes = scope.spawn(|| SIZES.map(changes::measure));
+        let departures = scope.spawn(|| SIZES.map(departures::measure));
+        let failures = scope.spawn(|| SIZES.map(failures::measure));
+        (finished(traffic), finished(changes), finished(departures), finished(failures))
+    });
+    traffic::report(&traffic, &mut verdict);
+    changes::report(&changes, &mut verdict);
+    departures::report(&departures, &mut verdict);
+    failures::report(&failures, &mut verdict);
+    verdict
+}
+
+/// The figures of a measurement on a thread of its own.
+fn finished<T>(thread: ScopedJoinHandle<'_, T>) -> T {
+    thread.join().unwrap_or_else(|panic| std::panic::resume_unwind(panic))
 }
--- /dev/null
+++ b/cuminarch-bench/src/control/traffic.rs
@@ -0,0 +1,158 @@
+//! Bytes, messages, memory and calls to the platform.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cuminarch_testing::{Counters, VirtualFleet};
+
+use super::SIZES;
+use super::fleet::{document, settled};
+use super::table::{head, row};
+use crate::{Bound, Case, Verdict};
+
+/// Time between two changes of the configuration: 2,500 a day.
+const CHANGE_PERIOD: Duration = Duration::from_millis(34_560);
+/// Changes during the measurement.
+const CHANGES: u32 = 3;
+/// Most that a node may spend on control, in bytes per second.
+const MAX_BYTES_PER_S: f64 = 8_192.0;
+/// Most memory for control in bytes.
+const MAX_MEMORY_BYTES: f64 = 256.0 * 1024.0 * 1024.0;
+/// Growth of a figure when the fleet doubles that still is slower than the fleet's.
+const MAX_GROWTH: f64 = 1.5;
+/// Calls per second that the platform handles.
+const PLATFORM_CALLS_PER_S: f64 = 2_000.0;
+
+/// Figures of one fleet size.
+pub struct Traffic {
+    cold_start_peak: f64,
+    calls_per_s: f64,
+    calls_by_kind: BTreeMap<&'static str, f64>,
+    node_bytes_per_s: f64,
+    relay_bytes_per_s: f64,
+    relay_max_bytes_per_s: f64,
+    node_messages_per_s: f64,
+    relay_messages_per_s: f64,
+    relays: f64,
+    memory_bytes: f64,
+    node_busy_percent: f64,
+    relay_busy_percent: f64,
+    busy_us_per_message: f64,
+}
+
+struct Sample {
+    is_relay: bool,
+    counters: Counters,
+    busy_s: f64,
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let values: Vec<f64> = values.collect();
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
+/// Measures a fleet at rest whose configuration changes at the daily rate.
+pub fn measure(nodes: usize) -> Traffic {
+    let mut fleet = settled(nodes);
+    let cold_start_peak = fleet.platform.peak_since(cuminarch_types::MonoTime::ZERO) as f64;
+    fleet.run_for(CHANGE_PERIOD);
+    let counters = fleet.counters();
+    let busy: Vec<Duration> = fleet.nodes().iter().map(|node| node.busy).collect();
+    let calls = fleet.platform.calls.clone();
+    for change in 0..CHANGES {
+        fleet.publish(document(2 + u64::from(change)));
+        fleet.run_for(CHANGE_PERIOD);
+    }
+    let seconds = (CHANGE_PERIOD * CHANGES).as_secs_f64();
+    let samples: Vec<Sample> = fleet
+        .nodes()
+        .iter()
+        .zip(counters.iter().zip(&busy))
+        .map(|(node, (counters, busy))| Sample {
+            is_relay: node.fleet.is_relay(),
+            counters: node.counters.since(counters),
+            busy_s: (node.busy - *busy).as_secs_f64(),
+        })
+        .collect();
+    summarize(&fleet, &samples, &calls, seconds, cold_start_peak)
+}
+
+fn summarize(
+    fleet: &VirtualFleet,
+    samples: &[Sample],
+    calls: &BTreeMap<&'static str, u64>,
+    seconds: f64,
+    cold_start_peak: f64,
+) -> Traffic {
+    let of = |is_relay: bool| samples.iter().filter(move |sample| sample.is_relay == is_relay);
+    let bytes = |sample: &Sample| sample.counters.bytes() as f64 / seconds;
+    let messages =
+        |sample: &Sample| (sample.counters.sent + sample.counters.received) as f64 / seconds;
+    let busy = |sample: &Sample| sample.busy_s / seconds * 100.0;
+    let calls_by_kind: BTreeMap<&'static str, f64> = fleet
+        .platform
+        .calls
+        .iter()
+        .map(|(kind, count)| {
+            let before = calls.get(kind).copied().unwrap_or(0);
+            (*kind, (count - before) as f64 / seconds)
+        })
+        .collect();
+    let all_messages: f64 = samples.iter().map(|sample| messages(sample) * seconds).sum();
+    let memory = fleet.nodes().iter().map(|node| node.fleet.memory_bytes());
+    Traffic {
+        cold_start_peak,
+        calls_per_s: calls_by_kind.values().sum(),
+        calls_by_kind,
+        node_bytes_per_s: mean(of(false).map(bytes)),
+        relay_bytes_per_s: mean(of(true).map(bytes)),
+        relay_max_bytes_per_s: of(true).map(bytes).fold(0.0, f64::max),
+        node_messages_per_s: mean(of(false).map(messages)),
+        relay_messages_per_s: mean(of(true).map(messages)),
+        relays: of(true).count() as f64,
+        memory_bytes: memory.max().unwrap_or(0) as f64,
+        node_busy_percent: mean(of(false).map(busy)),
+        relay_busy_percent: mean(of(true).map(busy)),
+        busy_us_per_message: samples.iter().map(|sample| sample.busy_s).sum::<f64>() * 1e6
+            / all_messages,
+    }
+}
+
+/// Prints the table and records the bounded figures.
+pub fn report(traffic: &[Traffic], verdict: &mut Verdict) {
+    let line = |label: &str, figure: fn(&Traffic) -> f64, decimals: usize| {
+        row(label, traffic.iter().map(figure), decimals);
+    };
+    head("at rest, 2,500 changes a day; nodes", SIZES);
+    line("relays", |figures| figures.relays, 0);
+    line("node, bytes/s (both directions)", |figures| figures.node_bytes_per_s, 0);
+    line("relay, bytes/s, mean", |figures| figures.relay_bytes_per_s, 0);
+    line("relay, bytes/s, highest", |figures| figures.relay_max_bytes_per_s, 0);
+    line("node, messages/s", |figures| figures.node_messages_per_s, 1);
+    line("relay, messages/s", |figures| figures.relay_messages_per_s, 1);
+    line("state in memory, bytes, highest", |figures| figures.memory_bytes, 0);
+    line("platform calls/s", |figures| figures.calls_per_s, 2);
+    for kind in ["watch config", "watch members", "put members", "put status", "list members"] {
+        let figures =
+            traffic.iter().map(|figures| figures.calls_by_kind.get(kind).copied().unwrap_or(0.0));
+        row(&format!("  {kind}"), figures, 3);
+    }
+    line("cold start of all, platform calls/s, peak", |figures| figures.cold_start_peak, 0);
+    line("node, % of a core (wall, not bounded)", |figures| figures.node_busy_percent, 4);
+    line("relay, % of a core (wall, not bounded)", |figures| figures.relay_busy_percent, 4);
+    line("microseconds per message (not bounded)", |figures| figures.busy_us_per_message, 1);
+    for (size, figures) in SIZES.iter().zip(traffic) {
+        let mut bound = |name: &str, figure: f64, limit: f64| {
+            let name = format!("control/{size}/{name}");
+            verdict.record(Case::new(name, figure, Bound::AtMost(limit)));
+        };
+        bound("node-bytes-per-s", figures.node_bytes_per_s, MAX_BYTES_PER_S);
+        bound("relay-bytes-per-s", figures.relay_max_bytes_per_s, MAX_BYTES_PER_S);
+        bound("memory-bytes", figures.memory_bytes, MAX_MEMORY_BYTES);
+        bound("cold-start-calls-per-s", figures.cold_start_peak, PLATFORM_CALLS_PER_S);
+    }
+    if let [.., half, whole] = traffic {
+        let growth = whole.calls_per_s / half.calls_per_s;
+        verdict.record(Case::new("control/calls-growth", growth, Bound::AtMost(MAX_GROWTH)));
+    }
+}
--- a/cuminarch-membership/src/fleet.rs
+++ b/cuminarch-membership/src/fleet.rs
@@ -68,6 +68,7 @@
     pub(crate) next_heartbeat_at: MonoTime,
     pub(crate) next_probe_at: MonoTime,
     pub(crate) next_seed_at: MonoTime,
+    pub(crate) next_forget_at: MonoTime,
     pub(crate) pulled_at: Option<MonoTime>,
     pub(crate) refuted_at: Option<MonoTime>,
     pub(crate) announcements_left: u32,
@@ -80,6 +81,7 @@
     /// Time between two ticks.
     pub const TICK: Duration = Duration::from_millis(250);
     const MAX_SILENT: usize = 16;
+    const FORGET_PERIOD: Duration = Duration::from_secs(30);
 
     /// The fleet as a node knows it that has just started.
     #[must_use]
@@ -108,6 +110,7 @@
             next_heartbeat_at: now,
             next_probe_at: now,
             next_seed_at: now,
+            next_forget_at: now,
             pulled_at: None,
             refuted_at: None,
             announcements_left: 0,
@@ -181,11 +184,18 @@
         self.flush_statements(now);
         self.check_defaults(now);
         self.drive_platform(now);
-        if self.table.forget_gone(self.settings.tombstone_time, now) > 0 {
-            let table = &self.table;
-            self.peers.retain(|endpoint, _| table.get(endpoint).is_some());
-            self.views.retain(|endpoint, _| table.get(endpoint).is_some());
+        self.forget_gone(now);
+    }
+
+    fn forget_gone(&mut self, now: MonoTime) {
+        if now < self.next_forget_at {
+            return;
         }
+        self.next_forget_at = now.after(Self::FORGET_PERIOD);
+        self.table.forget_gone(self.settings.tombstone_time, now);
+        let table = &self.table;
+        self.peers.retain(|endpoint, _| table.get(endpoint).is_some());
+        self.views.retain(|endpoint, _| table.get(endpoint).is_some());
     }
 
     /// Starts all judgements anew, because this process was paused.
--- a/cuminarch-membership/src/heartbeats.rs
+++ b/cuminarch-membership/src/heartbeats.rs
@@ -165,10 +165,9 @@
         if !is_mutual {
             let answer = self.heartbeat_for(from);
             self.send(from, ControlMessage::Ack(answer));
-        }
-        let is_reporting = !is_mutual;
-        if is_reporting {
-            self.peer(from).revision = heartbeat.revision;
+            let peer = self.peer(from);
+            peer.revision = heartbeat.revision;
+            peer.reported_at = Some(now);
             self.repair_config(from, now);
         } else {
             self.learn(from, heartbeat, now);
--- a/cuminarch-membership/src/peer.rs
+++ b/cuminarch-membership/src/peer.rs
@@ -8,6 +8,8 @@
     pub unanswered_since: Option<MonoTime>,
     /// When a message last came from it.
     pub heard_at: Option<MonoTime>,
+    /// When it last reported to this relay.
+    pub reported_at: Option<MonoTime>,
     /// When this relay became responsible for watching it.
     pub watched_since: Option<MonoTime>,
     /// When other relays were asked about it.
--- a/cuminarch-membership/src/platform.rs
+++ b/cuminarch-membership/src/platform.rs
@@ -19,6 +19,12 @@
 
 /// Longest wait before the first call, so that a mass restart is spread out.
 const START_JITTER: Duration = Duration::from_millis(500);
+/// Wait before the members are read again when the zone had none: shortest and longest.
+const RELIST_AFTER: (Duration, Duration) =
+    (Duration::from_millis(300), Duration::from_millis(1_500));
+/// Time that a new member has to hear from those of its zone before it may
+/// speak to the platform for the zone.
+const CONTACT_TIME: Duration = Duration::from_secs(2);
 /// Wait after the first failure; doubled with each further one.
 const BACKOFF: Duration = Duration::from_millis(500);
 /// Longest wait after a failure of a node that reports for its zone.
@@ -68,6 +74,8 @@
     status_at: Option<MonoTime>,
     sequence: u64,
     next_config_at: MonoTime,
+    relist_at: Option<MonoTime>,
+    report_from: MonoTime,
     pub is_lost: bool,
 }
 
@@ -89,6 +97,8 @@
             status_at: None,
             sequence: 0,
             next_config_at: now.after(PEERS_FIRST),
+            relist_at: None,
+            report_from: now,
             is_lost: false,
         }
     }
@@ -132,9 +142,18 @@
         let is_reporter = self.is_reporter();
         let (per_second, burst) = if is_reporter { REPORTER_RATE } else { NODE_RATE };
         self.platform.limiter.set_rate(per_second, burst, now);
+        if let Some(relist_at) = self.platform.relist_at {
+            if now >= relist_at {
+                self.platform.relist_at = None;
+                self.call(PlatformCall::ListMembers, now);
+            }
+            return;
+        }
         match self.platform.members_version {
             None => self.call(PlatformCall::ListMembers, now),
-            Some(version) if is_reporter => self.report(version, now),
+            Some(version) if is_reporter && now >= self.platform.report_from => {
+                self.report(version, now);
+            }
             Some(_) if self.platform.is_lost => self.call(PlatformCall::ListMembers, now),
             Some(_) => self.ask_for_config(now),
         }
@@ -250,11 +269,13 @@
         }
         match reply {
             PlatformReply::Members { version, zones } => {
-                self.platform.members_version = Some(version);
+                let is_first = self.platform.members_version.replace(version).is_none();
                 for object in zones {
                     self.object_read(object, now);
                 }
-                self.delay_first_write(now);
+                if *call == PlatformCall::ListMembers {
+                    self.members_listed(is_first, now);
+                }
             }
             PlatformReply::Config { version, document } => {
                 self.platform.config_version = Some(version);
@@ -274,16 +295,26 @@
             }
             PlatformReply::StatusWritten | PlatformReply::Failed => {}
         }
+        self.refresh_topology(now);
+        self.drive_platform(now);
     }
 
-    /// Gives members that start at the same time a chance to find each other
-    /// before each of them writes the zone's members.
-    fn delay_first_write(&mut self, now: MonoTime) {
-        if self.platform.written_at.is_none() {
-            let wait = WRITE_PERIOD.mul_f64(self.rng.random_range(0.75..0.95));
-            let wait_micros = u64::try_from(wait.as_micros()).unwrap_or(0);
-            let micros = now.as_micros().saturating_sub(wait_micros);
-            self.platform.written_at = Some(MonoTime::from_micros(micros));
+    /// Decides from when on this node may speak for its zone.
+    ///
+    /// Members that start at the same time with an empty store would all find
+    /// themselves alone. So each looks again after a random time, by which the
+    /// first has written itself, and then waits until it knows the others.
+    fn members_listed(&mut self, is_first: bool, now: MonoTime) {
+        let mut others = self.table.iter().filter(|member| member.endpoint != self.own.endpoint);
+        let is_alone = !others.any(|member| member.zone == self.own.zone);
+        if is_first && is_alone {
+            let (shortest, longest) = RELIST_AFTER;
+            let wait = shortest + (longest - shortest).mul_f64(self.rng.random_range(0.0..1.0));
+            self.platform.relist_at = Some(now.after(wait));
+        } else if !is_alone && is_first {
+            self.platform.report_from = now.after(CONTACT_TIME);
+        } else if !is_alone && self.platform.written_at.is_none() {
+            self.platform.report_from = self.started_at.after(CONTACT_TIME * 2);
         }
     }
 
--- a/cuminarch-membership/src/spread.rs
+++ b/cuminarch-membership/src/spread.rs
@@ -1,5 +1,6 @@
 //! Spreads statements about members.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,10 +8,13 @@
 use cuminarch_types::{EndpointId, MonoTime};
 
 use crate::fleet::{Reach, View};
+use crate::peer::Peer;
 use crate::{Fleet, FleetAction, FleetNotice, Merge};
 
 /// Most statements in one message.
 const MAX_STATEMENTS: usize = 1_024;
+/// Most departures at a time that every relay tells its whole zone.
+const MAX_URGENT: usize = 4;
 /// Shortest time between two refutations.
 const REFUTE_PERIOD: Duration = Duration::from_millis(500);
 /// Ticks during which an announcement is repeated.
@@ -128,7 +132,7 @@
     }
 
     /// Sends the statements taken in since the last tick to whom they concern.
-    pub(crate) fn flush_statements(&mut self, _now: MonoTime) {
+    pub(crate) fn flush_statements(&mut self, now: MonoTime) {
         let pending = std::mem::take(&mut self.pending);
         if pending.is_empty() {
             return;
@@ -140,7 +144,7 @@
         let for_all = statements(Reach::Attached);
         let for_relays = statements(Reach::Everyone);
         if self.topology.is_relay {
-            for node in self.topology.attached.keys().cloned().collect::<Vec<_>>() {
+            for node in self.hearers(&for_all, now) {
                 self.send_members(&node, for_all.clone());
             }
             let relays = self.topology.zone_relays.iter().chain(&self.topology.other_relays);
@@ -154,6 +158,25 @@
         }
     }
 
+    /// Nodes of the zone that have to hear of these statements from this relay.
+    fn hearers(&self, statements: &[Arc<Member>], now: MonoTime) -> BTreeSet<EndpointId> {
+        let silence = self.settings.silence;
+        let reports = |peer: &Peer| peer.reported_at.is_some_and(|at| now.since(at) <= silence);
+        let guests = self.peers.iter().filter(|(_, peer)| reports(peer));
+        let mut hearers: BTreeSet<EndpointId> = self.topology.attached.keys().cloned().collect();
+        hearers.extend(guests.map(|(endpoint, _)| endpoint.clone()));
+        let leaving = statements.iter().filter(|member| member.state == MemberState::Leaving);
+        if (1..=MAX_URGENT).contains(&leaving.count()) {
+            let in_zone = |member: &&Arc<Member>| {
+                member.zone == self.own.zone && member.state != MemberState::Gone
+            };
+            let zone = self.table.iter().filter(in_zone);
+            hearers.extend(zone.map(|member| member.endpoint.clone()));
+        }
+        hearers.remove(&self.own.endpoint);
+        hearers
+    }
+
     /// Tells the driver what to think of a member, if that changed.
     pub(crate) fn show(&mut self, member: &Arc<Member>, now: MonoTime) {
         let state = member.state.max(self.state_of_zone(&member.zone, now));
--- a/cuminarch-node/src/control.rs
+++ b/cuminarch-node/src/control.rs
@@ -4,9 +4,10 @@
 
 use cuminarch_config::{ConfigDocument, ConfigGate, GateDecision};
 use cuminarch_engine::ClaimResult;
-use cuminarch_membership::MemberTable;
+use cuminarch_membership::{MemberTable, Merge};
 use cuminarch_platform::{Expect, HttpObjectStore, ObjectPath, ObjectStore, PlatformError};
 use cuminarch_protocol::{Member, MemberState};
+use cuminarch_types::MonoTime;
 use flume::{Receiver, Sender};
 use log::{info, warn};
 
@@ -80,7 +81,8 @@
         let listing = self.store.list(&path("members")?)?;
         for object in &listing.objects {
             let Ok(member) = serde_json::from_str::<Member>(&object.value) else { continue };
-            if table.merge(&member) {
+            let statement = std::sync::Arc::new(member.clone());
+            if table.merge(&statement, MonoTime::ZERO) == Merge::Newer {
                 let _ = self.commands.send(DataCommand::Member(Box::new(member)));
             }
         }
--- a/cuminarch-testing/src/virtual_fleet/node.rs
+++ b/cuminarch-testing/src/virtual_fleet/node.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use cuminarch_membership::{Fleet, FleetNotice};
 use cuminarch_protocol::{Member, MemberState};
@@ -13,6 +14,8 @@
     pub incarnation: Incarnation,
     /// Its state.
     pub state: MemberState,
+    /// Since when it is seen so.
+    pub since: MonoTime,
     /// Since when it is not active.
     pub not_active_since: Option<MonoTime>,
     /// Since when it is neither active nor suspect.
@@ -40,6 +43,8 @@
     pub notices: Vec<(MonoTime, FleetNotice)>,
     /// Its traffic, over all its processes.
     pub counters: Counters,
+    /// Wall time that its decisions and the encoding of its messages took.
+    pub busy: Duration,
 }
 
 impl VirtualNode {
@@ -63,6 +68,7 @@
         let seen = Seen {
             incarnation: member.incarnation,
             state: member.state,
+            since: now,
             not_active_since: since(
                 member.state > MemberState::Active,
                 before.and_then(|seen| seen.not_active_since),
--- a/cuminarch-testing/src/virtual_fleet/run.rs
+++ b/cuminarch-testing/src/virtual_fleet/run.rs
@@ -1,7 +1,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cuminarch_config::ConfigDocument;
 use cuminarch_membership::{
@@ -141,6 +141,7 @@
             revision: cuminarch_types::Revision::default(),
             notices: Vec::new(),
             counters: Counters::default(),
+            busy: Duration::ZERO,
         });
         self.schedule_first_tick(index);
         index
@@ -270,7 +271,9 @@
 
     fn feed(&mut self, index: usize, event: FleetEvent) {
         let now = self.now;
+        let began = Instant::now();
         let actions = self.nodes[index].fleet.handle(event, now);
+        self.nodes[index].busy += began.elapsed();
         for action in actions {
             match action {
                 FleetAction::Send(to, address, message) => self.send(index, &to, address, message),
@@ -323,7 +326,9 @@
     }
 
     fn transmit(&mut self, from: usize, to: usize, message: ControlMessage, extra: Duration) {
+        let began = Instant::now();
         let len_bytes = message.encode().map_or(0, |bytes| bytes.len()) + Self::FRAME_BYTES;
+        self.nodes[from].busy += began.elapsed();
         let counters = &mut self.nodes[from].counters;
         counters.sent += 1;
         counters.sent_bytes += len_bytes as u64;
