--- a/cuminarch-bench/src/control/changes.rs
+++ b/cuminarch-bench/src/control/changes.rs
@@ -20,6 +20,9 @@
 /// Time in seconds until 99 in 100 and all nodes had a change in force.
 type Times = (f64, f64);
 
+/// Reads one figure.
+type Figure = fn(&Changes) -> Times;
+
 /// Figures of one fleet size.
 pub struct Changes {
     plain: Times,
@@ -80,7 +83,7 @@
 
 /// Prints the table and records the bounded figures.
 pub fn report(changes: &[Changes], verdict: &mut Verdict) {
-    let cases: [(&str, fn(&Changes) -> Times); 6] = [
+    let cases: [(&str, Figure); 6] = [
         ("in-force", |figures| figures.plain),
         ("in-force-1%-loss", |figures| figures.lossy),
         ("in-force-2-zones-without-platform", |figures| figures.without_platform),
--- a/cuminarch-bench/src/control/departures.rs
+++ b/cuminarch-bench/src/control/departures.rs
@@ -21,6 +21,9 @@
 /// Part of the pairs of nodes that lose their link.
 const LOST_LINKS: f64 = 0.1;
 
+/// Reads one figure.
+type Figure = fn(&Departures) -> f64;
+
 /// Figures of one fleet size, in seconds.
 pub struct Departures {
     leaving: f64,
@@ -95,7 +98,7 @@
 
 /// Prints the table and records the bounded figures.
 pub fn report(departures: &[Departures], verdict: &mut Verdict) {
-    let cases: [(&str, fn(&Departures) -> f64); 3] = [
+    let cases: [(&str, Figure); 3] = [
         ("leaving", |figures| figures.leaving),
         ("leaving-outage-10%-links-lost", |figures| figures.leaving_in_outage),
         ("leaving-as-10%-links-are-lost", |figures| figures.leaving_at_once),
--- a/cuminarch-membership/src/fleet.rs
+++ b/cuminarch-membership/src/fleet.rs
@@ -224,6 +224,10 @@
         let other_relays = rank.map(|_| self.other_relays()).unwrap_or_default();
         zone_relays.retain(|relay| relay != own);
         let homes = if rank.is_some() { Vec::new() } else { homes(own, &zone_relays) };
+        let before = &self.topology;
+        if homes != before.homes || zone_relays != before.zone_relays {
+            self.next_heartbeat_at = now;
+        }
         self.topology = Topology {
             is_stale: false,
             is_relay: rank.is_some(),
--- a/cuminarch-membership/src/platform.rs
+++ b/cuminarch-membership/src/platform.rs
@@ -21,7 +21,7 @@
 const START_JITTER: Duration = Duration::from_millis(500);
 /// Wait before the members are read again when the zone had none: shortest and longest.
 const RELIST_AFTER: (Duration, Duration) =
-    (Duration::from_millis(300), Duration::from_millis(1_500));
+    (Duration::from_millis(100), Duration::from_millis(1_000));
 /// Time that a new member has to hear from those of its zone before it may
 /// speak to the platform for the zone.
 const CONTACT_TIME: Duration = Duration::from_secs(2);
