--- a/cuminarch-engine/src/budget.rs
+++ b/cuminarch-engine/src/budget.rs
@@ -9,6 +9,7 @@
 
 use cuminarch_attempts::NeedEstimator;
 use cuminarch_protocol::Receipt;
+use cuminarch_routing::LearnedLevel;
 use cuminarch_types::{AttemptId, Attempts, CallId, MonoTime};
 
 use crate::call::{Sending, Stage};
@@ -53,7 +54,8 @@
         owner.budget.settle(attempt, receipt.unspent);
         let Some(call) = self.calls.get_mut(&id) else { return };
         let rule = call.rule.number;
-        self.router.note_level(&service, &flight.endpoint, rule, receipt.level, now);
+        let level = LearnedLevel::from_age(receipt.level, receipt.level_age_ms, now);
+        self.router.note_level(&service, &flight.endpoint, rule, level);
         call.level = self.router.level(&service, rule, now);
     }
 
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -1,5 +1,6 @@
 use std::future::Future;
 use std::net::TcpListener;
+use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -7,14 +8,15 @@
 use flume::{Receiver, Sender};
 use log::warn;
 use tokio::net::TcpStream;
-use tokio::task::LocalSet;
+use tokio::runtime::{Builder, LocalOptions};
 use tokio::time::timeout;
 
 use super::connections::{Connection, Connections};
 use super::driver::{ClaimRequest, DataCommand, Driver};
 use super::front::{Side, serve_connection};
-use super::link_client::LinkPool;
+use super::limits::DataLimits;
 use super::link_hello::LinkHello;
+use super::link_pool::LinkPool;
 use super::link_server::serve_link;
 use super::local::LocalPool;
 use super::runner::DataContext;
@@ -45,7 +47,7 @@
     pub settings: NodeSettings,
     pub commands: Receiver<DataCommand>,
     pub claims: Sender<ClaimRequest>,
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
 }
 
 /// Connections by where they came from.
@@ -64,9 +66,9 @@
     }
 
     fn run(self) {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.expect("an event loop can be had");
-        LocalSet::new().block_on(&runtime, self.serve());
+        let runtime =
+            Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+        runtime.expect("an event loop can be had").block_on(self.serve());
     }
 
     async fn serve(self) {
@@ -81,7 +83,7 @@
             hello,
             metrics: self.metrics,
             tasks,
-            max_request_body_bytes: self.settings.max_request_body_bytes,
+            limits: DataLimits::new(&self.settings),
         };
         let max_open = self.settings.max_connections;
         let served =
