--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -1,6 +1,6 @@
 //! Connects the engine with the tasks that carry calls.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -11,7 +11,7 @@
 use cuminarch_engine::{Action, Arrival, ClaimResult, Engine, EngineSummary, Event};
 use cuminarch_once::BoundKey;
 use cuminarch_protocol::Member;
-use cuminarch_types::{CallId, ClientKey, Outcome};
+use cuminarch_types::{CallId, ClientKey, MonoTime, Outcome};
 use flume::{Receiver, Sender};
 use log::warn;
 use tokio::sync::Notify;
@@ -54,25 +54,35 @@
     mailboxes: BTreeMap<CallId, mpsc::UnboundedSender<Action>>,
 }
 
+struct Shared {
+    state: RefCell<State>,
+    clock: Clock,
+    claims: Sender<ClaimRequest>,
+    changed: Notify,
+    /// When the engine is ticked next.
+    wake_at: Cell<MonoTime>,
+    metrics: Arc<Metrics>,
+}
+
 /// Handle on the engine for the tasks of the data thread.
 #[derive(Clone)]
 pub struct Driver {
-    state: Rc<RefCell<State>>,
-    clock: Clock,
-    claims: Sender<ClaimRequest>,
-    changed: Rc<Notify>,
-    metrics: Metrics,
+    shared: Rc<Shared>,
 }
 
 impl Driver {
+    const NEVER: MonoTime = MonoTime::from_micros(u64::MAX);
+
     pub fn new(
         engine: Engine,
         clock: Clock,
         claims: Sender<ClaimRequest>,
-        metrics: Metrics,
+        metrics: Arc<Metrics>,
     ) -> Self {
-        let state = Rc::new(RefCell::new(State { engine, mailboxes: BTreeMap::new() }));
-        Self { state, clock, claims, changed: Rc::new(Notify::new()), metrics }
+        let state = RefCell::new(State { engine, mailboxes: BTreeMap::new() });
+        let (changed, wake_at) = (Notify::new(), Cell::new(Self::NEVER));
+        let shared = Shared { state, clock, claims, changed, wake_at, metrics };
+        Self { shared: Rc::new(shared) }
     }
 
     /// Hands a call to the engine.
@@ -84,7 +94,7 @@
         };
         let begun_at = Instant::now();
         let call = {
-            let mut state = self.state.borrow_mut();
+            let mut state = self.shared.state.borrow_mut();
             let call = state.engine.next_call();
             state.mailboxes.insert(call, sender);
             call
@@ -95,8 +105,8 @@
 
     /// Feeds the engine and hands its actions to the tasks of their calls.
     pub fn post(&self, event: Event) {
-        let now = self.clock.now();
-        let mut state = self.state.borrow_mut();
+        let now = self.shared.clock.now();
+        let mut state = self.shared.state.borrow_mut();
         let state = &mut *state;
         for action in state.engine.handle(event, now) {
             if let Action::Claim { call, key, bound } = action {
@@ -105,43 +115,57 @@
                 let _ = mailbox.send(action);
             }
         }
-        self.changed.notify_one();
+        let wakes_earlier =
+            state.engine.next_wake().is_some_and(|wake| wake < self.shared.wake_at.get());
+        if wakes_earlier {
+            self.shared.changed.notify_one();
+        }
     }
 
     /// Mints an idempotency key.
     pub fn mint_key(&self) -> BoundKey {
-        self.state.borrow_mut().engine.mint_key(self.clock.now())
+        self.shared.state.borrow_mut().engine.mint_key(self.shared.clock.now())
     }
 
     /// Number of calls in progress.
     pub fn calls(&self) -> usize {
-        self.state.borrow().mailboxes.len()
+        self.shared.state.borrow().mailboxes.len()
     }
 
     /// Whether new calls are refused.
     pub fn is_draining(&self) -> bool {
-        self.state.borrow().engine.is_draining()
+        self.shared.state.borrow().engine.is_draining()
     }
 
     /// Ticks the engine whenever it asks for it, forever.
+    ///
+    /// While calls come, a timer is always due soon, so that the event loop is
+    /// not woken for each timer that is due later than that.
     pub async fn run_timers(self) {
-        const MAX_SLEEP_MS: u64 = 20;
+        const TICK_PERIOD: Duration = Duration::from_millis(20);
+        const IDLE_TICKS: u32 = 50;
+        let mut idle_ticks = 0;
         loop {
-            let now = self.clock.now();
-            let latest = now.after(Duration::from_millis(MAX_SLEEP_MS));
-            let (wake, is_idle) = {
-                let state = self.state.borrow();
-                let wake = state.engine.next_wake().map_or(latest, |wake| wake.min(latest));
-                (wake, state.mailboxes.is_empty())
-            };
-            if is_idle {
-                self.changed.notified().await;
-                continue;
+            if idle_ticks >= IDLE_TICKS {
+                self.shared.wake_at.set(Self::NEVER);
+                self.shared.changed.notified().await;
+                idle_ticks = 0;
             }
-            let sleep = tokio::time::sleep_until(self.clock.instant(wake).into());
+            let now = self.shared.clock.now();
+            let latest = now.after(TICK_PERIOD);
+            let wake = self.shared.state.borrow().engine.next_wake();
+            let wake = wake.map_or(latest, |wake| wake.min(latest));
+            self.shared.wake_at.set(wake);
+            let sleep = tokio::time::sleep_until(self.shared.clock.instant(wake).into());
             tokio::select! {
-                () = sleep => self.post(Event::Tick),
-                () = self.changed.notified() => {}
+                () = sleep => {}
+                () = self.shared.changed.notified() => continue,
+            }
+            if self.calls() > 0 {
+                self.post(Event::Tick);
+                idle_ticks = 0;
+            } else {
+                idle_ticks += 1;
             }
         }
     }
@@ -153,13 +177,13 @@
         while let Ok(command) = commands.recv_async().await {
             match command {
                 DataCommand::Policy(policy) => {
-                    self.state.borrow_mut().engine.set_policy(policy);
+                    self.shared.state.borrow_mut().engine.set_policy(policy);
                 }
                 DataCommand::Member(member) => self.post(Event::Member(member)),
                 DataCommand::Claimed(call, result) => self.post(Event::Claimed(call, result)),
                 DataCommand::Drain => self.post(Event::Drain),
                 DataCommand::Summary(reply) => {
-                    let _ = reply.try_send(self.state.borrow().engine.summary());
+                    let _ = reply.try_send(self.shared.state.borrow().engine.summary());
                 }
                 DataCommand::Stop(timeout) => return Some(timeout),
             }
@@ -177,8 +201,8 @@
 
     fn claim(&self, call: CallId, key: ClientKey, bound: BoundKey) {
         let request = ClaimRequest { call, key, bound };
-        if self.claims.try_send(request).is_err() {
-            self.metrics.ring_full();
+        if self.shared.claims.try_send(request).is_err() {
+            self.shared.metrics.ring_full();
             warn!("{} ring=claims", NodeEvent::RingFull);
             let driver = self.clone();
             tokio::task::spawn_local(async move {
@@ -221,7 +245,7 @@
     pub fn end(&mut self, outcome: Outcome) {
         if !self.is_over {
             self.is_over = true;
-            self.driver.metrics.call_ended(self.direction, outcome, self.begun_at.elapsed());
+            self.driver.shared.metrics.call_ended(self.direction, outcome, self.begun_at.elapsed());
         }
     }
 }
@@ -229,7 +253,7 @@
 impl Drop for CallGuard {
     fn drop(&mut self) {
         self.end(Outcome::Unknown);
-        self.driver.state.borrow_mut().mailboxes.remove(&self.call);
+        self.driver.shared.state.borrow_mut().mailboxes.remove(&self.call);
         self.driver.post(Event::Cancel(self.call));
     }
 }
--- a/cuminarch-node/src/data/local.rs
+++ b/cuminarch-node/src/data/local.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cuminarch_engine::Event;
@@ -22,6 +23,7 @@
 use super::passed_body::PassedBody;
 use super::runner::{CallRequest, DataContext};
 use crate::headers::{self, end_to_end};
+use crate::metrics::Direction;
 
 type UpstreamBody = PassedBody;
 type Sender = SendRequest<UpstreamBody>;
@@ -97,7 +99,7 @@
         context.driver.post(Event::LocalFailed { call, sent: false });
         return None;
     };
-    let before_upstream = request.received_at.elapsed();
+    let before_sent = request.received_at.elapsed();
     let (response, connection) = match send(&context.upstream, upstream_request).await {
         Ok(answered) => answered,
         Err(sent) => {
@@ -106,15 +108,17 @@
         }
     };
     context.driver.post(Event::LocalHead(call));
-    let metrics = context.metrics.clone();
-    let node_time = NodeTime { metrics, before_upstream, head_at: Instant::now() };
+    let metrics = Arc::clone(&context.metrics);
+    let direction = Direction::Inbound;
+    let node_time = NodeTime { metrics, direction, before_sent, head_at: Instant::now() };
     let (parts, incoming) = response.into_parts();
     let length = parts.headers.get(http::header::CONTENT_LENGTH);
     let body_len_bytes = length.and_then(|value| value.to_str().ok()?.parse().ok());
     let status = parts.status.as_u16();
     let head = AnswerHead { status, headers: end_to_end(&parts.headers), body_len_bytes };
     let kept = run.keep_answer.then(|| StoredAnswer { head: head.clone(), body: Vec::new() });
-    let source = LocalSource { incoming, connection, kept, node_time };
+    let idle_timeout = context.limits.body_idle_timeout;
+    let source = LocalSource { incoming, connection, kept, node_time, idle_timeout };
     Some((head, AnswerSource::Local(Box::new(source))))
 }
 
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -1,21 +1,24 @@
 //! Carries one call from its arrival to its answer.
 
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use cuminarch_engine::{Action, Arrival, Forward, Refusal, RefusalReason};
+use cuminarch_engine::{Action, Arrival, Refusal, RefusalReason};
 use cuminarch_once::StoredAnswer;
-use cuminarch_protocol::{CallHead, HeaderField, Receipt};
+use cuminarch_protocol::{HeaderField, Receipt};
 use cuminarch_types::{Outcome, RequestId, ServiceName};
 
 use super::answer::{Answer, AnswerBody};
 use super::body::RequestBody;
 use super::detached::Progress;
 use super::driver::{CallGuard, Driver};
-use super::link_client::{LinkPool, send_call};
+use super::limits::DataLimits;
+use super::link_client::send_call;
 use super::link_hello::LinkHello;
+use super::link_pool::LinkPool;
 use super::local::{LocalPool, LocalRun, run_local};
 use super::tasks::Tasks;
 use crate::metrics::Metrics;
@@ -28,9 +31,9 @@
     pub links: LinkPool,
     pub own_service: ServiceName,
     pub hello: LinkHello,
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
     pub tasks: Tasks,
-    pub max_request_body_bytes: u64,
+    pub limits: DataLimits,
 }
 
 impl DataContext {
@@ -80,9 +83,7 @@
                 until_interrupted(&mut guard, run).await
             }
             Action::Forward { attempt, forward, .. } => {
-                let head = call_head(&request, &forward);
-                let call = guard.call();
-                let send = send_call(context, call, attempt, &forward, head, &mut request.body);
+                let send = send_call(context, guard.call(), attempt, &forward, &mut request);
                 until_interrupted(&mut guard, send).await
             }
             Action::Replay { answer, receipt, .. } => {
@@ -141,19 +142,3 @@
 pub fn no_reply() -> Reply {
     Reply::Refusal(Refusal::unknown(RefusalReason::ParentEnded), Receipt::default())
 }
-
-fn call_head(request: &CallRequest, forward: &Forward) -> CallHead {
-    CallHead {
-        root: request.root,
-        service: request.service.clone(),
-        method: request.method.clone(),
-        target: request.target.clone(),
-        headers: request.headers.clone(),
-        body_len_bytes: request.body_len_bytes,
-        share: forward.share,
-        rank: forward.rank,
-        remaining_ms: u64::try_from(forward.remaining.as_millis()).unwrap_or(u64::MAX),
-        idempotent: forward.idempotent,
-        key: forward.key.as_ref().map(|key| crate::headers::key_text(key).into()),
-    }
-}
