--- a/cuminarch-cli/tests/commands.rs
+++ b/cuminarch-cli/tests/commands.rs
@@ -22,7 +22,7 @@
     let applied = harness.apply("a.yaml", "monday");
     assert_eq!(applied.status, ExitStatus::Success);
     assert_eq!(applied.out, "accepted as revision 1 by change monday\n");
-    let shown = harness.run(&["config", "show", "--platform", "@"]);
+    let shown = harness.run("config show --platform @");
     assert_eq!(shown.out, format!("# cuminarch revision: 1\n{SHEET}"));
 }
 
@@ -31,38 +31,18 @@
     let harness = Harness::new();
     harness.write("first.yaml", SHEET);
     harness.apply("first.yaml", "monday");
-    let shown = harness.run(&["config", "show", "--platform", "@"]).out;
+    let shown = harness.run("config show --platform @").out;
     harness.write("a.yaml", &with_deadline(&shown, 3000));
     harness.write("b.yaml", &with_deadline(&shown, 4000));
     assert_eq!(harness.apply("a.yaml", "from-a").status, ExitStatus::Success);
     let late = harness.apply("b.yaml", "from-b");
     assert_eq!(late.status, ExitStatus::Outdated);
     insta::assert_snapshot!(late.out);
-    let json = harness.run(&[
-        "--output",
-        "json",
-        "config",
-        "apply",
-        "b.yaml",
-        "--platform",
-        "@",
-        "--change",
-        "from-b",
-    ]);
+    let json = harness.run("--output json config apply b.yaml --platform @ --change from-b");
     insta::assert_snapshot!(json.out);
-    let rebased = harness.run(&[
-        "config",
-        "apply",
-        "b.yaml",
-        "--platform",
-        "@",
-        "--change",
-        "from-b",
-        "--base",
-        "2",
-    ]);
+    let rebased = harness.run("config apply b.yaml --platform @ --change from-b --base 2");
     assert_eq!(rebased.out, "accepted as revision 3 by change from-b\n");
-    insta::assert_snapshot!(harness.run(&["config", "history", "--platform", "@"]).out);
+    insta::assert_snapshot!(harness.run("config history --platform @").out);
 }
 
 #[test]
@@ -83,7 +63,7 @@
     let harness = Harness::new();
     harness.write("a.yaml", SHEET);
     harness.platform().set_fault(PlatformFault::Down);
-    let applied = harness.run(&["config", "apply", "a.yaml", "--platform", "@"]);
+    let applied = harness.run("config apply a.yaml --platform @");
     assert_eq!(applied.status, ExitStatus::Unavailable);
     assert!(applied.out.starts_with("not accepted: "), "{}", applied.out);
     assert!(harness.clock.now() >= MonoTime::from_millis(30_000));
@@ -96,7 +76,7 @@
     harness.platform().set_fault(PlatformFault::LoseAnswers);
     let doubtful = harness.run_with(
         &harness.down_at_first_wait(),
-        &["config", "apply", "a.yaml", "--platform", "@", "--change", "monday"],
+        "config apply a.yaml --platform @ --change monday",
     );
     assert_eq!(doubtful.status, ExitStatus::Unknown);
     insta::assert_snapshot!(doubtful.out);
@@ -117,23 +97,14 @@
     let refused = harness.apply("b.yaml", "tuesday");
     assert_eq!(refused.status, ExitStatus::Weaker);
     insta::assert_snapshot!(refused.out);
-    let allowed = harness.run(&[
-        "config",
-        "apply",
-        "b.yaml",
-        "--platform",
-        "@",
-        "--change",
-        "tuesday",
-        "--allow-weaker",
-    ]);
+    let allowed = harness.run("config apply b.yaml --platform @ --change tuesday --allow-weaker");
     assert_eq!(allowed.status, ExitStatus::Success);
     assert!(allowed.errors.contains("weaker: "));
-    let back = harness.run(&["config", "rollback", "1", "--platform", "@", "--change", "back"]);
+    let back = harness.run("config rollback 1 --platform @ --change back");
     assert_eq!(back.out, "accepted as revision 3 by change back\n");
-    let shown = harness.run(&["config", "show", "--platform", "@"]);
+    let shown = harness.run("config show --platform @");
     assert_eq!(shown.out, format!("# cuminarch revision: 3\n{SHEET}"));
-    let missing = harness.run(&["config", "rollback", "9", "--platform", "@"]);
+    let missing = harness.run("config rollback 9 --platform @");
     assert_eq!(missing.status, ExitStatus::Usage);
 }
 
@@ -152,22 +123,15 @@
         harness.put_status("zrh-a", 2, 5);
         // A change that may be a repeated one may also be the one that was lost.
         assert_eq!(harness.apply("a.yaml", "tuesday").status, ExitStatus::Unknown);
-        let stale = harness.run(&["config", "apply", "a.yaml", "--platform", "@"]);
+        let stale = harness.run("config apply a.yaml --platform @");
         assert_eq!(stale.status, ExitStatus::Outdated);
         insta::assert_snapshot!(stale.out);
-        assert_eq!(
-            harness.run(&["config", "status", "--platform", "@"]).status,
-            ExitStatus::NotInForce
-        );
+        assert_eq!(harness.run("config status --platform @").status, ExitStatus::NotInForce);
     }
-    let arguments =
-        ["config", "apply", "b.yaml", "--platform", "@", "--change", "again", "--base", "2"];
+    let mut arguments = "config apply b.yaml --platform @ --change again --base 2".to_owned();
     if !has_status {
         assert_eq!(harness.run(&arguments).status, ExitStatus::Outdated);
-    }
-    let mut arguments = arguments.to_vec();
-    if !has_status {
-        arguments.push("--restored");
+        arguments += " --restored";
     }
     assert_eq!(harness.run(&arguments).out, "accepted as revision 3 by change again\n");
 }
@@ -179,18 +143,7 @@
     harness.put_status("zrh-a", 1, 1);
     harness.put_status("zrh-b", 0, 1);
     // A zone has a revision in force that the platform does not know.
-    let waited = harness.run(&[
-        "config",
-        "apply",
-        "a.yaml",
-        "--platform",
-        "@",
-        "--wait",
-        "--base",
-        "0",
-        "--zones",
-        "brn-a",
-    ]);
+    let waited = harness.run("config apply a.yaml --platform @ --wait --base 0 --zones brn-a");
     assert_eq!(waited.status, ExitStatus::Outdated);
     harness.put_status("zrh-a", 0, 1);
     let store = harness.platform().clone();
@@ -198,34 +151,12 @@
         let value = serde_json::to_string(&status_of("zrh-a", 1, 2)).unwrap();
         store.put(&object_path("status/zrh-a"), &value, Expect::Any).unwrap();
     });
-    let waited = harness.run_with(
-        &clock,
-        &[
-            "config",
-            "apply",
-            "a.yaml",
-            "--platform",
-            "@",
-            "--change",
-            "monday",
-            "--wait",
-            "--zones",
-            "brn-a",
-        ],
-    );
+    let waited = harness
+        .run_with(&clock, "config apply a.yaml --platform @ --change monday --wait --zones brn-a");
     assert_eq!(waited.status, ExitStatus::NotInForce);
     insta::assert_snapshot!(waited.out);
     harness.put_status("zrh-b", 1, 2);
-    let settled = harness.run(&[
-        "config",
-        "apply",
-        "a.yaml",
-        "--platform",
-        "@",
-        "--change",
-        "monday",
-        "--wait",
-    ]);
+    let settled = harness.run("config apply a.yaml --platform @ --change monday --wait");
     assert_eq!(settled.status, ExitStatus::Success);
 }
 
@@ -251,18 +182,17 @@
 }
 
 #[rstest]
-#[case::text(&["config", "check", "faulty.yaml"], ExitStatus::Faulty)]
-#[case::json(&["config", "check", "faulty.yaml", "--output", "json"], ExitStatus::Faulty)]
-#[case::warning(&["config", "check", "warning.yaml"], ExitStatus::Success)]
-#[case::denied_warning(&["config", "check", "warning.yaml", "--deny-warnings"], ExitStatus::Faulty)]
-fn checks_name_every_fault(#[case] arguments: &[&str], #[case] expected: ExitStatus) {
+#[case::text("config check faulty.yaml", ExitStatus::Faulty)]
+#[case::json("config check faulty.yaml --output json", ExitStatus::Faulty)]
+#[case::warning("config check warning.yaml", ExitStatus::Success)]
+#[case::denied_warning("config check warning.yaml --deny-warnings", ExitStatus::Faulty)]
+fn checks_name_every_fault(#[case] arguments: &str, #[case] expected: ExitStatus) {
     let harness = Harness::new();
     harness.write("faulty.yaml", &SHEET.replace("methods: [POST]", "method: POST"));
     harness.write("warning.yaml", &SHEET.replace("grant_attempts: 32", "grant_attempts: 3"));
     let checked = harness.run(arguments);
     assert_eq!(checked.status, expected);
-    let name = std::thread::current().name().unwrap_or_default().replace("::", "_");
-    insta::assert_snapshot!(name, checked.out);
+    insta::assert_snapshot!(arguments.replace([' ', '.'], "_"), checked.out);
 }
 
 #[test]
@@ -271,7 +201,7 @@
     harness.write("a.yaml", SHEET);
     harness.apply("a.yaml", "monday");
     harness.write("b.yaml", &SHEET.replace(", protected: true", ""));
-    insta::assert_snapshot!(harness.run(&["config", "diff", "b.yaml", "--platform", "@"]).out);
+    insta::assert_snapshot!(harness.run("config diff b.yaml --platform @").out);
 }
 
 #[test]
@@ -290,7 +220,7 @@
     harness.put_members("zrh-a", &kasse);
     harness.put_members("brn-a", &[("katalog-1", "katalog", MemberState::Active)]);
     harness.put_status("zrh-a", 1, 1);
-    insta::assert_snapshot!(harness.run(&["fleet", "status", "--platform", "@"]).out);
+    insta::assert_snapshot!(harness.run("fleet status --platform @").out);
 }
 
 #[test]
@@ -310,7 +240,7 @@
     let harness = Harness::new();
     let server = PlatformServer::start().unwrap();
     let address = server.address().to_string();
-    let dumped = harness.run(&["node", "dump", &address]);
+    let dumped = harness.run(&format!("node dump {address}"));
     assert_eq!(dumped.status, ExitStatus::Unavailable);
     assert!(dumped.errors.contains("status 404"));
 }
--- a/cuminarch-cli/tests/harness/mod.rs
+++ b/cuminarch-cli/tests/harness/mod.rs
@@ -63,17 +63,18 @@
     }
 
     /// Runs a command; `@` stands for the platform's address.
-    pub fn run(&self, arguments: &[&str]) -> Ran {
+    pub fn run(&self, arguments: &str) -> Ran {
         self.run_with(&self.clock, arguments)
     }
 
-    pub fn run_with(&self, clock: &dyn Clock, arguments: &[&str]) -> Ran {
-        let place = |argument: &&str| match *argument {
+    pub fn run_with(&self, clock: &dyn Clock, arguments: &str) -> Ran {
+        let place = |argument: &str| match argument {
             "@" => self.server.address().to_string(),
             name if name.ends_with(".yaml") => self.folder.join(name).display().to_string(),
             other => other.to_owned(),
         };
-        let arguments = std::iter::once("cuminarch".to_owned()).chain(arguments.iter().map(place));
+        let arguments = arguments.split_whitespace().map(place);
+        let arguments = std::iter::once("cuminarch".to_owned()).chain(arguments);
         let matches = command().try_get_matches_from(arguments).unwrap();
         let (mut out, mut errors) = (Vec::new(), Vec::new());
         let mut outputs = Outputs { out: &mut out, errors: &mut errors };
@@ -84,7 +85,7 @@
     }
 
     pub fn apply(&self, sheet: &str, change: &str) -> Ran {
-        self.run(&["config", "apply", sheet, "--platform", "@", "--change", change])
+        self.run(&format!("config apply {sheet} --platform @ --change {change}"))
     }
 
     pub fn put_status(&self, zone: &str, revision: u64, sequence: u64) {
