fix(config): dot segments do not lead around a rule

Cause: a path such as /guides/../approvals/7 was matched as written, while an upstream may resolve it to an approval. Change: both readings are looked up and the non-idempotent one applies. Test: spelling_does_not_lead_around_a_rule, four new cases, red before.

--- a/cuminarch-config/src/pattern.rs
+++ b/cuminarch-config/src/pattern.rs
@@ -89,6 +89,26 @@
     parts(path).next().map_or(Cow::Borrowed(&[]), decode_percent)
 }
 
+/// The path that remains once `.` and `..` segments are resolved, as RFC 3986,
+/// section 5.2.4 does; nothing if the path has none.
+pub(crate) fn without_dot_segments(path: &str) -> Option<String> {
+    let is_dot = |part: &str| matches!(decode_percent(part).as_ref(), b"." | b"..");
+    if !parts(path).any(is_dot) {
+        return None;
+    }
+    let mut kept: Vec<&str> = Vec::new();
+    for part in parts(path) {
+        match decode_percent(part).as_ref() {
+            b"." => {}
+            b".." => {
+                kept.pop();
+            }
+            _ => kept.push(part),
+        }
+    }
+    Some(format!("/{}", kept.join("/")))
+}
+
 fn parts(path: &str) -> impl Iterator<Item = &str> {
     path.split('/').filter(|part| !part.is_empty())
 }
--- a/cuminarch-config/src/policy.rs
+++ b/cuminarch-config/src/policy.rs
@@ -8,7 +8,7 @@
 
 use crate::check::check;
 use crate::index::RuleIndex;
-use crate::pattern::PathPattern;
+use crate::pattern::{PathPattern, without_dot_segments};
 use crate::space::SAFE_METHODS;
 use crate::{ClassEntry, RuleEntry, Severity, Sheet, SheetError};
 
@@ -119,10 +119,19 @@
         self.revision
     }
 
-    /// The rule of a request; `target` may carry a query, which is ignored.
+    /// The rule of a request; `target` may carry a query, which is ignored. Some
+    /// upstreams resolve `.` and `..` segments and others do not; if the two
+    /// readings differ, the one that is not idempotent applies.
     #[must_use]
     pub fn rule(&self, service: &ServiceName, method: &str, target: &str) -> &Rule {
         let path = target.split('?').next().unwrap_or(target);
+        let literal = self.rule_of_path(service, method, path);
+        let Some(resolved) = without_dot_segments(path) else { return literal };
+        let resolved = self.rule_of_path(service, method, &resolved);
+        if resolved.idempotent && !literal.idempotent { literal } else { resolved }
+    }
+
+    fn rule_of_path(&self, service: &ServiceName, method: &str, path: &str) -> &Rule {
         self.index
             .candidates(service, path)
             .iter()
--- a/cuminarch-config/tests/policy.rs
+++ b/cuminarch-config/tests/policy.rs
@@ -137,6 +137,10 @@
 #[case::encoded_slash_is_no_border("/approvals%2F7", false)]
 #[case::broken_encoding("/%6", false)]
 #[case::encoded_at_the_end("/approvals/%", true)]
+#[case::dot_segments("/guides/../approvals/./7", true)]
+#[case::encoded_dot_segments("/guides/%2e%2E/approvals/7", true)]
+#[case::dot_segments_above_the_root("/../../approvals/7", true)]
+#[case::dot_segments_lead_away("/approvals/../guides", false)]
 fn spelling_does_not_lead_around_a_rule(#[case] target: &str, #[case] is_covered: bool) {
     let sheet = Sheet::parse(
         "classes:
