feat(node): one Host, one framing, links that stay warm in a surge

A request needs one Host; of chunks and a length only the chunks go on (the library drops the length, a test holds it).

--- a/cuminarch-node/src/data/front.rs
+++ b/cuminarch-node/src/data/front.rs
@@ -5,10 +5,10 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use cuminarch_engine::{Arrival, Direction};
+use cuminarch_engine::Arrival;
 use cuminarch_types::RequestId;
 use http::request::Parts;
-use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Version, header};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -77,16 +77,8 @@
 ) -> Response<PassedBody> {
     let received_at = Instant::now();
     let (parts, incoming) = request.into_parts();
-    if head_len_bytes(&parts) > MAX_HEAD_BYTES {
-        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-        return not_run(status, "the request head is too long");
-    }
-    if parts.method == Method::CONNECT {
-        return not_run(StatusCode::METHOD_NOT_ALLOWED, "CONNECT is not carried");
-    }
-    let max_body_bytes = context.limits.max_request_body_bytes;
-    if content_length(&parts.headers).is_some_and(|len_bytes| len_bytes > max_body_bytes) {
-        return not_run(StatusCode::PAYLOAD_TOO_LARGE, "the request body is too long");
+    if let Some(refusal) = refuse_head(context, &parts) {
+        return refusal;
     }
     let caller = match CallerHeaders::parse(&parts.headers) {
         Ok(caller) => caller,
@@ -104,34 +96,57 @@
     let Ok(body) = read_body(context, &parts.headers, incoming).await else {
         return bad_request("the request body broke off");
     };
-    let body_len_bytes = content_length(&parts.headers);
-    let method = parts.method.as_str();
-    let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
-    let direction =
-        if is_inbound { Direction::Inbound } else { Direction::Outbound(service.clone()) };
-    let arrival = Arrival { direction, ..Arrival::inbound(root, method, target) }
-        .with_parent(caller.parent.filter(|_| side == Side::Upstream))
-        .with_resend(caller.resend)
-        .with_remaining(caller.remaining)
-        .with_replayable(body.is_held())
-        .with_key(caller.key);
     let call = CallRequest {
         root,
         service,
-        method: method.into(),
-        target: target.into(),
+        method: parts.method.as_str().into(),
+        target: parts.uri.path_and_query().map_or("/", |target| target.as_str()).into(),
         headers: request_fields(&parts),
         body,
-        body_len_bytes,
+        body_len_bytes: headers::content_length(&parts.headers),
         received_at,
     };
-    let is_head = parts.method == Method::HEAD;
+    let arrival = arrival(&call, caller, is_inbound, side);
     match carry_call(context, arrival, call).await {
-        Reply::Answer(answer) => pass_on(*answer, root, is_head).await,
+        Reply::Answer(answer) => pass_on(*answer, root, parts.method == Method::HEAD).await,
         Reply::Refusal(refusal, _) => refused(&refusal, root),
     }
 }
 
+/// Answers a request that its head shows to be no call.
+fn refuse_head(context: &DataContext, parts: &Parts) -> Option<Response<PassedBody>> {
+    if head_len_bytes(parts) > MAX_HEAD_BYTES {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Some(not_run(status, "the request head is too long"));
+    }
+    let hosts = parts.headers.get_all(header::HOST).iter().count();
+    if parts.version == Version::HTTP_11 && hosts != 1 {
+        return Some(bad_request("one field Host is needed"));
+    }
+    if parts.method == Method::CONNECT {
+        return Some(not_run(StatusCode::METHOD_NOT_ALLOWED, "CONNECT is not carried"));
+    }
+    let max_len_bytes = context.limits.max_request_body_bytes;
+    if headers::content_length(&parts.headers).is_some_and(|len_bytes| len_bytes > max_len_bytes) {
+        return Some(not_run(StatusCode::PAYLOAD_TOO_LARGE, "the request body is too long"));
+    }
+    None
+}
+
+fn arrival(call: &CallRequest, caller: CallerHeaders, is_inbound: bool, side: Side) -> Arrival {
+    let arrival = if is_inbound {
+        Arrival::inbound(call.root, &call.method, &call.target)
+    } else {
+        Arrival::outbound(call.service.clone(), call.root, &call.method, &call.target)
+    };
+    arrival
+        .with_parent(caller.parent.filter(|_| side == Side::Upstream))
+        .with_resend(caller.resend)
+        .with_remaining(caller.remaining)
+        .with_replayable(call.body.is_held())
+        .with_key(caller.key)
+}
+
 fn mint_key(context: &DataContext, root: RequestId) -> Response<PassedBody> {
     if context.driver.is_draining() {
         return draining(root);
@@ -156,19 +171,15 @@
     fields
 }
 
-fn content_length(headers: &HeaderMap) -> Option<u64> {
-    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
-
 /// Reads a short body, so that it can be sent again. A long one, or one whose
 /// sender waits for a word first, stays unread until the call is admitted.
 async fn read_body(
     context: &DataContext,
-    headers: &HeaderMap,
+    fields: &HeaderMap,
     incoming: Incoming,
 ) -> Result<RequestBody, BrokenBody> {
-    let is_awaited = headers.contains_key(header::EXPECT);
-    let is_long = content_length(headers)
+    let is_awaited = fields.contains_key(header::EXPECT);
+    let is_long = headers::content_length(fields)
         .is_some_and(|len_bytes| len_bytes > RequestBody::MAX_HELD_BYTES as u64);
     let body = CallerBody::new(incoming, context.limits).with_awaited(is_awaited);
     if is_awaited || is_long {
--- a/cuminarch-node/src/data/link_pool.rs
+++ b/cuminarch-node/src/data/link_pool.rs
@@ -1,10 +1,10 @@
 //! Data links to other nodes, kept open for further calls; one call at a time on each.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use cuminarch_protocol::{AnswerFrame, CallFrame, CallHead, FrameLimit, ProtocolError};
@@ -51,10 +51,16 @@
 /// Links to one peer.
 #[derive(Default)]
 struct Peer {
-    idle: Vec<LinkSocket>,
+    /// The one used last is at the end, and used next.
+    idle: VecDeque<IdleLink>,
     in_use: usize,
 }
 
+struct IdleLink {
+    since: Instant,
+    socket: LinkSocket,
+}
+
 /// A link in use; released ones are used again.
 pub struct Link {
     socket: Option<Socket>,
@@ -68,7 +74,8 @@
 }
 
 impl LinkPool {
-    const MAX_IDLE_PER_PEER: usize = 64;
+    const MAX_IDLE_PER_PEER: usize = 256;
+    const MAX_IDLE_TIME: Duration = Duration::from_secs(60);
     const MAX_IN_USE_PER_PEER: usize = 1_024;
     const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -101,6 +108,13 @@
         Ok(link)
     }
 
+    /// Closes the links to one node that no call uses, as one of them failed.
+    pub fn close_idle_to(&self, address: SocketAddr) {
+        if let Some(peer) = self.peers.borrow_mut().get_mut(&address) {
+            peer.idle.clear();
+        }
+    }
+
     /// Closes the links that no call uses.
     pub fn close_idle(&self) {
         for peer in self.peers.borrow_mut().values_mut() {
@@ -109,7 +123,8 @@
     }
 
     fn pop(&self, address: SocketAddr) -> Option<LinkSocket> {
-        self.peers.borrow_mut().get_mut(&address)?.idle.pop()
+        let mut peers = self.peers.borrow_mut();
+        peers.get_mut(&address)?.idle.pop_back().map(|idle| idle.socket)
     }
 
     /// Counts a link that is about to be used.
@@ -126,8 +141,13 @@
     fn put_back(&self, address: SocketAddr, socket: LinkSocket) {
         let mut peers = self.peers.borrow_mut();
         let peer = peers.entry(address).or_default();
+        let now = Instant::now();
+        let is_old = |idle: &IdleLink| now.duration_since(idle.since) > Self::MAX_IDLE_TIME;
+        while peer.idle.front().is_some_and(is_old) {
+            peer.idle.pop_front();
+        }
         if peer.idle.len() < Self::MAX_IDLE_PER_PEER {
-            peer.idle.push(socket);
+            peer.idle.push_back(IdleLink { since: now, socket });
         }
     }
 
--- a/cuminarch-node/src/data/local.rs
+++ b/cuminarch-node/src/data/local.rs
@@ -112,8 +112,7 @@
     let direction = Direction::Inbound;
     let node_time = NodeTime { metrics, direction, before_sent, head_at: Instant::now() };
     let (parts, incoming) = response.into_parts();
-    let length = parts.headers.get(http::header::CONTENT_LENGTH);
-    let body_len_bytes = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    let body_len_bytes = headers::content_length(&parts.headers);
     let status = parts.status.as_u16();
     let head = AnswerHead { status, headers: end_to_end(&parts.headers), body_len_bytes };
     let kept = run.keep_answer.then(|| StoredAnswer { head: head.clone(), body: Vec::new() });
--- a/cuminarch-node/src/headers.rs
+++ b/cuminarch-node/src/headers.rs
@@ -130,6 +130,14 @@
         .collect()
 }
 
+/// Length of a body that is not sent in chunks.
+pub fn content_length(headers: &HeaderMap) -> Option<u64> {
+    if headers.contains_key(http::header::TRANSFER_ENCODING) {
+        return None;
+    }
+    headers.get(http::header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
 fn connection_options(headers: &HeaderMap) -> Vec<String> {
     headers
         .get_all("connection")
--- a/cuminarch-node/tests/intermediary.rs
+++ b/cuminarch-node/tests/intermediary.rs
@@ -104,6 +104,10 @@
     b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n",
     AfterAnswer::Keep
 )]
+#[case::length_beside_chunks(
+    b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\nb\r\nhello world\r\n0\r\n\r\n",
+    AfterAnswer::Keep
+)]
 #[case::until_close(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello world", AfterAnswer::Close)]
 fn an_answer_of_unknown_length_arrives_whole(
     #[values(1, 2)] hops: usize,
@@ -149,6 +153,8 @@
 #[case::two_lengths(
     b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab".to_vec(), 400)]
 #[case::bad_length(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: x\r\n\r\n".to_vec(), 400)]
+#[case::no_host(b"GET / HTTP/1.1\r\n\r\n".to_vec(), 400)]
+#[case::two_hosts(b"GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n".to_vec(), 400)]
 #[case::bad_chunk(
     b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n".to_vec(), 400)]
 #[case::long_field(
@@ -315,3 +321,29 @@
     assert_eq!((reply.status, reply.header("x-large")), (200, Some(value.as_str())));
     chain.shutdown();
 }
+
+#[rstest]
+#[case::length_first("content-length: 3", "transfer-encoding: chunked")]
+#[case::chunks_first("transfer-encoding: chunked", "content-length: 3")]
+fn of_chunks_and_a_length_only_the_chunks_reach_the_upstream(
+    #[values(1, 2)] hops: usize,
+    #[case] one: &str,
+    #[case] other: &str,
+) {
+    let upstream = RawUpstream::start(|request, connection| {
+        assert_eq!(request.head.iter().filter(|line| line.starts_with("host:")).count(), 1);
+        let framing = ["content-length", "transfer-encoding"].map(|name| request.header(name));
+        let is_sound = framing.iter().flatten().count() == 1 && request.body == b"hello";
+        let body = if is_sound { "sound" } else { "wrong" };
+        connection
+            .write(format!("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n{body}").as_bytes())?;
+        Ok(AfterAnswer::Keep)
+    });
+    let upstream = upstream.unwrap();
+    let chain = Chain::start(hops, upstream.address());
+    let mut caller = Caller::connect(chain.front());
+    caller.send("POST /", &[one, other], b"");
+    caller.stream.write_all(b"5\r\nhello\r\n0\r\n\r\n").unwrap();
+    assert_eq!(caller.read(false).text(), "sound");
+    chain.shutdown();
+}
