test(cuminarchd): give each daemon of a fleet its own loopback IP number

Seen once in four runs at load 29 (cargo test -p cuminarchd): case_1_nothing 'nothing completed' and, in the same run, case_3_freeze '/approvals/41 ran 2 times'; in an earlier run a daemon said 'Address already in use'. The test took free ports and gave them back before the daemons listened, so daemons of two fleets that run at once could get the same port: one did not start, and its callers spoke to a daemon of the other fleet, whose keys look the same. The checks are as strict as before; only the addresses differ.

--- a/cuminarchd/tests/fleet/mod.rs
+++ b/cuminarchd/tests/fleet/mod.rs
@@ -1,9 +1,10 @@
 //! A few daemons as separate processes, with stand-ins around them.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -154,8 +155,15 @@
         .unwrap()
 }
 
+/// Addresses for one daemon on a loopback IP number of its own, so that nobody
+/// else gets its ports while it is down: not another fleet, nor an outgoing
+/// connection of this machine.
 fn free_addresses() -> [SocketAddr; 5] {
+    static SITES: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let site = SITES.fetch_add(1, Ordering::Relaxed);
+    let host = Ipv4Addr::new(127, high.max(1), low, site);
     let listeners: Vec<TcpListener> =
-        (0..5).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+        (0..5).map(|_| TcpListener::bind((host, 0)).unwrap()).collect();
     std::array::from_fn(|index| listeners[index].local_addr().unwrap())
 }
