--- a/cuminarch-node/src/data/tasks.rs
+++ b/cuminarch-node/src/data/tasks.rs
@@ -47,3 +47,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/cuminarch-node/src/data/tasks/tests.rs
@@ -0,0 +1,19 @@
+use tokio::runtime::{Builder, LocalOptions};
+
+use super::*;
+
+#[test]
+fn the_panic_of_a_task_arrives_and_other_tasks_go_on() {
+    let runtime = Builder::new_current_thread().build_local(LocalOptions::default()).unwrap();
+    runtime.block_on(async {
+        let (tasks, mut panics) = Tasks::new();
+        let (done, told) = tokio::sync::oneshot::channel();
+        tasks.spawn(async { panic!("out of luck") });
+        tasks.spawn(async {
+            let _ = done.send(7);
+        });
+        assert_eq!(told.await, Ok(7));
+        let panic = panics.next().await;
+        assert_eq!(panic.downcast_ref::<&str>(), Some(&"out of luck"));
+    });
+}
