--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -99,7 +99,7 @@
                 self.remote_lost(call, attempt, sent, now, &mut actions);
             }
             Event::Cancel(call) => self.cancel(call, now, &mut actions),
-            Event::Member(member) => self.router.update(*member),
+            Event::Member(member) => self.router.update(*member, now),
             Event::Tick => self.tick(now, &mut actions),
             Event::Drain => self.draining = true,
         }
@@ -183,8 +183,7 @@
         let call = self.calls.remove(&id)?;
         self.deadlines.remove(&(call.deadline, id));
         if call.parent.is_none() && call.has_called {
-            let level = LearnedLevel::new(call.level, now);
-            self.levels_behind.insert(call.rule.number, level);
+            self.levels_behind.insert(call.rule.number, call.level);
         }
         if let Stage::Sending(Sending { retry_at: Some(retry_at), .. }) = call.stage {
             self.retries.remove(&(retry_at, id));
@@ -197,11 +196,13 @@
             if parent.children.is_empty() {
                 parent.deeper.end(now);
             }
-            parent.level = parent.level.max(call.level);
+            parent.level = parent.level.higher(call.level, now);
             parent.has_called = true;
         }
-        let own_level = self.admission.level();
-        Some(Receipt { unspent: call.budget.held(), level: call.level.max(own_level) })
+        let own_level = LearnedLevel::new(self.admission.level(), now);
+        let level = call.level.higher(own_level, now);
+        let unspent = call.budget.held();
+        Some(Receipt { unspent, level: level.level(), level_age_ms: level.age_ms(now) })
     }
 
     /// Ends a call with a final answer of the node. A call that may have run
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -41,7 +41,7 @@
         let level = self.router.level(&service, call.rule.number, now);
         call.level = level;
         self.insert(id, call, now);
-        if rank < level {
+        if rank < level.at(now) {
             let refusal = Refusal::not_run(RefusalReason::OverloadedBehind);
             return self.refuse(id, refusal.with_retry_after(Admission::RETRY_AFTER), now, actions);
         }
@@ -112,7 +112,9 @@
         if is_not_run {
             self.note_proof(id, &refusal);
         }
-        let may_retry = is_not_run && refusal.reason.may_retry() && self.has_alternative(id, now);
+        let is_running = refusal.reason == RefusalReason::KeyInProgress;
+        let is_worth_it = refusal.reason.may_retry() && self.has_way(id, refusal.reason, now);
+        let may_retry = is_running || (is_not_run && is_worth_it);
         self.retry_or_refuse(id, may_retry, refusal, now, actions);
     }
 
@@ -135,13 +137,13 @@
         self.settle(id, attempt, receipt, now);
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.maybe_ran |= sent;
-        let is_idempotent = call.idempotent;
+        let may_repeat = call.idempotent || call.has_key;
         let refusal = if sent {
             Refusal::unknown(RefusalReason::UpstreamFailed)
         } else {
             Refusal::not_run(RefusalReason::UpstreamFailed)
         };
-        self.retry_or_refuse(id, !sent || is_idempotent, refusal, now, actions);
+        self.retry_or_refuse(id, !sent || may_repeat, refusal, now, actions);
     }
 
     /// Sends the next attempt of a call.
@@ -185,7 +187,7 @@
             idempotent: call.2,
             key,
         };
-        self.router.started(&service, &endpoint);
+        self.router.started(&service, &endpoint, now);
         actions.push(Action::Forward { call: id, attempt, forward: Box::new(forward) });
     }
 
@@ -200,8 +202,7 @@
     /// Notes that the process of the call's key has shown that it did not run.
     fn note_proof(&mut self, id: CallId, refusal: &Refusal) {
         let Some(call) = self.calls.get_mut(&id) else { return };
-        let is_own_key = call.key.is_some() || refusal.reason == RefusalReason::KeyConflict;
-        call.not_run_proven |= is_own_key || refusal.bound_to.is_some();
+        call.not_run_proven |= call.key.is_some() || refusal.bound_to.is_some();
         if call.key.is_none() {
             call.key = refusal.bound_to.clone();
         }
@@ -222,11 +223,18 @@
     }
 
     /// Withdraws the attempt that is under way, if there is one.
-    pub(crate) fn withdraw(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
+    pub(crate) fn withdraw(
+        &mut self,
+        id: CallId,
+        sample: CallSample,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
         let Some((_, sending)) = self.sending(id) else { return };
         let Some(flight) = sending.current.take() else { return };
+        let service = sending.service.clone();
         if !flight.delivering {
-            self.note_sample(id, &flight.endpoint, CallSample::Withdrawn, now);
+            self.router.finished(&service, &flight.endpoint, sample, now);
         }
         let owner = self.owner(id);
         self.freed.insert(owner);
@@ -240,8 +248,11 @@
         let call = self.calls.get(&id)?;
         let Stage::Sending(sending) = &call.stage else { return None };
         if let Some(key) = &call.key {
-            let target = self.router.target(&key.endpoint)?;
-            return (target.incarnation == key.incarnation).then_some(target);
+            let target = self.router.target(&key.endpoint);
+            let target = target.filter(|target| target.incarnation == key.incarnation);
+            if target.is_some() || !call.idempotent {
+                return target;
+            }
         }
         let service = sending.service.clone();
         let tried = sending.tried.clone();
@@ -251,6 +262,17 @@
             .or_else(|| self.router.pick(&service, kind, &[], now))
     }
 
+    /// Whether another attempt may fare better. A key leaves one way, on which
+    /// only a failure of the upstream's connection is likely to pass soon.
+    fn has_way(&self, id: CallId, reason: RefusalReason, now: MonoTime) -> bool {
+        let is_pinned =
+            self.calls.get(&id).is_some_and(|call| call.key.is_some() && !call.idempotent);
+        if is_pinned {
+            return reason == RefusalReason::UpstreamFailed;
+        }
+        self.has_alternative(id, now)
+    }
+
     /// Whether an endpoint that was not tried yet may admit the call.
     fn has_alternative(&self, id: CallId, now: MonoTime) -> bool {
         let Some(call) = self.calls.get(&id) else { return false };
--- a/cuminarch-node/src/data/front.rs
+++ b/cuminarch-node/src/data/front.rs
@@ -141,7 +141,8 @@
     };
     arrival
         .with_parent(caller.parent.filter(|_| side == Side::Upstream))
-        .with_resend(caller.resend)
+        .with_send(caller.resend)
+        .with_body_digest(call.body.digest())
         .with_remaining(caller.remaining)
         .with_replayable(call.body.is_held())
         .with_key(caller.key)
