--- a/cuminarch-bench/src/overhead/sites.rs
+++ b/cuminarch-bench/src/overhead/sites.rs
@@ -33,19 +33,13 @@
 }
 
 impl Sites {
-    const START_TIMEOUT: Duration = Duration::from_secs(10);
-
     /// Starts everything and waits until the first node knows the second.
     pub fn start() -> Result<Self> {
         let platform = PlatformServer::start()?;
         let upstream = LightUpstream::start()?;
         let start = |service| Site::start(service, upstream.address, platform.address());
         let (single, first, second) = (start("single")?, start("first")?, start("second")?);
-        let until = Instant::now() + Self::START_TIMEOUT;
-        while !page(first.node.admin_address(), "/metrics")?.contains("cuminarch_members 3") {
-            ensure!(Instant::now() < until, "the nodes do not find each other");
-            std::thread::sleep(Duration::from_millis(50));
-        }
+        first.wait_for_members(3)?;
         Ok(Self { upstream, single, first, second, _platform: platform })
     }
 
@@ -69,7 +63,21 @@
 }
 
 impl Site {
-    fn start(service: &str, upstream: SocketAddr, platform: SocketAddr) -> Result<Self> {
+    const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+    /// Waits until the node knows so many members.
+    pub fn wait_for_members(&self, count: usize) -> Result<()> {
+        let line = format!("cuminarch_members {count}\n");
+        let until = Instant::now() + Self::START_TIMEOUT;
+        while !page(self.node.admin_address(), "/metrics")?.contains(&line) {
+            ensure!(Instant::now() < until, "the nodes do not find each other");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        Ok(())
+    }
+
+    /// Starts the node beside an upstream.
+    pub fn start(service: &str, upstream: SocketAddr, platform: SocketAddr) -> Result<Self> {
         let text = format!(
             "fleet: bench
 endpoint: {service}-1
