feat(node): control over real links between nodes

The control thread drives the membership state machine over WebSocket links; calls to the platform that may wait have threads of their own, claims have another. A node starts with an incarnation above the platform's record of it. Open: tests of the data edges read members/ENDPOINT, which is now members/ZONE.

--- a/cuminarch-membership/src/platform.rs
+++ b/cuminarch-membership/src/platform.rs
@@ -143,18 +143,21 @@
         let (per_second, burst) = if is_reporter { REPORTER_RATE } else { NODE_RATE };
         self.platform.limiter.set_rate(per_second, burst, now);
         if let Some(relist_at) = self.platform.relist_at {
-            if now >= relist_at {
+            if now >= relist_at && self.call(PlatformCall::ListMembers, now) {
                 self.platform.relist_at = None;
-                self.call(PlatformCall::ListMembers, now);
             }
             return;
         }
         match self.platform.members_version {
-            None => self.call(PlatformCall::ListMembers, now),
+            None => {
+                self.call(PlatformCall::ListMembers, now);
+            }
             Some(version) if is_reporter && now >= self.platform.report_from => {
                 self.report(version, now);
             }
-            Some(_) if self.platform.is_lost => self.call(PlatformCall::ListMembers, now),
+            Some(_) if self.platform.is_lost => {
+                self.call(PlatformCall::ListMembers, now);
+            }
             Some(_) => self.ask_for_config(now),
         }
     }
@@ -164,29 +167,34 @@
         if self.revision() > Revision::default() || now < self.platform.next_config_at {
             return;
         }
-        let jitter = self.rng.random_range(0.5..1.5);
-        self.platform.next_config_at = now.after(MAX_BACKOFF.mul_f64(jitter));
-        self.call(PlatformCall::ListConfig, now);
+        if self.call(PlatformCall::ListConfig, now) {
+            let jitter = self.rng.random_range(0.5..1.5);
+            self.platform.next_config_at = now.after(MAX_BACKOFF.mul_f64(jitter));
+        }
     }
 
     /// Makes the calls of the node that speaks for its zone.
     fn report(&mut self, members_version: StoreVersion, now: MonoTime) {
-        match self.platform.config_version {
-            None => self.call(PlatformCall::ListConfig, now),
-            Some(version) => self.call(PlatformCall::WatchConfig(version), now),
-        }
+        let read = self
+            .platform
+            .config_version
+            .map_or(PlatformCall::ListConfig, PlatformCall::WatchConfig);
+        self.call(read, now);
         self.call(PlatformCall::WatchMembers(members_version), now);
         self.write_members(now);
         self.write_status(now);
     }
 
-    fn call(&mut self, call: PlatformCall, now: MonoTime) {
+    /// Makes a call unless one of its kind is under way or the limiter holds it
+    /// back. Returns whether it was made.
+    fn call(&mut self, call: PlatformCall, now: MonoTime) -> bool {
         let kind = kind_of(&call);
         if self.platform.under_way.contains(&kind) || !self.platform.limiter.take(now) {
-            return;
+            return false;
         }
         self.platform.under_way.insert(kind);
         self.actions.push(FleetAction::Platform(call));
+        true
     }
 
     fn write_members(&mut self, now: MonoTime) {
@@ -206,9 +214,10 @@
         }
         let value = ZoneMembers { zone: self.own.zone.clone(), members };
         let expected = platform.object_version;
-        self.platform.written = content;
-        self.platform.written_at = Some(now);
-        self.call(PlatformCall::PutMembers(Arc::new(value), expected), now);
+        if self.call(PlatformCall::PutMembers(Arc::new(value), expected), now) {
+            self.platform.written = content;
+            self.platform.written_at = Some(now);
+        }
     }
 
     fn write_status(&mut self, now: MonoTime) {
@@ -220,11 +229,13 @@
         if self.platform.status.as_ref() == Some(&status) {
             return;
         }
-        self.platform.status_at = Some(now);
-        self.platform.status = Some(status.clone());
-        self.platform.sequence += 1;
-        let status = ZoneStatus { sequence: self.platform.sequence, ..status };
-        self.call(PlatformCall::PutStatus(status), now);
+        let sequence = self.platform.sequence + 1;
+        let numbered = ZoneStatus { sequence, ..status.clone() };
+        if self.call(PlatformCall::PutStatus(numbered), now) {
+            self.platform.sequence = sequence;
+            self.platform.status_at = Some(now);
+            self.platform.status = Some(status);
+        }
     }
 
     /// What is in force in the own zone, by the relays' reports.
--- a/cuminarch-membership/tests/failures.rs
+++ b/cuminarch-membership/tests/failures.rs
@@ -260,3 +260,17 @@
     }
     assert_eq!(fleet.platform.status.len(), 5);
 }
+
+/// The limiter held the first write back, and the write was taken for made.
+#[test]
+fn cold_start_of_few_nodes_writes_every_zone() {
+    for seed in 0..40 {
+        let mut fleet = VirtualFleet::new(seed);
+        fleet.publish(document(1, 8));
+        for index in 0..4 {
+            fleet.add(member(index, 2));
+        }
+        fleet.run_for(6 * SECOND);
+        assert!(has_converged(&fleet), "seed {seed}: {}", difference(&fleet));
+    }
+}
--- a/cuminarch-node/src/admin.rs
+++ b/cuminarch-node/src/admin.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use cuminarch_engine::EngineSummary;
+use cuminarch_membership::FleetSummary;
 use flume::Sender;
 use serde::Serialize;
 use tiny_http::{Header, Method, Request, Response, Server};
 
+use crate::control::FleetAsk;
 use crate::data::DataCommand;
 use crate::duty::{Duties, DutyState};
 use crate::metrics::Metrics;
@@ -28,6 +30,7 @@
     settings: &'a NodeSettings,
     duties: BTreeMap<&'static str, DutyState>,
     engine: EngineSummary,
+    fleet: Option<FleetSummary>,
 }
 
 /// Everything the admin thread starts with.
@@ -36,6 +39,7 @@
     pub commands: Sender<DataCommand>,
     pub duties: Duties,
     pub metrics: Metrics,
+    pub fleet: Sender<FleetAsk>,
 }
 
 /// A running admin thread.
@@ -111,10 +115,21 @@
 
     fn dump(&self) -> Page {
         let Some(engine) = self.summary() else { return silent() };
-        let dump = Dump { settings: &self.settings, duties: self.duties.states(), engine };
+        let dump = Dump {
+            settings: &self.settings,
+            duties: self.duties.states(),
+            engine,
+            fleet: self.fleet(),
+        };
         page(200, JSON_TYPE, serde_json::to_string_pretty(&dump).unwrap_or_default())
     }
 
+    fn fleet(&self) -> Option<FleetSummary> {
+        let (sender, receiver) = flume::bounded(1);
+        self.fleet.send_timeout(sender, Self::SUMMARY_TIMEOUT).ok()?;
+        receiver.recv_timeout(Self::SUMMARY_TIMEOUT).ok()
+    }
+
     fn summary(&self) -> Option<EngineSummary> {
         let (sender, receiver) = flume::bounded(1);
         let command = DataCommand::Summary(sender);
--- /dev/null
+++ b/cuminarch-node/src/control/links.rs
@@ -0,0 +1,165 @@
+//! The control links of a node, opened when there is something to send.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use cuminarch_protocol::ControlMessage;
+use cuminarch_types::EndpointId;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+use super::link::{ControlLink, LinkEvent};
+
+/// An open link.
+struct Open {
+    number: u64,
+    sender: mpsc::Sender<ControlMessage>,
+}
+
+/// A try to open a link.
+struct Dialing {
+    expected: Option<EndpointId>,
+    waiting: Vec<ControlMessage>,
+}
+
+/// All links of a node.
+pub struct Links {
+    fleet: CompactString,
+    events: mpsc::Sender<LinkEvent>,
+    open: BTreeMap<EndpointId, Open>,
+    dialing: BTreeMap<SocketAddr, Dialing>,
+    failed: BTreeMap<SocketAddr, Instant>,
+    accepted: usize,
+    next_number: u64,
+}
+
+impl Links {
+    const MAX_WAITING: usize = 64;
+    const MAX_LINKS: usize = 1_024;
+    const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+    /// No links yet.
+    pub const fn new(fleet: CompactString, events: mpsc::Sender<LinkEvent>) -> Self {
+        Self {
+            fleet,
+            events,
+            open: BTreeMap::new(),
+            dialing: BTreeMap::new(),
+            failed: BTreeMap::new(),
+            accepted: 0,
+            next_number: 1,
+        }
+    }
+
+    /// Sends a message to a member. It is lost if no link can be opened.
+    pub fn send(
+        &mut self,
+        to: &EndpointId,
+        address: SocketAddr,
+        message: ControlMessage,
+        hello: &ControlMessage,
+    ) {
+        if let Some(open) = self.open.get(to)
+            && !open.sender.is_closed()
+        {
+            let _ = open.sender.try_send(message);
+            return;
+        }
+        if address.port() == 0 {
+            return;
+        }
+        self.dial(Some(to.clone()), address, hello);
+        if let Some(dialing) = self.dialing.get_mut(&address)
+            && dialing.waiting.len() < Self::MAX_WAITING
+        {
+            dialing.waiting.push(message);
+        }
+    }
+
+    /// Opens a link unless one is being opened or has just failed.
+    pub fn dial(
+        &mut self,
+        expected: Option<EndpointId>,
+        address: SocketAddr,
+        hello: &ControlMessage,
+    ) {
+        let has_failed = |at: &Instant| at.elapsed() < Self::RETRY_AFTER;
+        if self.failed.get(&address).is_some_and(has_failed)
+            || self.dialing.contains_key(&address)
+            || self.dialing.len() + self.open.len() >= Self::MAX_LINKS
+        {
+            return;
+        }
+        self.dialing.insert(address, Dialing { expected, waiting: Vec::new() });
+        let link = self.link(Some(address), hello);
+        spawn_local(link.dial(address));
+    }
+
+    /// Serves a link that a peer opens, if there is room.
+    pub fn accept(&mut self, stream: TcpStream, hello: &ControlMessage) {
+        if self.accepted >= Self::MAX_LINKS {
+            return;
+        }
+        self.accepted += 1;
+        let link = self.link(None, hello);
+        spawn_local(link.accept(stream));
+    }
+
+    fn link(&mut self, address: Option<SocketAddr>, hello: &ControlMessage) -> ControlLink {
+        let number = self.next_number;
+        self.next_number += 1;
+        ControlLink {
+            number,
+            address,
+            fleet: self.fleet.clone(),
+            hello: hello.clone(),
+            events: self.events.clone(),
+        }
+    }
+
+    /// Notes an open link and sends what waited for it.
+    pub fn opened(
+        &mut self,
+        number: u64,
+        endpoint: &EndpointId,
+        address: Option<SocketAddr>,
+        sender: mpsc::Sender<ControlMessage>,
+    ) {
+        if let Some(address) = address
+            && let Some(dialing) = self.dialing.remove(&address)
+            && dialing.expected.as_ref().is_none_or(|expected| expected == endpoint)
+        {
+            for message in dialing.waiting {
+                let _ = sender.try_send(message);
+            }
+        }
+        self.open.insert(endpoint.clone(), Open { number, sender });
+    }
+
+    /// Notes the end of a link. Returns the peer if it has no other link.
+    pub fn closed(
+        &mut self,
+        number: u64,
+        endpoint: Option<EndpointId>,
+        address: Option<SocketAddr>,
+    ) -> Option<EndpointId> {
+        match address {
+            Some(address) => {
+                if self.dialing.remove(&address).is_some() {
+                    self.failed.insert(address, Instant::now());
+                }
+            }
+            None => self.accepted = self.accepted.saturating_sub(1),
+        }
+        self.failed.retain(|_, at| at.elapsed() < Self::RETRY_AFTER);
+        let endpoint = endpoint?;
+        let is_current = self.open.get(&endpoint).is_some_and(|open| open.number == number);
+        if is_current {
+            self.open.remove(&endpoint);
+        }
+        is_current.then_some(endpoint)
+    }
+}
--- /dev/null
+++ b/cuminarch-node/src/control/platform.rs
@@ -0,0 +1,162 @@
+//! Carries out the calls to the platform that the state machine asks for.
+
+use std::time::Duration;
+
+use cuminarch_config::ConfigDocument;
+use cuminarch_membership::{PlatformCall, PlatformReply, StoreVersion, ZoneMembers, ZoneObject};
+use cuminarch_platform::{
+    Expect, HttpObjectStore, Listing, Object, ObjectPath, ObjectStore, ObjectVersion, PlatformError,
+};
+use cuminarch_types::{ParseError, ZoneName};
+use flume::{Receiver, Sender, TrySendError};
+
+use crate::NodeError;
+use crate::duty::Duties;
+
+const MEMBERS: &str = "members";
+const CONFIG: &str = "config";
+const CURRENT: &str = "config/current";
+
+/// Threads that call the platform, one for each kind of call that may wait.
+pub struct PlatformThreads {
+    calls: Sender<PlatformCall>,
+    members: Sender<PlatformCall>,
+    config: Sender<PlatformCall>,
+    replies: Receiver<(PlatformCall, PlatformReply)>,
+}
+
+impl PlatformThreads {
+    const RING: usize = 16;
+
+    /// Starts the threads; they end after their last call when this is dropped.
+    pub fn spawn(store: &HttpObjectStore, duties: &Duties) -> Result<Self, NodeError> {
+        let (reply, replies) = flume::bounded(Self::RING);
+        let start = |duty: &'static str| {
+            let (sender, calls) = flume::bounded(Self::RING);
+            let (store, reply) = (store.clone(), reply.clone());
+            duties.spawn(duty, move || run(&store, &calls, &reply)).map(|_| sender)
+        };
+        let calls = start("platform")?;
+        let members = start("platform-members")?;
+        let config = start("platform-config")?;
+        Ok(Self { calls, members, config, replies })
+    }
+
+    /// Hands a call over. Returns its reply at once if it cannot be made.
+    pub fn call(&self, call: PlatformCall) -> Option<(PlatformCall, PlatformReply)> {
+        let ring = match call {
+            PlatformCall::WatchMembers(_) => &self.members,
+            PlatformCall::ListConfig | PlatformCall::WatchConfig(_) => &self.config,
+            _ => &self.calls,
+        };
+        match ring.try_send(call) {
+            Ok(()) => None,
+            Err(TrySendError::Full(call) | TrySendError::Disconnected(call)) => {
+                Some((call, PlatformReply::Failed))
+            }
+        }
+    }
+
+    /// Where replies come.
+    pub const fn replies(&self) -> &Receiver<(PlatformCall, PlatformReply)> {
+        &self.replies
+    }
+}
+
+fn run(
+    store: &HttpObjectStore,
+    calls: &Receiver<PlatformCall>,
+    replies: &Sender<(PlatformCall, PlatformReply)>,
+) {
+    while let Ok(call) = calls.recv() {
+        let reply = carry_out(store, &call).unwrap_or_else(|error| {
+            log::debug!("platform: {error}");
+            PlatformReply::Failed
+        });
+        if replies.send((call, reply)).is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads all members.
+///
+/// # Errors
+///
+/// Fails when the platform does not answer.
+pub fn read_members(store: &HttpObjectStore) -> Result<PlatformReply, PlatformError> {
+    carry_out(store, &PlatformCall::ListMembers)
+}
+
+fn carry_out(store: &HttpObjectStore, call: &PlatformCall) -> Result<PlatformReply, PlatformError> {
+    const WATCH_TIME: Duration = Duration::from_secs(30);
+    match call {
+        PlatformCall::ListMembers => Ok(members_of(&store.list(&path(MEMBERS)?)?)),
+        PlatformCall::WatchMembers(after) => {
+            let after = ObjectVersion::new(after.get());
+            Ok(members_of(&store.watch(&path(MEMBERS)?, after, WATCH_TIME)?))
+        }
+        PlatformCall::ListConfig => config_of(&store.list(&path(CONFIG)?)?),
+        PlatformCall::WatchConfig(after) => {
+            let after = ObjectVersion::new(after.get());
+            config_of(&store.watch(&path(CONFIG)?, after, WATCH_TIME)?)
+        }
+        PlatformCall::PutMembers(value, expected) => put_members(store, value, *expected),
+        PlatformCall::PutStatus(status) => {
+            let path = path(&format!("status/{}", status.zone))?;
+            let value = serde_json::to_string(status).map_err(malformed)?;
+            store.put(&path, &value, Expect::Any).map(|_| PlatformReply::StatusWritten)
+        }
+    }
+}
+
+fn put_members(
+    store: &HttpObjectStore,
+    value: &ZoneMembers,
+    expected: Option<StoreVersion>,
+) -> Result<PlatformReply, PlatformError> {
+    let path = members_path(&value.zone)?;
+    let text = serde_json::to_string(value).map_err(malformed)?;
+    let expect = match expected {
+        Some(version) => Expect::Version(ObjectVersion::new(version.get())),
+        None => Expect::Absent,
+    };
+    match store.put(&path, &text, expect) {
+        Ok(version) => Ok(PlatformReply::MembersWritten(StoreVersion::new(version.get()))),
+        Err(PlatformError::Conflict { current, .. }) => {
+            let object = current.and_then(|current| zone_object(&current));
+            Ok(PlatformReply::MembersConflict(object))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+fn members_path(zone: &ZoneName) -> Result<ObjectPath, PlatformError> {
+    path(&format!("{MEMBERS}/{zone}"))
+}
+
+fn members_of(listing: &Listing) -> PlatformReply {
+    let version = StoreVersion::new(listing.version.get());
+    let zones = listing.objects.iter().filter_map(zone_object).collect();
+    PlatformReply::Members { version, zones }
+}
+
+fn zone_object(object: &Object) -> Option<ZoneObject> {
+    let value: ZoneMembers = serde_json::from_str(&object.value).ok()?;
+    Some(ZoneObject { version: StoreVersion::new(object.version.get()), value })
+}
+
+fn config_of(listing: &Listing) -> Result<PlatformReply, PlatformError> {
+    let current = listing.objects.iter().find(|object| object.path.as_str() == CURRENT);
+    let document: Option<ConfigDocument> =
+        current.map(|object| serde_json::from_str(&object.value)).transpose().map_err(malformed)?;
+    Ok(PlatformReply::Config { version: StoreVersion::new(listing.version.get()), document })
+}
+
+fn path(text: &str) -> Result<ObjectPath, PlatformError> {
+    text.parse().map_err(|error: ParseError| malformed(error))
+}
+
+fn malformed(error: impl std::fmt::Display) -> PlatformError {
+    PlatformError::Protocol { reason: error.to_string() }
+}
--- /dev/null
+++ b/cuminarch-node/src/control/thread.rs
@@ -0,0 +1,210 @@
+use std::net::TcpListener;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use cuminarch_membership::{
+    Fleet, FleetAction, FleetEvent, FleetNotice, FleetSettings, FleetSummary, PlatformCall,
+    PlatformReply,
+};
+use cuminarch_protocol::{ControlMessage, Member};
+use flume::{Receiver, Sender};
+use log::{error, info, warn};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+use super::link::LinkEvent;
+use super::links::Links;
+use super::platform::PlatformThreads;
+use crate::NodeError;
+use crate::clock::Clock;
+use crate::data::DataCommand;
+use crate::duty::Duties;
+use crate::event::NodeEvent;
+use crate::timer::Subscription;
+
+/// Asks for the state of the fleet.
+pub type FleetAsk = Sender<FleetSummary>;
+
+/// Everything the control thread starts with.
+pub struct ControlThread {
+    pub member: Member,
+    pub settings: FleetSettings,
+    pub listener: TcpListener,
+    pub platform: PlatformThreads,
+    /// Members that were read from the platform before the start.
+    pub first_reply: Option<PlatformReply>,
+    pub ticks: Subscription,
+    pub commands: Sender<DataCommand>,
+    /// Told when the node takes no new calls.
+    pub leave: Receiver<()>,
+    /// Closes when the node's calls have ended.
+    pub stop: Receiver<()>,
+    /// Questions of the admin thread.
+    pub asks: Receiver<FleetAsk>,
+}
+
+/// What the control thread wakes for.
+enum Wake {
+    Fleet(FleetEvent),
+    Link(LinkEvent),
+    Accepted(TcpStream),
+    Ask(FleetAsk),
+    Stop,
+}
+
+/// The state machine with its links.
+struct Running {
+    fleet: Fleet,
+    clock: Clock,
+    links: Links,
+    platform: PlatformThreads,
+    commands: Sender<DataCommand>,
+}
+
+impl ControlThread {
+    const EVENT_RING: usize = 1_024;
+    /// Time for the last messages to go out.
+    const FAREWELL: Duration = Duration::from_millis(100);
+
+    /// Starts the thread; it ends when the stop channel closes.
+    pub fn spawn(self, duties: &Duties) -> Result<JoinHandle<()>, NodeError> {
+        let thread_error = |source| NodeError::Thread { duty: "control", source };
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(thread_error)?;
+        duties.spawn("control", move || {
+            LocalSet::new().block_on(&runtime, self.run());
+        })
+    }
+
+    async fn run(self) {
+        let Self { member, settings, listener, platform, first_reply, .. } = self;
+        let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+        let (events, mut link_events) = mpsc::channel(Self::EVENT_RING);
+        let clock = Clock::new();
+        let links = Links::new(settings.fleet.clone(), events);
+        let fleet = Fleet::new(settings, member, clock.now());
+        let replies = platform.replies().clone();
+        let mut running = Running { fleet, clock, links, platform, commands: self.commands };
+        if let Some(reply) = first_reply {
+            running.handle(FleetEvent::Platform(PlatformCall::ListMembers, reply)).await;
+        }
+        let mut leave_told = false;
+        loop {
+            let wake = tokio::select! {
+                told = self.stop.recv_async() => { let _ = told; Wake::Stop }
+                told = self.leave.recv_async(), if !leave_told => {
+                    leave_told = true;
+                    if told.is_err() { Wake::Stop } else { Wake::Fleet(FleetEvent::Leave) }
+                }
+                tick = self.ticks.recv_async() => {
+                    if tick.is_err() { Wake::Stop } else { Wake::Fleet(FleetEvent::Tick) }
+                }
+                reply = replies.recv_async() => match reply {
+                    Ok((call, reply)) => Wake::Fleet(FleetEvent::Platform(call, reply)),
+                    Err(_) => Wake::Stop,
+                },
+                Some(event) = link_events.recv() => Wake::Link(event),
+                Ok((stream, _)) = listener.accept() => Wake::Accepted(stream),
+                Ok(ask) = self.asks.recv_async() => Wake::Ask(ask),
+            };
+            if !running.wake(wake).await {
+                break;
+            }
+        }
+        running.handle(FleetEvent::Stop).await;
+        tokio::time::sleep(Self::FAREWELL).await;
+    }
+}
+
+impl Running {
+    /// Returns whether to go on.
+    async fn wake(&mut self, wake: Wake) -> bool {
+        match wake {
+            Wake::Fleet(event) => self.handle(event).await,
+            Wake::Link(event) => self.link_event(event).await,
+            Wake::Accepted(stream) => {
+                let hello = self.fleet.hello();
+                self.links.accept(stream, &hello);
+            }
+            Wake::Ask(ask) => {
+                let _ = ask.try_send(self.fleet.summary());
+            }
+            Wake::Stop => return false,
+        }
+        true
+    }
+
+    async fn link_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Up { number, hello, sender, address } => {
+                let endpoint = hello.member.endpoint.clone();
+                self.links.opened(number, &endpoint, address, sender);
+                let message = ControlMessage::Hello(hello);
+                self.handle(FleetEvent::Received(endpoint, message)).await;
+            }
+            LinkEvent::Received(endpoint, message) => {
+                self.handle(FleetEvent::Received(endpoint, message)).await;
+            }
+            LinkEvent::Down { number, endpoint, address } => {
+                if let Some(endpoint) = self.links.closed(number, endpoint, address) {
+                    self.handle(FleetEvent::LinkLost(endpoint)).await;
+                }
+            }
+        }
+    }
+
+    async fn handle(&mut self, event: FleetEvent) {
+        let actions = self.fleet.handle(event, self.clock.now());
+        for action in actions {
+            self.carry_out(action).await;
+        }
+    }
+
+    async fn carry_out(&mut self, action: FleetAction) {
+        match action {
+            FleetAction::Send(to, address, message) => {
+                let hello = self.fleet.hello();
+                self.links.send(&to, address, message, &hello);
+            }
+            FleetAction::Contact(address) => {
+                let hello = self.fleet.hello();
+                self.links.dial(None, address, &hello);
+            }
+            FleetAction::Platform(call) => {
+                if let Some((call, reply)) = self.platform.call(call) {
+                    let event = FleetEvent::Platform(call, reply);
+                    Box::pin(self.handle(event)).await;
+                }
+            }
+            FleetAction::View(member) => self.command(DataCommand::Member(member)).await,
+            FleetAction::Policy(policy) => self.command(DataCommand::Policy(policy)).await,
+            FleetAction::Notice(notice) => {
+                log_notice(&notice);
+                if notice == FleetNotice::Superseded {
+                    self.command(DataCommand::Drain).await;
+                }
+            }
+        }
+    }
+
+    async fn command(&self, command: DataCommand) {
+        let _ = self.commands.send_async(command).await;
+    }
+}
+
+fn log_notice(notice: &FleetNotice) {
+    match notice {
+        FleetNotice::PlatformLost => warn!("{}", NodeEvent::PlatformUnavailable),
+        FleetNotice::PlatformFound => info!("{}", NodeEvent::PlatformAvailable),
+        FleetNotice::ConfigInForce(_) => info!("{} {notice}", NodeEvent::ConfigInForce),
+        FleetNotice::ConfigRefused(..) => warn!("{} {notice}", NodeEvent::ConfigRefused),
+        FleetNotice::ConfigConflict(_) => error!("{} {notice}", NodeEvent::ConfigConflict),
+        FleetNotice::SafeDefaults => warn!("{}", NodeEvent::SafeDefaults),
+        FleetNotice::Superseded => error!("{}", NodeEvent::Superseded),
+        FleetNotice::Suspected(_) => info!("{} {notice}", NodeEvent::MemberSuspected),
+        FleetNotice::GivenUp(_) => info!("{} {notice}", NodeEvent::MemberGivenUp),
+        FleetNotice::ZoneCut(_) => warn!("{} {notice}", NodeEvent::ZoneCut),
+        FleetNotice::ZoneJoined(_) => info!("{} {notice}", NodeEvent::ZoneJoined),
+    }
+}
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -19,17 +19,31 @@
     ConfigInForce,
     /// A configuration was refused.
     ConfigRefused,
+    /// Two configurations have the same revision; the first stays.
+    ConfigConflict,
+    /// No configuration was found yet; safe defaults are in force.
+    SafeDefaults,
     /// A duty ended unexpectedly.
     DutyEnded,
     /// A ring between threads had no room.
     RingFull,
     /// Calls were still in progress at the end of the time for shutdown.
     ShutdownTimeout,
+    /// A member is not heard of.
+    MemberSuspected,
+    /// A member was given up.
+    MemberGivenUp,
+    /// A zone cannot be reached.
+    ZoneCut,
+    /// A zone can be reached again.
+    ZoneJoined,
+    /// Another process of the own endpoint is newer.
+    Superseded,
 }
 
 impl NodeEvent {
     /// Every event, in order of code.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 18] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -41,6 +55,13 @@
         Self::DutyEnded,
         Self::RingFull,
         Self::ShutdownTimeout,
+        Self::ConfigConflict,
+        Self::SafeDefaults,
+        Self::MemberSuspected,
+        Self::MemberGivenUp,
+        Self::ZoneCut,
+        Self::ZoneJoined,
+        Self::Superseded,
     ];
 
     /// Number of the event; never given to another event.
@@ -58,6 +79,13 @@
             Self::DutyEnded => 5001,
             Self::RingFull => 5002,
             Self::ShutdownTimeout => 1004,
+            Self::ConfigConflict => 4003,
+            Self::SafeDefaults => 4004,
+            Self::MemberSuspected => 6001,
+            Self::MemberGivenUp => 6002,
+            Self::ZoneCut => 6003,
+            Self::ZoneJoined => 6004,
+            Self::Superseded => 6005,
         }
     }
 
@@ -76,6 +104,13 @@
             Self::DutyEnded => "duty-ended",
             Self::RingFull => "ring-full",
             Self::ShutdownTimeout => "shutdown-timeout",
+            Self::ConfigConflict => "config-conflict",
+            Self::SafeDefaults => "safe-defaults",
+            Self::MemberSuspected => "member-suspected",
+            Self::MemberGivenUp => "member-given-up",
+            Self::ZoneCut => "zone-cut",
+            Self::ZoneJoined => "zone-joined",
+            Self::Superseded => "superseded",
         }
     }
 }
--- a/cuminarch-node/src/node.rs
+++ b/cuminarch-node/src/node.rs
@@ -1,19 +1,20 @@
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cuminarch_config::Policy;
 use cuminarch_engine::{Engine, EngineSettings};
+use cuminarch_membership::{Fleet, FleetSettings, PlatformReply};
 use cuminarch_platform::HttpObjectStore;
 use cuminarch_protocol::{Member, MemberState};
-use cuminarch_types::Incarnation;
+use cuminarch_types::{EndpointId, Incarnation};
 use flume::{Receiver, Sender};
 use log::info;
 
 use crate::admin::{AdminHandle, AdminThread};
 use crate::clock::Clock;
-use crate::control::ControlThread;
+use crate::control::{ClaimThread, ControlThread, PlatformThreads, read_members};
 use crate::data::{DataCommand, DataListeners, DataThread, bind};
 use crate::duty::{Duties, DutyFault};
 use crate::event::NodeEvent;
@@ -28,6 +29,31 @@
     egress: SocketAddr,
 }
 
+/// Sockets that a node listens on.
+struct Listeners {
+    callers: TcpListener,
+    egress: TcpListener,
+    links: TcpListener,
+    control: TcpListener,
+    admin: TcpListener,
+}
+
+impl Listeners {
+    fn bind(settings: &NodeSettings) -> Result<Self, NodeError> {
+        Ok(Self {
+            callers: bind(settings.caller_address, "callers")?,
+            egress: bind(settings.egress_address, "egress")?,
+            links: bind(settings.data_address, "data links")?,
+            control: bind(settings.control_address, "control links")?,
+            admin: bind(settings.admin_address, "operators")?,
+        })
+    }
+}
+
+fn local(listener: &TcpListener) -> Result<SocketAddr, NodeError> {
+    listener.local_addr().map_err(|source| NodeError::Thread { duty: "data", source })
+}
+
 /// A running node.
 pub struct Node {
     addresses: Addresses,
@@ -45,7 +71,9 @@
 impl Node {
     const COMMAND_RING: usize = 1_024;
     const CLAIM_RING: usize = 256;
-    const REFRESH_PERIOD: Duration = Duration::from_millis(500);
+    const ASK_RING: usize = 4;
+    /// Time that the platform has to tell of earlier processes of the endpoint.
+    const START_TIMEOUT: Duration = Duration::from_secs(1);
 
     /// Starts a node; port 0 in an address takes a free port.
     ///
@@ -53,22 +81,20 @@
     ///
     /// Fails when an address or a thread cannot be had.
     pub fn start(settings: NodeSettings) -> Result<Self, NodeError> {
-        let callers = bind(settings.caller_address, "callers")?;
-        let egress = bind(settings.egress_address, "egress")?;
-        let links = bind(settings.data_address, "data links")?;
-        let admin = bind(settings.admin_address, "operators")?;
-        let local = |listener: &std::net::TcpListener| {
-            listener.local_addr().map_err(|source| NodeError::Thread { duty: "data", source })
-        };
+        let Listeners { callers, egress, links, control, admin: admin_listener } =
+            Listeners::bind(&settings)?;
         let addresses = Addresses { caller: local(&callers)?, egress: local(&egress)? };
-        let incarnation = new_incarnation();
-        let member = member_of(&settings, incarnation, local(&links)?);
-        let engine =
-            Engine::new(engine_settings(&settings, incarnation), Arc::new(Policy::safe_default()));
+        let store = HttpObjectStore::new(settings.platform_address)
+            .with_caller(settings.endpoint.to_string());
+        let first_reply = read_members(&store.clone().with_timeout(Self::START_TIMEOUT)).ok();
+        let incarnation = new_incarnation(&settings.endpoint, first_reply.as_ref());
+        let member = member_of(&settings, incarnation, local(&links)?, local(&control)?);
+        let engine = engine_of(&settings, incarnation);
         let (commands, command_ring) = flume::bounded(Self::COMMAND_RING);
         let (claims, claim_ring) = flume::bounded(Self::CLAIM_RING);
         let (leave, leaving) = flume::bounded(1);
         let (stop, stopped) = flume::bounded(1);
+        let (asks, ask_ring) = flume::bounded(Self::ASK_RING);
         let (duties, faults) = Duties::new();
         let metrics = Metrics::new();
         let (timer, timer_work) = TimerService::prepare();
@@ -81,24 +107,28 @@
             commands: command_ring,
             claims,
             metrics: metrics.clone(),
-        };
+        }
+        .spawn(&duties)?;
         let control = ControlThread {
             member,
-            store: HttpObjectStore::new(settings.platform_address),
-            ticks: timer.subscribe(Self::REFRESH_PERIOD),
-            claims: claim_ring,
+            settings: fleet_settings(&settings, incarnation),
+            listener: control,
+            platform: PlatformThreads::spawn(&store, &duties)?,
+            first_reply,
+            ticks: timer.subscribe(Fleet::TICK),
             commands: commands.clone(),
             leave: leaving,
             stop: stopped,
-        };
-        let data = data.spawn(&duties)?;
-        let control = control.spawn(&duties)?;
-        let endpoint = settings.endpoint.clone();
+            asks: ask_ring,
+        }
+        .spawn(&duties)?;
+        ClaimThread { store, claims: claim_ring, commands: commands.clone() }.spawn(&duties)?;
+        info!("{} endpoint={} callers={}", NodeEvent::Started, settings.endpoint, addresses.caller);
         let shutdown_timeout = Duration::from_millis(settings.shutdown_timeout_ms);
         let (asked, watched) = (commands.clone(), duties.clone());
         let admin =
-            AdminThread { settings, commands: asked, duties: watched, metrics }.spawn(admin)?;
-        info!("{} endpoint={endpoint} callers={}", NodeEvent::Started, addresses.caller);
+            AdminThread { settings, commands: asked, duties: watched, metrics, fleet: asks };
+        let admin = admin.spawn(admin_listener)?;
         Ok(Self {
             addresses,
             admin,
@@ -153,13 +183,24 @@
     }
 }
 
-/// Milliseconds since the epoch: later processes of an endpoint get a higher one.
-fn new_incarnation() -> Incarnation {
+/// Milliseconds since the epoch, or one more than the incarnation that the
+/// platform has of the endpoint if the clock went back since.
+fn new_incarnation(endpoint: &EndpointId, members: Option<&PlatformReply>) -> Incarnation {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Incarnation::new(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
+    let clock = Incarnation::new(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX));
+    let Some(PlatformReply::Members { zones, .. }) = members else { return clock };
+    let members = zones.iter().flat_map(|object| &object.value.members);
+    let earlier = members.filter(|member| member.endpoint == *endpoint);
+    let highest = earlier.map(|member| member.incarnation.next()).max();
+    highest.map_or(clock, |highest| highest.max(clock))
 }
 
-fn member_of(settings: &NodeSettings, incarnation: Incarnation, data: SocketAddr) -> Member {
+fn member_of(
+    settings: &NodeSettings,
+    incarnation: Incarnation,
+    data_address: SocketAddr,
+    control_address: SocketAddr,
+) -> Member {
     Member {
         endpoint: settings.endpoint.clone(),
         service: settings.service.clone(),
@@ -167,19 +208,26 @@
         region: settings.region.clone(),
         incarnation,
         statement: 0,
-        data_address: data,
-        control_address: settings.control_address,
+        data_address,
+        control_address,
         state: MemberState::Active,
     }
 }
 
-fn engine_settings(settings: &NodeSettings, incarnation: Incarnation) -> EngineSettings {
-    EngineSettings::new(
+fn fleet_settings(settings: &NodeSettings, incarnation: Incarnation) -> FleetSettings {
+    FleetSettings::new(settings.fleet.clone())
+        .with_seed(incarnation.get())
+        .with_seeds(settings.seeds.clone())
+}
+
+fn engine_of(settings: &NodeSettings, incarnation: Incarnation) -> Engine {
+    let settings = EngineSettings::new(
         settings.endpoint.clone(),
         settings.service.clone(),
         settings.zone.clone(),
         settings.region.clone(),
     )
     .with_incarnation(incarnation)
-    .with_seed(incarnation.get())
+    .with_seed(incarnation.get());
+    Engine::new(settings, Arc::new(Policy::safe_default()))
 }
--- a/cuminarch-node/src/settings.rs
+++ b/cuminarch-node/src/settings.rs
@@ -34,6 +34,10 @@
     pub upstream_address: SocketAddr,
     /// Where the platform's object API listens.
     pub platform_address: SocketAddr,
+    /// Control addresses of other nodes to try while no member is known, for
+    /// starts while the platform is down.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Longest time to wait for calls in flight at shutdown, in milliseconds.
     #[serde(default = "default_shutdown_timeout_ms")]
     pub shutdown_timeout_ms: u64,
