--- a/cuminarch-membership/src/platform.rs
+++ b/cuminarch-membership/src/platform.rs
@@ -20,8 +20,7 @@
 /// Longest wait before the first call, so that a mass restart is spread out.
 const START_JITTER: Duration = Duration::from_millis(500);
 /// Wait before the members are read again when the zone had none: shortest and longest.
-const RELIST_AFTER: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_millis(1_000));
+const RELIST_AFTER: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
 /// Time that a new member has to hear from those of its zone before it may
 /// speak to the platform for the zone.
 const CONTACT_TIME: Duration = Duration::from_secs(2);
--- a/cuminarch-node/tests/edges.rs
+++ b/cuminarch-node/tests/edges.rs
@@ -5,8 +5,8 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
+use cuminarch_membership::ZoneMembers;
 use cuminarch_platform::ObjectStore;
-use cuminarch_protocol::Member;
 use cuminarch_testing::{AfterAnswer, RawUpstream};
 use harness::{Caller, Chain, LIVENESS, call, wait_for};
 use rstest::rstest;
@@ -21,11 +21,14 @@
 
 /// Where the last node of a chain takes data links.
 fn data_address(chain: &Chain) -> SocketAddr {
-    let path = "members/back-1".parse().unwrap();
-    let find = || chain.platform.store().get(&path).unwrap();
+    let path = "members/zrh-a".parse().unwrap();
+    let find = || {
+        let object = chain.platform.store().get(&path).unwrap()?;
+        let zone: ZoneMembers = serde_json::from_str(&object.value).unwrap();
+        zone.members.into_iter().find(|member| member.endpoint.as_str() == "back-1")
+    };
     wait_for(|| find().is_some());
-    let member: Member = serde_json::from_str(&find().unwrap().value).unwrap();
-    member.data_address
+    find().unwrap().data_address
 }
 
 fn open_link(address: SocketAddr, query: &str) -> (TcpStream, String) {
--- a/cuminarch/examples/quickstart.rs
+++ b/cuminarch/examples/quickstart.rs
@@ -25,6 +25,7 @@
 const STEADY: Duration = Duration::from_secs(3);
 const SLOW: Duration = Duration::from_secs(3);
 const AFTER: Duration = Duration::from_secs(4);
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
 const NORMAL_SERVICE_TIME: Duration = Duration::from_millis(5);
 const SLOW_SERVICE_TIME: Duration = Duration::from_millis(400);
 
@@ -106,6 +107,25 @@
     Ok(sites)
 }
 
+/// Waits until all nodes know each other and have the configuration in force.
+async fn wait_until_ready(sites: &[Site]) -> Result<Duration> {
+    let began_at = Instant::now();
+    let members = format!("\"members\": {}", sites.len());
+    for site in sites {
+        let admin = HttpCaller::new(site.node.admin_address());
+        loop {
+            ensure!(began_at.elapsed() < READY_TIMEOUT, "the nodes do not find each other");
+            let dump = admin.call("GET", "/dump", &[], Bytes::new()).await?;
+            let text = String::from_utf8_lossy(&dump.body);
+            if text.contains(&members) && text.contains("\"revision\": 1") {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    Ok(began_at.elapsed())
+}
+
 async fn request(front: SocketAddr, number: u64, done: mpsc::UnboundedSender<Finished>) {
     let is_approval = number.is_multiple_of(10);
     let (method, target) = if is_approval {
@@ -205,9 +225,10 @@
     store.put(&"config/current".parse()?, &serde_json::to_string(&document)?, Expect::Absent)?;
     let sites = start_sites(platform.address())?;
     println!("started {} nodes; waiting until they know each other", sites.len());
-    std::thread::sleep(Duration::from_millis(1_500));
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    let ready_after = runtime.block_on(wait_until_ready(&sites))?;
+    println!("ready after {} ms", ready_after.as_millis());
     let start = Instant::now();
     let stop_at = start + STEADY + SLOW + AFTER;
     let finished = runtime.block_on(drive(&sites, stop_at, Arc::default()));
