--- a/cuminarch-membership/src/platform.rs
+++ b/cuminarch-membership/src/platform.rs
@@ -277,6 +277,10 @@
         if std::mem::take(&mut self.platform.is_lost) {
             self.notice(FleetNotice::PlatformFound);
         }
+        if went_back(call, &reply) {
+            self.start_anew();
+            return;
+        }
         match reply {
             PlatformReply::Members { version, zones } => {
                 let is_first = self.platform.members_version.replace(version).is_none();
@@ -309,6 +313,15 @@
         self.drive_platform(now);
     }
 
+    /// Reads and reports everything again after the platform went back to an
+    /// earlier state: a watch after the version known so far would miss whatever
+    /// is written until the platform's version has passed it.
+    fn start_anew(&mut self) {
+        self.platform.members_version = None;
+        self.platform.config_version = None;
+        self.platform.status = None;
+    }
+
     /// Decides from when on this node may speak for its zone.
     ///
     /// Members that start at the same time with an empty store would all find
@@ -360,6 +373,17 @@
     }
 }
 
+/// Whether the answer to a watch shows an earlier version than the watch began at.
+fn went_back(call: &PlatformCall, reply: &PlatformReply) -> bool {
+    match (call, reply) {
+        (PlatformCall::WatchMembers(after), PlatformReply::Members { version, .. })
+        | (PlatformCall::WatchConfig(after), PlatformReply::Config { version, .. }) => {
+            version < after
+        }
+        _ => false,
+    }
+}
+
 /// The member without the suspicions of others, which are not worth a write.
 fn as_stated(member: &Arc<Member>) -> Arc<Member> {
     match member.state {
--- a/cuminarch-node/src/data/answer.rs
+++ b/cuminarch-node/src/data/answer.rs
@@ -1,5 +1,6 @@
 //! Answers as they pass through the node.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -10,11 +11,11 @@
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
-use super::body::{BODY_IDLE_TIMEOUT, BrokenBody, next_chunk};
+use super::body::{BrokenBody, next_chunk};
 use super::driver::CallGuard;
-use super::link_client::Link;
+use super::link_pool::Link;
 use super::local::LocalConnection;
-use crate::metrics::Metrics;
+use crate::metrics::{Direction, Metrics};
 
 /// Answer of the own upstream, kept while it passes if it is short.
 pub struct LocalSource {
@@ -22,21 +23,31 @@
     pub connection: LocalConnection,
     pub kept: Option<StoredAnswer>,
     pub node_time: NodeTime,
+    pub idle_timeout: Duration,
 }
 
 /// Measures the time that a call spends in the node itself.
 pub struct NodeTime {
-    pub metrics: Metrics,
-    pub before_upstream: Duration,
+    pub metrics: Arc<Metrics>,
+    pub direction: Direction,
+    pub before_sent: Duration,
     pub head_at: Instant,
 }
 
 impl NodeTime {
     fn record(&self) {
-        self.metrics.node_time(self.before_upstream + self.head_at.elapsed());
+        self.metrics.node_time(self.direction, self.before_sent + self.head_at.elapsed());
     }
 }
 
+/// Answer that comes from another node.
+pub struct RemoteSource {
+    pub attempt: AttemptId,
+    pub link: Link,
+    pub node_time: NodeTime,
+    pub idle_timeout: Duration,
+}
+
 /// Part of an answer whose call goes on without its caller.
 #[derive(Debug)]
 pub enum DetachedItem {
@@ -53,7 +64,7 @@
     /// The own upstream.
     Local(Box<LocalSource>),
     /// Another node.
-    Remote(AttemptId, Box<Link>),
+    Remote(Box<RemoteSource>),
     /// Memory.
     Held(Bytes),
     /// A task that carries the call to its end.
@@ -128,7 +139,7 @@
     async fn pull(&mut self) -> Option<Result<Bytes, BrokenBody>> {
         match self.source.take()? {
             AnswerSource::Local(source) => self.pull_local(source).await,
-            AnswerSource::Remote(attempt, link) => self.pull_remote(attempt, link).await,
+            AnswerSource::Remote(source) => self.pull_remote(source).await,
             AnswerSource::Held(bytes) => (!bytes.is_empty()).then_some(Ok(bytes)),
             AnswerSource::Detached(items) => self.pull_detached(items).await,
         }
@@ -138,7 +149,7 @@
         &mut self,
         mut source: Box<LocalSource>,
     ) -> Option<Result<Bytes, BrokenBody>> {
-        match next_chunk(&mut source.incoming).await {
+        match next_chunk(&mut source.incoming, source.idle_timeout).await {
             Ok(Some(chunk)) => {
                 keep(&mut source.kept, &chunk);
                 self.source = Some(AnswerSource::Local(source));
@@ -159,21 +170,22 @@
 
     async fn pull_remote(
         &mut self,
-        attempt: AttemptId,
-        mut link: Box<Link>,
+        mut source: Box<RemoteSource>,
     ) -> Option<Result<Bytes, BrokenBody>> {
-        match link.receive(BODY_IDLE_TIMEOUT).await {
+        let attempt = source.attempt;
+        match source.link.receive(source.idle_timeout).await {
             Ok(AnswerFrame::Body(bytes)) => {
-                self.source = Some(AnswerSource::Remote(attempt, link));
+                self.source = Some(AnswerSource::Remote(source));
                 Some(Ok(bytes))
             }
             Ok(AnswerFrame::BodyEnd(receipt)) => {
-                link.release();
+                source.link.release();
+                source.node_time.record();
                 self.close_remote(attempt, Some(receipt), Outcome::Completed);
                 None
             }
             Ok(AnswerFrame::Broken(receipt)) => {
-                link.release();
+                source.link.release();
                 self.close_remote(attempt, Some(receipt), Outcome::Unknown);
                 Some(Err(BrokenBody))
             }
--- a/cuminarch-node/src/data/body.rs
+++ b/cuminarch-node/src/data/body.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use cuminarch_once::RequestFingerprint;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use thiserror::Error;
@@ -10,9 +11,6 @@
 
 use super::caller_body::CallerBody;
 
-/// Longest pause within a body.
-pub const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// Longest part of a body in one frame of a data link, in bytes.
 pub const MAX_CHUNK_BYTES: usize = 64 * 1024;
 
@@ -84,16 +82,28 @@
         Self::Passed(Bytes::new(), BodyReader::Caller(body))
     }
 
+    /// Digest of the body, if it is short enough to count in a fingerprint.
+    pub fn digest(&self) -> Option<u64> {
+        match self {
+            Self::Held(bytes) => RequestFingerprint::body_digest(bytes),
+            Self::Passed(..) => None,
+        }
+    }
+
     /// Whether the body can be sent again.
     pub const fn is_held(&self) -> bool {
         matches!(self, Self::Held(_))
     }
 }
 
-/// Reads the next data of an HTTP body; none at its end.
-pub async fn next_chunk(incoming: &mut Incoming) -> Result<Option<Bytes>, BrokenBody> {
+/// Reads the next data of an HTTP body; none at its end. A body that pauses for
+/// longer than `idle_timeout` counts as broken.
+pub async fn next_chunk(
+    incoming: &mut Incoming,
+    idle_timeout: Duration,
+) -> Result<Option<Bytes>, BrokenBody> {
     loop {
-        let frame = tokio::time::timeout(BODY_IDLE_TIMEOUT, incoming.frame()).await;
+        let frame = tokio::time::timeout(idle_timeout, incoming.frame()).await;
         match frame {
             Ok(None) => return Ok(None),
             Ok(Some(Ok(frame))) => {
--- a/cuminarch-node/src/node.rs
+++ b/cuminarch-node/src/node.rs
@@ -1,3 +1,4 @@
+use std::hash::{BuildHasher, RandomState};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -6,6 +7,7 @@
 use cuminarch_config::Policy;
 use cuminarch_engine::{Engine, EngineSettings};
 use cuminarch_membership::{Fleet, FleetSettings, PlatformReply};
+use cuminarch_once::KeyTableSettings;
 use cuminarch_platform::HttpObjectStore;
 use cuminarch_protocol::{Member, MemberState};
 use cuminarch_types::{EndpointId, Incarnation};
@@ -96,7 +98,7 @@
         let (stop, stopped) = flume::bounded(1);
         let (asks, ask_ring) = flume::bounded(Self::ASK_RING);
         let (duties, faults) = Duties::new();
-        let metrics = Metrics::new();
+        let metrics = Arc::new(Metrics::new());
         let (timer, timer_work) = TimerService::prepare();
         duties.spawn("timer", timer_work)?;
         let data = DataThread {
@@ -183,6 +185,11 @@
     }
 }
 
+/// Where the serial numbers of this process's idempotency keys begin.
+fn random_serial() -> u64 {
+    RandomState::new().hash_one(0_u8) >> 1
+}
+
 /// Milliseconds since the epoch, or one more than the incarnation that the
 /// platform has of the endpoint if the clock went back since.
 fn new_incarnation(endpoint: &EndpointId, members: Option<&PlatformReply>) -> Incarnation {
@@ -228,6 +235,7 @@
         settings.region.clone(),
     )
     .with_incarnation(incarnation)
-    .with_seed(incarnation.get());
+    .with_seed(incarnation.get())
+    .with_keys(KeyTableSettings::new().with_first_serial(random_serial()));
     Engine::new(settings, Arc::new(Policy::safe_default()))
 }
