--- a/cuminarch-types/src/count.rs
+++ b/cuminarch-types/src/count.rs
@@ -6,33 +6,16 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ParseError;
+use crate::number::number_type;
 
 macro_rules! count_type {
     ($(#[$doc:meta])* $name:ident, $repr:ty) => {
-        $(#[$doc])*
-        #[derive(
-            Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd,
-            Serialize,
-        )]
-        #[serde(transparent)]
-        pub struct $name($repr);
+        number_type!($(#[$doc])* $name, $repr);
 
         impl $name {
             /// None at all.
             pub const ZERO: Self = Self(0);
 
-            /// Wraps a count.
-            #[must_use]
-            pub const fn new(value: $repr) -> Self {
-                Self(value)
-            }
-
-            /// The count itself.
-            #[must_use]
-            pub const fn get(self) -> $repr {
-                self.0
-            }
-
             /// Sum, saturating at the largest count.
             #[must_use]
             pub const fn saturating_add(self, other: Self) -> Self {
@@ -45,22 +28,6 @@
                 Self(self.0.saturating_sub(other.0))
             }
         }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-                self.0.fmt(formatter)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = ParseError;
-
-            fn from_str(text: &str) -> Result<Self, ParseError> {
-                text.parse()
-                    .map(Self)
-                    .map_err(|_| ParseError::new(stringify!($name), text, "it is not a count"))
-            }
-        }
     };
 }
 
--- a/cuminarch-types/src/id.rs
+++ b/cuminarch-types/src/id.rs
@@ -6,76 +6,43 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ParseError;
+use crate::number::number_type;
 
-macro_rules! number_type {
+macro_rules! id_type {
     ($(#[$doc:meta])* $name:ident, $repr:ty) => {
-        $(#[$doc])*
-        #[derive(
-            Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd,
-            Serialize,
-        )]
-        #[serde(transparent)]
-        pub struct $name($repr);
+        number_type!($(#[$doc])* $name, $repr);
 
         impl $name {
-            /// Wraps a number.
-            #[must_use]
-            pub const fn new(value: $repr) -> Self {
-                Self(value)
-            }
-
-            /// The number itself.
-            #[must_use]
-            pub const fn get(self) -> $repr {
-                self.0
-            }
-
             /// The number that follows this one, saturating.
             #[must_use]
             pub const fn next(self) -> Self {
                 Self(self.0.saturating_add(1))
             }
         }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-                self.0.fmt(formatter)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = ParseError;
-
-            fn from_str(text: &str) -> Result<Self, ParseError> {
-                text.parse()
-                    .map(Self)
-                    .map_err(|_| ParseError::new(stringify!($name), text, "it is not a number"))
-            }
-        }
     };
 }
 
-number_type!(
+id_type!(
     /// Identifies one attempt of a call, unique within a node incarnation.
     AttemptId,
     u64
 );
-number_type!(
+id_type!(
     /// Identifies one call that a node handles, unique within a node incarnation.
     CallId,
     u64
 );
-number_type!(
+id_type!(
     /// Distinguishes successive processes of the same endpoint; later ones are higher.
     Incarnation,
     u64
 );
-number_type!(
+id_type!(
     /// Place of a rule in the sheet, from 1; 0 stands for the default class.
     RuleNumber,
     u32
 );
-number_type!(
+id_type!(
     /// Revision of the configuration; a higher one replaces a lower one, never the reverse.
     Revision,
     u64
--- a/cuminarch-types/src/lib.rs
+++ b/cuminarch-types/src/lib.rs
@@ -21,6 +21,7 @@
 mod id;
 mod mono_time;
 mod name;
+mod number;
 mod outcome;
 mod rank;
 
--- a/xtask/src/style.rs
+++ b/xtask/src/style.rs
@@ -70,7 +70,7 @@
         let list = &text[start + OPENING.len()..];
         let Some(end) = list.find(")]") else { continue };
         let names: Vec<&str> =
-            list[..end].split(',').map(str::trim).filter(|name| !name.is_empty()).collect();
+            list[..end].split(',').map(trait_name).filter(|name| !name.is_empty()).collect();
         if !names.is_sorted() {
             let line = text[..start].lines().count() + 1;
             let what = format!("derives are not in alphabetical order: {}", names.join(", "));
@@ -78,3 +78,9 @@
         }
     }
 }
+
+/// The trait without the path in front of it.
+fn trait_name(item: &str) -> &str {
+    let item = item.trim();
+    item.rsplit("::").next().unwrap_or(item)
+}
