feat(node): claims in shard objects, apart for each service

Cause: the node still bound each client key by an object of its own, which nothing ever deletes; and services shared the keys that their clients choose, so that a key used at two services was refused at the second as a conflict. Change: the claims thread runs cuminarch-claims; shards are kept by service. Test: services_do_not_share_keys, red before.

--- a/cuminarch-claims/src/lib.rs
+++ b/cuminarch-claims/src/lib.rs
@@ -12,7 +12,8 @@
 //! let store = MemoryStore::new();
 //! let mine = "ck1:kasse-1:7:0:1".parse()?;
 //! let claim = Claim::new(ClaimSettings::new(), "order-7".parse()?, mine, 1_790_000_000);
-//! assert_eq!(run_claim(&store, claim), ClaimOutcome::Granted);
+//! let service = "kasse".parse()?;
+//! assert_eq!(run_claim(&store, &service, claim), ClaimOutcome::Granted);
 //! # Ok::<(), cuminarch_types::ParseError>(())
 //! ```
 
--- a/cuminarch-claims/src/run.rs
+++ b/cuminarch-claims/src/run.rs
@@ -2,21 +2,23 @@
     Claim, ClaimOutcome, ClaimReply, ClaimShard, ClaimShardId, ClaimStep, ShardState,
 };
 use cuminarch_platform::{Expect, Object, ObjectPath, ObjectStore, ObjectVersion, PlatformError};
+use cuminarch_types::ServiceName;
 
-/// Where a shard of claims is kept.
+/// Where a shard of the claims of a service is kept. Services choose their
+/// clients' keys apart from each other, so each has shards of its own.
 ///
 /// # Errors
 ///
 /// Fails if the platform allows no such path.
-pub fn claim_path(shard: ClaimShardId) -> Result<ObjectPath, PlatformError> {
-    ObjectPath::new(format!("claims/{shard}"))
+pub fn claim_path(service: &ServiceName, shard: ClaimShardId) -> Result<ObjectPath, PlatformError> {
+    ObjectPath::new(format!("claims/{service}/{shard}"))
         .map_err(|error| PlatformError::Protocol { reason: error.to_string() })
 }
 
 /// Runs a claim to its end: a read and a write if nothing goes wrong, a read
 /// if the key is already bound.
-pub fn run_claim(store: &dyn ObjectStore, mut claim: Claim) -> ClaimOutcome {
-    let Ok(path) = claim_path(claim.shard()) else { return ClaimOutcome::Unavailable };
+pub fn run_claim(store: &dyn ObjectStore, service: &ServiceName, mut claim: Claim) -> ClaimOutcome {
+    let Ok(path) = claim_path(service, claim.shard()) else { return ClaimOutcome::Unavailable };
     let mut step = claim.start();
     loop {
         let reply = match step {
--- a/cuminarch-claims/tests/claims.rs
+++ b/cuminarch-claims/tests/claims.rs
@@ -11,7 +11,7 @@
 };
 use cuminarch_platform::{Expect, HttpObjectStore, ObjectStore};
 use cuminarch_testing::{MemoryStore, PlatformFault};
-use cuminarch_types::{ClientKey, Incarnation};
+use cuminarch_types::{ClientKey, Incarnation, ServiceName};
 use rstest::rstest;
 
 const DAY_S: u64 = 24 * 3_600;
@@ -20,12 +20,16 @@
     format!("ck1:kasse-{endpoint}:7:0:1").parse().unwrap()
 }
 
+fn service() -> ServiceName {
+    "kasse".parse().unwrap()
+}
+
 fn claim_at(key: &str, endpoint: usize, now_s: u64) -> Claim {
     Claim::new(ClaimSettings::new(), key.parse().unwrap(), bound(endpoint), now_s)
 }
 
 fn shard_of(store: &MemoryStore, key: &str) -> ClaimShard {
-    let path = claim_path(ClaimShardId::of_key(&key.parse().unwrap())).unwrap();
+    let path = claim_path(&service(), ClaimShardId::of_key(&key.parse().unwrap())).unwrap();
     let object = store.get(&path).unwrap().unwrap();
     serde_json::from_str(&object.value).unwrap()
 }
@@ -41,16 +45,16 @@
 ) {
     let store = MemoryStore::new();
     store.set_fault(fault);
-    assert_eq!(run_claim(&store, claim_at("order-7", 1, 0)), expected);
+    assert_eq!(run_claim(&store, &service(), claim_at("order-7", 1, 0)), expected);
     assert_eq!(store.calls(), calls);
 }
 
 #[test]
 fn claim_of_a_bound_key_costs_one_read() {
     let store = MemoryStore::new();
-    run_claim(&store, claim_at("order-7", 1, 0));
+    run_claim(&store, &service(), claim_at("order-7", 1, 0));
     let before = store.calls();
-    let second = run_claim(&store, claim_at("order-7", 2, 5 * DAY_S));
+    let second = run_claim(&store, &service(), claim_at("order-7", 2, 5 * DAY_S));
     assert_eq!(second, ClaimOutcome::HeldBy(bound(1)));
     assert_eq!(store.calls() - before, 1);
 }
@@ -58,9 +62,9 @@
 #[test]
 fn shard_of_another_shape_is_never_overwritten() {
     let store = MemoryStore::new();
-    let path = claim_path(ClaimShardId::of_key(&"order-7".parse().unwrap())).unwrap();
+    let path = claim_path(&service(), ClaimShardId::of_key(&"order-7".parse().unwrap())).unwrap();
     store.put(&path, "{\"later\": 1}", Expect::Absent).unwrap();
-    assert_eq!(run_claim(&store, claim_at("order-7", 1, 0)), ClaimOutcome::Unavailable);
+    assert_eq!(run_claim(&store, &service(), claim_at("order-7", 1, 0)), ClaimOutcome::Unavailable);
     assert_eq!(store.get(&path).unwrap().unwrap().value, "{\"later\": 1}");
 }
 
@@ -74,7 +78,7 @@
                 let (store, barrier) = (store.clone(), &barrier);
                 scope.spawn(move || {
                     barrier.wait();
-                    run_claim(&store, claim_at("order-7", endpoint, 0))
+                    run_claim(&store, &service(), claim_at("order-7", endpoint, 0))
                 })
             })
             .collect();
@@ -100,12 +104,12 @@
     let store = MemoryStore::new();
     let keys = keys_of_one_shard(12);
     for key in &keys[..10] {
-        assert_eq!(run_claim(&store, claim_at(key, 1, 0)), ClaimOutcome::Granted);
+        assert_eq!(run_claim(&store, &service(), claim_at(key, 1, 0)), ClaimOutcome::Granted);
     }
-    run_claim(&store, claim_at(&keys[10], 1, DAY_S - 1));
+    run_claim(&store, &service(), claim_at(&keys[10], 1, DAY_S - 1));
     assert_eq!(shard_of(&store, &keys[0]).entries.len(), 11, "none is dropped too early");
     let before = store.calls();
-    run_claim(&store, claim_at(&keys[11], 1, DAY_S));
+    run_claim(&store, &service(), claim_at(&keys[11], 1, DAY_S));
     let shard = shard_of(&store, &keys[0]);
     assert_eq!(store.calls() - before, 3, "a read and a write, and the read of this test");
     assert_eq!(shard.entries.len(), ClaimSettings::new().keep_entries);
@@ -118,7 +122,7 @@
     let settings = ClaimSettings { keep_entries: 2, max_entries: 2, ..ClaimSettings::new() };
     let keys = keys_of_one_shard(3);
     let run = |key: &str, now_s| {
-        run_claim(&store, Claim::new(settings, key.parse().unwrap(), bound(1), now_s))
+        run_claim(&store, &service(), Claim::new(settings, key.parse().unwrap(), bound(1), now_s))
     };
     assert_eq!(run(&keys[0], 0), ClaimOutcome::Granted);
     assert_eq!(run(&keys[1], 0), ClaimOutcome::Granted);
@@ -156,8 +160,16 @@
     let key = "0190b2d4-7d0e-7c3a-9d3f-5a1c0f6e2b11";
     let bound = "ck1:kasse-zrh-a-17:1790000000000:86400000:4711".parse().unwrap();
     let claim = Claim::new(ClaimSettings::new(), key.parse().unwrap(), bound, 1_790_000_000);
-    run_claim(&store, claim);
+    run_claim(&store, &service(), claim);
     let value = serde_json::to_string(&shard_of(&store, key)).unwrap();
     println!("{} bytes: {value}", value.len());
     assert!(value.len() <= 150 + "{\"entries\":[]}".len(), "{}", value.len());
 }
+
+#[test]
+fn services_do_not_share_keys() {
+    let store = MemoryStore::new();
+    let other = "benk".parse().unwrap();
+    assert_eq!(run_claim(&store, &service(), claim_at("order-7", 1, 0)), ClaimOutcome::Granted);
+    assert_eq!(run_claim(&store, &other, claim_at("order-7", 2, 0)), ClaimOutcome::Granted);
+}
--- a/cuminarch-node/src/control/claims.rs
+++ b/cuminarch-node/src/control/claims.rs
@@ -1,9 +1,13 @@
 //! Binds clients' keys on the platform.
 
 use std::thread::JoinHandle;
+use std::time::{SystemTime, UNIX_EPOCH};
 
+use cuminarch_claims::run_claim;
 use cuminarch_engine::ClaimResult;
-use cuminarch_platform::{Expect, HttpObjectStore, ObjectPath, ObjectStore, PlatformError};
+use cuminarch_once::{Claim, ClaimOutcome, ClaimSettings};
+use cuminarch_platform::HttpObjectStore;
+use cuminarch_types::ServiceName;
 use flume::{Receiver, Sender};
 
 use crate::NodeError;
@@ -12,37 +16,45 @@
 
 /// Everything the claims thread starts with.
 pub struct ClaimThread {
-    pub store: HttpObjectStore,
-    pub claims: Receiver<ClaimRequest>,
-    pub commands: Sender<DataCommand>,
+    store: HttpObjectStore,
+    service: ServiceName,
+    claims: Receiver<ClaimRequest>,
+    commands: Sender<DataCommand>,
 }
 
 impl ClaimThread {
+    /// Claims for a node of `service`.
+    pub const fn new(
+        store: HttpObjectStore,
+        service: ServiceName,
+        claims: Receiver<ClaimRequest>,
+        commands: Sender<DataCommand>,
+    ) -> Self {
+        Self { store, service, claims, commands }
+    }
+
     /// Starts the thread; it ends when the data thread has ended.
     pub fn spawn(self, duties: &Duties) -> Result<JoinHandle<()>, NodeError> {
         duties.spawn("claims", move || {
             while let Ok(claim) = self.claims.recv() {
-                let result = self.try_claim(&claim).unwrap_or(ClaimResult::Unavailable);
-                let _ = self.commands.send(DataCommand::Claimed(claim.call, result));
+                let call = claim.call;
+                let result = self.run(claim);
+                let _ = self.commands.send(DataCommand::Claimed(call, result));
             }
         })
     }
 
-    fn try_claim(&self, claim: &ClaimRequest) -> Result<ClaimResult, PlatformError> {
-        let protocol = |reason: cuminarch_types::ParseError| PlatformError::Protocol {
-            reason: reason.to_string(),
-        };
-        let path: ObjectPath = format!("claims/{}", claim.key).parse().map_err(protocol)?;
-        let text = claim.bound.to_string();
-        match self.store.put(&path, &text, Expect::Absent) {
-            Ok(_) => Ok(ClaimResult::Granted),
-            Err(PlatformError::Conflict { current: Some(object), .. }) => {
-                if object.value == text {
-                    return Ok(ClaimResult::Granted);
-                }
-                object.value.parse().map(ClaimResult::HeldBy).map_err(protocol)
-            }
-            Err(error) => Err(error),
+    fn run(&self, claim: ClaimRequest) -> ClaimResult {
+        let claim = Claim::new(ClaimSettings::new(), claim.key, claim.bound, wall_clock_s());
+        match run_claim(&self.store, &self.service, claim) {
+            ClaimOutcome::Granted => ClaimResult::Granted,
+            ClaimOutcome::HeldBy(key) => ClaimResult::HeldBy(key),
+            ClaimOutcome::Unavailable => ClaimResult::Unavailable,
         }
     }
 }
+
+/// Seconds since the epoch, by which old claims are dropped.
+fn wall_clock_s() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
+}
--- a/cuminarch-node/src/node.rs
+++ b/cuminarch-node/src/node.rs
@@ -124,13 +124,14 @@
             asks: ask_ring,
         }
         .spawn(&duties)?;
-        ClaimThread { store, claims: claim_ring, commands: commands.clone() }.spawn(&duties)?;
+        let service = settings.service.clone();
+        ClaimThread::new(store, service, claim_ring, commands.clone()).spawn(&duties)?;
         info!("{} endpoint={} callers={}", NodeEvent::Started, settings.endpoint, addresses.caller);
         let shutdown_timeout = Duration::from_millis(settings.shutdown_timeout_ms);
         let (asked, watched) = (commands.clone(), duties.clone());
         let admin =
-            AdminThread { settings, commands: asked, duties: watched, metrics, fleet: asks };
-        let admin = admin.spawn(admin_listener)?;
+            AdminThread { settings, commands: asked, duties: watched, metrics, fleet: asks }
+                .spawn(admin_listener)?;
         Ok(Self {
             addresses,
             admin,
