--- a/cuminarch-node/src/node.rs
+++ b/cuminarch-node/src/node.rs
@@ -99,8 +99,7 @@
         let (asks, ask_ring) = flume::bounded(Self::ASK_RING);
         let (duties, faults) = Duties::new();
         let metrics = Arc::new(Metrics::new());
-        let (timer, timer_work) = TimerService::prepare();
-        duties.spawn("timer", timer_work)?;
+        let timer = start_timer(&duties)?;
         let data = DataThread {
             engine,
             clock: Clock::new(),
@@ -124,8 +123,8 @@
             asks: ask_ring,
         }
         .spawn(&duties)?;
-        let service = settings.service.clone();
-        ClaimThread::new(store, service, claim_ring, commands.clone()).spawn(&duties)?;
+        ClaimThread::new(store, settings.service.clone(), claim_ring, commands.clone())
+            .spawn(&duties)?;
         info!("{} endpoint={} callers={}", NodeEvent::Started, settings.endpoint, addresses.caller);
         let shutdown_timeout = Duration::from_millis(settings.shutdown_timeout_ms);
         let (asked, watched) = (commands.clone(), duties.clone());
@@ -191,6 +190,12 @@
     RandomState::new().hash_one(0_u8) >> 1
 }
 
+fn start_timer(duties: &Duties) -> Result<TimerService, NodeError> {
+    let (timer, work) = TimerService::prepare();
+    duties.spawn("timer", work)?;
+    Ok(timer)
+}
+
 /// Milliseconds since the epoch, or one more than the incarnation that the
 /// platform has of the endpoint if the clock went back since.
 fn new_incarnation(endpoint: &EndpointId, members: Option<&PlatformReply>) -> Incarnation {
