fix(membership): only three relays of a zone try the platform

Cause: in an outage every relay of a zone took its turn and then asked anew, so calls in the half minute after it grew from 35 at 430 nodes to 67 at 860, whose zones have more relays.

--- a/cuminarch-membership/src/fleet.rs
+++ b/cuminarch-membership/src/fleet.rs
@@ -74,6 +74,7 @@
     pub(crate) announcements_left: u32,
     pub(crate) is_superseded: bool,
     pub(crate) has_heard: bool,
+    pub(crate) is_own_shown: bool,
     pub(crate) actions: Vec<FleetAction>,
 }
 
@@ -116,6 +117,7 @@
             announcements_left: 0,
             is_superseded: false,
             has_heard: false,
+            is_own_shown: false,
             actions: Vec::new(),
         }
     }
@@ -171,8 +173,10 @@
             self.forgive(now);
         }
         self.ticked_at = now;
-        let own = Arc::clone(&self.own);
-        self.show(&own, now);
+        if !std::mem::replace(&mut self.is_own_shown, true) {
+            let own = Arc::clone(&self.own);
+            self.show(&own, now);
+        }
         self.refresh_topology(now);
         self.exchange_heartbeats(now);
         self.contact_seeds(now);
--- a/cuminarch-membership/src/platform.rs
+++ b/cuminarch-membership/src/platform.rs
@@ -42,6 +42,8 @@
 const STATUS_PERIOD: Duration = Duration::from_secs(3);
 /// Time that peers have to hand over a configuration before the platform is asked.
 const PEERS_FIRST: Duration = Duration::from_secs(3);
+/// Relays of a zone that try the platform one after the other.
+const MAX_REPORTERS: usize = 3;
 /// Failures in a row after which the platform counts as lost.
 const FAILURES_TO_LOSE: u32 = 2;
 
@@ -126,9 +128,10 @@
         }
         let lacks =
             |relay: &EndpointId| self.peers.get(relay).is_some_and(|peer| peer.lacks_platform);
-        let rank = self.topology.rank;
-        let before = &self.topology.zone_relays[..rank.min(self.topology.zone_relays.len())];
-        if self.platform.is_lost && !self.topology.zone_relays.iter().all(lacks) {
+        let (rank, relays) = (self.topology.rank, &self.topology.zone_relays);
+        let before = &relays[..rank.min(relays.len())];
+        let candidates = &relays[..relays.len().min(MAX_REPORTERS - 1)];
+        if rank >= MAX_REPORTERS || (self.platform.is_lost && !candidates.iter().all(lacks)) {
             return false;
         }
         before.iter().all(lacks) && (!self.platform.is_lost || rank == 0)
