--- a/cuminarch-bench/src/overhead/mod.rs
+++ b/cuminarch-bench/src/overhead/mod.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod load;
 mod sites;
+mod stream;
 mod table;
 mod upstream;
 mod usage;
@@ -49,6 +50,7 @@
 }
 
 fn measure() -> Result<()> {
+    stream::run()?;
     let sites = Sites::start()?;
     sites.warm_up()?;
     table::print_head();
--- a/cuminarch-bench/src/overhead/usage.rs
+++ b/cuminarch-bench/src/overhead/usage.rs
@@ -55,3 +55,13 @@
         _ => Err(eyre!("the system shows no usage of thread {thread}")),
     }
 }
+
+/// Memory of this process that is resident, in bytes.
+pub fn resident_bytes() -> Result<usize> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    let kilobytes = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|text| text.trim().strip_suffix(" kB")?.parse::<usize>().ok());
+    kilobytes.map(|count| count * 1024).ok_or_else(|| eyre!("the system shows no memory"))
+}
