fix(membership): accuse only after hearing a relay since the doubt, and read anew what went back

Causes: other relays heard just before a cut still counted when the vote ended, so an isolated relay accused one member (relay_that_hears_nobody, 1 instead of 0); and after a restore the members were to be listed while their watch still waited, so the zone reported nothing for up to 30 s (changes_after_a_restore_come_into_force, 4 instead of 5 zones).

--- a/cuminarch-membership/src/detector.rs
+++ b/cuminarch-membership/src/detector.rs
@@ -29,9 +29,9 @@
             attached.chain(&self.topology.zone_relays).chain(&self.silent).cloned().collect();
         let in_doubt: Vec<EndpointId> =
             watched.iter().filter(|endpoint| self.is_in_doubt(endpoint, now)).cloned().collect();
-        let doubts_itself = self.hears_few_of(&watched, now) && !self.hears_a_relay(now);
+        let hears_few = self.hears_few_of(&watched, now);
         for endpoint in in_doubt {
-            self.judge(&endpoint, doubts_itself, now);
+            self.judge(&endpoint, hears_few, now);
         }
     }
 
@@ -45,11 +45,16 @@
         watched.len() >= MIN_MAJORITY && heard * 2 < watched.len()
     }
 
-    /// Whether any other relay of any zone was heard of lately.
-    fn hears_a_relay(&self, now: MonoTime) -> bool {
-        let silence = self.settings.silence;
-        let mut relays = self.topology.zone_relays.iter().chain(&self.topology.other_relays);
-        relays.any(|relay| self.peers.get(relay).is_some_and(|peer| peer.is_heard(silence, now)))
+    /// Whether this relay may itself be the one that is cut off: no other relay
+    /// of any zone was heard since a doubt arose or, if there is none, few of the
+    /// watched members are heard.
+    fn doubts_itself(&self, since: MonoTime, hears_few: bool) -> bool {
+        let relays = self.topology.zone_relays.iter().chain(&self.topology.other_relays);
+        let mut heard = relays
+            .filter_map(|relay| self.peers.get(relay))
+            .map(|peer| peer.heard_at.is_some_and(|heard_at| heard_at >= since))
+            .peekable();
+        if heard.peek().is_none() { hears_few } else { !heard.any(|is_heard| is_heard) }
     }
 
     fn is_in_doubt(&mut self, endpoint: &EndpointId, now: MonoTime) -> bool {
@@ -67,7 +72,7 @@
         is_present && now.since(last) > patience
     }
 
-    fn judge(&mut self, endpoint: &EndpointId, doubts_itself: bool, now: MonoTime) {
+    fn judge(&mut self, endpoint: &EndpointId, hears_few: bool, now: MonoTime) {
         let vote_time = self.settings.vote_time;
         let peer = self.peer(endpoint);
         let Some(asked_at) = peer.asked_at else {
@@ -77,8 +82,8 @@
         if now.since(asked_at) < vote_time {
             return;
         }
-        if peer.concurring == 0 && doubts_itself {
-            peer.asked_at = None;
+        if peer.concurring == 0 && self.doubts_itself(asked_at, hears_few) {
+            self.peer(endpoint).asked_at = None;
             return;
         }
         self.declare(endpoint, now);
--- a/cuminarch-membership/src/platform.rs
+++ b/cuminarch-membership/src/platform.rs
@@ -75,6 +75,7 @@
     status_at: Option<MonoTime>,
     sequence: u64,
     next_config_at: MonoTime,
+    has_listed: bool,
     relist_at: Option<MonoTime>,
     report_from: MonoTime,
     pub is_lost: bool,
@@ -98,6 +99,7 @@
             status_at: None,
             sequence: 0,
             next_config_at: now.after(PEERS_FIRST),
+            has_listed: false,
             relist_at: None,
             report_from: now,
             is_lost: false,
@@ -281,16 +283,17 @@
             self.notice(FleetNotice::PlatformFound);
         }
         if went_back(call, &reply) {
-            self.start_anew();
+            self.start_anew(call);
             return;
         }
         match reply {
             PlatformReply::Members { version, zones } => {
-                let is_first = self.platform.members_version.replace(version).is_none();
+                self.platform.members_version = Some(version);
                 for object in zones {
                     self.object_read(object, now);
                 }
                 if *call == PlatformCall::ListMembers {
+                    let is_first = !std::mem::replace(&mut self.platform.has_listed, true);
                     self.members_listed(is_first, now);
                 }
             }
@@ -319,9 +322,14 @@
     /// Reads and reports everything again after the platform went back to an
     /// earlier state: a watch after the version known so far would miss whatever
     /// is written until the platform's version has passed it.
-    fn start_anew(&mut self) {
-        self.platform.members_version = None;
-        self.platform.config_version = None;
+    ///
+    /// The other watch, if it waits, began at a version that the platform still
+    /// has, or else ends likewise; its kind must not be read while it waits.
+    fn start_anew(&mut self, call: &PlatformCall) {
+        match kind_of(call) {
+            CallKind::Members => self.platform.members_version = None,
+            _ => self.platform.config_version = None,
+        }
         self.platform.status = None;
     }
 
