--- a/cuminarch-membership/src/platform.rs
+++ b/cuminarch-membership/src/platform.rs
@@ -20,7 +20,7 @@
 /// Longest wait before the first call, so that a mass restart is spread out.
 const START_JITTER: Duration = Duration::from_millis(500);
 /// Wait before the members are read again when the zone had none: shortest and longest.
-const RELIST_AFTER: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
+const RELIST_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Time that a new member has to hear from those of its zone before it may
 /// speak to the platform for the zone.
 const CONTACT_TIME: Duration = Duration::from_secs(2);
@@ -33,7 +33,7 @@
 /// Calls per second and burst of a node that reports for its zone.
 const REPORTER_RATE: (f64, f64) = (3.0, 8.0);
 /// Calls per second and burst of another node.
-const NODE_RATE: (f64, f64) = (0.1, 3.0);
+const NODE_RATE: (f64, f64) = (0.1, 4.0);
 /// Shortest time between two writes of the zone's members.
 const WRITE_PERIOD: Duration = Duration::from_secs(2);
 /// Time after which the zone's members are written though nothing changed.
@@ -42,6 +42,8 @@
 const STATUS_PERIOD: Duration = Duration::from_secs(3);
 /// Time that peers have to hand over a configuration before the platform is asked.
 const PEERS_FIRST: Duration = Duration::from_secs(3);
+/// Relays of a zone that try the platform one after the other.
+const MAX_REPORTERS: usize = 3;
 /// Failures in a row after which the platform counts as lost.
 const FAILURES_TO_LOSE: u32 = 2;
 
@@ -73,6 +75,7 @@
     status_at: Option<MonoTime>,
     sequence: u64,
     next_config_at: MonoTime,
+    has_listed: bool,
     relist_at: Option<MonoTime>,
     report_from: MonoTime,
     pub is_lost: bool,
@@ -96,6 +99,7 @@
             status_at: None,
             sequence: 0,
             next_config_at: now.after(PEERS_FIRST),
+            has_listed: false,
             relist_at: None,
             report_from: now,
             is_lost: false,
@@ -126,9 +130,10 @@
         }
         let lacks =
             |relay: &EndpointId| self.peers.get(relay).is_some_and(|peer| peer.lacks_platform);
-        let rank = self.topology.rank;
-        let before = &self.topology.zone_relays[..rank.min(self.topology.zone_relays.len())];
-        if self.platform.is_lost && !self.topology.zone_relays.iter().all(lacks) {
+        let (rank, relays) = (self.topology.rank, &self.topology.zone_relays);
+        let before = &relays[..rank.min(relays.len())];
+        let candidates = &relays[..relays.len().min(MAX_REPORTERS - 1)];
+        if rank >= MAX_REPORTERS || (self.platform.is_lost && !candidates.iter().all(lacks)) {
             return false;
         }
         before.iter().all(lacks) && (!self.platform.is_lost || rank == 0)
@@ -174,13 +179,13 @@
 
     /// Makes the calls of the node that speaks for its zone.
     fn report(&mut self, members_version: StoreVersion, now: MonoTime) {
+        self.write_members(now);
         let read = self
             .platform
             .config_version
             .map_or(PlatformCall::ListConfig, PlatformCall::WatchConfig);
         self.call(read, now);
         self.call(PlatformCall::WatchMembers(members_version), now);
-        self.write_members(now);
         self.write_status(now);
     }
 
@@ -278,16 +283,17 @@
             self.notice(FleetNotice::PlatformFound);
         }
         if went_back(call, &reply) {
-            self.start_anew();
+            self.start_anew(call);
             return;
         }
         match reply {
             PlatformReply::Members { version, zones } => {
-                let is_first = self.platform.members_version.replace(version).is_none();
+                self.platform.members_version = Some(version);
                 for object in zones {
                     self.object_read(object, now);
                 }
                 if *call == PlatformCall::ListMembers {
+                    let is_first = !std::mem::replace(&mut self.platform.has_listed, true);
                     self.members_listed(is_first, now);
                 }
             }
@@ -316,9 +322,14 @@
     /// Reads and reports everything again after the platform went back to an
     /// earlier state: a watch after the version known so far would miss whatever
     /// is written until the platform's version has passed it.
-    fn start_anew(&mut self) {
-        self.platform.members_version = None;
-        self.platform.config_version = None;
+    ///
+    /// The other watch, if it waits, began at a version that the platform still
+    /// has, or else ends likewise; its kind must not be read while it waits.
+    fn start_anew(&mut self, call: &PlatformCall) {
+        match kind_of(call) {
+            CallKind::Members => self.platform.members_version = None,
+            _ => self.platform.config_version = None,
+        }
         self.platform.status = None;
     }
 
