--- a/cuminarch-node/src/data/http_reply.rs
+++ b/cuminarch-node/src/data/http_reply.rs
@@ -65,6 +65,7 @@
 /// Answer to a call that has none of its upstream.
 pub fn refused(refusal: &Refusal, root: RequestId) -> Response<PassedBody> {
     let status = match (refusal.outcome, refusal.reason) {
+        (_, RefusalReason::KeyConflict) => StatusCode::UNPROCESSABLE_ENTITY,
         (Outcome::Completed, _) => StatusCode::CONFLICT,
         (_, RefusalReason::KeyInProgress) => StatusCode::CONFLICT,
         (Outcome::Unknown, RefusalReason::DeadlineExceeded) => StatusCode::GATEWAY_TIMEOUT,
--- a/cuminarch-node/tests/keys.rs
+++ b/cuminarch-node/tests/keys.rs
@@ -42,6 +42,8 @@
     let reply = resend();
     assert_eq!((reply.status, reply.outcome()), (201, "completed"));
     assert_eq!(reply.text(), "approved /approvals/7");
+    let other = chain.call("POST /approvals/8", &[&key], b"yes");
+    assert_eq!((other.status, other.header("cuminarch-reason")), (422, Some("key-conflict")));
     assert_eq!(upstream.runs(), 1);
     chain.shutdown();
 }
