--- a/cuminarch-node/src/data/http_reply.rs
+++ b/cuminarch-node/src/data/http_reply.rs
@@ -66,7 +66,7 @@
 pub fn refused(refusal: &Refusal, root: RequestId) -> Response<PassedBody> {
     let status = match (refusal.outcome, refusal.reason) {
         (Outcome::Completed, _) => StatusCode::CONFLICT,
-        (_, RefusalReason::KeyInProgress) => StatusCode::CONFLICT,
+        (_, RefusalReason::KeyConflict | RefusalReason::KeyInProgress) => StatusCode::CONFLICT,
         (Outcome::Unknown, RefusalReason::DeadlineExceeded) => StatusCode::GATEWAY_TIMEOUT,
         (Outcome::Unknown, _) => StatusCode::BAD_GATEWAY,
         (Outcome::NotRun, RefusalReason::BudgetExhausted) => StatusCode::TOO_MANY_REQUESTS,
--- a/cuminarch-node/tests/keys.rs
+++ b/cuminarch-node/tests/keys.rs
@@ -66,3 +66,23 @@
     wait_for(|| cancelled.load(Ordering::SeqCst));
     chain.shutdown();
 }
+
+#[rstest]
+fn a_key_belongs_to_the_first_body_that_it_was_sent_with(#[values(1, 2)] hops: usize) {
+    let upstream = RawUpstream::start(move |_, connection| {
+        connection.write(b"HTTP/1.1 201 Created\r\ncontent-length: 2\r\n\r\nok")?;
+        Ok(AfterAnswer::Keep)
+    });
+    let upstream = upstream.unwrap();
+    let chain = Chain::start(hops, upstream.address());
+    let minted = call(chain.back().caller_address(), "POST /.cuminarch/keys", &[], b"");
+    let key = format!("idempotency-key: {}", minted.text());
+    let send = |body: &[u8]| chain.call("POST /approvals/7", &[&key], body);
+    assert_eq!(send(b"yes").status, 201);
+    let other = send(b"no");
+    assert_eq!((other.status, other.outcome()), (409, "unknown"));
+    assert_eq!(other.header("cuminarch-reason"), Some("key-conflict"));
+    assert_eq!(send(b"yes").status, 201);
+    assert_eq!(upstream.runs(), 1);
+    chain.shutdown();
+}
