--- a/cuminarch-admission/src/limiter.rs
+++ b/cuminarch-admission/src/limiter.rs
@@ -51,7 +51,7 @@
     const MAX_WINDOW: Duration = Duration::from_secs(1);
     const FULL_WINDOW_SAMPLES: u32 = 40;
     /// Mean service time over the reference at which the limit stays, in percent.
-    const TOLERANCE_PERCENT: u32 = 160;
+    const TOLERANCE_PERCENT: u32 = 145;
     const MAX_RISE_PERCENT: u64 = 125;
     const MIN_FALL_PERCENT: u64 = 75;
     /// Share of the limit that must be in use for it to rise, in percent.
