--- a/cuminarch-admission/src/admission.rs
+++ b/cuminarch-admission/src/admission.rs
@@ -112,29 +112,27 @@
             self.running.insert(call, now);
             return OfferReply { decision: Offer::Run, evicted: None };
         }
-        if rank < self.level.level() {
-            return Self::refuse();
+        let is_full = self.queue.len() >= self.settings.max_queue;
+        if is_full {
+            self.level.refused();
         }
-        if self.queue.len() < self.settings.max_queue {
+        if rank >= self.level.level() && !is_full {
             self.enqueue(call, Waiting { rank, since: now, deadline });
             return OfferReply { decision: Offer::Wait, evicted: None };
         }
         match self.queue.first().copied() {
             Some((lowest, evicted)) if lowest < rank => {
-                self.level.refused();
                 self.dequeue(evicted);
                 self.enqueue(call, Waiting { rank, since: now, deadline });
                 OfferReply { decision: Offer::Wait, evicted: Some(evicted) }
             }
-            _ => {
-                self.level.refused();
-                Self::refuse()
-            }
+            _ => Self::refuse(),
         }
     }
 
     /// Frees the slot of a request; `latency` is its time in the upstream without
-    /// the time of deeper calls, if it counts as a measurement. Returns what becomes of waiting requests.
+    /// the time of deeper calls, if it counts as a measurement. Returns what
+    /// becomes of waiting requests.
     pub fn finish(
         &mut self,
         call: CallId,
@@ -160,12 +158,14 @@
     /// finish before their deadline.
     pub fn poll(&mut self, now: MonoTime) -> Vec<QueueEvent> {
         self.level.advance(now);
+        let earliest_end = now.after(self.limiter.reference().unwrap_or_default());
         let mut events = Vec::new();
         let expired: Vec<CallId> = self
             .waiting
             .iter()
             .filter(|(_, waiting)| {
-                waiting.deadline <= now || now.since(waiting.since) > self.settings.target_wait * 10
+                waiting.deadline <= earliest_end
+                    || now.since(waiting.since) > self.settings.target_wait * 10
             })
             .map(|(call, _)| *call)
             .collect();
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -1,5 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use cuminarch_admission::Admission;
 use cuminarch_attempts::{Backoff, NeedEstimator, RetryRatio};
@@ -10,7 +11,7 @@
 use cuminarch_types::{
     AttemptId, CallId, ClassName, ConcurrencyLimit, MonoTime, RuleNumber, ServiceName,
 };
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::call::{Call, Sending, Stage};
@@ -205,6 +206,12 @@
         Some(Receipt { unspent, level: level.level(), level_age_ms: level.age_ms(now) })
     }
 
+    /// Time after which a refused caller is told to come back, spread so that
+    /// callers refused together do not come back together.
+    pub(crate) fn retry_after(&mut self) -> Duration {
+        Admission::RETRY_AFTER.mul_f64(self.rng.random_range(0.5..1.5))
+    }
+
     /// Ends a call with a final answer of the node. A call that may have run
     /// is never answered as not run.
     pub(crate) fn refuse(
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use cuminarch_admission::{Admission, Offer, QueueEvent};
+use cuminarch_admission::{Offer, QueueEvent};
 use cuminarch_attempts::{Budget, grant_for_send};
 use cuminarch_config::Rule;
 use cuminarch_once::KeyResult;
@@ -46,7 +46,8 @@
                 call.level = level_behind;
             }
             let refusal = Refusal::not_run(RefusalReason::OverloadedBehind);
-            return self.refuse(id, refusal.with_retry_after(Admission::RETRY_AFTER), now, actions);
+            let refusal = refusal.with_retry_after(self.retry_after());
+            return self.refuse(id, refusal, now, actions);
         }
         self.check_key(id, arrival.key.clone(), now, actions);
     }
@@ -200,7 +201,7 @@
         }
         let reason =
             if is_late { RefusalReason::DeadlineExceeded } else { RefusalReason::Overloaded };
-        let refusal = Refusal::not_run(reason).with_retry_after(Admission::RETRY_AFTER);
+        let refusal = Refusal::not_run(reason).with_retry_after(self.retry_after());
         self.refuse(id, refusal, now, actions);
     }
 }
--- a/cuminarch-engine/src/keys.rs
+++ b/cuminarch-engine/src/keys.rs
@@ -1,7 +1,6 @@
 //! Idempotency keys of calls: what is known of them, claims, and the way to
 //! the process that a key is bound to.
 
-use cuminarch_admission::Admission;
 use cuminarch_once::{BoundKey, KeyDecision};
 use cuminarch_types::{CallId, MonoTime, Outcome};
 
@@ -89,7 +88,8 @@
             (ClaimResult::HeldBy(key), _) => self.forward_to(id, key, now, actions),
             (ClaimResult::Granted | ClaimResult::Unavailable, _) => {
                 let refusal = Refusal::not_run(RefusalReason::ClaimUnavailable);
-                self.refuse(id, refusal.with_retry_after(Admission::RETRY_AFTER), now, actions);
+                let refusal = refusal.with_retry_after(self.retry_after());
+                self.refuse(id, refusal, now, actions);
             }
         }
     }
@@ -149,8 +149,9 @@
                 outcome: Outcome::Completed,
                 ..Refusal::unknown(RefusalReason::KeyAlreadyRun)
             },
-            KeyDecision::InProgress => Refusal::unknown(RefusalReason::KeyInProgress)
-                .with_retry_after(Admission::RETRY_AFTER),
+            KeyDecision::InProgress => {
+                Refusal::unknown(RefusalReason::KeyInProgress).with_retry_after(self.retry_after())
+            }
             KeyDecision::Run | KeyDecision::Unknown => Refusal::unknown(RefusalReason::KeyUnknown),
             KeyDecision::Conflict => {
                 self.prove_not_run(id);
@@ -158,8 +159,7 @@
             }
             KeyDecision::Full => {
                 self.prove_not_run(id);
-                Refusal::not_run(RefusalReason::KeysExhausted)
-                    .with_retry_after(Admission::RETRY_AFTER)
+                Refusal::not_run(RefusalReason::KeysExhausted).with_retry_after(self.retry_after())
             }
         };
         self.refuse(id, refusal, now, actions);
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -1,6 +1,5 @@
 //! Calls to other services through the nodes of their endpoints.
 
-use cuminarch_admission::Admission;
 use cuminarch_protocol::Receipt;
 use cuminarch_routing::{CallSample, Target};
 use cuminarch_types::{AttemptId, CallId, MonoTime, Outcome, ServiceName};
@@ -43,7 +42,8 @@
         self.insert(id, call, now);
         if rank < level.at(now) {
             let refusal = Refusal::not_run(RefusalReason::OverloadedBehind);
-            return self.refuse(id, refusal.with_retry_after(Admission::RETRY_AFTER), now, actions);
+            let refusal = refusal.with_retry_after(self.retry_after());
+            return self.refuse(id, refusal, now, actions);
         }
         self.ratios.entry(service).or_default().on_first(retry_percent);
         self.send(id, now, actions);
@@ -152,7 +152,7 @@
             let refusal = if bound {
                 Refusal::not_run(RefusalReason::KeyUnknown)
             } else {
-                Refusal::not_run(RefusalReason::NoEndpoint).with_retry_after(Admission::RETRY_AFTER)
+                Refusal::not_run(RefusalReason::NoEndpoint).with_retry_after(self.retry_after())
             };
             return self.refuse(id, refusal, now, actions);
         };
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -110,6 +110,12 @@
         service.is_some_and(|service| service.has_alternative(kind, exclude, now))
     }
 
+    /// Number of endpoints of the service that get no ordinary calls.
+    #[must_use]
+    pub fn ejected(&self, service: &ServiceName) -> usize {
+        self.services.get(service).map_or(0, Service::ejected)
+    }
+
     /// Forgets all levels, which belong to the rules of one policy.
     pub fn forget_levels(&mut self) {
         self.services.values_mut().for_each(Service::forget_levels);
--- a/cuminarch-routing/src/service.rs
+++ b/cuminarch-routing/src/service.rs
@@ -64,6 +64,10 @@
         self.endpoints.get(endpoint)
     }
 
+    pub fn ejected(&self) -> usize {
+        self.endpoints().filter(|endpoint| endpoint.is_ejected()).count()
+    }
+
     pub fn forget_levels(&mut self) {
         self.endpoints.values_mut().for_each(Endpoint::forget_levels);
     }
@@ -170,7 +174,7 @@
     fn eject_outliers(&mut self, now: MonoTime) {
         let median = self.median(now);
         let known = self.endpoints().filter(|endpoint| endpoint.takes_work()).count();
-        let mut ejected = self.endpoints().filter(|endpoint| endpoint.is_ejected()).count();
+        let mut ejected = self.ejected();
         for endpoint in self.endpoints.values_mut() {
             let is_allowed = (ejected + 1) * 2 < known;
             if is_allowed && !endpoint.is_ejected() && endpoint.is_outlier(median, now) {
