fix(admission): begin at 16 again and probe a limit that may queue

That the limit then begins above the slots of a small upstream is mended by a probe every 10 s whatever the limiter does, if the service time shows queueing, and by taking the probe's mean with a margin of 15% for the reference.

--- a/cuminarch-admission/src/limiter.rs
+++ b/cuminarch-admission/src/limiter.rs
@@ -24,6 +24,7 @@
     window: Window,
     phase: Phase,
     changed_at: MonoTime,
+    probed_at: MonoTime,
 }
 
 /// Samples since the last change.
@@ -38,8 +39,8 @@
 /// What the limiter is doing.
 #[derive(Clone, Copy, Debug)]
 enum Phase {
-    /// The limit rises as far as it is used; all of it has been in use since then.
-    Steady { since: MonoTime },
+    /// The limit rises as far as it is used.
+    Steady,
     /// The limit falls; what it was before, and the mean then.
     Falling { limit_milli: u64, mean: Duration },
     /// The limit is low for one window, to see the service time without queueing.
@@ -60,9 +61,13 @@
     const JUDGED_FALL_PERCENT: u64 = 55;
     /// The upstream became slower if the mean is still above this share.
     const SAME_MEAN_PERCENT: u32 = 85;
-    /// Time for which the limit is in use before it is lowered as a probe.
-    const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+    /// Least time between two probes of a limit that is in use.
+    const PROBE_INTERVAL: Duration = Duration::from_secs(10);
     const PROBE_PERCENT: u64 = 55;
+    /// A gradient below this shows that requests may queue in the upstream.
+    const QUEUEING_PERCENT: u64 = 120;
+    /// A probe's mean counts with this margin, as few samples scatter.
+    const PROBE_MARGIN_PERCENT: u32 = 115;
 
     /// A limiter of a cold endpoint.
     #[must_use]
@@ -74,8 +79,9 @@
             limit_milli,
             reference: None,
             window,
-            phase: Phase::Steady { since: MonoTime::ZERO },
+            phase: Phase::Steady,
             changed_at: MonoTime::ZERO,
+            probed_at: MonoTime::ZERO,
         }
     }
 
@@ -117,23 +123,24 @@
 
     fn adapt(&mut self, mean: Duration, most_running: usize, now: MonoTime) {
         let mean = mean.max(Duration::from_micros(1));
+        let known = self.reference;
         let reference = self.learn(mean);
         let target = reference * Self::TOLERANCE_PERCENT / 100;
         let gradient_percent = (target.as_micros() * 100 / mean.as_micros()) as u64;
         let is_used = most_running as u64 * 1_000 * 100 >= self.limit_milli * Self::USED_PERCENT;
         if let Phase::Probing { limit_milli } = self.phase {
-            self.phase = Phase::Steady { since: now };
+            self.phase = Phase::Steady;
+            self.probed_at = now;
+            let reference = known.unwrap_or(mean);
+            self.reference = Some(reference.min(mean * Self::PROBE_MARGIN_PERCENT / 100));
             return self.set(limit_milli, now);
         }
         if gradient_percent < 100 {
             return self.fall(mean, gradient_percent, now);
         }
-        let since = match self.phase {
-            Phase::Steady { since } if is_used => since,
-            _ => now,
-        };
-        self.phase = Phase::Steady { since };
-        if now.since(since) >= Self::PROBE_INTERVAL {
+        self.phase = Phase::Steady;
+        let may_queue = is_used && gradient_percent < Self::QUEUEING_PERCENT;
+        if may_queue && now.since(self.probed_at) >= Self::PROBE_INTERVAL {
             self.phase = Phase::Probing { limit_milli: self.limit_milli };
             self.scale(Self::PROBE_PERCENT, now);
         } else if is_used {
@@ -152,7 +159,7 @@
             self.scale(gradient_percent.max(Self::MIN_FALL_PERCENT), now);
         } else if mean > mean_before * Self::SAME_MEAN_PERCENT / 100 {
             self.reference = Some(mean);
-            self.phase = Phase::Steady { since: now };
+            self.phase = Phase::Steady;
             self.set(limit_milli, now);
         } else {
             self.phase = Phase::Falling { limit_milli: self.limit_milli, mean };
--- a/cuminarch-admission/src/settings.rs
+++ b/cuminarch-admission/src/settings.rs
@@ -18,11 +18,11 @@
 }
 
 impl AdmissionSettings {
-    /// A cold limit of 8 between 4 and 1000, 128 waiting, 5 ms of waiting.
+    /// A cold limit of 16 between 4 and 1000, 128 waiting, 5 ms of waiting.
     #[must_use]
     pub const fn new() -> Self {
         Self {
-            initial_limit: ConcurrencyLimit::new(8),
+            initial_limit: ConcurrencyLimit::new(16),
             min_limit: ConcurrencyLimit::new(4),
             max_limit: ConcurrencyLimit::new(1_000),
             max_queue: 128,
--- a/cuminarch-routing/tests/router.rs
+++ b/cuminarch-routing/tests/router.rs
@@ -150,8 +150,8 @@
         let sample = |id: &EndpointId| (!failing[index(id)]).then_some(slow_ms[index(id)]);
         drive(&mut router, WARM, 400, sample);
         let now = MonoTime::from_millis(13_000);
-        for index in 0..ENDPOINTS {
-            if leaving[index] {
+        for (index, is_leaving) in leaving.iter().enumerate() {
+            if *is_leaving {
                 router.update(member(index, "zrh-b", MemberState::Leaving), now);
             }
         }
