--- /dev/null
+++ b/cuminarch-cli/tests/harness/mod.rs
@@ -0,0 +1,160 @@
+//! Runs commands against a stand-in platform.
+
+use std::fs;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cuminarch_cli::paths::object_path;
+use cuminarch_cli::{ExitStatus, Outputs, command, run};
+use cuminarch_membership::ZoneMembers;
+use cuminarch_platform::{Clock, Expect, ObjectStore};
+use cuminarch_protocol::{Member, MemberState};
+use cuminarch_testing::{ManualClock, MemoryStore, PlatformFault, PlatformServer};
+use cuminarch_types::{EndpointId, Incarnation, MonoTime, RegionName, ServiceName, ZoneName};
+
+use crate::zone_status::status_of;
+
+pub const SHEET: &str = "\
+classes:
+  - {name: browse, grant_attempts: 32, deadline_ms: 2000}
+  - {name: approval, grant_attempts: 32, deadline_ms: 10000, protected: true}
+rules:
+  - {class: approval, methods: [POST], path: /approvals/**, idempotent: false}
+default_class: browse
+";
+
+/// The sheet with another deadline for browsing.
+pub fn with_deadline(sheet: &str, deadline_ms: u32) -> String {
+    sheet.replace("deadline_ms: 2000", &format!("deadline_ms: {deadline_ms}"))
+}
+
+/// What a command did.
+pub struct Ran {
+    pub status: ExitStatus,
+    pub out: String,
+    pub errors: String,
+}
+
+/// A platform, a clock and a folder for sheets.
+pub struct Harness {
+    server: PlatformServer,
+    folder: PathBuf,
+    pub clock: ManualClock,
+}
+
+impl Harness {
+    pub fn new() -> Self {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("commands-{}-{number}", std::process::id());
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        fs::create_dir_all(&folder).unwrap();
+        Self { server: PlatformServer::start().unwrap(), folder, clock: ManualClock::new() }
+    }
+
+    pub fn platform(&self) -> &MemoryStore {
+        self.server.store()
+    }
+
+    pub fn write(&self, name: &str, text: &str) {
+        fs::write(self.folder.join(name), text).unwrap();
+    }
+
+    /// Runs a command; `@` stands for the platform's address.
+    pub fn run(&self, arguments: &str) -> Ran {
+        self.run_with(&self.clock, arguments)
+    }
+
+    pub fn run_with(&self, clock: &dyn Clock, arguments: &str) -> Ran {
+        let place = |argument: &str| match argument {
+            "@" => self.server.address().to_string(),
+            name if name.ends_with(".yaml") => self.folder.join(name).display().to_string(),
+            other => other.to_owned(),
+        };
+        let arguments = arguments.split_whitespace().map(place);
+        let arguments = std::iter::once("cuminarch".to_owned()).chain(arguments);
+        let matches = command().try_get_matches_from(arguments).unwrap();
+        let (mut out, mut errors) = (Vec::new(), Vec::new());
+        let mut outputs = Outputs { out: &mut out, errors: &mut errors };
+        let status = run(&matches, clock, &mut outputs);
+        let folder = format!("{}/", self.folder.display());
+        let text = |bytes| String::from_utf8(bytes).unwrap().replace(&folder, "");
+        Ran { status, out: text(out), errors: text(errors) }
+    }
+
+    pub fn apply(&self, sheet: &str, change: &str) -> Ran {
+        self.run(&format!("config apply {sheet} --platform @ --change {change}"))
+    }
+
+    pub fn put_status(&self, zone: &str, revision: u64, sequence: u64) {
+        let value = serde_json::to_string(&status_of(zone, revision, sequence)).unwrap();
+        self.platform().put(&object_path(&format!("status/{zone}")), &value, Expect::Any).unwrap();
+    }
+
+    /// Announces the members of a zone as endpoint, service and state.
+    pub fn put_members(&self, zone: &str, members: &[(&str, &str, MemberState)]) {
+        let zone = ZoneName::new(zone).unwrap();
+        let member = |&(endpoint, service, state): &(&str, &str, MemberState)| {
+            Arc::new(Member {
+                endpoint: EndpointId::new(endpoint).unwrap(),
+                service: ServiceName::new(service).unwrap(),
+                zone: zone.clone(),
+                region: RegionName::new("ch-central").unwrap(),
+                incarnation: Incarnation::new(1),
+                data_address: "10.0.0.1:7001".parse().unwrap(),
+                control_address: "10.0.0.1:7002".parse().unwrap(),
+                state,
+                statement: 1,
+            })
+        };
+        let members = members.iter().map(member).collect();
+        let value = ZoneMembers { zone: zone.clone(), members };
+        let value = serde_json::to_string(&value).unwrap();
+        let path = object_path(&format!("members/{zone}"));
+        self.platform().put(&path, &value, Expect::Any).unwrap();
+    }
+
+    /// A clock at whose first wait something happens.
+    pub fn at_first_wait(&self, event: impl FnOnce() + Send + 'static) -> EventClock {
+        EventClock { inner: ManualClock::new(), event: Mutex::new(Some(Box::new(event))) }
+    }
+
+    /// A clock at whose first wait the platform goes down.
+    pub fn down_at_first_wait(&self) -> EventClock {
+        let store = self.platform().clone();
+        self.at_first_wait(move || store.set_fault(PlatformFault::Down))
+    }
+}
+
+impl Drop for Harness {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Virtual time with something that happens at the first wait.
+pub struct EventClock {
+    inner: ManualClock,
+    event: Mutex<Option<Box<dyn FnOnce() + Send>>>,
+}
+
+impl std::fmt::Debug for EventClock {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.inner.fmt(formatter)
+    }
+}
+
+impl Clock for EventClock {
+    fn now(&self) -> MonoTime {
+        self.inner.now()
+    }
+
+    fn sleep(&self, span: Duration) {
+        self.inner.sleep(span);
+        if let Some(event) = self.event.lock().unwrap().take() {
+            event();
+        }
+    }
+}
--- a/cuminarch-engine/src/keys.rs
+++ b/cuminarch-engine/src/keys.rs
@@ -153,10 +153,7 @@
                 Refusal::unknown(RefusalReason::KeyInProgress).with_retry_after(self.retry_after())
             }
             KeyDecision::Run | KeyDecision::Unknown => Refusal::unknown(RefusalReason::KeyUnknown),
-            KeyDecision::Conflict => {
-                self.prove_not_run(id);
-                Refusal::not_run(RefusalReason::KeyConflict)
-            }
+            KeyDecision::Conflict => Refusal::unknown(RefusalReason::KeyConflict),
             KeyDecision::Full => {
                 self.prove_not_run(id);
                 Refusal::not_run(RefusalReason::KeysExhausted).with_retry_after(self.retry_after())
--- a/cuminarch-membership/src/platform.rs
+++ b/cuminarch-membership/src/platform.rs
@@ -19,6 +19,11 @@
 
 /// Longest wait before the first call, so that a mass restart is spread out.
 const START_JITTER: Duration = Duration::from_millis(500);
+/// Wait before the members are read again when the zone had none: shortest and longest.
+const RELIST_AFTER: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
+/// Time that a new member has to hear from those of its zone before it may
+/// speak to the platform for the zone.
+const CONTACT_TIME: Duration = Duration::from_secs(2);
 /// Wait after the first failure; doubled with each further one.
 const BACKOFF: Duration = Duration::from_millis(500);
 /// Longest wait after a failure of a node that reports for its zone.
@@ -68,6 +73,8 @@
     status_at: Option<MonoTime>,
     sequence: u64,
     next_config_at: MonoTime,
+    relist_at: Option<MonoTime>,
+    report_from: MonoTime,
     pub is_lost: bool,
 }
 
@@ -89,6 +96,8 @@
             status_at: None,
             sequence: 0,
             next_config_at: now.after(PEERS_FIRST),
+            relist_at: None,
+            report_from: now,
             is_lost: false,
         }
     }
@@ -132,10 +141,22 @@
         let is_reporter = self.is_reporter();
         let (per_second, burst) = if is_reporter { REPORTER_RATE } else { NODE_RATE };
         self.platform.limiter.set_rate(per_second, burst, now);
+        if let Some(relist_at) = self.platform.relist_at {
+            if now >= relist_at && self.call(PlatformCall::ListMembers, now) {
+                self.platform.relist_at = None;
+            }
+            return;
+        }
         match self.platform.members_version {
-            None => self.call(PlatformCall::ListMembers, now),
-            Some(version) if is_reporter => self.report(version, now),
-            Some(_) if self.platform.is_lost => self.call(PlatformCall::ListMembers, now),
+            None => {
+                self.call(PlatformCall::ListMembers, now);
+            }
+            Some(version) if is_reporter && now >= self.platform.report_from => {
+                self.report(version, now);
+            }
+            Some(_) if self.platform.is_lost => {
+                self.call(PlatformCall::ListMembers, now);
+            }
             Some(_) => self.ask_for_config(now),
         }
     }
@@ -145,29 +166,34 @@
         if self.revision() > Revision::default() || now < self.platform.next_config_at {
             return;
         }
-        let jitter = self.rng.random_range(0.5..1.5);
-        self.platform.next_config_at = now.after(MAX_BACKOFF.mul_f64(jitter));
-        self.call(PlatformCall::ListConfig, now);
+        if self.call(PlatformCall::ListConfig, now) {
+            let jitter = self.rng.random_range(0.5..1.5);
+            self.platform.next_config_at = now.after(MAX_BACKOFF.mul_f64(jitter));
+        }
     }
 
     /// Makes the calls of the node that speaks for its zone.
     fn report(&mut self, members_version: StoreVersion, now: MonoTime) {
-        match self.platform.config_version {
-            None => self.call(PlatformCall::ListConfig, now),
-            Some(version) => self.call(PlatformCall::WatchConfig(version), now),
-        }
+        let read = self
+            .platform
+            .config_version
+            .map_or(PlatformCall::ListConfig, PlatformCall::WatchConfig);
+        self.call(read, now);
         self.call(PlatformCall::WatchMembers(members_version), now);
         self.write_members(now);
         self.write_status(now);
     }
 
-    fn call(&mut self, call: PlatformCall, now: MonoTime) {
+    /// Makes a call unless one of its kind is under way or the limiter holds it
+    /// back. Returns whether it was made.
+    fn call(&mut self, call: PlatformCall, now: MonoTime) -> bool {
         let kind = kind_of(&call);
         if self.platform.under_way.contains(&kind) || !self.platform.limiter.take(now) {
-            return;
+            return false;
         }
         self.platform.under_way.insert(kind);
         self.actions.push(FleetAction::Platform(call));
+        true
     }
 
     fn write_members(&mut self, now: MonoTime) {
@@ -187,9 +213,10 @@
         }
         let value = ZoneMembers { zone: self.own.zone.clone(), members };
         let expected = platform.object_version;
-        self.platform.written = content;
-        self.platform.written_at = Some(now);
-        self.call(PlatformCall::PutMembers(Arc::new(value), expected), now);
+        if self.call(PlatformCall::PutMembers(Arc::new(value), expected), now) {
+            self.platform.written = content;
+            self.platform.written_at = Some(now);
+        }
     }
 
     fn write_status(&mut self, now: MonoTime) {
@@ -201,11 +228,13 @@
         if self.platform.status.as_ref() == Some(&status) {
             return;
         }
-        self.platform.status_at = Some(now);
-        self.platform.status = Some(status.clone());
-        self.platform.sequence += 1;
-        let status = ZoneStatus { sequence: self.platform.sequence, ..status };
-        self.call(PlatformCall::PutStatus(status), now);
+        let sequence = self.platform.sequence + 1;
+        let numbered = ZoneStatus { sequence, ..status.clone() };
+        if self.call(PlatformCall::PutStatus(numbered), now) {
+            self.platform.sequence = sequence;
+            self.platform.status_at = Some(now);
+            self.platform.status = Some(status);
+        }
     }
 
     /// What is in force in the own zone, by the relays' reports.
@@ -248,13 +277,19 @@
         if std::mem::take(&mut self.platform.is_lost) {
             self.notice(FleetNotice::PlatformFound);
         }
+        if went_back(call, &reply) {
+            self.start_anew();
+            return;
+        }
         match reply {
             PlatformReply::Members { version, zones } => {
-                self.platform.members_version = Some(version);
+                let is_first = self.platform.members_version.replace(version).is_none();
                 for object in zones {
                     self.object_read(object, now);
                 }
-                self.delay_first_write(now);
+                if *call == PlatformCall::ListMembers {
+                    self.members_listed(is_first, now);
+                }
             }
             PlatformReply::Config { version, document } => {
                 self.platform.config_version = Some(version);
@@ -274,16 +309,35 @@
             }
             PlatformReply::StatusWritten | PlatformReply::Failed => {}
         }
+        self.refresh_topology(now);
+        self.drive_platform(now);
+    }
+
+    /// Reads and reports everything again after the platform went back to an
+    /// earlier state: a watch after the version known so far would miss whatever
+    /// is written until the platform's version has passed it.
+    fn start_anew(&mut self) {
+        self.platform.members_version = None;
+        self.platform.config_version = None;
+        self.platform.status = None;
     }
 
-    /// Gives members that start at the same time a chance to find each other
-    /// before each of them writes the zone's members.
-    fn delay_first_write(&mut self, now: MonoTime) {
-        if self.platform.written_at.is_none() {
-            let wait = WRITE_PERIOD.mul_f64(self.rng.random_range(0.75..0.95));
-            let wait_micros = u64::try_from(wait.as_micros()).unwrap_or(0);
-            let micros = now.as_micros().saturating_sub(wait_micros);
-            self.platform.written_at = Some(MonoTime::from_micros(micros));
+    /// Decides from when on this node may speak for its zone.
+    ///
+    /// Members that start at the same time with an empty store would all find
+    /// themselves alone. So each looks again after a random time, by which the
+    /// first has written itself, and then waits until it knows the others.
+    fn members_listed(&mut self, is_first: bool, now: MonoTime) {
+        let mut others = self.table.iter().filter(|member| member.endpoint != self.own.endpoint);
+        let is_alone = !others.any(|member| member.zone == self.own.zone);
+        if is_first && is_alone {
+            let (shortest, longest) = RELIST_AFTER;
+            let wait = shortest + (longest - shortest).mul_f64(self.rng.random_range(0.0..1.0));
+            self.platform.relist_at = Some(now.after(wait));
+        } else if !is_alone && is_first {
+            self.platform.report_from = now.after(CONTACT_TIME);
+        } else if !is_alone && self.platform.written_at.is_none() {
+            self.platform.report_from = self.started_at.after(CONTACT_TIME * 2);
         }
     }
 
@@ -319,6 +373,17 @@
     }
 }
 
+/// Whether the answer to a watch shows an earlier version than the watch began at.
+fn went_back(call: &PlatformCall, reply: &PlatformReply) -> bool {
+    match (call, reply) {
+        (PlatformCall::WatchMembers(after), PlatformReply::Members { version, .. })
+        | (PlatformCall::WatchConfig(after), PlatformReply::Config { version, .. }) => {
+            version < after
+        }
+        _ => false,
+    }
+}
+
 /// The member without the suspicions of others, which are not worth a write.
 fn as_stated(member: &Arc<Member>) -> Arc<Member> {
     match member.state {
--- a/cuminarch-routing/src/endpoint.rs
+++ b/cuminarch-routing/src/endpoint.rs
@@ -80,7 +80,12 @@
         }
     }
 
-    /// Whether it may be sent anything at all.
+    /// Whether it left or was given up.
+    pub const fn is_gone(&self) -> bool {
+        matches!(self.member.state, MemberState::Gone)
+    }
+
+    /// Whether it may be sent new work at all.
     pub fn takes_work(&self) -> bool {
         self.member.state <= MemberState::Suspect
     }
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -36,11 +36,12 @@
         self.services.contains_key(service)
     }
 
-    /// The target of one endpoint, if it takes work.
+    /// The target of one endpoint, unless it is gone; one that is leaving still
+    /// answers for the idempotency keys that it holds.
     #[must_use]
     pub fn target(&self, endpoint: &EndpointId) -> Option<Target> {
         let found = self.services.values().find_map(|service| service.get(endpoint))?;
-        found.takes_work().then(|| found.target())
+        (!found.is_gone()).then(|| found.target())
     }
 
     /// Chooses an endpoint that is not in `exclude`.
