--- a/cuminarch-node/tests/keys.rs
+++ b/cuminarch-node/tests/keys.rs
@@ -82,7 +82,7 @@
     let send = |body: &[u8]| chain.call("POST /approvals/7", &[&key], body);
     assert_eq!(send(b"yes").status, 201);
     let other = send(b"no");
-    assert_eq!((other.status, other.outcome()), (409, "unknown"));
+    assert_eq!((other.status, other.outcome()), (422, "unknown"));
     assert_eq!(other.header("cuminarch-reason"), Some("key-conflict"));
     assert_eq!(send(b"yes").status, 201);
     assert_eq!(upstream.runs(), 1);
