fix(node): keep idle links when one call to their peer is lost

A call whose deadline passes counts as lost, so in an overload each one closed all idle links to that peer, to be opened anew. Idle links that the peer closed are found when they are taken, as before.

--- a/cuminarch-node/src/data/link_client.rs
+++ b/cuminarch-node/src/data/link_client.rs
@@ -48,7 +48,6 @@
             None
         }
         Ok(_) | Err(_) => {
-            context.links.close_idle_to(forward.target.data_address);
             driver.post(Event::RemoteLost { call, attempt, sent: true });
             None
         }
--- a/cuminarch-node/src/data/link_pool.rs
+++ b/cuminarch-node/src/data/link_pool.rs
@@ -108,13 +108,6 @@
         Ok(link)
     }
 
-    /// Closes the links to one node that no call uses, as one of them failed.
-    pub fn close_idle_to(&self, address: SocketAddr) {
-        if let Some(peer) = self.peers.borrow_mut().get_mut(&address) {
-            peer.idle.clear();
-        }
-    }
-
     /// Closes the links that no call uses.
     pub fn close_idle(&self) {
         for peer in self.peers.borrow_mut().values_mut() {
