--- a/cuminarch-bench/src/decisions/layered.rs
+++ b/cuminarch-bench/src/decisions/layered.rs
@@ -8,11 +8,11 @@
     Action, Arrival, Engine, EngineSettings, Event, Forward, LocalEnd, RefusalReason, RemoteRefusal,
 };
 use cuminarch_protocol::{Member, MemberState, Receipt};
-use cuminarch_types::{
-    AttemptId, CallId, EndpointId, Incarnation, MonoTime, RequestId, ResendNumber, ServiceName,
-};
+use cuminarch_types::{AttemptId, CallId, EndpointId, Incarnation, ResendNumber, ServiceName};
 
-use super::scenario::Cause;
+use super::scenario::{Cause, Mechanism};
+use super::system::System;
+use super::view::{endpoint_id, now, path, request_id, told, zone_name};
 use super::world::{CausePhase, Due, Mesh, World};
 
 const TICK_US: u64 = 20_000;
@@ -81,7 +81,9 @@
     /// Nodes that all know each other.
     pub fn new(world: &NodeWorld) -> Self {
         let system = &world.scenario.system;
-        let policy = Arc::new(system.policy());
+        let retry_percent =
+            if world.scenario.has(Mechanism::Retries) { System::RETRY_PERCENT } else { 0 };
+        let policy = Arc::new(system.policy(retry_percent));
         let name = |service: &super::system::Service| ServiceName::new(&service.name);
         let services: Vec<ServiceName> =
             system.services.iter().map(|service| name(service).expect("a valid name")).collect();
@@ -109,7 +111,7 @@
         let settings = EngineSettings::new(
             endpoint_id(endpoint),
             self.services[server.service].clone(),
-            zone_name(server.zone),
+            zone_name(world, server.zone),
             "region".parse().expect("a valid name"),
         )
         .with_incarnation(Incarnation::new(incarnation))
@@ -139,7 +141,7 @@
         Member {
             endpoint: endpoint_id(endpoint),
             service: self.services[server.service].clone(),
-            zone: zone_name(server.zone),
+            zone: zone_name(world, server.zone),
             region: "region".parse().expect("a valid name"),
             incarnation: Incarnation::new(self.nodes[endpoint].incarnation),
             statement: 0,
@@ -328,6 +330,9 @@
     }
 
     fn cancel(&mut self, world: &mut NodeWorld, endpoint: usize, call: Option<CallId>) {
+        if !world.scenario.has(Mechanism::Cancellation) {
+            return;
+        }
         let Some(call) = call else { return };
         self.post(world, endpoint, Event::Cancel(call));
         if let Some(state) = self.nodes[endpoint].calls.get(&call).copied() {
@@ -339,9 +344,10 @@
         if world.servers[to].is_lost {
             return;
         }
+        let remaining = world.scenario.has(Mechanism::Deadlines).then_some(forward.remaining);
         let arrival = Arrival::inbound(request_id(state.root), "GET", &path(world, state.root))
             .with_share(forward.share, forward.rank)
-            .with_remaining(Some(forward.remaining))
+            .with_remaining(remaining)
             .with_idempotent(forward.idempotent);
         self.begin(world, to, state, arrival);
     }
@@ -411,6 +417,7 @@
                 self.cancel(world, to, call);
             }
             NodeEvent::Answer { sent, is_ok, receipt } => {
+                let receipt = told(world, receipt);
                 let Sent { from, call, attempt } = sent;
                 self.targets.remove(&sent);
                 let Some(state) = self.nodes[from].calls.get_mut(&call) else { return };
@@ -419,7 +426,8 @@
                 let end = Event::RemoteEnd { call, attempt, receipt: Some(receipt) };
                 self.post(world, from, end);
             }
-            NodeEvent::Refused { sent, refused } => {
+            NodeEvent::Refused { sent, mut refused } => {
+                refused.receipt = told(world, refused.receipt);
                 self.targets.remove(&sent);
                 let Sent { from, call, attempt } = sent;
                 self.post(world, from, Event::RemoteRefused(call, attempt, refused));
@@ -465,26 +473,3 @@
         }
     }
 }
-
-fn now<E>(world: &World<E>) -> MonoTime {
-    MonoTime::from_micros(world.now_us)
-}
-
-fn endpoint_id(endpoint: usize) -> EndpointId {
-    EndpointId::new(format!("endpoint-{endpoint}")).expect("a valid id")
-}
-
-fn zone_name(zone: usize) -> cuminarch_types::ZoneName {
-    cuminarch_types::ZoneName::new(format!("zone-{zone}")).expect("a valid name")
-}
-
-/// Ids of requests as a client would draw them.
-fn request_id(root: usize) -> RequestId {
-    const ODD: u64 = 0xbf58_476d_1ce4_e5b9;
-    let mixed = (root as u64 + 1).wrapping_mul(ODD);
-    RequestId::new(u128::from(mixed ^ (mixed >> 31)))
-}
-
-fn path<E>(world: &World<E>, root: usize) -> String {
-    format!("/{}/{root}", world.scenario.system.kinds[world.roots[root].kind].name)
-}
--- a/cuminarch-bench/src/decisions/mod.rs
+++ b/cuminarch-bench/src/decisions/mod.rs
@@ -11,6 +11,7 @@
 mod oracle;
 mod scenario;
 mod system;
+mod view;
 mod world;
 
 use std::sync::Mutex;
@@ -20,6 +21,7 @@
 use figures::Figures;
 use layered::Layered;
 use naive::Naive;
+pub use scenario::Mechanism;
 use scenario::{Cause, Scenario};
 use world::World;
 
@@ -39,14 +41,14 @@
 /// Runs the benchmark, prints its table and returns the bounded figures.
 #[must_use]
 pub fn run() -> Verdict {
-    run_matching("")
+    run_matching("", None)
 }
 
-/// Runs the scenarios whose name contains `part`.
+/// Runs the scenarios whose name contains `part`, maybe without a mechanism.
 #[must_use]
-pub fn run_matching(part: &str) -> Verdict {
+pub fn run_matching(part: &str, without: Option<Mechanism>) -> Verdict {
     let scenarios = Scenario::all().into_iter().filter(|scenario| scenario.name.contains(part));
-    let rows = run_all(scenarios.collect());
+    let rows = run_all(scenarios.map(|scenario| scenario.with_without(without)).collect());
     print_table(&rows);
     let mut verdict = Verdict::new();
     for row in &rows {
--- a/cuminarch-bench/src/decisions/scenario.rs
+++ b/cuminarch-bench/src/decisions/scenario.rs
@@ -20,6 +20,34 @@
     LyingReports,
 }
 
+/// A mechanism that a run can do without, to show what it is worth.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mechanism {
+    /// Cancellation of work that nobody waits for.
+    Cancellation,
+    /// Time left that travels with a call.
+    Deadlines,
+    /// Admission levels carried back on receipts.
+    Levels,
+    /// Retries by the nodes.
+    Retries,
+    /// Knowledge of availability zones.
+    Zones,
+}
+
+impl Mechanism {
+    /// Names of all mechanisms, as the command line takes them.
+    pub const NAMES: [&'static str; 5] =
+        ["cancellation", "deadlines", "levels", "retries", "zones"];
+
+    /// The mechanism of this name.
+    #[must_use]
+    pub fn from_name(name: &str) -> Option<Self> {
+        let all = [Self::Cancellation, Self::Deadlines, Self::Levels, Self::Retries, Self::Zones];
+        all.into_iter().zip(Self::NAMES).find(|(_, known)| *known == name).map(|(found, _)| found)
+    }
+}
+
 /// One run.
 #[derive(Clone, Debug)]
 pub struct Scenario {
@@ -31,6 +59,7 @@
     pub cause_us: (u64, u64),
     pub end_us: u64,
     pub seed: u64,
+    pub without: Option<Mechanism>,
 }
 
 impl Scenario {
@@ -48,6 +77,7 @@
             cause_us: (Self::START_US, stop_us),
             end_us: stop_us + Self::AFTER_US,
             seed: 42,
+            without: None,
         }
     }
 
@@ -57,6 +87,17 @@
         self
     }
 
+    /// Takes a mechanism away.
+    pub const fn with_without(mut self, without: Option<Mechanism>) -> Self {
+        self.without = without;
+        self
+    }
+
+    /// Whether a mechanism is there.
+    pub fn has(&self, mechanism: Mechanism) -> bool {
+        self.without != Some(mechanism)
+    }
+
     /// Whether the cause acts at this time.
     pub const fn is_active(&self, now_us: u64) -> bool {
         now_us >= self.cause_us.0 && now_us < self.cause_us.1
--- a/cuminarch-bench/src/decisions/system.rs
+++ b/cuminarch-bench/src/decisions/system.rs
@@ -13,7 +13,6 @@
 pub const GRANT: u32 = 64;
 /// Time that a class grants to a request, in milliseconds.
 pub const DEADLINE_MS: u64 = 2_000;
-const RETRY_PERCENT: u32 = 10;
 
 /// One service.
 #[derive(Clone, Debug)]
@@ -56,6 +55,8 @@
 }
 
 impl System {
+    /// Retries per hundred first attempts.
+    pub const RETRY_PERCENT: u32 = 10;
     /// Part of the users' slots that is simulated.
     pub const SLOT_SHARE: usize = 4;
 
@@ -157,13 +158,13 @@
     }
 
     /// The policy of the fleet: one class for each kind, in order of refusal.
-    pub fn policy(&self) -> Policy {
+    pub fn policy(&self, retry_percent: u32) -> Policy {
         let class = |kind: &Kind| ClassName::new(kind.name).expect("a valid name");
         let classes = self.kinds.iter().map(|kind| ClassEntry {
             name: class(kind),
             grant_attempts: Attempts::new(GRANT),
             deadline_ms: DEADLINE_MS,
-            retry_percent: RETRY_PERCENT,
+            retry_percent,
             protected: kind.is_protected,
         });
         let rules = self.kinds.iter().map(|kind| RuleEntry {
--- /dev/null
+++ b/cuminarch-bench/src/decisions/view.rs
@@ -0,0 +1,38 @@
+//! How the world appears to the engines: names, ids, time and receipts.
+
+use cuminarch_protocol::Receipt;
+use cuminarch_types::{EndpointId, MonoTime, RequestId, ZoneName};
+
+use super::scenario::Mechanism;
+use super::world::World;
+
+/// The receipt as the sender gets it.
+pub fn told<E>(world: &World<E>, receipt: Receipt) -> Receipt {
+    let has_levels = world.scenario.has(Mechanism::Levels);
+    if has_levels { receipt } else { Receipt { unspent: receipt.unspent, ..Receipt::default() } }
+}
+
+pub fn now<E>(world: &World<E>) -> MonoTime {
+    MonoTime::from_micros(world.now_us)
+}
+
+pub fn endpoint_id(endpoint: usize) -> EndpointId {
+    EndpointId::new(format!("endpoint-{endpoint}")).expect("a valid id")
+}
+
+/// The zone as nodes know it; one for all without knowledge of zones.
+pub fn zone_name<E>(world: &World<E>, zone: usize) -> ZoneName {
+    let zone = if world.scenario.has(Mechanism::Zones) { zone } else { 0 };
+    ZoneName::new(format!("zone-{zone}")).expect("a valid name")
+}
+
+/// Ids of requests as a client would draw them.
+pub fn request_id(root: usize) -> RequestId {
+    const ODD: u64 = 0xbf58_476d_1ce4_e5b9;
+    let mixed = (root as u64 + 1).wrapping_mul(ODD);
+    RequestId::new(u128::from(mixed ^ (mixed >> 31)))
+}
+
+pub fn path<E>(world: &World<E>, root: usize) -> String {
+    format!("/{}/{root}", world.scenario.system.kinds[world.roots[root].kind].name)
+}
--- a/cuminarch-bench/src/main.rs
+++ b/cuminarch-bench/src/main.rs
@@ -18,9 +18,17 @@
         .subcommand(Command::new("capacity").about("Memory of a node's state, with slopes"))
         .subcommand(Command::new("control").about("Membership and configuration, virtual time"))
         .subcommand(
-            Command::new("decisions").about("Policy under load, virtual time").arg(
-                Arg::new("only").long("only").help("Run the scenarios with this in their name"),
-            ),
+            Command::new("decisions")
+                .about("Policy under load, virtual time")
+                .arg(
+                    Arg::new("only").long("only").help("Run the scenarios with this in their name"),
+                )
+                .arg(
+                    Arg::new("without")
+                        .long("without")
+                        .value_parser(decisions::Mechanism::NAMES)
+                        .help("Take a mechanism away"),
+                ),
         )
         .subcommand(Command::new("overhead").about("Time added to a call, real sockets"))
 }
@@ -47,7 +55,9 @@
         Some(("control", _)) => control::run(),
         Some(("decisions", matches)) => {
             let only = matches.get_one::<String>("only").map_or("", String::as_str);
-            decisions::run_matching(only)
+            let without = matches.get_one::<String>("without");
+            let without = without.and_then(|name| decisions::Mechanism::from_name(name));
+            decisions::run_matching(only, without)
         }
         _ => overhead::run(),
     };
