--- a/cuminarch-node/tests/keys.rs
+++ b/cuminarch-node/tests/keys.rs
@@ -42,6 +42,8 @@
     let reply = resend();
     assert_eq!((reply.status, reply.outcome()), (201, "completed"));
     assert_eq!(reply.text(), "approved /approvals/7");
+    let other = chain.call("POST /approvals/8", &[&key], b"yes");
+    assert_eq!((other.status, other.header("cuminarch-reason")), (422, Some("key-conflict")));
     assert_eq!(upstream.runs(), 1);
     chain.shutdown();
 }
@@ -66,3 +68,23 @@
     wait_for(|| cancelled.load(Ordering::SeqCst));
     chain.shutdown();
 }
+
+#[rstest]
+fn a_key_belongs_to_the_first_body_that_it_was_sent_with(#[values(1, 2)] hops: usize) {
+    let upstream = RawUpstream::start(move |_, connection| {
+        connection.write(b"HTTP/1.1 201 Created\r\ncontent-length: 2\r\n\r\nok")?;
+        Ok(AfterAnswer::Keep)
+    });
+    let upstream = upstream.unwrap();
+    let chain = Chain::start(hops, upstream.address());
+    let minted = call(chain.back().caller_address(), "POST /.cuminarch/keys", &[], b"");
+    let key = format!("idempotency-key: {}", minted.text());
+    let send = |body: &[u8]| chain.call("POST /approvals/7", &[&key], body);
+    assert_eq!(send(b"yes").status, 201);
+    let other = send(b"no");
+    assert_eq!((other.status, other.outcome()), (409, "unknown"));
+    assert_eq!(other.header("cuminarch-reason"), Some("key-conflict"));
+    assert_eq!(send(b"yes").status, 201);
+    assert_eq!(upstream.runs(), 1);
+    chain.shutdown();
+}
