--- /dev/null
+++ b/cuminarch-bench/src/capacity/idle.rs
@@ -0,0 +1,84 @@
+//! What nodes take that carry no calls.
+
+use std::fs;
+use std::thread;
+use std::time::Duration;
+
+use cuminarch_node::Node;
+use cuminarch_testing::{PlatformServer, UpstreamBehaviour, UpstreamServer};
+use eyre::Result;
+
+use super::memory::resident_bytes;
+use super::node_settings;
+use super::slope::Point;
+
+const NODE_COUNTS: [usize; 3] = [10, 20, 40];
+/// Time for the nodes to find each other before the reading.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+const READING_TIME: Duration = Duration::from_secs(10);
+/// Length of a tick of the processor times in `/proc/self/stat`.
+const CLOCK_TICK_US: u64 = 10_000;
+
+/// Memory and processor time of one count of nodes.
+#[derive(Clone, Copy, Debug)]
+pub struct IdleReading {
+    /// Resident memory.
+    pub memory: Point,
+    /// Processor time of the whole process in microseconds a second.
+    pub processor_us_per_s: u64,
+}
+
+/// Reads processes of several counts of nodes, with the stand-ins beside them.
+///
+/// # Errors
+///
+/// Fails when a node or a stand-in cannot be started.
+pub fn idle_nodes() -> Result<Vec<IdleReading>> {
+    NODE_COUNTS.into_iter().map(reading).collect()
+}
+
+fn reading(count: usize) -> Result<IdleReading> {
+    let platform = PlatformServer::start()?;
+    let upstream = UpstreamServer::start(UpstreamBehaviour::new(Duration::ZERO))?;
+    let before_bytes = resident_bytes();
+    let mut nodes = Vec::new();
+    for index in 0..count {
+        let settings = node_settings(index, upstream.address(), platform.address())?;
+        nodes.push(Node::start(settings)?);
+    }
+    thread::sleep(SETTLE_TIME);
+    let bytes = resident_bytes().saturating_sub(before_bytes);
+    let before_us = processor_us();
+    thread::sleep(READING_TIME);
+    let spent_us = processor_us().saturating_sub(before_us);
+    for node in nodes {
+        node.shutdown();
+    }
+    let processor_us_per_s = spent_us / READING_TIME.as_secs();
+    Ok(IdleReading { memory: Point { count, bytes }, processor_us_per_s })
+}
+
+/// Processor time of this process so far; 0 where it cannot be read.
+fn processor_us() -> u64 {
+    let text = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let after_name = text.rsplit(')').next().unwrap_or("");
+    let fields = after_name.split_whitespace().skip(11).take(2);
+    fields.filter_map(|field| field.parse::<u64>().ok()).sum::<u64>() * CLOCK_TICK_US
+}
+
+/// Prints the readings.
+pub fn print_idle(readings: &[IdleReading]) {
+    println!("nodes without calls, in one process with the stand-ins");
+    for reading in readings {
+        let Point { count, bytes } = reading.memory;
+        let share = reading.processor_us_per_s as f64 / 10_000.0;
+        println!("  {count:>7} nodes  {bytes:>10} bytes  {share:>6.2} % of a core in all");
+    }
+    if let [first, .., last] = readings {
+        let nodes = (last.memory.count - first.memory.count) as f64;
+        let bytes = last.memory.bytes as f64 - first.memory.bytes as f64;
+        let spent_us = last.processor_us_per_s as f64 - first.processor_us_per_s as f64;
+        let share = spent_us / nodes / 10_000.0;
+        println!("  slope {:.0} bytes and {share:.3} % of a core for each node\n", bytes / nodes);
+    }
+}
--- a/cuminarch-bench/src/capacity/mod.rs
+++ b/cuminarch-bench/src/capacity/mod.rs
@@ -1,13 +1,14 @@
-//! Memory of a node's state, measured at several sizes, with its slope.
+//! Memory and processor time of a node, measured at several sizes, with slopes.
 //!
 //! What was built for a reading is never freed, so that a later reading
 //! is not served from memory freed before it. The figures are readings of the process's resident memory, so they differ a
 //! little between runs and are never bounded.
 
+mod idle;
 mod memory;
 mod slope;
 
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +22,7 @@
 use eyre::Result;
 
 use crate::Verdict;
+use idle::{idle_nodes, print_idle};
 use memory::growth_bytes;
 use slope::{Point, print_slope};
 
@@ -40,6 +42,7 @@
 ///
 /// Fails when a node or a stand-in cannot be started.
 pub fn run() -> Result<Verdict> {
+    print_idle(&idle_nodes()?);
     print_slope("members known to an engine", "member", &members()?);
     print_slope("idempotency keys with an answer of 1 KiB", "key", &keys()?);
     print_slope("calls in progress in an engine", "call", &calls()?);
@@ -153,15 +156,8 @@
     let upstream = UpstreamServer::start(UpstreamBehaviour::new(Duration::ZERO))?;
     let mut points = Vec::new();
     for count in CONNECTION_COUNTS {
-        let text = format!(
-            "fleet: bench\nendpoint: katalog-1\nservice: katalog\nzone: a\nregion: r\n\
-             caller_address: 127.0.0.1:0\negress_address: 127.0.0.1:0\n\
-             data_address: 127.0.0.1:0\ncontrol_address: 127.0.0.1:0\n\
-             admin_address: 127.0.0.1:0\nupstream_address: {}\nplatform_address: {}\n",
-            upstream.address(),
-            platform.address()
-        );
-        let node = Node::start(NodeSettings::parse(&text)?)?;
+        let settings = node_settings(0, upstream.address(), platform.address())?;
+        let node = Node::start(settings)?;
         let mut streams = Vec::new();
         let bytes = growth_bytes(|| {
             for _ in 0..count {
@@ -175,3 +171,16 @@
     }
     Ok(points)
 }
+
+/// Settings of one of several nodes of a service, in five zones.
+fn node_settings(index: usize, upstream: SocketAddr, platform: SocketAddr) -> Result<NodeSettings> {
+    let text = format!(
+        "fleet: bench\nendpoint: katalog-{index}\nservice: katalog\nzone: zone-{}\nregion: r\n\
+         caller_address: 127.0.0.1:0\negress_address: 127.0.0.1:0\n\
+         data_address: 127.0.0.1:0\ncontrol_address: 127.0.0.1:0\n\
+         admin_address: 127.0.0.1:0\nupstream_address: {upstream}\n\
+         platform_address: {platform}\n",
+        index % 5,
+    );
+    Ok(NodeSettings::parse(&text)?)
+}
