--- a/cuminarch-engine/src/budget.rs
+++ b/cuminarch-engine/src/budget.rs
@@ -130,7 +130,8 @@
         Some(self.needs.entry(target).or_default())
     }
 
-    fn sending_mut(&mut self, id: CallId) -> Option<&mut Sending> {
+    /// The attempts of an outbound call.
+    pub(crate) fn sending_mut(&mut self, id: CallId) -> Option<&mut Sending> {
         match &mut self.calls.get_mut(&id)?.stage {
             Stage::Sending(sending) => Some(sending),
             _ => None,
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -2,7 +2,7 @@
 
 use cuminarch_protocol::Receipt;
 use cuminarch_routing::{CallSample, Target};
-use cuminarch_types::{AttemptId, CallId, MonoTime, Outcome, ServiceName};
+use cuminarch_types::{AttemptId, CallId, EndpointId, MonoTime, Outcome, ServiceName};
 use rand::RngExt;
 
 use crate::call::{Call, Flight, Sending, Stage};
@@ -167,7 +167,8 @@
             return self.refuse(id, refusal, now, actions);
         };
         let key = self.request_key(id);
-        let Some((call, sending)) = self.sending(id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Stage::Sending(sending) = &mut call.stage else { return };
         let endpoint = target.endpoint.clone();
         sending.tried.push(endpoint.clone());
         sending.is_short = false;
@@ -182,9 +183,9 @@
         let forward = Forward {
             target,
             share,
-            rank: call.0,
-            remaining: call.1.since(now),
-            idempotent: call.2,
+            rank: call.rank,
+            remaining: call.deadline.since(now),
+            idempotent: call.idempotent,
             key,
         };
         self.router.started(&service, &endpoint, now);
@@ -210,7 +211,7 @@
 
     /// Withdraws the planned time of the next attempt.
     fn unplan(&mut self, id: CallId) {
-        let Some((_, sending)) = self.sending(id) else { return };
+        let Some(sending) = self.sending_mut(id) else { return };
         if let Some(retry_at) = sending.retry_at.take() {
             self.retries.remove(&(retry_at, id));
         }
@@ -230,7 +231,7 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
-        let Some((_, sending)) = self.sending(id) else { return };
+        let Some(sending) = self.sending_mut(id) else { return };
         let Some(flight) = sending.current.take() else { return };
         let service = sending.service.clone();
         if !flight.delivering {
@@ -281,31 +282,18 @@
     }
 
     fn flight(&mut self, id: CallId, attempt: AttemptId) -> Option<&mut Flight> {
-        let (_, sending) = self.sending(id)?;
+        let sending = self.sending_mut(id)?;
         sending.current.as_mut().filter(|flight| flight.attempt == attempt)
     }
 
-    #[allow(clippy::type_complexity)]
-    fn sending(
-        &mut self,
-        id: CallId,
-    ) -> Option<((cuminarch_types::Rank, MonoTime, bool), &mut Sending)> {
-        let call: &mut Call = self.calls.get_mut(&id)?;
-        let facts = (call.rank, call.deadline, call.idempotent);
-        match &mut call.stage {
-            Stage::Sending(sending) => Some((facts, sending)),
-            _ => None,
-        }
-    }
-
     fn note_sample(
         &mut self,
         id: CallId,
-        endpoint: &cuminarch_types::EndpointId,
+        endpoint: &EndpointId,
         sample: CallSample,
         now: MonoTime,
     ) {
-        let Some((_, sending)) = self.sending(id) else { return };
+        let Some(sending) = self.sending_mut(id) else { return };
         let service = sending.service.clone();
         self.router.finished(&service, endpoint, sample, now);
     }
@@ -319,14 +307,13 @@
         actions: &mut Vec<Action>,
     ) {
         let random: u32 = self.rng.random();
-        let may_retry = may_retry && self.calls.get(&id).is_some_and(|call| call.replayable);
-        let backoff = self.backoff;
-        let Some((facts, sending)) = self.sending(id) else { return };
+        let Some(call) = self.calls.get(&id) else { return };
+        let Stage::Sending(sending) = &call.stage else { return };
         let service = sending.service.clone();
-        let retry_at = now.after(backoff.delay(sending.retries, random));
-        let is_in_time = retry_at < facts.1;
-        if may_retry && is_in_time && self.ratios.entry(service).or_default().try_retry() {
-            if let Some((_, sending)) = self.sending(id) {
+        let retry_at = now.after(self.backoff.delay(sending.retries, random));
+        let may_retry = may_retry && call.replayable && retry_at < call.deadline;
+        if may_retry && self.ratios.entry(service).or_default().try_retry() {
+            if let Some(sending) = self.sending_mut(id) {
                 sending.retries += 1;
                 sending.retry_at = Some(retry_at);
             }
