refactor: one type for versions of the platform's objects; watch config/current only

Cause: membership and the platform client each had a type for the same number, converted at each call; and the relays' watch on config/ also brought the history with every change (noticed by reading). Change: ObjectVersion is in cuminarch-types; the watch covers config/current.

--- a/cuminarch-membership/src/action.rs
+++ b/cuminarch-membership/src/action.rs
@@ -6,7 +6,7 @@
 use cuminarch_protocol::{ControlMessage, Member};
 use cuminarch_types::{EndpointId, Revision, ZoneName};
 
-use crate::{StoreVersion, ZoneMembers};
+use crate::{ObjectVersion, ZoneMembers};
 
 /// A call to the platform.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -14,13 +14,13 @@
     /// List the objects under `members/`.
     ListMembers,
     /// Wait for a change under `members/`.
-    WatchMembers(StoreVersion),
+    WatchMembers(ObjectVersion),
     /// List the objects under `config/`.
     ListConfig,
     /// Wait for a change under `config/`.
-    WatchConfig(StoreVersion),
+    WatchConfig(ObjectVersion),
     /// Write the own zone's object under `members/` over this version of it.
-    PutMembers(Arc<ZoneMembers>, Option<StoreVersion>),
+    PutMembers(Arc<ZoneMembers>, Option<ObjectVersion>),
     /// Write the own zone's object under `status/`.
     PutStatus(ZoneStatus),
 }
--- a/cuminarch-membership/src/event.rs
+++ b/cuminarch-membership/src/event.rs
@@ -1,46 +1,10 @@
-use std::fmt;
-use std::str::FromStr;
 use std::sync::Arc;
 
 use cuminarch_config::ConfigDocument;
 use cuminarch_protocol::{ControlMessage, Member};
-use cuminarch_types::{EndpointId, ParseError, ZoneName};
+use cuminarch_types::{EndpointId, ObjectVersion, ZoneName};
 use serde::{Deserialize, Serialize};
 
-/// Version of an object of the platform's store, or of the whole store.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct StoreVersion(u64);
-
-impl StoreVersion {
-    /// Wraps a version.
-    #[must_use]
-    pub const fn new(value: u64) -> Self {
-        Self(value)
-    }
-
-    /// The version itself.
-    #[must_use]
-    pub const fn get(self) -> u64 {
-        self.0
-    }
-}
-
-impl fmt::Display for StoreVersion {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(formatter)
-    }
-}
-
-impl FromStr for StoreVersion {
-    type Err = ParseError;
-
-    fn from_str(text: &str) -> Result<Self, ParseError> {
-        text.parse()
-            .map(Self)
-            .map_err(|_| ParseError::new("StoreVersion", text, "it is not a number"))
-    }
-}
-
 /// Value of the object `members/ZONE`.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ZoneMembers {
@@ -54,7 +18,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ZoneObject {
     /// Version of the object.
-    pub version: StoreVersion,
+    pub version: ObjectVersion,
     /// Its value.
     pub value: ZoneMembers,
 }
@@ -65,19 +29,19 @@
     /// Objects under `members/`: all of them, or those that a watch saw change.
     Members {
         /// Version of the store.
-        version: StoreVersion,
+        version: ObjectVersion,
         /// The objects.
         zones: Vec<ZoneObject>,
     },
     /// The object `config/current`, if there is one or it changed.
     Config {
         /// Version of the store.
-        version: StoreVersion,
+        version: ObjectVersion,
         /// The document.
         document: Option<ConfigDocument>,
     },
     /// The own zone's members were written.
-    MembersWritten(StoreVersion),
+    MembersWritten(ObjectVersion),
     /// They were not, because the object is another one than expected.
     MembersConflict(Option<ZoneObject>),
     /// The own zone's status was written.
--- a/cuminarch-membership/src/lib.rs
+++ b/cuminarch-membership/src/lib.rs
@@ -46,7 +46,8 @@
 mod zones;
 
 pub use action::{FleetAction, FleetNotice, PlatformCall};
-pub use event::{FleetEvent, PlatformReply, StoreVersion, ZoneMembers, ZoneObject};
+pub use cuminarch_types::ObjectVersion;
+pub use event::{FleetEvent, PlatformReply, ZoneMembers, ZoneObject};
 pub use fleet::Fleet;
 pub use patch::{apply_patch, make_patch};
 pub use settings::FleetSettings;
--- a/cuminarch-membership/src/platform.rs
+++ b/cuminarch-membership/src/platform.rs
@@ -13,7 +13,7 @@
 use crate::fleet::Reach;
 use crate::limiter::CallLimiter;
 use crate::{
-    Fleet, FleetAction, FleetNotice, PlatformCall, PlatformReply, StoreVersion, ZoneMembers,
+    Fleet, FleetAction, FleetNotice, ObjectVersion, PlatformCall, PlatformReply, ZoneMembers,
     ZoneObject,
 };
 
@@ -66,9 +66,9 @@
     failures: u32,
     next_call_at: MonoTime,
     under_way: BTreeSet<CallKind>,
-    members_version: Option<StoreVersion>,
-    config_version: Option<StoreVersion>,
-    object_version: Option<StoreVersion>,
+    members_version: Option<ObjectVersion>,
+    config_version: Option<ObjectVersion>,
+    object_version: Option<ObjectVersion>,
     written: Written,
     written_at: Option<MonoTime>,
     status: Option<ZoneStatus>,
@@ -178,7 +178,7 @@
     }
 
     /// Makes the calls of the node that speaks for its zone.
-    fn report(&mut self, members_version: StoreVersion, now: MonoTime) {
+    fn report(&mut self, members_version: ObjectVersion, now: MonoTime) {
         self.write_members(now);
         let read = self
             .platform
--- a/cuminarch-node/src/control/platform.rs
+++ b/cuminarch-node/src/control/platform.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cuminarch_config::ConfigDocument;
-use cuminarch_membership::{PlatformCall, PlatformReply, StoreVersion, ZoneMembers, ZoneObject};
+use cuminarch_membership::{PlatformCall, PlatformReply, ZoneMembers, ZoneObject};
 use cuminarch_platform::{
     Expect, HttpObjectStore, Listing, Object, ObjectPath, ObjectStore, ObjectVersion, PlatformError,
 };
@@ -14,7 +14,6 @@
 use crate::duty::Duties;
 
 const MEMBERS: &str = "members";
-const CONFIG: &str = "config";
 const CURRENT: &str = "config/current";
 
 /// Threads that call the platform, one for each kind of call that may wait.
@@ -93,13 +92,11 @@
     match call {
         PlatformCall::ListMembers => Ok(members_of(&store.list(&path(MEMBERS)?)?)),
         PlatformCall::WatchMembers(after) => {
-            let after = ObjectVersion::new(after.get());
-            Ok(members_of(&store.watch(&path(MEMBERS)?, after, WATCH_TIME)?))
+            Ok(members_of(&store.watch(&path(MEMBERS)?, *after, WATCH_TIME)?))
         }
-        PlatformCall::ListConfig => config_of(&store.list(&path(CONFIG)?)?),
+        PlatformCall::ListConfig => config_of(&store.list(&path(CURRENT)?)?),
         PlatformCall::WatchConfig(after) => {
-            let after = ObjectVersion::new(after.get());
-            config_of(&store.watch(&path(CONFIG)?, after, WATCH_TIME)?)
+            config_of(&store.watch(&path(CURRENT)?, *after, WATCH_TIME)?)
         }
         PlatformCall::PutMembers(value, expected) => put_members(store, value, *expected),
         PlatformCall::PutStatus(status) => {
@@ -113,16 +110,16 @@
 fn put_members(
     store: &HttpObjectStore,
     value: &ZoneMembers,
-    expected: Option<StoreVersion>,
+    expected: Option<ObjectVersion>,
 ) -> Result<PlatformReply, PlatformError> {
     let path = members_path(&value.zone)?;
     let text = serde_json::to_string(value).map_err(malformed)?;
     let expect = match expected {
-        Some(version) => Expect::Version(ObjectVersion::new(version.get())),
+        Some(version) => Expect::Version(version),
         None => Expect::Absent,
     };
     match store.put(&path, &text, expect) {
-        Ok(version) => Ok(PlatformReply::MembersWritten(StoreVersion::new(version.get()))),
+        Ok(version) => Ok(PlatformReply::MembersWritten(version)),
         Err(PlatformError::Conflict { current, .. }) => {
             let object = current.and_then(|current| zone_object(&current));
             Ok(PlatformReply::MembersConflict(object))
@@ -136,21 +133,21 @@
 }
 
 fn members_of(listing: &Listing) -> PlatformReply {
-    let version = StoreVersion::new(listing.version.get());
+    let version = listing.version;
     let zones = listing.objects.iter().filter_map(zone_object).collect();
     PlatformReply::Members { version, zones }
 }
 
 fn zone_object(object: &Object) -> Option<ZoneObject> {
     let value: ZoneMembers = serde_json::from_str(&object.value).ok()?;
-    Some(ZoneObject { version: StoreVersion::new(object.version.get()), value })
+    Some(ZoneObject { version: object.version, value })
 }
 
 fn config_of(listing: &Listing) -> Result<PlatformReply, PlatformError> {
     let current = listing.objects.iter().find(|object| object.path.as_str() == CURRENT);
     let document: Option<ConfigDocument> =
         current.map(|object| serde_json::from_str(&object.value)).transpose().map_err(malformed)?;
-    Ok(PlatformReply::Config { version: StoreVersion::new(listing.version.get()), document })
+    Ok(PlatformReply::Config { version: listing.version, document })
 }
 
 fn path(text: &str) -> Result<ObjectPath, PlatformError> {
--- a/cuminarch-platform/src/object.rs
+++ b/cuminarch-platform/src/object.rs
@@ -2,7 +2,7 @@
 use std::str::FromStr;
 
 use compact_str::CompactString;
-use cuminarch_types::ParseError;
+use cuminarch_types::{ObjectVersion, ParseError};
 use serde::{Deserialize, Serialize};
 
 /// Name of an object: segments joined by `/`.
@@ -65,43 +65,6 @@
     }
 }
 
-/// Version of an object or of the whole store; each write gives a higher one.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
-#[serde(transparent)]
-pub struct ObjectVersion(u64);
-
-impl ObjectVersion {
-    /// Wraps a version.
-    #[must_use]
-    pub const fn new(value: u64) -> Self {
-        Self(value)
-    }
-
-    /// The version itself.
-    #[must_use]
-    pub const fn get(self) -> u64 {
-        self.0
-    }
-}
-
-impl fmt::Display for ObjectVersion {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(formatter)
-    }
-}
-
-impl FromStr for ObjectVersion {
-    type Err = ParseError;
-
-    fn from_str(text: &str) -> Result<Self, ParseError> {
-        text.parse()
-            .map(Self)
-            .map_err(|_| ParseError::new("ObjectVersion", text, "it is not a number"))
-    }
-}
-
 /// One object of the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Object {
--- a/cuminarch-testing/src/virtual_fleet/platform.rs
+++ b/cuminarch-testing/src/virtual_fleet/platform.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use cuminarch_config::{ConfigDocument, ZoneStatus};
-use cuminarch_membership::{PlatformCall, PlatformReply, StoreVersion, ZoneMembers, ZoneObject};
+use cuminarch_membership::{ObjectVersion, PlatformCall, PlatformReply, ZoneMembers, ZoneObject};
 use cuminarch_types::{MonoTime, ZoneName};
 
 /// A watch that waits for a change.
@@ -138,7 +138,7 @@
 
     /// Answer to a watch that ends without a change.
     pub(super) fn unchanged(&self, call: &PlatformCall) -> PlatformReply {
-        let version = StoreVersion::new(self.version);
+        let version = ObjectVersion::new(self.version);
         match call {
             PlatformCall::WatchConfig(_) => PlatformReply::Config { version, document: None },
             _ => PlatformReply::Members { version, zones: Vec::new() },
@@ -146,13 +146,13 @@
     }
 
     fn members_after(&self, after: u64) -> PlatformReply {
-        let version = StoreVersion::new(self.version);
+        let version = ObjectVersion::new(self.version);
         let changed = self.members.values().filter(|object| object.version.get() > after);
         PlatformReply::Members { version, zones: changed.cloned().collect() }
     }
 
     fn config_after(&self, after: u64) -> PlatformReply {
-        let version = StoreVersion::new(self.version);
+        let version = ObjectVersion::new(self.version);
         let changed = self.config.as_ref().filter(|(_, version)| *version > after);
         PlatformReply::Config { version, document: changed.map(|(document, _)| document.clone()) }
     }
@@ -160,14 +160,14 @@
     fn put_members(
         &mut self,
         value: &ZoneMembers,
-        expected: Option<StoreVersion>,
+        expected: Option<ObjectVersion>,
     ) -> PlatformReply {
         let current = self.members.get(&value.zone);
         if current.map(|object| object.version) != expected {
             return PlatformReply::MembersConflict(current.cloned());
         }
         self.version += 1;
-        let version = StoreVersion::new(self.version);
+        let version = ObjectVersion::new(self.version);
         self.members.insert(value.zone.clone(), ZoneObject { version, value: value.clone() });
         PlatformReply::MembersWritten(version)
     }
--- a/cuminarch-types/src/id.rs
+++ b/cuminarch-types/src/id.rs
@@ -37,6 +37,11 @@
     Incarnation,
     u64
 );
+id_type!(
+    /// Version of an object of the platform or of its whole store; each write gives a higher one.
+    ObjectVersion,
+    u64
+);
 id_type!(
     /// Place of a rule in the sheet, from 1; 0 stands for the default class.
     RuleNumber,
--- a/cuminarch-types/src/lib.rs
+++ b/cuminarch-types/src/lib.rs
@@ -27,7 +27,9 @@
 
 pub use count::{Attempts, ByteCount, ConcurrencyLimit, RatePerSecond};
 pub use error::ParseError;
-pub use id::{AttemptId, CallId, Incarnation, RequestId, ResendNumber, Revision, RuleNumber};
+pub use id::{
+    AttemptId, CallId, Incarnation, ObjectVersion, RequestId, ResendNumber, Revision, RuleNumber,
+};
 pub use mono_time::MonoTime;
 pub use name::{ChangeId, ClassName, ClientKey, EndpointId, RegionName, ServiceName, ZoneName};
 pub use outcome::Outcome;
