test(node): a closed port that no other test can take

Cause: the test gave an ephemeral port of 127.0.0.1 back and took it for closed; once, in a whole run, it answered (503, completed), inferred to be another test's listener. Change: it uses an address of its own. Assertions unchanged.

--- a/cuminarch-node/tests/streaming.rs
+++ b/cuminarch-node/tests/streaming.rs
@@ -142,9 +142,12 @@
     chain.shutdown();
 }
 
+/// An address on which no other test listens, so that a port given back stays closed.
+const UNUSED_ADDRESS: &str = "127.77.0.1:0";
+
 #[rstest]
 fn an_early_refusal_reaches_a_caller_that_still_sends(#[values(1, 2)] hops: usize) {
-    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let closed = std::net::TcpListener::bind(UNUSED_ADDRESS).unwrap().local_addr().unwrap();
     let chain = Chain::start(hops, closed);
     let body = vec![7_u8; 8 * 1024 * 1024];
     for _ in 0..3 {
