--- a/cuminarch-testing/tests/store_contract.rs
+++ b/cuminarch-testing/tests/store_contract.rs
@@ -186,7 +186,7 @@
 
 #[test]
 fn refused_connection_is_no_ambiguous_write() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let listener = std::net::TcpListener::bind("127.77.0.2:0").unwrap();
     let free = listener.local_addr().unwrap();
     drop(listener);
     let result = HttpObjectStore::new(free).put(&path("config/a"), "one", Expect::Any);
