--- a/cuminarch-bench/src/control/failures.rs
+++ b/cuminarch-bench/src/control/failures.rs
@@ -7,6 +7,7 @@
 use super::SIZES;
 use super::fleet::{ZONES, settled};
 use super::table::{head, row};
+use super::traffic::MAX_BYTES_PER_S;
 use crate::{Bound, Case, Verdict};
 
 /// Length of the outage.
@@ -93,17 +94,21 @@
     line("same, bytes/s of the busiest node", |figures| figures.restart_bytes_per_s, 0);
     line("same, seconds until all know all", |figures| figures.converged_s, 2);
     for (size, figures) in SIZES.iter().zip(failures) {
-        let mut bound = |name: &str, figure: f64| {
+        let mut bound = |name: &str, figure: f64, limit: f64| {
             let name = format!("control/{size}/{name}");
-            verdict.record(Case::new(name, figure, Bound::AtMost(PLATFORM_CALLS_PER_S)));
+            verdict.record(Case::new(name, figure, Bound::AtMost(limit)));
         };
-        bound("after-outage-calls-per-s", figures.after_outage_peak);
-        bound("zone-restart-calls-per-s", figures.restart_peak);
+        bound("after-outage-calls-per-s", figures.after_outage_peak, PLATFORM_CALLS_PER_S);
+        bound("zone-restart-calls-per-s", figures.restart_peak, PLATFORM_CALLS_PER_S);
+        bound("zone-restart-bytes-per-s", figures.restart_bytes_per_s, MAX_BYTES_PER_S);
     }
     if let [.., half, whole] = failures {
         let growth = whole.after_outage_calls / half.after_outage_calls;
         let name = "control/after-outage-calls-growth";
         verdict.record(Case::new(name, growth, Bound::AtMost(MAX_GROWTH)));
+        let growth = whole.restart_calls / half.restart_calls;
+        let name = "control/zone-restart-calls-growth";
+        verdict.record(Case::new(name, growth, Bound::AtMost(MAX_GROWTH)));
         let growth = whole.outage_calls_per_s / half.outage_calls_per_s;
         verdict.record(Case::new("control/outage-calls-growth", growth, Bound::AtMost(MAX_GROWTH)));
     }
--- a/cuminarch-bench/src/control/traffic.rs
+++ b/cuminarch-bench/src/control/traffic.rs
@@ -15,7 +15,7 @@
 /// Changes during the measurement.
 const CHANGES: u32 = 1;
 /// Most that a node may spend on control, in bytes per second.
-const MAX_BYTES_PER_S: f64 = 8_192.0;
+pub const MAX_BYTES_PER_S: f64 = 8_192.0;
 /// Most memory for control in bytes.
 const MAX_MEMORY_BYTES: f64 = 256.0 * 1024.0 * 1024.0;
 /// Growth of a figure when the fleet doubles that still is slower than the fleet's.
