fix(routing): an endpoint that turns work away at once draws no more of it

Of a pair no endpoint is ever ejected, so that the failing one drew 95 in 100 calls for good.

Change: - an endpoint's failures add to its cost, and fade while it gets no calls; - a repeat is taken from the budget only if it can be sent; - a door of which no run has ended reports no shortage: it was told from an assumed holding time of 50 ms; - a report of pressure counts by the time since the last one, and a door makes up for windows without calls: an entry with two answers a second refused for 6 s after a shortage was over.

--- a/cuminarch-admission/src/shedder.rs
+++ b/cuminarch-admission/src/shedder.rs
@@ -37,6 +37,8 @@
     /// Requests of callers, fading with time.
     offered: f64,
     pressure: Option<Pressure>,
+    /// When an answer last said how short the services behind are.
+    reported_at: MonoTime,
     /// Part of the requests that is refused.
     refused: f64,
 }
@@ -59,8 +61,13 @@
     const PLAN_PERIOD: Duration = Duration::from_millis(50);
     /// Part of the counted requests that one plan leaves to the next.
     const KEPT: f64 = 0.95;
-    /// Weight of a new report.
+    /// Least weight of a new report; evens out endpoints that are short to
+    /// different degrees.
     const REPORT_WEIGHT: f64 = 0.2;
+    /// Time after which a new report replaces what was held before: half of what
+    /// a report counts in full, so that a route with a few answers a second hears
+    /// of the end of a shortage within a second.
+    const REPORT_MEMORY: Duration = Duration::from_millis(250);
     /// Part to shed below which nothing is refused, in thousandths.
     const LEAST_SHED_MILLI: f64 = 10.0;
     /// Most of a route that is refused, so that none starves.
@@ -90,7 +97,10 @@
     /// service behind it is short of capacity.
     pub fn note(&mut self, route: &RouteName, report: Option<Pressure>, now: MonoTime) {
         let load = self.routes.entry(route.clone()).or_default();
-        let weight = Self::REPORT_WEIGHT;
+        let gap = now.since(load.reported_at);
+        load.reported_at = now;
+        let weight =
+            (gap.as_secs_f64() / Self::REPORT_MEMORY.as_secs_f64()).clamp(Self::REPORT_WEIGHT, 1.0);
         match (&mut load.pressure, report) {
             (Some(held), Some(report)) if held.service == report.service => {
                 let shed_milli = held.shed_milli_at(now);
@@ -99,14 +109,15 @@
                 held.load = held.load.mul_f64(1.0 - weight) + report.load.mul_f64(weight);
             }
             (Some(held), Some(report)) if report.shed_milli > held.shed_milli_at(now) => {
-                *held = Pressure { shed_milli: report.shed_milli * weight, ..report };
+                *held = Pressure { shed_milli: report.shed_milli * Self::REPORT_WEIGHT, ..report };
             }
             (Some(held), _) => {
                 held.shed_milli = held.shed_milli_at(now) * (1.0 - weight);
                 held.noted_at = now;
             }
             (held @ None, Some(report)) => {
-                *held = Some(Pressure { shed_milli: report.shed_milli * weight, ..report });
+                let shed_milli = report.shed_milli * Self::REPORT_WEIGHT;
+                *held = Some(Pressure { shed_milli, ..report });
             }
             (None, None) => {}
         }
--- a/cuminarch-admission/src/shortage.rs
+++ b/cuminarch-admission/src/shortage.rs
@@ -22,8 +22,10 @@
     const USABLE_MILLI: u64 = 960;
     /// Time in which a backlog is to be worked off.
     const BACKLOG_TIME: Duration = Duration::from_millis(300);
-    /// One window moves the value by this part of the difference.
-    const GAIN_DIVISOR: i64 = 4;
+    /// Part of the difference that one window leaves to the next.
+    const KEPT: f64 = 0.75;
+    /// Value below which a falling shortage is over, in thousandths.
+    const LEAST_MILLI: f64 = 4.0;
     /// Most that is ever kept away, so that some requests go on to show recovery.
     const MOST_MILLI: u32 = 950;
 
@@ -56,10 +58,12 @@
         let passed_milli = u64::from(1_000 - self.milli);
         let fitting_milli = passed_milli * Self::USABLE_MILLI / load_milli;
         let wanted = 1_000_u64.saturating_sub(fitting_milli).min(u64::from(Self::MOST_MILLI));
-        let difference = i64::try_from(wanted).unwrap_or(0) - i64::from(self.milli);
-        let moved = i64::from(self.milli) + difference / Self::GAIN_DIVISOR;
-        let settled = if moved < Self::GAIN_DIVISOR && difference < 0 { 0 } else { moved.max(0) };
-        self.milli = u32::try_from(settled).unwrap_or(0).min(Self::MOST_MILLI);
+        // Without calls nothing advances the value, so one call may end many windows.
+        let windows = age.as_secs_f64() / Self::WINDOW.as_secs_f64();
+        let difference = wanted as f64 - f64::from(self.milli);
+        let moved = wanted as f64 - difference * Self::KEPT.powf(windows);
+        let is_over = moved < Self::LEAST_MILLI && difference < 0.0;
+        self.milli = if is_over { 0 } else { moved as u32 };
         self.since = now;
         self.offered = Duration::ZERO;
     }
--- a/cuminarch-admission/src/slot_admission.rs
+++ b/cuminarch-admission/src/slot_admission.rs
@@ -36,7 +36,8 @@
     waiting: BTreeMap<CallId, Waiting>,
     queue: BTreeSet<Place>,
     holding: BTreeMap<RouteName, Duration>,
-    mean_holding: Duration,
+    /// None before the first run has ended.
+    mean_holding: Option<Duration>,
     shortage: Shortage,
 }
 
@@ -46,7 +47,7 @@
     /// Part of its slots in percent that an endpoint gets filled: many servers
     /// become slower shortly before they are full, which costs more than it gains.
     const FILLED_PERCENT: u32 = 94;
-    /// Holding time that is assumed as long as none is known.
+    /// Holding time by which waits are predicted as long as none is known.
     const DEFAULT_HOLDING: Duration = Duration::from_millis(50);
     /// One sample moves a mean holding time by this part of the difference.
     const HOLDING_WEIGHT: u32 = 16;
@@ -65,7 +66,7 @@
             waiting: BTreeMap::new(),
             queue: BTreeSet::new(),
             holding: BTreeMap::new(),
-            mean_holding: Self::DEFAULT_HOLDING,
+            mean_holding: None,
             shortage: Shortage::new(),
         }
     }
@@ -74,15 +75,20 @@
         self.running.len() < self.capacity.get() as usize
     }
 
+    fn mean_holding(&self) -> Duration {
+        self.mean_holding.unwrap_or(Self::DEFAULT_HOLDING)
+    }
+
     fn holding_of(&self, route: Option<&RouteName>) -> Duration {
-        route.and_then(|route| self.holding.get(route)).copied().unwrap_or(self.mean_holding)
+        let known = route.and_then(|route| self.holding.get(route)).copied();
+        known.unwrap_or_else(|| self.mean_holding())
     }
 
     /// Time until a request at this place is started.
     fn predicted_wait(&self, place: Place) -> Duration {
         let ahead = self.queue.range(..place).count() + 1;
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        self.mean_holding * ahead / self.capacity.get().max(1)
+        self.mean_holding() * ahead / self.capacity.get().max(1)
     }
 
     fn latest_start(&self, request: &AdmissionRequest, now: MonoTime) -> MonoTime {
@@ -108,17 +114,23 @@
         let held = now.since(ended.since);
         let mix =
             |mean: Duration| (mean * (Self::HOLDING_WEIGHT - 1) + held) / Self::HOLDING_WEIGHT;
-        self.mean_holding = mix(self.mean_holding);
+        self.mean_holding = Some(mix(self.mean_holding()));
         if let Some(route) = &ended.route {
             let mean = self.holding.get(route).map_or(held, |mean| mix(*mean));
             self.holding.insert(route.clone(), mean);
         }
     }
 
+    /// Adds a request to the offered work. Before the first run has ended there is
+    /// no holding time to tell it by: an assumed one would make an endpoint seem
+    /// short that turns every request away at once.
     fn note_offered(&mut self, request: &AdmissionRequest, now: MonoTime) {
-        let backlog = self.mean_holding * u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        let backlog = self.mean_holding.unwrap_or_default() * waiting;
         self.shortage.advance(self.capacity, backlog, now);
-        self.shortage.offered(self.holding_of(request.route.as_ref()));
+        if self.mean_holding.is_some() {
+            self.shortage.offered(self.holding_of(request.route.as_ref()));
+        }
     }
 }
 
--- a/cuminarch-admission/tests/surge.rs
+++ b/cuminarch-admission/tests/surge.rs
@@ -1,6 +1,6 @@
 //! Surges at a door and at the entry, in virtual time.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use cuminarch_admission::{
@@ -72,40 +72,54 @@
     assert!(decisions.iter().skip(2).all(|decision| matches!(decision, Offer::Refuse { .. })));
 }
 
-/// Plays a surge of calls of 20 ms at a door of 40 slots, of which the entry keeps
-/// away what the door reports, and returns the part that was refused at the door.
-fn play(calls_per_s: u64, seconds: u64) -> (f64, u16) {
-    let mut door = door(42);
-    let mut ends: BTreeMap<(MonoTime, u64), CallId> = BTreeMap::new();
-    let (mut offered, mut refused) = (0_u64, 0_u64);
-    for step in 0..calls_per_s * seconds {
-        let now = MonoTime::from_micros(1_000_000 + step * 1_000_000 / calls_per_s);
-        while let Some(((at, call), id)) = ends.first_key_value().map(|(key, id)| (*key, *id)) {
-            if at > now {
-                break;
-            }
-            ends.remove(&(at, call));
-            for event in door.finish(id, Some(Duration::from_millis(20)), at) {
+/// A door of 40 slots whose calls take 20 ms each.
+struct PlayedDoor {
+    door: SlotAdmission,
+    ends: BTreeSet<(MonoTime, CallId)>,
+}
+
+impl PlayedDoor {
+    const HOLDING: Duration = Duration::from_millis(20);
+
+    fn new() -> Self {
+        Self { door: door(42), ends: BTreeSet::new() }
+    }
+
+    /// Offers a call after all those that have ended by then.
+    fn offer(&mut self, call: u64, now: MonoTime) -> Offer {
+        while let Some((at, ended)) = self.ends.first().copied().filter(|(at, _)| *at <= now) {
+            self.ends.remove(&(at, ended));
+            for event in self.door.finish(ended, Some(Self::HOLDING), at) {
                 if let QueueEvent::Run(started) = event {
-                    ends.insert((at.after(Duration::from_millis(20)), started.get()), started);
+                    self.ends.insert((at.after(Self::HOLDING), started));
                 }
             }
         }
-        let is_kept_away = step * 7_919 % 1_000 < u64::from(door.shortage_milli());
-        if is_kept_away {
-            continue;
+        let decision = self.door.offer(&request(call, 1, true, now), now).decision;
+        if decision == Offer::Run {
+            self.ends.insert((now.after(Self::HOLDING), CallId::new(call)));
         }
-        let is_settled = step > calls_per_s * seconds / 2;
-        offered += u64::from(is_settled);
-        match door.offer(&request(step, 1, true, now), now).decision {
-            Offer::Run => {
-                ends.insert((now.after(Duration::from_millis(20)), step), CallId::new(step));
+        decision
+    }
+
+    /// Plays a surge of which the entry keeps away what the door reports, and
+    /// returns the part that was refused at the door.
+    fn surge(&mut self, calls_per_s: u64, seconds: u64) -> f64 {
+        let (mut offered, mut refused) = (0_u64, 0_u64);
+        for step in 0..calls_per_s * seconds {
+            let now = MonoTime::from_micros(1_000_000 + step * 1_000_000 / calls_per_s);
+            let is_kept_away = step * 7_919 % 1_000 < u64::from(self.door.shortage_milli());
+            if is_kept_away {
+                continue;
+            }
+            let is_settled = step > calls_per_s * seconds / 2;
+            offered += u64::from(is_settled);
+            if let Offer::Refuse { .. } = self.offer(step, now) {
+                refused += u64::from(is_settled);
             }
-            Offer::Wait => {}
-            Offer::Refuse { .. } => refused += u64::from(is_settled),
         }
+        refused as f64 / offered as f64
     }
-    (refused as f64 / offered as f64, door.shortage_milli())
 }
 
 /// The door can do 1,950 calls a second; what is beyond that stays away.
@@ -118,7 +132,9 @@
     #[case] least_milli: u16,
     #[case] most_milli: u16,
 ) {
-    let (refused_part, shortage_milli) = play(calls_per_s, 6);
+    let mut played = PlayedDoor::new();
+    let refused_part = played.surge(calls_per_s, 6);
+    let shortage_milli = played.door.shortage_milli();
     assert!(refused_part < 0.02, "{refused_part}");
     assert!((least_milli..=most_milli).contains(&shortage_milli), "{shortage_milli}");
 }
@@ -206,3 +222,62 @@
     (0..20).for_each(|_| origins.note(&route("r"), &service("bildarchiv")));
     assert!(!origins.is_internal(&route("r")));
 }
+
+/// An entry with few callers refuses most of them while a service is short. Answers
+/// come each `gap_ms`; returns the part refused `after_ms` after the first that says
+/// the shortage is over.
+fn refused_after_a_shortage(gap_ms: u64, after_ms: u64) -> f64 {
+    let mut shedder = Shedder::new();
+    let over_at = MonoTime::from_millis(6_000);
+    let end = over_at.after(Duration::from_millis(after_ms));
+    let mut now = MonoTime::from_millis(1_000);
+    while now <= end {
+        let report = if now < over_at { pressure(800.0, 20, now) } else { None };
+        shedder.note(&route("browse"), report, now);
+        now = now.after(Duration::from_millis(gap_ms));
+    }
+    // Two plans, as the first counts requests only.
+    for at in [end, end.after(Duration::from_millis(60))] {
+        shedder.refuses(&route("browse"), Rank::MAX, at);
+    }
+    shedder.refused_part(&route("browse"))
+}
+
+#[rstest]
+#[case::two_answers_a_second(500, 1_000)]
+#[case::four_answers_a_second(250, 1_000)]
+#[case::ten_answers_a_second(100, 1_000)]
+#[case::a_hundred_answers_a_second(10, 500)]
+fn an_entry_with_few_callers_hears_of_the_end_of_a_shortage(
+    #[case] gap_ms: u64,
+    #[case] after_ms: u64,
+) {
+    let refused = refused_after_a_shortage(gap_ms, after_ms);
+    assert!(refused < 0.05, "{refused}");
+}
+
+#[test]
+fn an_endpoint_of_which_no_run_is_known_is_not_short() {
+    let mut door = door(16);
+    for call in 0..4_000_u64 {
+        let now = MonoTime::from_micros(1_000_000 + call * 500);
+        let decision = door.offer(&request(call, 1, true, now), now).decision;
+        assert_eq!(decision, Offer::Run);
+        // Its upstream turns the call away at once.
+        door.finish(CallId::new(call), None, now.after(Duration::from_micros(100)));
+    }
+    assert_eq!(door.shortage_milli(), 0);
+}
+
+#[rstest]
+#[case::two_calls_a_second(500)]
+#[case::ten_calls_a_second(100)]
+fn a_door_with_few_calls_reports_the_end_of_its_shortage(#[case] gap_ms: u64) {
+    let mut played = PlayedDoor::new();
+    played.surge(6_000, 2);
+    assert!(played.door.shortage_milli() > 500, "{}", played.door.shortage_milli());
+    for step in 1..=2_000 / gap_ms {
+        played.offer(100_000 + step, MonoTime::from_millis(3_000 + step * gap_ms));
+    }
+    assert_eq!(played.door.shortage_milli(), 0);
+}
--- a/cuminarch-engine/src/routed.rs
+++ b/cuminarch-engine/src/routed.rs
@@ -80,8 +80,8 @@
         sending.reached += u32::from(reached_upstream);
         let is_free = !reached_upstream && sending.retries < Self::MOST_REFUSALS;
         let may_repeat = match refusal.outcome {
-            cuminarch_types::Outcome::NotRun => is_free || self.takes_retry(id, false),
-            _ => self.is_repeatable(id) && self.takes_retry(id, true),
+            cuminarch_types::Outcome::NotRun => is_free || self.takes_retry(id, false, now),
+            _ => self.is_repeatable(id) && self.takes_retry(id, true, now),
         };
         if refusal.outcome != cuminarch_types::Outcome::NotRun
             && let Some(call) = self.calls.get_mut(&id)
@@ -104,7 +104,7 @@
         sending.retries += 1;
         sending.reached += u32::from(sent);
         let is_free = !sent && sending.retries < Self::MOST_REFUSALS;
-        let may_repeat = is_free || (self.is_repeatable(id) && self.takes_retry(id, true));
+        let may_repeat = is_free || (self.is_repeatable(id) && self.takes_retry(id, true, now));
         self.repeat_or_refuse(id, may_repeat, refusal, now, actions);
     }
 
@@ -112,9 +112,19 @@
         self.calls.get(&id).is_some_and(|call| call.idempotent)
     }
 
+    /// Whether there is an endpoint to repeat a call at, and the time for it.
+    fn can_repeat(&self, id: CallId, now: MonoTime) -> bool {
+        let Some(call) = self.calls.get(&id) else { return false };
+        let has_time = call.deadline.since(now) > Self::LEAST_TIME;
+        has_time && call.replayable && self.has_alternative(id, now)
+    }
+
     /// Takes a repeat that an upstream will see from the budget. What may have run
     /// already has made its own calls, which a repeat makes again.
-    fn takes_retry(&mut self, id: CallId, may_have_run: bool) -> bool {
+    fn takes_retry(&mut self, id: CallId, may_have_run: bool, now: MonoTime) -> bool {
+        if !self.can_repeat(id, now) {
+            return false;
+        }
         let Some(call) = self.calls.get(&id) else { return false };
         let Some(routed) = call.routed.clone() else { return false };
         let most = call.rule.max_endpoints;
@@ -138,9 +148,7 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
-        let Some(call) = self.calls.get(&id) else { return };
-        let has_time = call.deadline.since(now) > Self::LEAST_TIME;
-        if may_repeat && has_time && call.replayable && self.has_alternative(id, now) {
+        if may_repeat && self.can_repeat(id, now) {
             return self.send(id, now, actions);
         }
         self.refuse_routed(id, refusal, now, actions);
--- /dev/null
+++ b/cuminarch-engine/tests/routed.rs
@@ -0,0 +1,123 @@
+//! Calls that took a route, at one engine, event by event.
+
+#![allow(clippy::unwrap_used)]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cuminarch_attempts::RetryBudgetSettings;
+use cuminarch_config::{Policy, Sheet};
+use cuminarch_engine::{
+    Action, Arrival, Engine, EngineSettings, Event, Refusal, RefusalReason, RemoteRefusal,
+};
+use cuminarch_protocol::{Member, MemberState, Receipt, RoutedCall, UpstreamRecord, UpstreamState};
+use cuminarch_types::{AttemptId, CallId, Incarnation, MonoTime, RequestId, Revision};
+
+const SHEET: &str = "classes:
+  - name: lookup
+    grant_attempts: 16
+    deadline_ms: 1000
+    retry_percent: 50
+    protected: true
+rules:
+  - class: lookup
+    methods: [GET]
+    path: /**
+    idempotent: true
+default_class: lookup
+";
+
+/// The node of `kasse-1`, whose callers ask the service `auftrag`.
+struct Node {
+    engine: Engine,
+    now: MonoTime,
+}
+
+impl Node {
+    fn new() -> Self {
+        let mut settings = EngineSettings::new(
+            "kasse-1".parse().unwrap(),
+            "kasse".parse().unwrap(),
+            "zrh-a".parse().unwrap(),
+            "ch-central".parse().unwrap(),
+        );
+        settings.retry_budget = RetryBudgetSettings::new(0.1, 10.0);
+        let sheet = Sheet::parse(SHEET).unwrap();
+        let policy = Policy::from_sheet(Revision::new(1), &sheet).unwrap();
+        Self { engine: Engine::new(settings, Arc::new(policy)), now: MonoTime::from_millis(1) }
+    }
+
+    fn know(&mut self, endpoint: &str) {
+        let slots =
+            UpstreamRecord { slots: 16, state: UpstreamState::Ready, ..UpstreamRecord::absent() };
+        let peer = Member {
+            endpoint: endpoint.parse().unwrap(),
+            service: "auftrag".parse().unwrap(),
+            zone: "zrh-a".parse().unwrap(),
+            region: "ch-central".parse().unwrap(),
+            incarnation: Incarnation::new(5),
+            statement: 0,
+            data_address: "127.0.0.1:1".parse().unwrap(),
+            control_address: "127.0.0.1:2".parse().unwrap(),
+            state: MemberState::Active,
+            upstream: Some(slots),
+        };
+        self.handle(Event::Member(Box::new(peer)));
+    }
+
+    fn handle(&mut self, event: Event) -> Vec<Action> {
+        self.now = self.now.after(Duration::from_millis(1));
+        self.engine.handle(event, self.now)
+    }
+
+    fn call(&mut self, number: u128) -> (CallId, Vec<Action>) {
+        let routed = RoutedCall {
+            route: "lookup".parse().unwrap(),
+            caller_service: "kasse".parse().unwrap(),
+            is_nested: false,
+            objective_ms: 500,
+        };
+        let service = "auftrag".parse().unwrap();
+        let arrival = Arrival::outbound(service, RequestId::new(number), "GET", "/lookup/1");
+        let call = self.engine.next_call();
+        let arrival = arrival.with_routed(Some(routed));
+        (call, self.handle(Event::arrive(call, arrival)))
+    }
+
+    /// The upstream of the endpoint that was chosen turns the call away.
+    fn turn_away(&mut self, call: CallId, attempt: AttemptId) -> Vec<Action> {
+        let refusal = RemoteRefusal {
+            refusal: Refusal::not_run(RefusalReason::TurnedAway),
+            reached_upstream: true,
+            receipt: Receipt::default(),
+        };
+        self.handle(Event::RemoteRefused(call, attempt, Box::new(refusal)))
+    }
+}
+
+/// The endpoint and attempt that a call is sent with.
+fn forwarded(actions: &[Action]) -> Option<(String, AttemptId)> {
+    actions.iter().find_map(|action| match action {
+        Action::Forward { attempt, forward, .. } => {
+            Some((forward.target.endpoint.to_string(), *attempt))
+        }
+        _ => None,
+    })
+}
+
+#[test]
+fn a_repeat_that_has_nowhere_to_go_costs_no_budget() {
+    let mut node = Node::new();
+    node.know("auftrag-1");
+    for number in 0..40 {
+        let (call, actions) = node.call(number);
+        let (_, attempt) = forwarded(&actions).unwrap();
+        let actions = node.turn_away(call, attempt);
+        assert!(actions.iter().any(|action| matches!(action, Action::Refuse { .. })));
+    }
+    node.know("auftrag-2");
+    let (call, actions) = node.call(100);
+    let (first, attempt) = forwarded(&actions).unwrap();
+    let (second, _) = forwarded(&node.turn_away(call, attempt)).unwrap();
+    assert_ne!(first, second);
+}
--- a/cuminarch-routing/src/endpoint.rs
+++ b/cuminarch-routing/src/endpoint.rs
@@ -28,8 +28,9 @@
     ramp_from: Option<MonoTime>,
     levels: BTreeMap<RuleNumber, LearnedLevel>,
     occupancy: Option<Occupancy>,
-    /// Part of its answers that were failures, fading with time.
+    /// Part of its answers that were failures when the last one came.
     fault_part: f64,
+    faulted_at: MonoTime,
     /// Until when it takes no work, by the word of its node.
     closed_until: MonoTime,
     /// Tries to reach its node that failed, since the last that did not.
@@ -72,6 +73,9 @@
     /// An endpoint is ejected when its part of failures exceeds that of the
     /// others by this much.
     const FAULT_EXCESS: f64 = 0.25;
+    /// Time in which failures are forgotten of an endpoint that gets no calls: that
+    /// after which an ejected one is tried again at the latest.
+    const FAULT_LIFETIME: Duration = Self::LONGEST_EJECTION;
     /// Time after which a node that took no work is asked again.
     const CLOSED_TIME: Duration = Duration::from_millis(700);
     /// Time after which a reported occupancy says nothing any more.
@@ -92,6 +96,7 @@
             levels: BTreeMap::new(),
             occupancy: None,
             fault_part: 0.0,
+            faulted_at: MonoTime::ZERO,
             closed_until: MonoTime::ZERO,
             unreachable: 0,
             warm_at: MonoTime::ZERO,
@@ -133,13 +138,14 @@
     }
 
     /// Part of its answers that were failures lately.
-    pub const fn fault_part(&self) -> f64 {
-        self.fault_part
+    pub fn fault_part(&self, now: MonoTime) -> f64 {
+        let age = now.since(self.faulted_at).as_secs_f64() / Self::FAULT_LIFETIME.as_secs_f64();
+        self.fault_part * (1.0 - age).max(0.0)
     }
 
     /// Whether it fails clearly more often than the others do.
-    pub fn is_faulty(&self, typical_part: f64) -> bool {
-        self.fault_part > typical_part + Self::FAULT_EXCESS
+    pub fn is_faulty(&self, typical_part: f64, now: MonoTime) -> bool {
+        self.fault_part(now) > typical_part + Self::FAULT_EXCESS
     }
 
     pub const fn is_ejected(&self) -> bool {
@@ -270,7 +276,9 @@
                 self.unreachable = 0;
                 self.heard_at = now;
                 self.failures = 0;
-                self.fault_part += (1.0 - self.fault_part) * Self::FAULT_WEIGHT;
+                let part = self.fault_part(now);
+                self.fault_part = part + (1.0 - part) * Self::FAULT_WEIGHT;
+                self.faulted_at = now;
             }
             CallSample::Withdrawn => {}
             CallSample::Failed => self.failures += 1,
@@ -307,7 +315,8 @@
     fn answered(&mut self, latency: Duration, now: MonoTime) {
         self.failures = 0;
         self.unreachable = 0;
-        self.fault_part -= self.fault_part * Self::FAULT_WEIGHT;
+        self.fault_part = self.fault_part(now) * (1.0 - Self::FAULT_WEIGHT);
+        self.faulted_at = now;
         self.heard_at = now;
         self.answered_at = Some(now);
         let weight = Self::LATENCY_WEIGHT;
--- a/cuminarch-routing/src/service.rs
+++ b/cuminarch-routing/src/service.rs
@@ -190,7 +190,7 @@
         let mut ejected = self.ejected();
         for endpoint in self.endpoints.values_mut() {
             let is_allowed = (ejected + 1) * 2 < known;
-            let is_bad = endpoint.is_outlier(median, now) || endpoint.is_faulty(typical_part);
+            let is_bad = endpoint.is_outlier(median, now) || endpoint.is_faulty(typical_part, now);
             if is_allowed && !endpoint.is_ejected() && is_bad {
                 endpoint.eject(now);
                 ejected += 1;
@@ -201,7 +201,7 @@
     /// Part of failures of the endpoint that fails least.
     fn typical_fault_part(&self, now: MonoTime) -> f64 {
         let healthy = self.endpoints().filter(|endpoint| endpoint.is_healthy(now));
-        healthy.map(Endpoint::fault_part).fold(1.0, f64::min)
+        healthy.map(|endpoint| endpoint.fault_part(now)).fold(1.0, f64::min)
     }
 
     fn median(&self, now: MonoTime) -> Option<Duration> {
--- a/cuminarch-routing/tests/router.rs
+++ b/cuminarch-routing/tests/router.rs
@@ -1,9 +1,9 @@
 //! Invariants of routing.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use cuminarch_protocol::{Member, MemberState};
+use cuminarch_protocol::{Member, MemberState, UpstreamRecord, UpstreamState};
 use cuminarch_routing::{CallKind, CallSample, Router};
 use cuminarch_types::{EndpointId, Incarnation, MonoTime, ServiceName};
 use proptest::prelude::*;
@@ -166,3 +166,57 @@
         prop_assert!(router.ejected(&service()) * 2 < ENDPOINTS);
     }
 }
+
+/// A router of two endpoints of one zone that state their slots.
+fn pair() -> Router {
+    let mut router = Router::new("zrh-a".parse().unwrap(), "ch-central".parse().unwrap(), 3);
+    for index in 0..2 {
+        let slots =
+            UpstreamRecord { slots: 100, state: UpstreamState::Ready, ..UpstreamRecord::absent() };
+        let member =
+            Member { upstream: Some(slots), ..member(index, "zrh-a", MemberState::Active) };
+        router.update(member, MonoTime::ZERO);
+    }
+    router
+}
+
+/// Sends a call every 5 ms to a pair whose first endpoint fails each call at once,
+/// if it is failing, and that holds all others for 100 ms. Returns the first one's share.
+fn first_share(router: &mut Router, from: MonoTime, calls: u64, is_failing: bool) -> f64 {
+    let mut held: VecDeque<(MonoTime, EndpointId)> = VecDeque::new();
+    let mut first = 0_u64;
+    for call in 0..calls {
+        let now = from.after(Duration::from_millis(call * 5));
+        while held.front().is_some_and(|(end, _)| *end <= now) {
+            let (end, ended) = held.pop_front().unwrap();
+            let sample = CallSample::Answered(Duration::from_millis(100));
+            router.finished(&service(), &ended, sample, end);
+        }
+        let target = router.pick(&service(), kind(), &[], now).unwrap();
+        router.started(&service(), &target.endpoint, now);
+        first += u64::from(target.endpoint == endpoint(0));
+        if is_failing && target.endpoint == endpoint(0) {
+            router.finished(&service(), &target.endpoint, CallSample::Faulty, now);
+        } else {
+            held.push_back((now.after(Duration::from_millis(100)), target.endpoint));
+        }
+    }
+    for (end, ended) in held {
+        let sample = CallSample::Answered(Duration::from_millis(100));
+        router.finished(&service(), &ended, sample, end);
+    }
+    first as f64 / calls as f64
+}
+
+/// Of two endpoints, none is ejected; one that fails at once is never full, and
+/// would draw all calls by that.
+#[test]
+fn of_two_endpoints_one_that_fails_at_once_gets_few_calls_until_it_is_well() {
+    let mut router = pair();
+    let failing = first_share(&mut router, WARM, 2_000, true);
+    assert!(failing < 0.1, "{failing}");
+    let later = WARM.after(Duration::from_secs(14));
+    first_share(&mut router, later, 400, false);
+    let well = first_share(&mut router, later.after(Duration::from_secs(2)), 400, false);
+    assert!(well > 0.35, "{well}");
+}
