feat(soak): seeded faults against real daemons

`cargo xtask soak` starts four cuminarchd as processes, kills, pauses, terminates and restarts them, disturbs their connections to upstreams and platform through a proxy, fails the platform, changes the configuration, and checks seven promises by what callers, upstreams and the admin address show. A seed gives the whole schedule.

The daemons of cuminarchd's own failure tests are started by the same code now (`DaemonProcess`, `DaemonSettings` in cuminarch-testing).

--- /dev/null
+++ b/cuminarch-soak/src/fault.rs
@@ -0,0 +1,104 @@
+use std::fmt;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+/// Daemons of a soak: two that callers ask, and two behind them.
+pub const SITE_COUNT: usize = 4;
+
+/// What is wrong with the connections through a proxy.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LinkFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Bytes arrive later, by this many milliseconds.
+    Delay(u16),
+    /// Nothing arrives on either side until it is over.
+    Silence,
+    /// Answers do not arrive until it is over, requests do.
+    CutAnswers,
+    /// Connections are reset, and new ones at once.
+    Reset,
+}
+
+impl fmt::Display for LinkFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::None => formatter.write_str("none"),
+            Self::Delay(millis) => write!(formatter, "delay of {millis} ms"),
+            Self::Silence => formatter.write_str("silence"),
+            Self::CutAnswers => formatter.write_str("cut answers"),
+            Self::Reset => formatter.write_str("reset"),
+        }
+    }
+}
+
+/// A fault from outside; sites are counted from zero, those that callers ask first.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// A daemon is killed, and started again at the end.
+    Kill(usize),
+    /// A daemon is stopped, and continued at the end.
+    Pause(usize),
+    /// A daemon is terminated, and started again at the end.
+    Terminate(usize),
+    /// The connections of a daemon to its upstream.
+    Upstream(usize, LinkFault),
+    /// The connections of a daemon to the platform.
+    Platform(usize, LinkFault),
+    /// Every call to the platform fails.
+    PlatformDown,
+    /// Writes to the platform take effect, and their answers are lost.
+    PlatformLosesAnswers,
+    /// Calls to the platform take effect late, by this many milliseconds.
+    PlatformSlow(u16),
+    /// The next revision of the configuration is written.
+    NewConfiguration,
+}
+
+impl Fault {
+    const KINDS: u32 = 9;
+    const MOST_DELAY_MS: u16 = 400;
+
+    /// Draws a fault; each kind is as likely as the others.
+    pub fn random(rng: &mut ChaCha8Rng) -> Self {
+        let site = rng.random_range(0..SITE_COUNT);
+        match rng.random_range(0..Self::KINDS) {
+            0 => Self::Kill(site),
+            1 => Self::Pause(site),
+            2 => Self::Terminate(site),
+            3 => Self::Upstream(site, random_link_fault(rng)),
+            4 => Self::Platform(site, random_link_fault(rng)),
+            5 => Self::PlatformDown,
+            6 => Self::PlatformLosesAnswers,
+            7 => Self::PlatformSlow(rng.random_range(1..Self::MOST_DELAY_MS)),
+            _ => Self::NewConfiguration,
+        }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Kill(site) => write!(formatter, "kill of site {site}"),
+            Self::Pause(site) => write!(formatter, "pause of site {site}"),
+            Self::Terminate(site) => write!(formatter, "termination of site {site}"),
+            Self::Upstream(site, fault) => write!(formatter, "upstream of site {site}: {fault}"),
+            Self::Platform(site, fault) => write!(formatter, "platform of site {site}: {fault}"),
+            Self::PlatformDown => formatter.write_str("platform down"),
+            Self::PlatformLosesAnswers => formatter.write_str("platform loses answers"),
+            Self::PlatformSlow(millis) => write!(formatter, "platform slow by {millis} ms"),
+            Self::NewConfiguration => formatter.write_str("new configuration"),
+        }
+    }
+}
+
+fn random_link_fault(rng: &mut ChaCha8Rng) -> LinkFault {
+    match rng.random_range(0..4) {
+        0 => LinkFault::Delay(rng.random_range(1..Fault::MOST_DELAY_MS)),
+        1 => LinkFault::Silence,
+        2 => LinkFault::CutAnswers,
+        _ => LinkFault::Reset,
+    }
+}
--- /dev/null
+++ b/cuminarch-soak/src/link.rs
@@ -0,0 +1,111 @@
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::LinkFault;
+
+/// A proxy on loopback whose connections can be disturbed.
+#[derive(Debug)]
+pub struct LinkProxy {
+    address: SocketAddr,
+    fault: watch::Sender<LinkFault>,
+}
+
+impl LinkProxy {
+    /// Bytes that are passed on at once.
+    const BUFFER_BYTES: usize = 16 * 1_024;
+
+    /// Starts a proxy to `target`.
+    pub async fn start(target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let (fault, faults) = watch::channel(LinkFault::None);
+        tokio::spawn(serve(listener, target, faults));
+        Ok(Self { address, fault })
+    }
+
+    /// Where it listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets what is wrong from now on.
+    pub fn set_fault(&self, fault: LinkFault) {
+        self.fault.send_replace(fault);
+    }
+}
+
+async fn serve(listener: TcpListener, target: SocketAddr, faults: watch::Receiver<LinkFault>) {
+    while let Ok((client, _)) = listener.accept().await {
+        if *faults.borrow() == LinkFault::Reset {
+            reset(&client);
+            continue;
+        }
+        tokio::spawn(carry(client, target, faults.clone()));
+    }
+}
+
+/// Carries one connection to its end; how it ends is for both sides to see.
+async fn carry(mut client: TcpStream, target: SocketAddr, mut faults: watch::Receiver<LinkFault>) {
+    let Ok(mut server) = TcpStream::connect(target).await else { return reset(&client) };
+    let (requests, answers) = (faults.clone(), faults.clone());
+    let is_reset = {
+        let (mut from_client, mut to_client) = client.split();
+        let (mut from_server, mut to_server) = server.split();
+        let both = async {
+            tokio::try_join!(
+                copy(&mut from_client, &mut to_server, requests, false),
+                copy(&mut from_server, &mut to_client, answers, true),
+            )
+        };
+        tokio::select! {
+            _ = both => false,
+            found = faults.wait_for(|fault| *fault == LinkFault::Reset) => found.is_ok(),
+        }
+    };
+    if is_reset {
+        reset(&client);
+        reset(&server);
+    }
+}
+
+async fn copy(
+    from: &mut (impl AsyncRead + Unpin),
+    to: &mut (impl AsyncWrite + Unpin),
+    mut faults: watch::Receiver<LinkFault>,
+    is_answers: bool,
+) -> io::Result<()> {
+    let mut buffer = vec![0; LinkProxy::BUFFER_BYTES];
+    loop {
+        let count = from.read(&mut buffer).await?;
+        wait_for_passage(&mut faults, is_answers).await;
+        if count == 0 {
+            return to.shutdown().await;
+        }
+        to.write_all(&buffer[..count]).await?;
+    }
+}
+
+/// Holds bytes back as long as the fault lasts, as TCP does on a link that is cut.
+async fn wait_for_passage(faults: &mut watch::Receiver<LinkFault>, is_answers: bool) {
+    let passes = |fault: &LinkFault| match fault {
+        LinkFault::None | LinkFault::Delay(_) | LinkFault::Reset => true,
+        LinkFault::CutAnswers => !is_answers,
+        LinkFault::Silence => false,
+    };
+    let delay = match faults.wait_for(passes).await.as_deref() {
+        Ok(LinkFault::Delay(millis)) => Duration::from_millis(u64::from(*millis)),
+        _ => Duration::ZERO,
+    };
+    tokio::time::sleep(delay).await;
+}
+
+/// Makes the close that follows a reset.
+fn reset(stream: &TcpStream) {
+    // Without it the other side sees an ordinary end, which is a fault as well.
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
--- /dev/null
+++ b/cuminarch-soak/src/site.rs
@@ -0,0 +1,145 @@
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cuminarch_testing::{
+    CallerAnswer, DaemonProcess, DaemonSettings, HttpCaller, UpstreamBehaviour, UpstreamServer,
+};
+use cuminarch_types::ServiceName;
+use eyre::{Result, bail};
+use rustix::process::Signal;
+use tokio::sync::Mutex;
+
+use crate::link::LinkProxy;
+use crate::{Fault, Stop};
+
+/// A daemon, its upstream, and the proxies between it and the outside.
+#[derive(Debug)]
+pub struct Site {
+    index: usize,
+    settings: DaemonSettings,
+    process: DaemonProcess,
+    /// Held during a fault of the process, so that two do not mix.
+    turn: Mutex<()>,
+    pub upstream: UpstreamServer,
+    pub to_upstream: LinkProxy,
+    pub to_platform: LinkProxy,
+}
+
+impl Site {
+    const SERVICE_TIME: Duration = Duration::from_millis(2);
+    /// Time after which a caller gives up; five times the deadline of the soak's
+    /// configuration, so that a node answers before.
+    const CALL_LIMIT: Duration = Duration::from_secs(10);
+    /// Time in which a daemon has to be up, or to end after SIGTERM: twice what a
+    /// stop may take, so that a busy machine does not decide.
+    const PROCESS_LIMIT: Duration = Duration::from_secs(20);
+    const POLL_PERIOD: Duration = Duration::from_millis(20);
+
+    /// Starts a daemon; its upstream calls the service `behind`, if there is one.
+    pub async fn start(
+        program: &Path,
+        index: usize,
+        service: &str,
+        behind: Option<ServiceName>,
+        platform: SocketAddr,
+    ) -> Result<Self> {
+        let upstream = UpstreamServer::start(UpstreamBehaviour::new(Self::SERVICE_TIME))?;
+        let to_upstream = LinkProxy::start(upstream.address()).await?;
+        let to_platform = LinkProxy::start(platform).await?;
+        let (near, far) = (to_upstream.address(), to_platform.address());
+        let settings = DaemonSettings::new(service, index, near, far);
+        upstream.update(|behaviour| {
+            behaviour.egress = Some(settings.egress);
+            behaviour.calls = behind.into_iter().collect();
+        });
+        let process = DaemonProcess::start(program, &settings)?;
+        let turn = Mutex::new(());
+        Ok(Self { index, settings, process, turn, upstream, to_upstream, to_platform })
+    }
+
+    /// Sends a request to the daemon; none without an answer.
+    pub async fn call(
+        &self,
+        method: &str,
+        target: &str,
+        headers: &[(&str, String)],
+    ) -> Option<CallerAnswer> {
+        ask(self.settings.callers, method, target, headers, Self::CALL_LIMIT).await
+    }
+
+    /// The page of the daemon's admin address; none without an answer.
+    pub async fn admin_page(&self, target: &str) -> Option<CallerAnswer> {
+        ask(self.settings.admin, "GET", target, &[], Self::CALL_LIMIT / 10).await
+    }
+
+    /// Carries out a fault of the process from its beginning to its end.
+    pub async fn disturb(&self, fault: Fault, lasts: Duration) -> Result<Option<Stop>> {
+        let _turn = self.turn.lock().await;
+        match fault {
+            Fault::Pause(_) => {
+                self.process.signal(Signal::STOP)?;
+                tokio::time::sleep(lasts).await;
+                self.process.signal(Signal::CONT)?;
+                return Ok(None);
+            }
+            Fault::Kill(_) => self.process.signal(Signal::KILL)?,
+            Fault::Terminate(_) => {}
+            _ => return Ok(None),
+        }
+        let stop = match fault {
+            Fault::Terminate(_) => Some(self.stop(Signal::TERM).await?),
+            _ => None,
+        };
+        tokio::time::sleep(lasts).await;
+        self.process.restart()?;
+        self.wait_until_up().await?;
+        Ok(stop)
+    }
+
+    /// Ends the daemon for good, in the given way.
+    pub async fn stop(&self, signal: Signal) -> Result<Stop> {
+        self.process.signal(signal)?;
+        let until = Instant::now() + Self::PROCESS_LIMIT;
+        let status = loop {
+            let status = self.process.wait(Duration::ZERO)?;
+            if status.is_some() || Instant::now() > until {
+                break status;
+            }
+            tokio::time::sleep(Self::POLL_PERIOD).await;
+        };
+        let is_graceful = status.is_some_and(|status| status.success());
+        let seen = status.map_or_else(|| "still runs".to_owned(), |status| status.to_string());
+        Ok(Stop { site: self.index, is_graceful, seen })
+    }
+
+    /// Stops or continues the process without taking a turn.
+    pub fn signal(&self, signal: Signal) -> Result<()> {
+        Ok(self.process.signal(signal)?)
+    }
+
+    /// Waits until the daemon serves its admin address; it handles signals before.
+    pub async fn wait_until_up(&self) -> Result<()> {
+        let until = Instant::now() + Self::PROCESS_LIMIT;
+        while self.admin_page("/healthz").await.is_none() {
+            if Instant::now() > until {
+                bail!("site {} does not start", self.index);
+            }
+            tokio::time::sleep(Self::POLL_PERIOD).await;
+        }
+        Ok(())
+    }
+}
+
+async fn ask(
+    address: SocketAddr,
+    method: &str,
+    target: &str,
+    headers: &[(&str, String)],
+    limit: Duration,
+) -> Option<CallerAnswer> {
+    let caller = HttpCaller::new(address);
+    let call = caller.call(method, target, headers, Bytes::new());
+    tokio::time::timeout(limit, call).await.ok()?.ok()
+}
--- /dev/null
+++ b/cuminarch-soak/src/watcher.rs
@@ -0,0 +1,27 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::site::Site;
+
+/// Time between two looks at a daemon's state.
+const PERIOD: Duration = Duration::from_millis(100);
+
+/// The revisions in force at a daemon, until the time is up. One that has just
+/// started has none, and reports zero.
+pub async fn watch_revisions(site: Arc<Site>, until: Instant) -> Vec<u64> {
+    let mut revisions = Vec::new();
+    while Instant::now() < until {
+        let revision = match site.admin_page("/dump").await {
+            Some(page) if page.status == 200 && page.is_whole => revision_of(&page.body),
+            _ => None,
+        };
+        revisions.extend(revision.filter(|revision| *revision > 0));
+        tokio::time::sleep(PERIOD).await;
+    }
+    revisions
+}
+
+fn revision_of(dump: &[u8]) -> Option<u64> {
+    let dump: serde_json::Value = serde_json::from_slice(dump).ok()?;
+    dump.get("engine")?.get("revision")?.as_u64()
+}
--- a/cuminarch-testing/src/lib.rs
+++ b/cuminarch-testing/src/lib.rs
@@ -17,6 +17,8 @@
 //! ```
 
 mod caller;
+mod daemon_process;
+mod daemon_settings;
 mod free_address;
 mod manual_clock;
 mod memory_store;
@@ -28,6 +30,8 @@
 mod virtual_fleet;
 
 pub use caller::{CallerAnswer, HttpCaller};
+pub use daemon_process::DaemonProcess;
+pub use daemon_settings::DaemonSettings;
 pub use free_address::free_address;
 pub use manual_clock::ManualClock;
 pub use memory_store::{MemoryStore, StoreSnapshot};
--- a/cuminarchd/tests/failures.rs
+++ b/cuminarchd/tests/failures.rs
@@ -7,6 +7,7 @@
 use cuminarch_testing::PlatformFault;
 use fleet::{Fleet, Site};
 use rstest::rstest;
+use rustix::process::Signal;
 
 const CALLERS: usize = 8;
 const REQUESTS_PER_CALLER: usize = 40;
@@ -55,15 +56,15 @@
     match failure {
         Failure::None => {}
         Failure::Kill => {
-            fronts[1].signal("-KILL");
+            fronts[1].signal(Signal::KILL);
             fronts[1].restart();
         }
         Failure::Freeze => {
-            fronts[1].signal("-STOP");
+            fronts[1].signal(Signal::STOP);
             tokio::time::sleep(pause * 15).await;
-            fronts[1].signal("-CONT");
+            fronts[1].signal(Signal::CONT);
         }
-        Failure::Terminate => fronts[1].signal("-TERM"),
+        Failure::Terminate => fronts[1].signal(Signal::TERM),
         Failure::PlatformDown => fleet.platform.store().set_fault(PlatformFault::Down),
         Failure::LostAnswers => fleet.platform.store().set_fault(PlatformFault::LoseAnswers),
     }
--- a/cuminarchd/tests/fleet/mod.rs
+++ b/cuminarchd/tests/fleet/mod.rs
@@ -1,19 +1,18 @@
 //! A few daemons as separate processes, with stand-ins around them.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::net::SocketAddr;
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use cuminarch_config::ConfigDocument;
 use cuminarch_platform::{Expect, ObjectStore};
 use cuminarch_testing::{
-    CallerAnswer, HttpCaller, PlatformServer, UpstreamBehaviour, UpstreamServer,
+    CallerAnswer, DaemonProcess, DaemonSettings, HttpCaller, PlatformServer, UpstreamBehaviour,
+    UpstreamServer,
 };
 use cuminarch_types::Revision;
+use rustix::process::Signal;
 
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 const SHEET: &str = "
@@ -28,43 +27,30 @@
 
 /// One daemon with its upstream.
 pub struct Site {
-    child: Mutex<Child>,
+    process: DaemonProcess,
     pub upstream: UpstreamServer,
     pub callers: SocketAddr,
-    settings: PathBuf,
 }
 
 impl Site {
     fn start(service: &str, index: usize, platform: SocketAddr) -> Self {
         let upstream = UpstreamServer::start(UpstreamBehaviour::new(Duration::from_millis(2)));
         let upstream = upstream.unwrap();
-        let [callers, egress, data, control, admin] = free_addresses();
-        let text = format!(
-            "fleet: test\nendpoint: {service}-{index}\nservice: {service}\nzone: zrh-a\n\
-             region: ch-central\ncaller_address: {callers}\negress_address: {egress}\n\
-             data_address: {data}\ncontrol_address: {control}\nadmin_address: {admin}\n\
-             upstream_address: {}\nplatform_address: {platform}\n",
-            upstream.address()
-        );
-        upstream.update(|behaviour| behaviour.egress = Some(egress));
-        let name = format!("cuminarchd-{}-{callers}.yaml", std::process::id());
-        let settings = std::env::temp_dir().join(name);
-        std::fs::write(&settings, text).unwrap();
-        let child = Mutex::new(spawn(&settings));
-        Self { child, upstream, callers, settings }
+        let settings = DaemonSettings::new(service, index, upstream.address(), platform);
+        upstream.update(|behaviour| behaviour.egress = Some(settings.egress));
+        let program = Path::new(env!("CARGO_BIN_EXE_cuminarchd"));
+        let process = DaemonProcess::start(program, &settings).unwrap();
+        Self { process, upstream, callers: settings.callers }
     }
 
     /// Sends a signal to the daemon.
-    pub fn signal(&self, signal: &str) {
-        let id = self.child.lock().unwrap().id().to_string();
-        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    pub fn signal(&self, signal: Signal) {
+        self.process.signal(signal).unwrap();
     }
 
     /// Starts the daemon again after it has ended.
     pub fn restart(&self) {
-        let mut child = self.child.lock().unwrap();
-        child.wait().unwrap();
-        *child = spawn(&self.settings);
+        self.process.restart().unwrap();
     }
 
     /// Sends one request to the daemon.
@@ -86,15 +72,6 @@
     }
 }
 
-impl Drop for Site {
-    fn drop(&mut self) {
-        let child = self.child.get_mut().unwrap();
-        let _ = child.kill();
-        let _ = child.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
-
 /// All daemons of a test.
 pub struct Fleet {
     pub platform: PlatformServer,
@@ -144,26 +121,3 @@
         }
     }
 }
-
-fn spawn(settings: &PathBuf) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_cuminarchd"))
-        .arg("--settings")
-        .arg(settings)
-        .env("RUST_LOG", "warn")
-        .stdout(Stdio::null())
-        .spawn()
-        .unwrap()
-}
-
-/// Addresses for one daemon on a loopback IP number of its own, so that nobody
-/// else gets its ports while it is down: not another fleet, nor an outgoing
-/// connection of this machine.
-fn free_addresses() -> [SocketAddr; 5] {
-    static SITES: AtomicU8 = AtomicU8::new(1);
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let site = SITES.fetch_add(1, Ordering::Relaxed);
-    let host = Ipv4Addr::new(127, high.max(1), low, site);
-    let listeners: Vec<TcpListener> =
-        (0..5).map(|_| TcpListener::bind((host, 0)).unwrap()).collect();
-    std::array::from_fn(|index| listeners[index].local_addr().unwrap())
-}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,11 +1,11 @@
-//! Developer tasks: `cargo xtask lint`, `test`, `doc`, `ci` and `bench`.
+//! Developer tasks: `cargo xtask lint`, `test`, `doc`, `ci`, `bench` and `soak`.
 
 mod style;
 
 use std::path::Path;
 use std::process::Command as Process;
 
-use clap::{Arg, Command};
+use clap::{Arg, ArgMatches, Command};
 use eyre::{Result, bail};
 
 fn command() -> Command {
@@ -18,6 +18,10 @@
             "overhead",
         ]))
         .arg(Arg::new("rest").num_args(0..).trailing_var_arg(true).allow_hyphen_values(true));
+    let soak = Command::new("soak")
+        .about("Play seeded faults against real daemons; --help lists the options")
+        .disable_help_flag(true)
+        .arg(Arg::new("rest").num_args(0..).trailing_var_arg(true).allow_hyphen_values(true));
     Command::new("xtask")
         .about("Developer tasks")
         .subcommand_required(true)
@@ -27,6 +31,7 @@
         .subcommand(Command::new("doc").about("Build the docs without warnings"))
         .subcommand(Command::new("ci").about("Everything that has to pass"))
         .subcommand(bench)
+        .subcommand(soak)
 }
 
 fn cargo(arguments: &[&str]) -> Result<()> {
@@ -87,6 +92,16 @@
     cargo(&arguments)
 }
 
+/// The development profile keeps the daemons' overflow checks and assertions.
+fn soak(rest: &[&str]) -> Result<()> {
+    cargo(&["build", "--quiet", "--package", "cuminarchd"])?;
+    cargo(&[&["run", "--quiet", "--package", "cuminarch-soak", "--"][..], rest].concat())
+}
+
+fn rest_of(matches: &ArgMatches) -> Vec<&str> {
+    matches.get_many::<String>("rest").unwrap_or_default().map(String::as_str).collect()
+}
+
 fn main() -> Result<()> {
     let matches = command().get_matches();
     match matches.subcommand() {
@@ -95,13 +110,9 @@
         Some(("doc", _)) => doc(),
         Some(("bench", matches)) => {
             let name: &String = matches.get_one("name").expect("a required argument");
-            let rest: Vec<&str> = matches
-                .get_many::<String>("rest")
-                .unwrap_or_default()
-                .map(String::as_str)
-                .collect();
-            bench(name, &rest)
+            bench(name, &rest_of(matches))
         }
+        Some(("soak", matches)) => soak(&rest_of(matches)),
         _ => {
             lint()?;
             test()?;
