--- a/cuminarch-soak/src/fleet.rs
+++ b/cuminarch-soak/src/fleet.rs
@@ -9,6 +9,7 @@
 use cuminarch_testing::{CallerAnswer, PlatformFault, PlatformServer};
 use cuminarch_types::Revision;
 use eyre::{Result, WrapErr, bail};
+use rustix::process::Signal;
 use tokio::task::JoinSet;
 
 use crate::site::Site;
@@ -109,8 +110,13 @@
         told.iter().map(|told| (told.target.clone(), runs(&told.target))).collect()
     }
 
+    /// Sends a signal to all daemons.
+    pub fn signal(&self, signal: Signal) -> Result<()> {
+        self.sites.iter().try_for_each(|site| site.signal(signal))
+    }
+
     /// Ends all daemons at once, in the given way.
-    pub async fn stop(&self, signal: rustix::process::Signal) -> Result<Vec<Stop>> {
+    pub async fn stop(&self, signal: Signal) -> Result<Vec<Stop>> {
         let mut stops = JoinSet::new();
         for site in &self.sites {
             let site = Arc::clone(site);
--- a/cuminarch-soak/src/run.rs
+++ b/cuminarch-soak/src/run.rs
@@ -98,16 +98,12 @@
 
     async fn finish(&self, fleet: &Fleet, observations: &mut Observations) -> Result<()> {
         let breaches = |promise| self.sabotage == Some(Sabotage(promise));
-        let (is_dead, limit) = match breaches(Promise::Recovery) {
-            true => (true, Duration::ZERO),
-            false => (false, Self::RECOVERY_LIMIT),
-        };
-        for site in fleet.sites.iter().filter(|_| is_dead) {
-            site.signal(Signal::STOP)?;
-        }
-        observations.recovery = fleet.recover(limit).await.ok();
-        for site in fleet.sites.iter().filter(|_| is_dead) {
-            site.signal(Signal::CONT)?;
+        if breaches(Promise::Recovery) {
+            fleet.signal(Signal::STOP)?;
+            observations.recovery = fleet.recover(Duration::ZERO).await.ok();
+            fleet.signal(Signal::CONT)?;
+        } else {
+            observations.recovery = fleet.recover(Self::RECOVERY_LIMIT).await.ok();
         }
         if breaches(Promise::ConfigurationNeverBack) {
             observations.revisions.entry(0).or_default().push(0);
--- a/cuminarch-soak/src/site.rs
+++ b/cuminarch-soak/src/site.rs
@@ -114,7 +114,7 @@
         Ok(Stop { site: self.index, is_graceful, seen })
     }
 
-    /// Stops or continues the process without taking a turn.
+    /// Sends the process a signal, whatever else disturbs it.
     pub fn signal(&self, signal: Signal) -> Result<()> {
         Ok(self.process.signal(signal)?)
     }
