refactor: one raw caller for tests, shorter functions, delays with their type

From reading the change once more: - Three copies of a caller that speaks raw HTTP (node, platform and daemon tests) and of its wait are one now: RawCaller, RawAnswer, wait_for, LIVENESS in cuminarch-testing.

--- a/cuminarch-cli/src/args.rs
+++ b/cuminarch-cli/src/args.rs
@@ -46,24 +46,6 @@
         .about("Compare a sheet with the accepted one")
         .arg(sheet())
         .arg(platform());
-    let apply = Command::new("apply")
-        .about("Put a sheet into force")
-        .arg(sheet())
-        .arg(platform())
-        .arg(
-            Arg::new("base")
-                .long("base")
-                .value_name("REVISION")
-                .value_parser(value_parser!(Revision))
-                .help("Revision that the sheet was made from [default: that in its first line, else the accepted one]"),
-        )
-        .arg(
-            Arg::new("restored")
-                .long("restored")
-                .action(ArgAction::SetTrue)
-                .help("Accept a base that the platform has lost"),
-        )
-        .args(change_args());
     let rollback = Command::new("rollback")
         .about("Put the sheet of an earlier revision into force again, as a new revision")
         .arg(
@@ -87,7 +69,28 @@
         .about("Work on the configuration")
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommands([check, diff, apply, show, status, history, rollback])
+        .subcommands([check, diff, apply(), show, status, history, rollback])
+}
+
+fn apply() -> Command {
+    Command::new("apply")
+        .about("Put a sheet into force")
+        .arg(sheet())
+        .arg(platform())
+        .arg(
+            Arg::new("base")
+                .long("base")
+                .value_name("REVISION")
+                .value_parser(value_parser!(Revision))
+                .help("Revision that the sheet was made from [default: that in its first line, else the accepted one]"),
+        )
+        .arg(
+            Arg::new("restored")
+                .long("restored")
+                .action(ArgAction::SetTrue)
+                .help("Accept a base that the platform has lost"),
+        )
+        .args(change_args())
 }
 
 fn node() -> Command {
--- a/cuminarch-engine/tests/routed.rs
+++ b/cuminarch-engine/tests/routed.rs
@@ -11,7 +11,7 @@
     Action, Arrival, Engine, EngineSettings, Event, Refusal, RefusalReason, RemoteRefusal,
 };
 use cuminarch_protocol::{Member, MemberState, Receipt, RoutedCall, UpstreamRecord, UpstreamState};
-use cuminarch_types::{AttemptId, CallId, Incarnation, MonoTime, RequestId, Revision};
+use cuminarch_types::{AttemptId, CallId, Incarnation, MonoTime, Outcome, RequestId, Revision};
 use rstest::rstest;
 
 const SHEET: &str = "classes:
@@ -25,6 +25,10 @@
     methods: [GET]
     path: /**
     idempotent: true
+  - class: lookup
+    methods: [POST]
+    path: /**
+    idempotent: false
 default_class: lookup
 ";
 
@@ -72,6 +76,10 @@
     }
 
     fn call(&mut self, number: u128) -> (CallId, Vec<Action>) {
+        self.ask("GET", number)
+    }
+
+    fn ask(&mut self, method: &str, number: u128) -> (CallId, Vec<Action>) {
         let routed = RoutedCall {
             route: "lookup".parse().unwrap(),
             caller_service: "kasse".parse().unwrap(),
@@ -79,7 +87,7 @@
             objective_ms: 500,
         };
         let service = "auftrag".parse().unwrap();
-        let arrival = Arrival::outbound(service, RequestId::new(number), "GET", "/lookup/1");
+        let arrival = Arrival::outbound(service, RequestId::new(number), method, "/lookup/1");
         let call = self.engine.next_call();
         let arrival = arrival.with_routed(Some(routed));
         (call, self.handle(Event::arrive(call, arrival)))
@@ -157,3 +165,51 @@
     }
     assert!(failed < 40, "{failed}");
 }
+
+/// What the final answer says of a request.
+fn final_outcome(actions: &[Action]) -> Option<Outcome> {
+    actions.iter().find_map(|action| match action {
+        Action::Refuse { refusal, .. } => Some(refusal.outcome),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_request_that_may_have_run_elsewhere_is_never_told_not_run() {
+    let mut node = Node::new();
+    node.know("auftrag-1");
+    node.know("auftrag-2");
+    let (call, actions) = node.ask("GET", 1);
+    let (first, attempt) = forwarded(&actions).unwrap();
+    let actions = node.handle(Event::RemoteLost { call, attempt, sent: true });
+    let (second, attempt) = forwarded(&actions).unwrap();
+    assert_ne!(first, second);
+    assert_eq!(final_outcome(&node.turn_away(call, attempt)), Some(Outcome::Unknown));
+}
+
+#[test]
+fn a_request_that_no_upstream_ran_is_told_so() {
+    let mut node = Node::new();
+    node.know("auftrag-1");
+    let (call, actions) = node.ask("GET", 1);
+    let (_, attempt) = forwarded(&actions).unwrap();
+    assert_eq!(final_outcome(&node.turn_away(call, attempt)), Some(Outcome::NotRun));
+}
+
+/// Whether it was lost on the way, or the upstream's answer broke off.
+#[rstest]
+#[case::lost(None)]
+#[case::answer_lost(Some(Refusal::unknown(RefusalReason::UpstreamFailed)))]
+fn what_is_not_idempotent_and_may_have_run_is_not_sent_again(#[case] refusal: Option<Refusal>) {
+    let mut node = Node::new();
+    node.know("auftrag-1");
+    node.know("auftrag-2");
+    let (call, actions) = node.ask("POST", 1);
+    let (_, attempt) = forwarded(&actions).unwrap();
+    let actions = match refusal {
+        None => node.handle(Event::RemoteLost { call, attempt, sent: true }),
+        Some(refusal) => node.refuse(call, attempt, refusal),
+    };
+    assert!(forwarded(&actions).is_none(), "{actions:?}");
+    assert_eq!(final_outcome(&actions), Some(Outcome::Unknown));
+}
--- a/cuminarch-membership/src/platform.rs
+++ b/cuminarch-membership/src/platform.rs
@@ -286,6 +286,12 @@
             self.start_anew(call);
             return;
         }
+        self.take_in(call, reply, now);
+        self.refresh_topology(now);
+        self.drive_platform(now);
+    }
+
+    fn take_in(&mut self, call: &PlatformCall, reply: PlatformReply, now: MonoTime) {
         match reply {
             PlatformReply::Members { version, zones } => {
                 self.platform.members_version = Some(version);
@@ -315,8 +321,6 @@
             }
             PlatformReply::StatusWritten | PlatformReply::Failed => {}
         }
-        self.refresh_topology(now);
-        self.drive_platform(now);
     }
 
     /// Reads and reports everything again after the platform went back to an
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -11,13 +11,13 @@
 use cuminarch_config::Route;
 use cuminarch_engine::{Action, Arrival, Refusal, RefusalReason};
 use cuminarch_once::StoredAnswer;
-use cuminarch_protocol::{HeaderField, Receipt, RoutedCall, UpstreamRecord};
+use cuminarch_protocol::{AnswerHead, HeaderField, Receipt, RoutedCall, UpstreamRecord};
 use cuminarch_routing::Splitter;
 use cuminarch_types::{Outcome, RequestId, ServiceName};
 use flume::Sender;
 use log::{info, warn};
 
-use super::answer::{Answer, AnswerBody, AnswerLog};
+use super::answer::{Answer, AnswerBody, AnswerLog, AnswerSource};
 use super::body::RequestBody;
 use super::detached::Progress;
 use super::driver::{CallGuard, Driver};
@@ -156,16 +156,7 @@
             _ => continue,
         };
         match answer {
-            Ok(Some((head, source))) => {
-                let body =
-                    AnswerBody::new(guard, source, head.body_len_bytes).with_log(AnswerLog {
-                        decisions: Rc::clone(&context.decisions),
-                        request: request.label(context),
-                        route: request.route().into(),
-                        received_at: request.received_at,
-                    });
-                return Reply::Answer(Box::new(Answer { head, body }));
-            }
+            Ok(Some((head, source))) => return deliver(context, guard, &request, head, source),
             Ok(None) => {}
             Err(action) => {
                 let reply = interrupted(&mut guard, action).await;
@@ -179,6 +170,24 @@
     no_reply()
 }
 
+/// The answer that has begun, which logs if it breaks off.
+fn deliver(
+    context: &DataContext,
+    guard: CallGuard,
+    request: &CallRequest,
+    head: AnswerHead,
+    source: AnswerSource,
+) -> Reply {
+    let log = AnswerLog {
+        decisions: Rc::clone(&context.decisions),
+        request: request.label(context),
+        route: request.route().into(),
+        received_at: request.received_at,
+    };
+    let body = AnswerBody::new(guard, source, head.body_len_bytes).with_log(log);
+    Reply::Answer(Box::new(Answer { head, body }))
+}
+
 /// Writes why a call got a final answer of the node: at the first node for its
 /// caller, at the door for another node.
 fn log_refusal(context: &DataContext, request: &CallRequest, refusal: &Refusal) {
--- a/cuminarch-node/tests/edges.rs
+++ b/cuminarch-node/tests/edges.rs
@@ -7,8 +7,8 @@
 
 use cuminarch_membership::ZoneMembers;
 use cuminarch_platform::ObjectStore;
-use cuminarch_testing::{AfterAnswer, RawUpstream};
-use harness::{Caller, Chain, LIVENESS, call, wait_for};
+use cuminarch_testing::{AfterAnswer, LIVENESS, RawCaller, RawUpstream};
+use harness::{Chain, call, connect, wait_for};
 use rstest::rstest;
 
 fn upstream() -> RawUpstream {
@@ -89,16 +89,16 @@
 fn connections_above_the_limit_are_closed_and_the_others_go_on() {
     let upstream = upstream();
     let chain = Chain::start_with(1, upstream.address(), "max_connections: 3");
-    let mut callers: Vec<Caller> = (0..3).map(|_| Caller::connect(chain.front())).collect();
+    let mut callers: Vec<RawCaller> = (0..3).map(|_| connect(chain.front())).collect();
     for caller in &mut callers {
         caller.send("GET /", &[], b"");
-        assert_eq!(caller.read(false).text(), "ok");
+        assert_eq!(caller.read().text(), "ok");
     }
-    let mut refused = Caller::connect(chain.front());
+    let mut refused = connect(chain.front());
     assert_eq!(refused.stream.read(&mut [0; 16]).unwrap_or(0), 0);
     for caller in &mut callers {
         caller.send("GET /", &[], b"");
-        assert_eq!(caller.read(false).text(), "ok");
+        assert_eq!(caller.read().text(), "ok");
     }
     let metrics = call(chain.back().admin_address(), "GET /metrics", &[], b"").text();
     assert!(metrics.contains("cuminarch_connections_refused_total 1"), "{metrics}");
@@ -130,7 +130,7 @@
 fn a_sender_that_stops_within_the_head_is_disconnected() {
     let upstream = upstream();
     let chain = Chain::start_with(1, upstream.address(), "head_timeout_ms: 100");
-    let mut caller = Caller::connect(chain.front());
+    let mut caller = connect(chain.front());
     caller.stream.write_all(b"GET / HTTP/1.1\r\nhost:").unwrap();
     let mut rest = Vec::new();
     let _ = caller.stream.read_to_end(&mut rest);
@@ -148,10 +148,10 @@
 ) {
     let upstream = upstream();
     let chain = Chain::start_with(hops, upstream.address(), "body_idle_timeout_ms: 100");
-    let mut caller = Caller::connect(chain.front());
+    let mut caller = connect(chain.front());
     caller.send("PUT /", &[&format!("content-length: {length}")], b"");
     caller.stream.write_all(b"only this much").unwrap();
-    let reply = caller.read(false);
+    let reply = caller.read();
     assert!(matches!(reply.status, 400 | 502 | 503), "{reply:?}");
     assert_eq!(chain.call("GET /", &[], b"").text(), "ok");
     chain.shutdown();
--- a/cuminarch-node/tests/intermediary.rs
+++ b/cuminarch-node/tests/intermediary.rs
@@ -8,8 +8,8 @@
 use std::thread;
 use std::time::Duration;
 
-use cuminarch_testing::{AfterAnswer, RawRequest, RawUpstream};
-use harness::{Caller, Chain, Reply, call};
+use cuminarch_testing::{AfterAnswer, RawAnswer, RawCaller, RawRequest, RawUpstream};
+use harness::{Chain, call, connect};
 use rstest::rstest;
 
 /// An upstream that answers every request with these bytes.
@@ -88,10 +88,10 @@
 ) {
     let upstream = answering(answer.as_bytes(), AfterAnswer::Keep);
     let chain = Chain::start(hops, upstream.address());
-    let mut caller = Caller::connect(chain.front());
+    let mut caller = connect(chain.front());
     for _ in 0..3 {
         caller.send(&format!("{method} /thing"), &[], b"");
-        let reply = caller.read(method == "HEAD");
+        let reply = if method == "HEAD" { caller.read_head() } else { caller.read() };
         assert_eq!((reply.status, reply.body.len()), (status, 0));
         assert_eq!(reply.header("content-length"), length);
         assert_eq!(reply.outcome(), "completed");
@@ -116,10 +116,10 @@
 ) {
     let upstream = answering(answer, after);
     let chain = Chain::start(hops, upstream.address());
-    let mut caller = Caller::connect(chain.front());
+    let mut caller = connect(chain.front());
     for _ in 0..2 {
         caller.send("GET /", &[], b"");
-        let reply = caller.read(false);
+        let reply = caller.read();
         assert_eq!((reply.text().as_str(), reply.is_whole), ("hello world", true));
         assert_eq!(reply.header("transfer-encoding"), Some("chunked"));
     }
@@ -173,9 +173,9 @@
     let upstream = answering(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", AfterAnswer::Keep);
     let more = "max_request_body_bytes: 1000000";
     let chain = Chain::start_with(1, upstream.address(), more);
-    let mut caller = Caller::connect(chain.front());
+    let mut caller = connect(chain.front());
     caller.stream.write_all(&input).unwrap();
-    assert_eq!(caller.read(false).status, status);
+    assert_eq!(caller.read().status, status);
     assert_eq!(upstream.runs(), 0);
     assert_eq!(chain.call("GET /", &[], b"").text(), "ok");
     chain.shutdown();
@@ -192,11 +192,11 @@
     });
     let upstream = upstream.unwrap();
     let chain = Chain::start(hops, upstream.address());
-    let mut caller = Caller::connect(chain.front());
+    let mut caller = connect(chain.front());
     caller.send("PUT /photo", &["expect: 100-continue", "content-length: 5"], b"");
-    assert_eq!(caller.read(false).status, 100);
+    assert_eq!(caller.read().status, 100);
     caller.stream.write_all(b"photo").unwrap();
-    assert_eq!(caller.read(false).text(), "photo");
+    assert_eq!(caller.read().text(), "photo");
     chain.shutdown();
 }
 
@@ -204,22 +204,22 @@
 fn a_caller_that_expects_to_be_asked_is_refused_without() {
     let upstream = answering(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", AfterAnswer::Keep);
     let chain = Chain::start(1, upstream.address());
-    let mut caller = Caller::connect(chain.front());
+    let mut caller = connect(chain.front());
     let fields = ["expect: 100-continue", "content-length: 5000000", "x: y"];
     let request = "PUT / HTTP/1.1\r\nhost: a\r\ncuminarch-service: nowhere\r\n";
     let text = format!("{request}{}\r\n\r\n", fields.join("\r\n"));
     caller.stream.write_all(text.as_bytes()).unwrap();
-    let reply = caller.read(false);
+    let reply = caller.read();
     assert_eq!((reply.status, reply.outcome()), (503, "not-run"));
     assert!(reply.header("retry-after").is_some());
     chain.shutdown();
 }
 
 /// Asks again for as long as the answer is that the request was not run.
-fn ask_until_answered(caller: &mut Caller, request_line: &str) -> Reply {
+fn ask_until_answered(caller: &mut RawCaller, request_line: &str) -> RawAnswer {
     loop {
         caller.send(request_line, &[], b"");
-        let reply = caller.read(false);
+        let reply = caller.read();
         if reply.outcome() != "not-run" {
             return reply;
         }
@@ -250,7 +250,7 @@
     let callers: Vec<_> = (0..48)
         .map(|caller| {
             thread::spawn(move || {
-                let mut connection = Caller::connect(front);
+                let mut connection = connect(front);
                 for round in 0..10_usize {
                     let number = caller * 10 + round;
                     let reply = ask_until_answered(&mut connection, &format!("GET /{number}"));
@@ -281,7 +281,7 @@
     let upstream = upstream.unwrap();
     let chain = Chain::start(2, upstream.address());
     for number in 0..20 {
-        let mut leaver = Caller::connect(chain.front());
+        let mut leaver = connect(chain.front());
         leaver.send("GET /late", &[], b"");
         thread::sleep(Duration::from_millis(number * 4));
         drop(leaver);
@@ -341,9 +341,9 @@
     });
     let upstream = upstream.unwrap();
     let chain = Chain::start(hops, upstream.address());
-    let mut caller = Caller::connect(chain.front());
+    let mut caller = connect(chain.front());
     caller.send("POST /", &[one, other], b"");
     caller.stream.write_all(b"5\r\nhello\r\n0\r\n\r\n").unwrap();
-    assert_eq!(caller.read(false).text(), "sound");
+    assert_eq!(caller.read().text(), "sound");
     chain.shutdown();
 }
--- a/cuminarch-node/tests/keys.rs
+++ b/cuminarch-node/tests/keys.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use cuminarch_testing::{AfterAnswer, RawUpstream};
-use harness::{Caller, Chain, call, wait_for};
+use harness::{Chain, call, connect, wait_for};
 use rstest::rstest;
 
 #[rstest]
@@ -26,7 +26,7 @@
     let minted = call(chain.back().caller_address(), "POST /.cuminarch/keys", &[], b"");
     assert_eq!(minted.status, 201);
     let key = format!("idempotency-key: {}", minted.text());
-    let mut leaver = Caller::connect(chain.front());
+    let mut leaver = connect(chain.front());
     leaver.send("POST /approvals/7", &[&key], b"yes");
     wait_for(|| upstream.runs() == 1);
     drop(leaver);
@@ -60,7 +60,7 @@
     });
     let upstream = upstream.unwrap();
     let chain = Chain::start(2, upstream.address());
-    let mut leaver = Caller::connect(chain.front());
+    let mut leaver = connect(chain.front());
     leaver.send("GET /", &[], b"");
     leaver.stream.flush().unwrap();
     wait_for(|| upstream.runs() == 1);
--- a/cuminarch-node/tests/shutdown.rs
+++ b/cuminarch-node/tests/shutdown.rs
@@ -10,8 +10,8 @@
 use std::thread;
 use std::time::Duration;
 
-use cuminarch_testing::{AfterAnswer, RawUpstream};
-use harness::{Caller, Chain, Reply, call, start_node, wait_for};
+use cuminarch_testing::{AfterAnswer, RawAnswer, RawUpstream};
+use harness::{Chain, call, connect, start_node, wait_for};
 use rstest::rstest;
 
 const CALLERS: usize = 12;
@@ -36,7 +36,7 @@
     upstream.unwrap()
 }
 
-fn start_callers(chain: &Chain, upstream: &RawUpstream) -> mpsc::Receiver<Reply> {
+fn start_callers(chain: &Chain, upstream: &RawUpstream) -> mpsc::Receiver<RawAnswer> {
     let (done, replies) = mpsc::channel();
     let front = chain.front();
     for number in 0..CALLERS {
@@ -63,9 +63,9 @@
     let release = Arc::new(AtomicBool::new(false));
     let upstream = held_upstream(&release);
     let mut chain = Chain::start(hops, upstream.address());
-    let mut idle = Caller::connect(chain.front());
+    let mut idle = connect(chain.front());
     idle.send("POST /.cuminarch/keys", &[], b"");
-    assert_eq!(idle.read(false).status, 201);
+    assert_eq!(idle.read().status, 201);
     let replies = start_callers(&chain, &upstream);
     let front = chain.front();
     let node = chain.nodes.remove(stops);
@@ -76,7 +76,7 @@
     assert_eq!((late.status, late.outcome()), (503, "not-run"));
     release.store(true, Ordering::SeqCst);
     for _ in 0..CALLERS {
-        let reply = replies.recv_timeout(harness::LIVENESS).unwrap();
+        let reply = replies.recv_timeout(cuminarch_testing::LIVENESS).unwrap();
         assert_eq!((reply.status, reply.text().as_str()), (200, "halfhalf"));
         assert!(reply.is_whole);
     }
@@ -114,10 +114,10 @@
     });
     let front = node.caller_address();
     let caller = thread::spawn(move || {
-        let mut caller = Caller::connect(front);
+        let mut caller = connect(front);
         use std::io::Write;
         caller.stream.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
-        caller.read(false)
+        caller.read()
     });
     wait_for(|| upstream.runs() == 1);
     let admin = node.admin_address();
--- a/cuminarch-node/tests/streaming.rs
+++ b/cuminarch-node/tests/streaming.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use cuminarch_testing::{AfterAnswer, RawUpstream};
-use harness::{Caller, Chain, wait_for};
+use harness::{Chain, connect, wait_for};
 use rstest::rstest;
 
 const PIECE_BYTES: usize = 64 * 1024;
@@ -65,14 +65,14 @@
     });
     let upstream = upstream.unwrap();
     let chain = Chain::start(2, upstream.address());
-    let mut slow = Caller::connect(chain.front());
+    let mut slow = connect(chain.front());
     slow.send("GET /big", &["connection: close"], b"");
     let in_flight = settled(&written);
     assert!(in_flight < MAX_IN_FLIGHT_BYTES, "{in_flight} bytes in flight");
     for _ in 0..20 {
         assert_eq!(chain.call("GET /small", &[], b"").text(), "quick");
     }
-    let reply = slow.read(false);
+    let reply = slow.read();
     assert!(reply.is_whole);
     let mut place = 0;
     check(&mut place, &reply.body);
@@ -95,7 +95,7 @@
     });
     let upstream = upstream.unwrap();
     let chain = Chain::start(2, upstream.address());
-    let mut caller = Caller::connect(chain.front());
+    let mut caller = connect(chain.front());
     caller.send("PUT /big", &[&format!("content-length: {BODY_BYTES}")], b"");
     let written = Arc::new(AtomicU64::new(0));
     let counted = Arc::clone(&written);
@@ -109,7 +109,7 @@
     let in_flight = settled(&written);
     assert!(in_flight < MAX_IN_FLIGHT_BYTES, "{in_flight} bytes in flight");
     is_reading.store(true, Ordering::SeqCst);
-    let reply = caller.read(false);
+    let reply = caller.read();
     assert_eq!((reply.status, reply.text()), (200, BODY_BYTES.to_string()));
     writer.join().unwrap();
     chain.shutdown();
@@ -121,13 +121,13 @@
     let told = std::sync::Mutex::new(told);
     let upstream = RawUpstream::start(move |_, connection| {
         connection.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n")?;
-        let _ = told.lock().unwrap().recv_timeout(harness::LIVENESS);
+        let _ = told.lock().unwrap().recv_timeout(cuminarch_testing::LIVENESS);
         connection.write(b"4\r\nlast\r\n0\r\n\r\n")?;
         Ok(AfterAnswer::Keep)
     });
     let upstream = upstream.unwrap();
     let chain = Chain::start(hops, upstream.address());
-    let mut caller = Caller::connect(chain.front());
+    let mut caller = connect(chain.front());
     caller.send("GET /", &["connection: close"], b"");
     let mut text = String::new();
     while !text.contains("first") {
@@ -194,7 +194,7 @@
     let chain = Chain::start(hops, upstream.address());
     let filler = vec![b'x'; 0x2_0000];
     for _ in 0..3 {
-        let mut caller = Caller::connect(chain.front());
+        let mut caller = connect(chain.front());
         caller.send("PUT /photo", &[field], b"");
         if field.starts_with("transfer") {
             let head = format!("{:x}\r\n", filler.len());
--- a/cuminarch-soak/src/fault.rs
+++ b/cuminarch-soak/src/fault.rs
@@ -1,4 +1,5 @@
 use std::fmt;
+use std::time::Duration;
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -12,8 +13,8 @@
     /// Nothing.
     #[default]
     None,
-    /// Bytes arrive later, by this many milliseconds.
-    Delay(u16),
+    /// Bytes arrive later by this time.
+    Delay(Duration),
     /// Nothing arrives on either side until it is over.
     Silence,
     /// Answers do not arrive until it is over, requests do.
@@ -26,7 +27,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::None => formatter.write_str("none"),
-            Self::Delay(millis) => write!(formatter, "delay of {millis} ms"),
+            Self::Delay(delay) => write!(formatter, "delay of {} ms", delay.as_millis()),
             Self::Silence => formatter.write_str("silence"),
             Self::CutAnswers => formatter.write_str("cut answers"),
             Self::Reset => formatter.write_str("reset"),
@@ -51,14 +52,18 @@
     PlatformDown,
     /// Writes to the platform take effect, and their answers are lost.
     PlatformLosesAnswers,
-    /// Calls to the platform take effect late, by this many milliseconds.
-    PlatformSlow(u16),
+    /// Calls to the platform take effect later by this time.
+    PlatformSlow(Duration),
     /// The next revision of the configuration is written.
     NewConfiguration,
 }
 
 impl Fault {
+    /// Kinds of faults, and of those of connections.
     const KINDS: u32 = 9;
+    const LINK_KINDS: u32 = 4;
+    /// Longest delay in milliseconds: a fifth of the deadline of the soak's
+    /// configuration, so that delayed requests can still complete.
     const MOST_DELAY_MS: u16 = 400;
 
     /// Draws a fault; each kind is as likely as the others.
@@ -72,7 +77,7 @@
             4 => Self::Platform(site, random_link_fault(rng)),
             5 => Self::PlatformDown,
             6 => Self::PlatformLosesAnswers,
-            7 => Self::PlatformSlow(rng.random_range(1..Self::MOST_DELAY_MS)),
+            7 => Self::PlatformSlow(random_delay(rng)),
             _ => Self::NewConfiguration,
         }
     }
@@ -88,17 +93,23 @@
             Self::Platform(site, fault) => write!(formatter, "platform of site {site}: {fault}"),
             Self::PlatformDown => formatter.write_str("platform down"),
             Self::PlatformLosesAnswers => formatter.write_str("platform loses answers"),
-            Self::PlatformSlow(millis) => write!(formatter, "platform slow by {millis} ms"),
+            Self::PlatformSlow(delay) => {
+                write!(formatter, "platform slow by {} ms", delay.as_millis())
+            }
             Self::NewConfiguration => formatter.write_str("new configuration"),
         }
     }
 }
 
 fn random_link_fault(rng: &mut ChaCha8Rng) -> LinkFault {
-    match rng.random_range(0..4) {
-        0 => LinkFault::Delay(rng.random_range(1..Fault::MOST_DELAY_MS)),
+    match rng.random_range(0..Fault::LINK_KINDS) {
+        0 => LinkFault::Delay(random_delay(rng)),
         1 => LinkFault::Silence,
         2 => LinkFault::CutAnswers,
         _ => LinkFault::Reset,
     }
 }
+
+fn random_delay(rng: &mut ChaCha8Rng) -> Duration {
+    Duration::from_millis(u64::from(rng.random_range(1..Fault::MOST_DELAY_MS)))
+}
--- a/cuminarch-soak/src/fleet.rs
+++ b/cuminarch-soak/src/fleet.rs
@@ -79,9 +79,8 @@
             Fault::PlatformLosesAnswers => {
                 self.disturb_platform(PlatformFault::LoseAnswers, lasts).await;
             }
-            Fault::PlatformSlow(millis) => {
-                let fault = PlatformFault::Slow(Duration::from_millis(u64::from(millis)));
-                self.disturb_platform(fault, lasts).await;
+            Fault::PlatformSlow(delay) => {
+                self.disturb_platform(PlatformFault::Slow(delay), lasts).await;
             }
             Fault::NewConfiguration => self.publish().await?,
         }
--- a/cuminarch-soak/src/link.rs
+++ b/cuminarch-soak/src/link.rs
@@ -98,7 +98,7 @@
         LinkFault::Silence => false,
     };
     let delay = match faults.wait_for(passes).await.as_deref() {
-        Ok(LinkFault::Delay(millis)) => Duration::from_millis(u64::from(*millis)),
+        Ok(LinkFault::Delay(delay)) => *delay,
         _ => Duration::ZERO,
     };
     tokio::time::sleep(delay).await;
--- a/cuminarch-soak/src/main.rs
+++ b/cuminarch-soak/src/main.rs
@@ -64,8 +64,8 @@
     let matches = command().get_matches();
     let daemon = matches.get_one::<PathBuf>("daemon").cloned().map_or_else(daemon_beside, Ok)?;
     let first = matches.get_one::<u64>("seed").copied().map_or_else(fresh_seed, Ok)?;
-    let seeds = matches.get_one::<u64>("seeds").copied().unwrap_or(1);
-    let seconds = matches.get_one::<u64>("seconds").copied().unwrap_or(1);
+    let number = |name| *matches.get_one::<u64>(name).expect("an argument with a default");
+    let (seeds, seconds) = (number("seeds"), number("seconds"));
     let sabotage = matches.get_one::<Sabotage>("sabotage").copied();
     let mut broken = 0;
     for seed in first..first.saturating_add(seeds) {
--- a/cuminarch-soak/src/site.rs
+++ b/cuminarch-soak/src/site.rs
@@ -32,6 +32,9 @@
     /// Time after which a caller gives up; five times the deadline of the soak's
     /// configuration, so that a node answers before.
     const CALL_LIMIT: Duration = Duration::from_secs(10);
+    /// Time after which a look at a daemon's state is given up: the time within which
+    /// the daemon itself answers or says that its threads do not.
+    const ADMIN_LIMIT: Duration = Duration::from_secs(1);
     /// Time in which a daemon has to be up, or to end after SIGTERM: twice what a
     /// stop may take, so that a busy machine does not decide.
     const PROCESS_LIMIT: Duration = Duration::from_secs(20);
@@ -71,7 +74,7 @@
 
     /// The page of the daemon's admin address; none without an answer.
     pub async fn admin_page(&self, target: &str) -> Option<CallerAnswer> {
-        ask(self.settings.admin, "GET", target, &[], Self::CALL_LIMIT / 10).await
+        ask(self.settings.admin, "GET", target, &[], Self::ADMIN_LIMIT).await
     }
 
     /// Carries out a fault of the process from its beginning to its end.
--- /dev/null
+++ b/cuminarch-testing/src/raw_caller.rs
@@ -0,0 +1,154 @@
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+use crate::{LIVENESS, RawAnswer};
+
+/// A caller's end of a connection, which writes requests byte by byte and reads
+/// answers as strictly as it can. It panics where the connection fails, as it is
+/// for tests.
+#[derive(Debug)]
+pub struct RawCaller {
+    /// The connection.
+    pub stream: TcpStream,
+    buffer: Vec<u8>,
+    common_fields: Vec<String>,
+}
+
+impl RawCaller {
+    /// Bytes that are read at once.
+    const READ_BYTES: usize = 64 * 1_024;
+
+    /// Connects to a node or upstream.
+    ///
+    /// # Panics
+    ///
+    /// When there is no connection.
+    #[must_use]
+    pub fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).expect("a connection");
+        stream.set_read_timeout(Some(LIVENESS)).expect("a timeout above zero");
+        stream.set_nodelay(true).expect("a TCP socket");
+        Self { stream, buffer: Vec::new(), common_fields: Vec::new() }
+    }
+
+    /// Adds a header field to all requests.
+    #[must_use]
+    pub fn with_field(mut self, field: &str) -> Self {
+        self.common_fields.push(field.to_owned());
+        self
+    }
+
+    /// Sends a request; `HTTP/1.1`, the length, and a host if there is none are added.
+    ///
+    /// # Panics
+    ///
+    /// When the connection breaks.
+    pub fn send(&mut self, request_line: &str, fields: &[&str], body: &[u8]) {
+        let mut text = format!("{request_line} HTTP/1.1\r\n");
+        if !fields.iter().any(|field| field.starts_with("host:")) {
+            text.push_str("host: test\r\n");
+        }
+        for field in self.common_fields.iter().map(String::as_str).chain(fields.iter().copied()) {
+            text.push_str(field);
+            text.push_str("\r\n");
+        }
+        if !body.is_empty() {
+            text.push_str(&format!("content-length: {}\r\n", body.len()));
+        }
+        text.push_str("\r\n");
+        self.stream.write_all(&[text.as_bytes(), body].concat()).expect("a request sent");
+    }
+
+    /// Reads one answer.
+    ///
+    /// # Panics
+    ///
+    /// When the connection ends before its head does.
+    pub fn read(&mut self) -> RawAnswer {
+        let mut answer = self.read_head();
+        if matches!(answer.status, 100 | 204 | 304) {
+            return answer;
+        }
+        let length = answer.header("content-length").and_then(|value| value.parse().ok());
+        if let Some(length) = length {
+            answer.is_whole = self.read_exactly(length, &mut answer.body);
+        } else if answer.header("transfer-encoding") == Some("chunked") {
+            answer.is_whole = self.read_chunks(&mut answer.body);
+        } else {
+            while self.fill() {}
+            answer.body = std::mem::take(&mut self.buffer);
+        }
+        answer
+    }
+
+    /// Reads an answer that has no body whatever its head says, as that to `HEAD`.
+    ///
+    /// # Panics
+    ///
+    /// When the connection ends before its head does.
+    pub fn read_head(&mut self) -> RawAnswer {
+        let mut head = Vec::new();
+        loop {
+            let line = self.read_line().expect("an answer");
+            if line.is_empty() {
+                break;
+            }
+            head.push(line);
+        }
+        let status = head.first().and_then(|line| line.split(' ').nth(1));
+        let status = status.and_then(|status| status.parse().ok()).expect("a status line");
+        RawAnswer { status, head, body: Vec::new(), is_whole: true }
+    }
+
+    fn read_line(&mut self) -> Option<String> {
+        loop {
+            if let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") {
+                let line: Vec<u8> = self.buffer.drain(..end + 2).collect();
+                return Some(String::from_utf8_lossy(&line[..end]).into_owned());
+            }
+            if !self.fill() {
+                return None;
+            }
+        }
+    }
+
+    fn read_exactly(&mut self, length: usize, body: &mut Vec<u8>) -> bool {
+        let end = body.len() + length;
+        loop {
+            let count = self.buffer.len().min(end - body.len());
+            body.extend(self.buffer.drain(..count));
+            if body.len() == end {
+                return true;
+            }
+            if !self.fill() {
+                return false;
+            }
+        }
+    }
+
+    fn read_chunks(&mut self, body: &mut Vec<u8>) -> bool {
+        loop {
+            let Some(line) = self.read_line() else { return false };
+            let Ok(length) = usize::from_str_radix(&line, 16) else { return false };
+            if !self.read_exactly(length, body) || self.read_line().is_none() {
+                return false;
+            }
+            if length == 0 {
+                return true;
+            }
+        }
+    }
+
+    /// Reads more bytes. Returns whether there were any: a connection that broke
+    /// shows in the answer, which is not whole then.
+    fn fill(&mut self) -> bool {
+        let mut bytes = [0_u8; Self::READ_BYTES];
+        match self.stream.read(&mut bytes) {
+            Ok(0) | Err(_) => false,
+            Ok(count) => {
+                self.buffer.extend_from_slice(&bytes[..count]);
+                true
+            }
+        }
+    }
+}
--- a/cuminarchd/tests/daemon.rs
+++ b/cuminarchd/tests/daemon.rs
@@ -7,18 +7,11 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::{Duration, Instant};
 
 use cuminarch_testing::{AfterAnswer, PlatformServer, RawUpstream};
 
-const LIVENESS: Duration = Duration::from_secs(20);
-
-fn wait_for(is_so: impl Fn() -> bool) {
-    let until = Instant::now() + LIVENESS;
-    while !is_so() {
-        assert!(Instant::now() < until, "it did not happen");
-        thread::sleep(Duration::from_millis(10));
-    }
+fn wait_for(is_so: impl FnMut() -> bool) {
+    cuminarch_testing::wait_for("what the test waits for", is_so);
 }
 
 fn settings_file(name: &str, upstream: SocketAddr, platform: SocketAddr) -> PathBuf {
