feat(routing): calls stay in their zone while it has room; a zone cut off is avoided as one

Cause: candidates were four neighbours in the order of names from a random start. Names go by zone, so at 100 endpoints the four were of one random zone, and an endpoint without a recent report counted as empty, which drew calls to zones that the node seldom calls. A zone cut off was found out endpoint by endpoint by each node: 18,836 calls of 156 + 39 nodes were sent into it in 8 s.

Change: two random candidates of the own zone by occupancy, endpoints without a report judged by the mean of their side; a part of the calls spills over, moved in small steps by how much fuller the own zone is than the others; two hosts of a zone out of reach, and no word from it since, speak for the zone. The median is computed only for calls to ejected endpoints.

--- a/cuminarch-routing/src/endpoint.rs
+++ b/cuminarch-routing/src/endpoint.rs
@@ -58,7 +58,7 @@
     /// Calls that must wait for a silent endpoint before it counts as stalled.
     const STALLED_CALLS: u32 = 4;
     const FIRST_EJECTION: Duration = Duration::from_millis(500);
-    const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+    pub const LONGEST_EJECTION: Duration = Duration::from_secs(4);
     /// Time in which a suspect endpoint that answered is not taken for suspect.
     const ANSWER_LIFETIME: Duration = Duration::from_secs(2);
     /// Time over which a new endpoint gets its full share.
@@ -79,7 +79,7 @@
     /// Time after which a node that took no work is asked again.
     const CLOSED_TIME: Duration = Duration::from_millis(700);
     /// Time after which a reported occupancy says nothing any more.
-    const OCCUPANCY_LIFETIME: Duration = Duration::from_secs(2);
+    pub const OCCUPANCY_LIFETIME: Duration = Duration::from_secs(2);
 
     /// An endpoint of which nothing was seen yet.
     pub const fn new(member: Member) -> Self {
@@ -216,15 +216,21 @@
         self.member.upstream.is_some()
     }
 
-    /// Part of its slots that are probably taken now, in thousandths.
-    pub fn occupancy_milli(&self, now: MonoTime) -> u32 {
+    /// Part of its slots that are probably taken now, in thousandths; `typical_milli`
+    /// as long as no report of its own is at hand.
+    pub fn occupancy_milli(&self, typical_milli: u32, now: MonoTime) -> u32 {
         let slots = self.member.upstream.as_ref().map_or(0, |upstream| upstream.slots).max(1);
         let own_milli = self.in_flight * 1_000 / slots;
-        let Some(occupancy) = self.occupancy else { return own_milli };
-        if now.since(occupancy.noted_at) > Self::OCCUPANCY_LIFETIME {
-            return own_milli;
+        let Some(occupancy) = self.occupancy else { return typical_milli.max(own_milli) };
+        let age = now.since(occupancy.noted_at).as_secs_f64();
+        let left = 1.0 - age / Self::OCCUPANCY_LIFETIME.as_secs_f64();
+        if left <= 0.0 {
+            return typical_milli.max(own_milli);
         }
-        (occupancy.milli + occupancy.sent_since * 1_000 / slots).max(own_milli)
+        // Fades, so that nodes which turned elsewhere come back one by one and not
+        // all at once when the report has become too old.
+        let reported_milli = occupancy.milli + occupancy.sent_since * 1_000 / slots;
+        ((f64::from(reported_milli) * left) as u32).max(own_milli)
     }
 
     /// Whether its upstream is still slow after a start.
--- a/cuminarch-routing/src/occupancy.rs
+++ b/cuminarch-routing/src/occupancy.rs
@@ -3,45 +3,153 @@
 //! Answers the load of uneven zones and of endpoints that differ in speed: a
 //! fast endpoint is less full under the same share, and so gets more. Also that of
 //! endpoints that fail calls at once behind a good health check.
+//!
+//! Calls stay in the caller's zone while its endpoints have room. What they lack
+//! spills over to other zones; the part that does moves in small steps, as all nodes
+//! of the zone see the same and would turn elsewhere and back together.
+
+use std::time::Duration;
 
 use cuminarch_types::MonoTime;
 use rand::RngExt;
+use rand::seq::index::sample;
 use rand_chacha::ChaCha8Rng;
 
 use crate::endpoint::Endpoint;
 use crate::service::Place;
 
-/// Occupancy that an endpoint of another zone seems to have on top of its own, in
-/// thousandths for each step of distance: a call there costs time and traffic.
-const DISTANCE_MILLI: u32 = 150;
-/// The same for an endpoint that is still slow after its start.
+/// Occupancy of the own zone below which no call leaves it, in thousandths.
+const ROOM_MILLI: f64 = 650.0;
+/// Occupancy by which the own zone has to exceed the others before calls leave it, in
+/// thousandths: a call there costs time and traffic.
+const DISTANCE_MILLI: f64 = 100.0;
+/// Occupancy that an endpoint which is still slow after its start seems to have on
+/// top of its own, in thousandths.
 const COLD_MILLI: u32 = 300;
 /// The same for one that fails all calls. One that fails half of them counts as full:
 /// failing is quick, so that it is never really full and would draw calls by that.
 const FAULTY_MILLI: f64 = 2_000.0;
 
-/// Endpoints that are compared. All of a small service are, and a few random ones
-/// of a large one (Mitzenmacher, 2001), so that nodes do not all choose the same.
-const COMPARED: usize = 4;
-
-/// The least full of a few random endpoints.
-pub fn choose_by_occupancy<'a>(
-    endpoints: &[&'a Endpoint],
-    place: &Place,
-    now: MonoTime,
-    rng: &mut ChaCha8Rng,
-) -> Option<&'a Endpoint> {
-    let count = endpoints.len();
-    if count == 0 {
-        return None;
+/// Endpoints that are compared, random ones, so that nodes which see the same do not all
+/// choose the same (Mitzenmacher, 2001).
+const COMPARED: usize = 2;
+
+/// Mean of the occupancies that endpoints have reported lately, by which those are
+/// judged of which no report is at hand.
+#[derive(Clone, Copy, Debug, Default)]
+struct TypicalOccupancy {
+    milli: f64,
+    noted_at: MonoTime,
+}
+
+impl TypicalOccupancy {
+    /// One report moves the mean by this part of the difference at least.
+    const LEAST_WEIGHT: f64 = 1.0 / 16.0;
+    /// Time over which reports are averaged where they are rare.
+    const MEMORY: Duration = Duration::from_millis(500);
+
+    fn note(&mut self, milli: u32, now: MonoTime) {
+        let gap = now.since(self.noted_at).as_secs_f64() / Self::MEMORY.as_secs_f64();
+        self.milli += (f64::from(milli) - self.milli) * gap.clamp(Self::LEAST_WEIGHT, 1.0);
+        self.noted_at = now;
+    }
+
+    /// The mean in thousandths; none if nothing was reported lately.
+    fn milli(&self, now: MonoTime) -> Option<f64> {
+        let is_known = now.since(self.noted_at) <= Endpoint::OCCUPANCY_LIFETIME;
+        (is_known && self.noted_at > MonoTime::ZERO).then_some(self.milli)
+    }
+}
+
+/// What is known of the occupancy of a service, in the own zone and in others, and
+/// which part of the calls leaves the zone.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ServiceOccupancy {
+    near: TypicalOccupancy,
+    far: TypicalOccupancy,
+    /// Part of the calls that leaves the zone.
+    spilled: f64,
+}
+
+impl ServiceOccupancy {
+    /// Change of the part that leaves the zone, for each second and each thousandth of
+    /// occupancy too much.
+    const GAIN_PER_S: f64 = 0.003;
+    /// Most by which the part changes in a second.
+    const FASTEST_PER_S: f64 = 1.0;
+    /// Most that leaves the zone, so that its recovery is seen.
+    const MOST_SPILLED: f64 = 0.95;
+
+    /// Takes in a report of an endpoint, in thousandths.
+    pub fn note(&mut self, is_near: bool, milli: u32, now: MonoTime) {
+        let side = if is_near { &mut self.near } else { &mut self.far };
+        side.note(milli, now);
+    }
+
+    /// Adapts the part that leaves the zone to what was reported.
+    pub fn adapt(&mut self, elapsed: Duration, now: MonoTime) {
+        let far_milli = self.far.milli(now).unwrap_or_default();
+        let bound_milli = ROOM_MILLI.max(far_milli + DISTANCE_MILLI);
+        let excess_milli = self.near.milli(now).unwrap_or_default() - bound_milli;
+        let speed = excess_milli * Self::GAIN_PER_S;
+        let step = speed.clamp(-Self::FASTEST_PER_S, Self::FASTEST_PER_S) * elapsed.as_secs_f64();
+        self.spilled = (self.spilled + step).clamp(0.0, Self::MOST_SPILLED);
+    }
+
+    /// The least full of a few random endpoints of the own zone, or of others for
+    /// calls that spill over.
+    pub fn choose<'a>(
+        &self,
+        endpoints: &[&'a Endpoint],
+        place: &Place,
+        now: MonoTime,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<&'a Endpoint> {
+        let is_near = |endpoint: &&&Endpoint| place.distance(&endpoint.member) == 0;
+        let (near, far): (Vec<&Endpoint>, Vec<&Endpoint>) = endpoints.iter().partition(is_near);
+        if near.is_empty() || (!far.is_empty() && rng.random_bool(self.spilled)) {
+            return self.least_full(&far, self.far, now, rng);
+        }
+        let chosen = self.least_full(&near, self.near, now, rng)?;
+        let drawback_milli = drawback_milli(chosen, now);
+        if drawback_milli == 0 {
+            return Some(chosen);
+        }
+        let other = self.least_full(&far, self.far, now, rng);
+        other.filter(|other| drawback_milli > drawback_milli_of_far(other, now)).or(Some(chosen))
+    }
+
+    fn least_full<'a>(
+        &self,
+        endpoints: &[&'a Endpoint],
+        typical: TypicalOccupancy,
+        now: MonoTime,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<&'a Endpoint> {
+        let typical_milli = typical.milli(now).unwrap_or_default() as u32;
+        let compared = draw(endpoints, rng);
+        compared.into_iter().min_by_key(|endpoint| {
+            endpoint.occupancy_milli(typical_milli, now) + drawback_milli(endpoint, now)
+        })
+    }
+}
+
+/// What speaks against an endpoint beside its occupancy, in thousandths.
+fn drawback_milli(endpoint: &Endpoint, now: MonoTime) -> u32 {
+    let cold_milli = if endpoint.is_cold(now) { COLD_MILLI } else { 0 };
+    cold_milli + (endpoint.fault_part(now) * FAULTY_MILLI) as u32
+}
+
+/// The same for an endpoint of another zone.
+fn drawback_milli_of_far(endpoint: &Endpoint, now: MonoTime) -> u32 {
+    drawback_milli(endpoint, now) + DISTANCE_MILLI as u32
+}
+
+/// A few random ones, in random order.
+fn draw<'a>(endpoints: &[&'a Endpoint], rng: &mut ChaCha8Rng) -> Vec<&'a Endpoint> {
+    if endpoints.len() <= 1 {
+        return endpoints.to_vec();
     }
-    let from = rng.random_range(0..count);
-    let compared = (from..from + count.min(COMPARED)).map(|index| endpoints[index % count]);
-    let cost = |endpoint: &Endpoint| {
-        let distance = u32::from(place.distance(&endpoint.member));
-        let cold_milli = if endpoint.is_cold(now) { COLD_MILLI } else { 0 };
-        let faulty_milli = (endpoint.fault_part(now) * FAULTY_MILLI) as u32;
-        endpoint.occupancy_milli(now) + distance * DISTANCE_MILLI + cold_milli + faulty_milli
-    };
-    compared.min_by_key(|endpoint| cost(endpoint))
+    let count = endpoints.len().min(COMPARED);
+    sample(rng, endpoints.len(), count).into_iter().map(|index| endpoints[index]).collect()
 }
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -6,6 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::service::{Place, Service};
+use crate::zone_sight::ZoneSights;
 use crate::{CallKind, CallSample, LearnedLevel, Target};
 
 /// Endpoints by service, and what the node has seen of each.
@@ -20,8 +21,9 @@
     /// A router of a node in the given zone.
     #[must_use]
     pub fn new(zone: ZoneName, region: RegionName, seed: u64) -> Self {
-        let place = Place { zone, region };
-        Self { place, rng: ChaCha8Rng::seed_from_u64(seed), services: BTreeMap::new() }
+        let place = Place { zone, region, sights: ZoneSights::default() };
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        Self { place, rng, services: BTreeMap::new() }
     }
 
     /// Takes in what is known of a member; older statements are ignored.
@@ -52,7 +54,8 @@
         exclude: &[EndpointId],
         now: MonoTime,
     ) -> Option<Target> {
-        self.services.get_mut(service)?.pick(&self.place, kind, exclude, now, &mut self.rng)
+        let service = self.services.get_mut(service)?;
+        service.pick(&self.place, kind, exclude, now, &mut self.rng)
     }
 
     /// Notes that a call was sent.
@@ -60,6 +63,7 @@
         let service = self.services.get_mut(service);
         if let Some(found) = service.and_then(|service| service.get_mut(endpoint)) {
             found.started(now);
+            self.place.sights.note_sent(&found.member.zone, now);
         }
     }
 
@@ -71,9 +75,11 @@
         sample: CallSample,
         now: MonoTime,
     ) {
-        if let Some(service) = self.services.get_mut(service) {
-            service.finished(endpoint, sample, now);
+        let Some(service) = self.services.get_mut(service) else { return };
+        if let Some(found) = service.get(endpoint) {
+            self.place.sights.note(&found.member.zone, endpoint, sample, now);
         }
+        service.finished(endpoint, sample, now);
     }
 
     /// Notes the admission level that the answer to a call under `rule` carried back.
@@ -98,9 +104,8 @@
         milli: u32,
         now: MonoTime,
     ) {
-        let service = self.services.get_mut(service);
-        if let Some(found) = service.and_then(|service| service.get_mut(endpoint)) {
-            found.note_occupancy(milli, now);
+        if let Some(service) = self.services.get_mut(service) {
+            service.note_occupancy(&self.place, endpoint, milli, now);
         }
     }
 
--- a/cuminarch-routing/src/service.rs
+++ b/cuminarch-routing/src/service.rs
@@ -7,8 +7,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::endpoint::Endpoint;
-use crate::occupancy::choose_by_occupancy;
+use crate::occupancy::ServiceOccupancy;
 use crate::spill::Spill;
+use crate::zone_sight::ZoneSights;
 use crate::{CallKind, CallSample, LearnedLevel, Target};
 
 /// Where the node that chooses stands.
@@ -16,9 +17,16 @@
 pub struct Place {
     pub zone: ZoneName,
     pub region: RegionName,
+    /// Other zones as calls have shown them.
+    pub sights: ZoneSights,
 }
 
 impl Place {
+    /// Whether calls to a zone have a chance to arrive.
+    pub fn reaches(&self, zone: &ZoneName, now: MonoTime) -> bool {
+        *zone == self.zone || !self.sights.is_cut(zone, now)
+    }
+
     pub fn distance(&self, member: &Member) -> u8 {
         if member.zone == self.zone {
             0
@@ -35,12 +43,16 @@
 pub struct Service {
     endpoints: BTreeMap<EndpointId, Endpoint>,
     spill: Spill,
+    occupancy: ServiceOccupancy,
     checked_at: MonoTime,
 }
 
 impl Service {
     /// Time between two looks at the endpoints' health.
     const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+    /// Most of the time since the last look that one look answers for, where calls are
+    /// rare.
+    const MOST_ELAPSED: Duration = Duration::from_millis(500);
 
     pub fn update(&mut self, member: Member, now: MonoTime) {
         match self.endpoints.get_mut(&member.endpoint) {
@@ -105,6 +117,7 @@
             .filter(|endpoint| endpoint.takes_work())
             .filter(|endpoint| !exclude.contains(&endpoint.member.endpoint))
             .collect();
+        let usable = narrow(usable, |endpoint| place.reaches(&endpoint.member.zone, now));
         if kind.can_probe
             && let Some(endpoint) = usable.iter().find(|endpoint| endpoint.wants_probe(now))
         {
@@ -112,7 +125,7 @@
         }
         let healthy = narrow(usable, |endpoint| endpoint.is_healthy(now));
         if healthy.iter().any(|endpoint| endpoint.states_slots()) {
-            return choose_by_occupancy(&healthy, place, now, rng).map(Endpoint::target);
+            return self.occupancy.choose(&healthy, place, now, rng).map(Endpoint::target);
         }
         let willing = narrow(healthy, |endpoint| endpoint.admits(kind, now));
         let nearest = self.nearest(place, &willing, rng);
@@ -130,7 +143,9 @@
     }
 
     pub fn finished(&mut self, endpoint: &EndpointId, sample: CallSample, now: MonoTime) {
-        let median = self.median(now);
+        let Some(found) = self.endpoints.get(endpoint) else { return };
+        // Looks at all endpoints, which only the few calls to ejected ones have to.
+        let median = if found.is_ejected() { self.median(now) } else { None };
         let Some(found) = self.endpoints.get_mut(endpoint) else { return };
         found.finished(sample, now);
         if found.is_ejected() {
@@ -147,6 +162,19 @@
         }
     }
 
+    /// Takes in the occupancy that the node of an endpoint reports, in thousandths.
+    pub fn note_occupancy(
+        &mut self,
+        place: &Place,
+        endpoint: &EndpointId,
+        milli: u32,
+        now: MonoTime,
+    ) {
+        let Some(found) = self.endpoints.get_mut(endpoint) else { return };
+        found.note_occupancy(milli, now);
+        self.occupancy.note(place.distance(&found.member) == 0, milli, now);
+    }
+
     /// The endpoints of the nearest zone, or those further away for calls that
     /// spill over.
     fn nearest<'a>(
@@ -168,10 +196,12 @@
 
     /// Ejects endpoints that fail or are slow, and adapts the spill-over.
     fn check(&mut self, place: &Place, now: MonoTime) {
-        if now.since(self.checked_at) < Self::CHECK_INTERVAL {
+        let elapsed = now.since(self.checked_at);
+        if elapsed < Self::CHECK_INTERVAL {
             return;
         }
         self.checked_at = now;
+        self.occupancy.adapt(elapsed.min(Self::MOST_ELAPSED), now);
         self.eject_outliers(now);
         let mean = |is_near: bool| {
             let side = self.endpoints().filter(|endpoint| endpoint.is_healthy(now));
--- /dev/null
+++ b/cuminarch-routing/tests/placing.rs
@@ -0,0 +1,226 @@
+//! Placing of calls among the endpoints of several zones, played in virtual time.
+//!
+//! Each scenario runs one router a node. Calls hold a slot of their endpoint for a
+//! while, and the answer says how full the endpoint is.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use cuminarch_protocol::{Member, MemberState, UpstreamRecord, UpstreamState};
+use cuminarch_routing::{CallKind, CallSample, Router};
+use cuminarch_types::{EndpointId, Incarnation, MonoTime, ServiceName};
+use rstest::rstest;
+
+const SLOTS: u32 = 40;
+const HOLDING: Duration = Duration::from_millis(200);
+const PLAYED: Duration = Duration::from_secs(14);
+/// Time in which the routers come to know the endpoints; not counted.
+const WARM_UP: Duration = Duration::from_secs(8);
+
+fn service() -> ServiceName {
+    "katalog".parse().unwrap()
+}
+
+/// Endpoints are named by zone, as platforms do.
+fn endpoint(zone: usize, index: usize) -> EndpointId {
+    format!("katalog-{}-{index}", zone_name(zone)).parse().unwrap()
+}
+
+fn zone_name(zone: usize) -> String {
+    format!("zone-{zone}")
+}
+
+fn zone_of(endpoint: &EndpointId) -> usize {
+    endpoint.as_str().split('-').nth(2).unwrap().parse().unwrap()
+}
+
+fn member(zone: usize, index: usize) -> Member {
+    let address = ([10, 0, zone as u8, index as u8], 7_000).into();
+    let upstream = UpstreamRecord {
+        instance: Some("i-1".parse().unwrap()),
+        started_at_ms: 1,
+        state: UpstreamState::Ready,
+        slots: SLOTS,
+        warm_up_ms: 0,
+    };
+    Member {
+        endpoint: endpoint(zone, index),
+        service: service(),
+        zone: zone_name(zone).parse().unwrap(),
+        region: "ch-central".parse().unwrap(),
+        incarnation: Incarnation::new(1),
+        statement: 0,
+        data_address: address,
+        control_address: address,
+        state: MemberState::Active,
+        upstream: Some(upstream),
+    }
+}
+
+/// A service in several zones, and the senders of its calls.
+struct Scenario {
+    /// Endpoints of each zone.
+    endpoints: Vec<usize>,
+    /// Senders of each zone.
+    senders: Vec<usize>,
+    /// Load as part of all slots.
+    load: f64,
+    /// Zone that nobody in another zone reaches.
+    cut: Option<usize>,
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    /// Part of the calls that left their zone.
+    left_zone: f64,
+    /// Most calls of any endpoint over the mean.
+    busiest_over_mean: f64,
+    /// Part of the calls that found no free slot.
+    waited: f64,
+    /// Calls sent into the zone that is cut off, from outside.
+    lost: usize,
+}
+
+impl Scenario {
+    fn play(&self) -> Outcome {
+        let mut routers: Vec<(usize, Router)> = Vec::new();
+        for (zone, senders) in self.senders.iter().enumerate() {
+            for _ in 0..*senders {
+                let seed = routers.len() as u64;
+                let name = zone_name(zone).parse().unwrap();
+                routers.push((zone, Router::new(name, "ch-central".parse().unwrap(), seed)));
+            }
+        }
+        for (zone, count) in self.endpoints.iter().enumerate() {
+            for index in 0..*count {
+                for (_, router) in &mut routers {
+                    router.update(member(zone, index), MonoTime::ZERO);
+                }
+            }
+        }
+        let slots = self.endpoints.iter().sum::<usize>() as f64 * f64::from(SLOTS);
+        let gap = HOLDING.div_f64(slots * self.load);
+        let mut world = World { routers, ..World::default() };
+        let mut at = Duration::ZERO;
+        let mut number = 0;
+        while at < PLAYED {
+            let now = MonoTime::from_millis(1_000).after(at);
+            world.end_calls(now);
+            let sender = number * 7 % world.routers.len();
+            world.send(sender, self.cut, at >= WARM_UP, now);
+            number += 1;
+            at += gap;
+        }
+        world.outcome()
+    }
+}
+
+#[derive(Default)]
+struct World {
+    routers: Vec<(usize, Router)>,
+    running: BTreeMap<EndpointId, u32>,
+    /// End of each call, its sender, endpoint and whether it is lost.
+    ends: BinaryHeap<Reverse<(MonoTime, usize, EndpointId, bool)>>,
+    counts: BTreeMap<EndpointId, usize>,
+    left_zone: usize,
+    lost: usize,
+    waited: usize,
+}
+
+impl World {
+    fn end_calls(&mut self, now: MonoTime) {
+        while self.ends.peek().is_some_and(|Reverse((end, ..))| *end <= now) {
+            let Some(Reverse((end, sender, endpoint, is_lost))) = self.ends.pop() else { return };
+            let router = &mut self.routers[sender].1;
+            if is_lost {
+                router.finished(&service(), &endpoint, CallSample::Unreachable, end);
+                continue;
+            }
+            let running = self.running.entry(endpoint.clone()).or_default();
+            *running -= 1;
+            router.note_occupancy(&service(), &endpoint, *running * 1_000 / SLOTS, end);
+            router.finished(&service(), &endpoint, CallSample::Answered(HOLDING), end);
+        }
+    }
+
+    fn send(&mut self, sender: usize, cut: Option<usize>, is_counted: bool, now: MonoTime) {
+        let (zone, router) = &mut self.routers[sender];
+        let target = router.pick(&service(), CallKind::default(), &[], now).unwrap();
+        router.started(&service(), &target.endpoint, now);
+        let endpoint = target.endpoint;
+        let is_lost = cut.is_some_and(|cut| (zone_of(&endpoint) == cut) != (*zone == cut));
+        if is_counted {
+            *self.counts.entry(endpoint.clone()).or_default() += 1;
+            self.left_zone += usize::from(zone_of(&endpoint) != *zone);
+        }
+        if is_lost {
+            self.lost += 1;
+            let end = now.after(Duration::from_millis(400));
+            return self.ends.push(Reverse((end, sender, endpoint, true)));
+        }
+        let running = self.running.entry(endpoint.clone()).or_default();
+        *running += 1;
+        if is_counted {
+            self.waited += usize::from(*running > SLOTS);
+        }
+        self.ends.push(Reverse((now.after(HOLDING), sender, endpoint, false)));
+    }
+
+    fn outcome(&self) -> Outcome {
+        let all = self.counts.values().sum::<usize>() as f64;
+        let endpoints = self.routers[0].1.members().count() as f64;
+        let busiest = self.counts.values().max().copied().unwrap_or_default() as f64;
+        Outcome {
+            left_zone: self.left_zone as f64 / all,
+            busiest_over_mean: busiest * endpoints / all,
+            waited: self.waited as f64 / all,
+            lost: self.lost,
+        }
+    }
+}
+
+/// While the own zone has room, calls stay there and spread over all its endpoints.
+#[rstest]
+#[case::one_a_zone(vec![1; 3], vec![4; 3], 0.4)]
+#[case::four_zones(vec![1; 4], vec![4; 4], 0.5)]
+#[case::forty_in_two(vec![20; 2], vec![10; 2], 0.4)]
+#[case::hundred_in_five(vec![20; 5], vec![39; 5], 0.4)]
+fn stays_in_the_zone_while_it_has_room(
+    #[case] endpoints: Vec<usize>,
+    #[case] senders: Vec<usize>,
+    #[case] load: f64,
+) {
+    let outcome = Scenario { endpoints, senders, load, cut: None }.play();
+    assert!(outcome.left_zone < 0.05, "{outcome:?}");
+    assert!(outcome.busiest_over_mean < 1.4, "{outcome:?}");
+}
+
+/// A zone whose callers ask for more than it has fills others before its own
+/// endpoints overflow, whether callers moved there or endpoints were lost.
+#[rstest]
+#[case::callers_moved(vec![20; 5], vec![60, 5, 5, 5, 5], 0.6)]
+#[case::endpoints_lost(vec![4, 20, 20, 20, 20], vec![20; 5], 0.6)]
+#[case::none_in_zone(vec![0, 2, 1], vec![5; 3], 0.6)]
+#[case::one_a_zone(vec![1; 3], vec![9, 1, 1], 0.6)]
+fn spills_over_before_the_zone_overflows(
+    #[case] endpoints: Vec<usize>,
+    #[case] senders: Vec<usize>,
+    #[case] load: f64,
+) {
+    let outcome = Scenario { endpoints, senders, load, cut: None }.play();
+    assert!(outcome.waited < 0.03, "{outcome:?}");
+}
+
+/// A node that finds two hosts of a zone out of reach sends no further calls there,
+/// instead of one to each of its hosts.
+#[test]
+fn few_calls_are_sent_into_a_zone_that_is_cut_off() {
+    let scenario =
+        Scenario { endpoints: vec![20; 5], senders: vec![39; 5], load: 0.85, cut: Some(2) };
+    let outcome = scenario.play();
+    // Of each node and each zone that it does not reach: two that show it, a few that
+    // were under way meanwhile, and probes at growing intervals.
+    let (pairs, each) = (4 * 39 + 39 * 4, 10);
+    assert!(outcome.lost < pairs * each, "{outcome:?}");
+}
