fix(node): a link that ends before a call was begun says so

Cause: a sender took every link that broke after its call was written for one whose call may have run. A node that stops in plan closes links between calls, and a call written at that moment was answered 502 although nothing had run; so was one written on a link that had died silently, as in a zone cut off.

Change: a node closes a link between calls with a code of its own, after which it reads and drops what the peer sent meanwhile; a sender that gets it knows that its call was not begun. A call that could not be written whole was not begun either. Before a call that can't be sent again, a link idle for 250 ms is tried out by a ping; a silent one is replaced.

Ruled out: a frame for each call that is begun (a packet more for each call).

--- a/cuminarch-node/src/data/link_client.rs
+++ b/cuminarch-node/src/data/link_client.rs
@@ -10,6 +10,7 @@
 use log::info;
 
 use super::answer::{AnswerSource, NodeTime, RemoteSource};
+use super::link_pool::LinkError;
 use super::runner::{CallRequest, DataContext};
 use crate::event::NodeEvent;
 use crate::metrics::Direction;
@@ -25,20 +26,21 @@
 ) -> Option<(AnswerHead, AnswerSource)> {
     let driver = &context.driver;
     let address = forward.target.data_address;
-    let Ok(mut link) = context.links.take(address).await else {
+    let Ok(mut link) = context.links.take(address, forward.idempotent).await else {
         log_attempt(context, request, forward, "no link");
         driver.post(Event::RemoteLost { call, attempt, sent: false });
         return None;
     };
     context.metrics.attempt_sent();
     let head = call_head(request, forward);
-    let sent = link.send(head, &mut request.body).await;
+    if let Err(error) = link.send(head, &mut request.body).await {
+        // The peer begins nothing before it has the whole head and a short body.
+        log_attempt(context, request, forward, &error.to_string());
+        driver.post(Event::RemoteLost { call, attempt, sent: false });
+        return None;
+    }
     let before_sent = request.received_at.elapsed();
-    let answer = match sent {
-        Ok(()) => link.receive(forward.remaining, forward.idempotent).await,
-        Err(error) => Err(error),
-    };
-    match answer {
+    match link.receive(forward.remaining, forward.idempotent).await {
         Ok(AnswerFrame::Head(head)) => {
             let is_failure = head.status >= 500;
             driver.post(Event::RemoteHead { call, attempt, is_failure });
@@ -60,7 +62,8 @@
         }
         Err(error) => {
             log_attempt(context, request, forward, &error.to_string());
-            driver.post(Event::RemoteLost { call, attempt, sent: true });
+            let sent = !matches!(error, LinkError::Declined);
+            driver.post(Event::RemoteLost { call, attempt, sent });
             None
         }
     }
--- a/cuminarch-node/src/data/link_hello.rs
+++ b/cuminarch-node/src/data/link_hello.rs
@@ -1,4 +1,4 @@
-//! What a data link says about itself when it is opened.
+//! What a data link says about itself when it is opened and closed.
 
 use std::net::SocketAddr;
 
@@ -9,6 +9,11 @@
     Callback, ErrorResponse, Request as OpenRequest, Response as OpenResponse,
 };
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
+
+/// Code with which a node closes a link on which it has begun no call that it has not
+/// answered. Whoever waits for an answer on it knows that the call has not run.
+pub const CLOSED_BETWEEN_CALLS: CloseCode = CloseCode::Away;
 
 /// Fleet and protocol version of a data link; both ends must agree.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/cuminarch-node/src/data/link_pool.rs
+++ b/cuminarch-node/src/data/link_pool.rs
@@ -15,7 +15,7 @@
 use tokio_tungstenite::tungstenite::{self, Message};
 
 use super::body::{RequestBody, parts};
-use super::link_hello::{LinkHello, link_config};
+use super::link_hello::{CLOSED_BETWEEN_CALLS, LinkHello, link_config};
 use super::upload::{Upload, UploadStream};
 
 /// WebSocket of a data link.
@@ -36,6 +36,9 @@
     /// The peer closed the link.
     #[error("closed by the peer")]
     Closed,
+    /// The peer closed the link in order, before it began the call.
+    #[error("closed before the call was begun")]
+    Declined,
     /// There was no answer in time.
     #[error("no answer in time")]
     Timeout,
@@ -86,21 +89,39 @@
     const QUIET_TIME: Duration = Duration::from_millis(300);
     /// Time that it has to give one; several round trips and a busy peer's pause.
     const PONG_TIME: Duration = Duration::from_millis(500);
+    /// Idle time after which a link is tried out before it carries a call that can't
+    /// be sent again; hosts and zones seldom go within less.
+    const TRIED_AFTER: Duration = Duration::from_millis(250);
+    /// Time that the peer has to show that such a link works; several round trips
+    /// between zones. A new link is opened after that.
+    const TRIAL_TIME: Duration = Duration::from_millis(200);
 
     /// No links yet.
     pub fn new(hello: LinkHello) -> Self {
         Self { hello, peers: Rc::new(RefCell::new(BTreeMap::new())) }
     }
 
-    /// A link to a node, one that is idle if there is any.
-    pub async fn take(&self, address: SocketAddr) -> Result<Link, LinkError> {
+    /// A link to a node, one that is idle if there is any. One that has been idle for
+    /// a while is tried out first if the call can't be sent again: what is lost on a
+    /// link that has died without showing it may have run.
+    pub async fn take(&self, address: SocketAddr, can_repeat: bool) -> Result<Link, LinkError> {
         let mut link = self.reserve(address)?;
-        while let Some(socket) = self.pop(address) {
-            if is_open(&socket) {
-                link.socket = Some(Socket::Whole(Box::new(socket)));
+        while let Some(idle) = self.pop(address) {
+            if !is_open(&idle.socket) {
+                continue;
+            }
+            let is_tried = can_repeat || idle.since.elapsed() < Self::TRIED_AFTER;
+            link.socket = Some(Socket::Whole(Box::new(idle.socket)));
+            if is_tried || link.is_alive(Self::TRIAL_TIME).await {
                 return Ok(link);
             }
+            self.drop_idle(address);
         }
+        link.socket = Some(Socket::Whole(Box::new(self.open(address).await?)));
+        Ok(link)
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<LinkSocket, LinkError> {
         let open = async {
             let stream = TcpStream::connect(address).await.ok()?;
             stream.set_nodelay(true).ok()?;
@@ -111,9 +132,7 @@
             Some(socket)
         };
         let socket = tokio::time::timeout(Self::CONNECT_TIMEOUT, open).await;
-        let socket = socket.ok().flatten().ok_or(LinkError::Connect)?;
-        link.socket = Some(Socket::Whole(Box::new(socket)));
-        Ok(link)
+        socket.ok().flatten().ok_or(LinkError::Connect)
     }
 
     /// Closes the links that no call uses.
@@ -130,9 +149,8 @@
         }
     }
 
-    fn pop(&self, address: SocketAddr) -> Option<LinkSocket> {
-        let mut peers = self.peers.borrow_mut();
-        peers.get_mut(&address)?.idle.pop_back().map(|idle| idle.socket)
+    fn pop(&self, address: SocketAddr) -> Option<IdleLink> {
+        self.peers.borrow_mut().get_mut(&address)?.idle.pop_back()
     }
 
     /// Counts a link that is about to be used.
@@ -233,12 +251,26 @@
                     return Ok(AnswerFrame::decode(&bytes, FrameLimit::DATA)?);
                 }
                 Some(Ok(Message::Ping(_) | Message::Pong(_))) => is_asked = false,
+                Some(Ok(Message::Close(Some(frame)))) if frame.code == CLOSED_BETWEEN_CALLS => {
+                    return Err(LinkError::Declined);
+                }
                 Some(Ok(_)) | None => return Err(LinkError::Closed),
                 Some(Err(error)) => return Err(Box::new(error).into()),
             }
         }
     }
 
+    /// Whether the peer answers on an idle link within `limit`.
+    async fn is_alive(&mut self, limit: Duration) -> bool {
+        let trial = async {
+            if !matches!(self.ask_for_life().await, Ok(true)) {
+                return false;
+            }
+            matches!(self.next_message().await, Some(Ok(Message::Pong(_))))
+        };
+        tokio::time::timeout(limit, trial).await.unwrap_or(false)
+    }
+
     async fn next_message(&mut self) -> Option<Result<Message, tungstenite::Error>> {
         match self.socket.as_mut()? {
             Socket::Whole(socket) => socket.next().await,
--- a/cuminarch-node/src/data/link_server.rs
+++ b/cuminarch-node/src/data/link_server.rs
@@ -14,13 +14,14 @@
 use log::debug;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::CloseFrame;
+use tokio_tungstenite::tungstenite::{Message, Utf8Bytes};
 
 use super::answer::Answer;
 use super::body::{BodyItem, BodyReader, RequestBody, parts};
 use super::connections::Connection;
 use super::detached::carry_call;
-use super::link_hello::link_config;
+use super::link_hello::{CLOSED_BETWEEN_CALLS, link_config};
 use super::link_pool::LinkSocket;
 use super::runner::{CallRequest, DataContext, Reply};
 use crate::event::NodeEvent;
@@ -49,14 +50,24 @@
     loop {
         let head = tokio::select! {
             frame = receive(&mut stream) => frame,
-            () = connection.stopping() => break,
+            () = connection.stopping() => return close_between_calls(sink, stream).await,
         };
-        let Some(CallFrame::Head(head)) = head else { break };
+        let Some(CallFrame::Head(head)) = head else { return };
         if serve_call(&context, &mut sink, &mut stream, *head).await.is_none() {
-            break;
+            return;
         }
     }
-    let _ = sink.close().await;
+}
+
+/// Tells the peer that a call which it may have sent meanwhile is not begun. What it
+/// sent is read and dropped, as closing with unread bytes would reset the connection
+/// before the peer has heard of that.
+async fn close_between_calls(mut sink: Sink, mut stream: Stream) {
+    let frame = CloseFrame { code: CLOSED_BETWEEN_CALLS, reason: Utf8Bytes::default() };
+    if sink.send(Message::Close(Some(frame))).await.is_err() {
+        return;
+    }
+    while let Some(Ok(_)) = stream.next().await {}
 }
 
 async fn receive(stream: &mut Stream) -> Option<CallFrame> {
