feat(attempts): repeats are counted at the doors of the service that is asked

Cause: each node had its share of the fleet's slack, and one repeat at least. A lost answer did not count as one that had reached an upstream, so that its repeat was not held against the endpoints allowed to the request.

Ways weighed: shares lent between nodes by gossip and leases (both need agreement about what is lent, in partitions and restarts); the doors, which are few and see each arrival. Chosen: a sender marks a repeat, and the door refuses it as not run once its part of the bound is spent. Half of the slack may be spent at once and half over the window; where there is less than one repeat for each door, the first doors hold one. The last half of a full budget is for the most urgent class and for calls of runs under way. A process starts with nothing, and learns the other endpoints first.

Routes that only upstreams use are told zone by zone, as calls seldom leave theirs. Bounds of the deployment (time of a configuration, window of repeats, time to stop) are settings, from which watch, gossip and linger follow; contradictions are named with their line.

--- a/cuminarch-admission/src/origins.rs
+++ b/cuminarch-admission/src/origins.rs
@@ -1,18 +1,21 @@
 use std::collections::BTreeMap;
 
-use cuminarch_types::{RouteName, ServiceName};
+use cuminarch_types::{RouteName, ServiceName, ZoneName};
+
+use crate::Origin;
 
 /// Tells routes that only upstreams call from those that callers use.
 ///
 /// Callers come in through nodes of every service, whereas a call that an
 /// upstream makes while it runs a request begins beside one of a few services.
+/// Zones are looked at one by one, as calls seldom leave theirs.
 /// The calls themselves do not say which they are. A route counts as internal if
 /// calls from some service are missing that callers would have brought.
 #[derive(Clone, Debug, Default)]
 pub struct Origins {
-    calls: BTreeMap<RouteName, BTreeMap<ServiceName, u32>>,
-    /// Number of nodes of each service.
-    sizes: BTreeMap<ServiceName, usize>,
+    calls: BTreeMap<RouteName, BTreeMap<Origin, u32>>,
+    /// Number of nodes of each service in each zone.
+    sizes: BTreeMap<Origin, u32>,
 }
 
 impl Origins {
@@ -31,15 +34,15 @@
         Self::default()
     }
 
-    /// Takes in how many nodes each service has.
-    pub fn set_sizes(&mut self, sizes: BTreeMap<ServiceName, usize>) {
+    /// Takes in how many nodes each service has in each zone.
+    pub fn set_sizes(&mut self, sizes: BTreeMap<Origin, u32>) {
         self.sizes = sizes;
     }
 
-    /// Notes a call that began beside an upstream of `service`.
-    pub fn note(&mut self, route: &RouteName, service: &ServiceName) {
+    /// Notes a call and where it began.
+    pub fn note(&mut self, route: &RouteName, origin: Origin) {
         let counts = self.calls.entry(route.clone()).or_default();
-        *counts.entry(service.clone()).or_default() += 1;
+        *counts.entry(origin).or_default() += 1;
         if counts.values().sum::<u32>() > Self::MOST_CALLS {
             counts.values_mut().for_each(|count| *count /= 2);
         }
@@ -49,12 +52,36 @@
     #[must_use]
     pub fn is_internal(&self, route: &RouteName) -> bool {
         let Some(counts) = self.calls.get(route) else { return false };
-        let total = f64::from(counts.values().sum::<u32>());
-        let nodes: usize = self.sizes.values().sum();
-        self.sizes.iter().any(|(service, size)| {
-            let expected = total * *size as f64 / nodes.max(1) as f64;
-            let seen = f64::from(counts.get(service).copied().unwrap_or(0));
+        let (calls, nodes) = (sum_by(counts, zone), sum_by(&self.sizes, zone));
+        let seen = sum_by(counts, service);
+        let mut expected: BTreeMap<&ServiceName, f64> = BTreeMap::new();
+        for (origin, size) in &self.sizes {
+            let of_zone = calls.get(&origin.zone).copied().unwrap_or_default();
+            let share = f64::from(*size) / nodes[&origin.zone];
+            *expected.entry(&origin.service).or_default() += of_zone * share;
+        }
+        expected.into_iter().any(|(service, expected)| {
+            let seen = seen.get(service).copied().unwrap_or_default();
             expected >= Self::LEAST_EXPECTED && seen < expected * Self::MISSING_PART
         })
     }
 }
+
+const fn zone(origin: &Origin) -> &ZoneName {
+    &origin.zone
+}
+
+const fn service(origin: &Origin) -> &ServiceName {
+    &origin.service
+}
+
+fn sum_by<'a, K: Ord>(
+    counts: &'a BTreeMap<Origin, u32>,
+    key: impl Fn(&'a Origin) -> &'a K,
+) -> BTreeMap<&'a K, f64> {
+    let mut sums = BTreeMap::new();
+    for (origin, count) in counts {
+        *sums.entry(key(origin)).or_default() += f64::from(*count);
+    }
+    sums
+}
--- a/cuminarch-admission/tests/surge.rs
+++ b/cuminarch-admission/tests/surge.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cuminarch_admission::{
-    AdmissionControl, AdmissionRequest, Offer, Origins, Pressure, QueueEvent, Shedder,
+    AdmissionControl, AdmissionRequest, Offer, Origin, Origins, Pressure, QueueEvent, Shedder,
     SlotAdmission,
 };
 use cuminarch_types::{
@@ -197,10 +197,34 @@
 fn origins() -> Origins {
     let mut origins = Origins::new();
     let sizes = [("katalog", 6), ("kasse", 4), ("bildarchiv", 3), ("auftrag", 3)];
-    origins.set_sizes(sizes.map(|(name, count)| (service(name), count)).into());
+    origins.set_sizes(sizes.map(|(name, count)| (origin("zrh-a", name), count)).into());
     origins
 }
 
+fn origin(zone: &str, name: &str) -> Origin {
+    Origin { zone: zone.parse().unwrap(), service: service(name) }
+}
+
+/// Calls stay in their zone, where not every service has a node.
+#[test]
+fn a_service_that_a_zone_lacks_is_not_missing_there() {
+    let mut origins = Origins::new();
+    let sizes = [
+        (origin("zrh-a", "katalog"), 5),
+        (origin("zrh-a", "kasse"), 3),
+        (origin("brn-a", "katalog"), 5),
+        (origin("brn-a", "bildarchiv"), 30),
+    ];
+    origins.set_sizes(sizes.into());
+    for number in 0..200 {
+        let caller = if number % 8 < 5 { "katalog" } else { "kasse" };
+        origins.note(&route("r"), origin("zrh-a", caller));
+    }
+    assert!(!origins.is_internal(&route("r")));
+    (0..1_600).for_each(|_| origins.note(&route("r"), origin("zrh-a", "katalog")));
+    assert!(origins.is_internal(&route("r")));
+}
+
 #[rstest]
 #[case::callers(&["katalog", "kasse", "bildarchiv", "auftrag"], false)]
 #[case::one_service(&["bildarchiv"], true)]
@@ -211,7 +235,7 @@
 ) {
     let mut origins = origins();
     for number in 0..200 {
-        origins.note(&route("r"), &service(services[number % services.len()]));
+        origins.note(&route("r"), origin("zrh-a", services[number % services.len()]));
     }
     assert_eq!(origins.is_internal(&route("r")), is_internal);
 }
@@ -219,7 +243,7 @@
 #[test]
 fn a_few_calls_say_nothing_of_their_route() {
     let mut origins = origins();
-    (0..20).for_each(|_| origins.note(&route("r"), &service("bildarchiv")));
+    (0..20).for_each(|_| origins.note(&route("r"), origin("zrh-a", "bildarchiv")));
     assert!(!origins.is_internal(&route("r")));
 }
 
--- a/cuminarch-attempts/src/lib.rs
+++ b/cuminarch-attempts/src/lib.rs
@@ -31,5 +31,5 @@
 pub use budget::{Budget, BudgetExhausted};
 pub use grant::grant_for_send;
 pub use need::NeedEstimator;
-pub use retry_budget::{RetryBudget, RetryBudgetSettings};
+pub use retry_budget::{RetryBudget, RetryBudgetSettings, Standing};
 pub use retry_ratio::RetryRatio;
--- a/cuminarch-attempts/src/retry_budget.rs
+++ b/cuminarch-attempts/src/retry_budget.rs
@@ -1,61 +1,131 @@
-/// Bounds of the repeats towards one service, over all nodes together.
+use std::time::Duration;
+
+use cuminarch_types::MonoTime;
+
+/// Bounds of the repeats towards one service, over all its endpoints together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBudgetSettings {
     /// Repeats for each request that callers send to the service.
     pub ratio: f64,
     /// Further repeats within any window.
     pub slack: f64,
+    /// Length of the window.
+    pub window: Duration,
 }
 
 impl RetryBudgetSettings {
     /// Bounds on the repeats of a fleet.
     #[must_use]
-    pub const fn new(ratio: f64, slack: f64) -> Self {
-        Self { ratio, slack }
+    pub const fn new(ratio: f64, slack: f64, window: Duration) -> Self {
+        Self { ratio, slack, window }
     }
 }
 
-/// Repeats that one node may send to one service, so that those of all nodes
-/// stay within the bounds of the fleet although none asks another.
+/// Place of an endpoint among those of its service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Standing {
+    /// Endpoints of the service, this one among them.
+    pub endpoints: usize,
+    /// Those that come before it in the order of their names.
+    pub rank: usize,
+}
+
+/// Repeats that the door of one endpoint lets through to its upstream.
 ///
-/// A token bucket: requests of callers earn their ratio, and the node's share of
-/// the slack is what the bucket holds at most. Within any window no more can
-/// be spent than what it held plus what was earned.
-#[derive(Clone, Copy, Debug)]
+/// Answers the load of many nodes that repeat towards a small service: the doors of
+/// the service are few and see each arrival, so that none of the bound is lost to
+/// nodes that have nothing to repeat. Who asks marks a repeat, and a door that has
+/// none left refuses it before the upstream is reached.
+///
+/// A token bucket: first arrivals of callers' requests earn their ratio; the
+/// endpoint's share of the slack is half what the bucket holds at most and half what
+/// it earns in the course of a window. Within any window no more can be spent than
+/// what it held plus what was earned, so that all doors together stay within the
+/// bound as long as each counts the endpoints that there are, or more. Where there is
+/// less than one repeat for each door, the first doors hold one and the others none.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct RetryBudget {
     tokens: f64,
+    refilled_at: Option<MonoTime>,
+    /// Most endpoints that were ever counted: some may be out of sight for a while.
+    most_endpoints: usize,
+    rank: usize,
 }
 
 impl RetryBudget {
-    /// Part of the fleet's bounds that is used, as a repeat may be counted once
-    /// more by the upstream that it reaches.
-    const USED_PART: f64 = 0.6;
+    /// Part of the bounds that is used. The rest is for repeats that are made below:
+    /// a repeat runs its calls again, which count as repeats where they arrive.
+    const USED_PART: f64 = 0.75;
+    /// Part of the slack that may be spent at once.
+    const BURST_PART: f64 = 0.5;
+    /// Part of a full bucket that only urgent repeats may take.
+    const URGENT_PART: f64 = 0.5;
+    /// Time after the first look in which nothing is earned by time, as a node that has
+    /// just started may not know the other endpoints yet.
+    const START_TIME: Duration = Duration::from_secs(3);
 
-    /// A full budget of one of `nodes` nodes.
+    /// An empty budget: a process that starts does not know what the one before it
+    /// has spent.
     #[must_use]
-    pub fn new(settings: &RetryBudgetSettings, nodes: usize) -> Self {
-        Self { tokens: Self::capacity(settings, nodes) }
+    pub fn new() -> Self {
+        Self::default()
     }
 
-    /// Notes a request of a caller.
-    pub fn on_request(&mut self, settings: &RetryBudgetSettings, nodes: usize) {
-        let earned = settings.ratio * Self::USED_PART;
-        self.tokens = (self.tokens + earned).min(Self::capacity(settings, nodes));
+    /// Notes the first arrival of a caller's request.
+    pub fn note_first(&mut self, settings: &RetryBudgetSettings) {
+        self.earn(settings.ratio * Self::USED_PART, settings);
+    }
+
+    /// Takes in the endpoints of the service and the time.
+    pub fn advance(&mut self, settings: &RetryBudgetSettings, standing: Standing, now: MonoTime) {
+        self.most_endpoints = self.most_endpoints.max(standing.endpoints).max(1);
+        self.rank = standing.rank;
+        let Some(refilled_at) = self.refilled_at else {
+            self.refilled_at = Some(now.after(Self::START_TIME));
+            return;
+        };
+        if now <= refilled_at {
+            return;
+        }
+        self.refilled_at = Some(now);
+        let windows = now.since(refilled_at).as_secs_f64() / settings.window.as_secs_f64();
+        let spread = settings.slack * Self::USED_PART * (1.0 - Self::BURST_PART);
+        let holders = Self::burst(settings).floor().clamp(1.0, self.most_endpoints as f64);
+        self.earn(spread / holders * windows, settings);
     }
 
     /// Takes what one repeat costs, if it is there.
     #[must_use]
-    pub fn try_retry(&mut self) -> bool {
-        if self.tokens < 1.0 {
+    pub fn try_retry(&mut self, settings: &RetryBudgetSettings, is_urgent: bool) -> bool {
+        let capacity = self.capacity(settings);
+        let kept = if is_urgent { 0.0 } else { capacity * Self::URGENT_PART };
+        if self.tokens < 1.0 + kept.min((capacity - 1.0).max(0.0)) {
             return false;
         }
         self.tokens -= 1.0;
         true
     }
 
-    /// The most that the bucket holds: the share of the slack, or one repeat, since
-    /// a budget that cannot hold a whole one could never be spent.
-    fn capacity(settings: &RetryBudgetSettings, nodes: usize) -> f64 {
-        (settings.slack * Self::USED_PART / nodes.max(1) as f64).max(1.0)
+    fn earn(&mut self, tokens: f64, settings: &RetryBudgetSettings) {
+        self.tokens = (self.tokens + tokens).min(self.capacity(settings));
+    }
+
+    /// What all doors together hold at most.
+    fn burst(settings: &RetryBudgetSettings) -> f64 {
+        settings.slack * Self::USED_PART * Self::BURST_PART
+    }
+
+    /// What this door holds at most: its share, or one repeat at the first doors of a
+    /// service that has more doors than repeats.
+    fn capacity(&self, settings: &RetryBudgetSettings) -> f64 {
+        let burst = Self::burst(settings);
+        let share = burst / self.most_endpoints.max(1) as f64;
+        if share >= 1.0 {
+            share
+        } else if (self.rank as f64) < burst.floor() {
+            1.0
+        } else {
+            0.0
+        }
     }
 }
--- a/cuminarch-config/src/policy.rs
+++ b/cuminarch-config/src/policy.rs
@@ -60,6 +60,7 @@
     fallback: Rule,
     routes: RouteTable,
     caller_limits: Option<CallerLimits>,
+    top_priority: Priority,
 }
 
 impl Policy {
@@ -101,6 +102,7 @@
             }
         }
         policy.caller_limits = sheet.caller_limits;
+        policy.top_priority = classes.values().map(|rule| rule.priority).max().unwrap_or_default();
         Ok(policy)
     }
 
@@ -127,9 +129,16 @@
         let number = RuleNumber::new(u32::MAX);
         let fallback = Rule { number, idempotent: false, ..class.clone() };
         let index = RuleIndex::new(&matchers);
-        let routes = RouteTable::default();
-        let caller_limits = None;
-        Self { revision, matchers, index, fallback_safe: class, fallback, routes, caller_limits }
+        Self {
+            revision,
+            matchers,
+            index,
+            top_priority: class.priority,
+            fallback_safe: class,
+            fallback,
+            routes: RouteTable::default(),
+            caller_limits: None,
+        }
     }
 
     /// The routes by host and path.
@@ -150,6 +159,12 @@
         self.caller_limits
     }
 
+    /// Priority of the most urgent class.
+    #[must_use]
+    pub const fn top_priority(&self) -> Priority {
+        self.top_priority
+    }
+
     /// The revision of the sheet.
     #[must_use]
     pub const fn revision(&self) -> Revision {
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -2,8 +2,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminarch_admission::{Admission, AdmissionControl, CallWeights, Origins, Shedder};
-use cuminarch_attempts::{Backoff, NeedEstimator, RetryBudget, RetryBudgetSettings, RetryRatio};
+use cuminarch_admission::{Admission, AdmissionControl, CallWeights, Origin, Origins, Shedder};
+use cuminarch_attempts::{
+    Backoff, NeedEstimator, RetryBudget, RetryBudgetSettings, RetryRatio, Standing,
+};
 use cuminarch_config::Policy;
 use cuminarch_once::{BoundKey, KeyTable};
 use cuminarch_protocol::{Receipt, UpstreamRecord, UpstreamState};
@@ -45,9 +47,10 @@
     pub(crate) origins: Origins,
     /// Routes on which only upstreams make calls, by the word of their endpoints.
     pub(crate) internal: BTreeSet<RouteName>,
-    pub(crate) budgets: BTreeMap<ServiceName, RetryBudget>,
-    /// Nodes that share the budgets of repeats.
-    pub(crate) nodes: usize,
+    /// Repeats that reach the own upstream.
+    pub(crate) retry_budget: RetryBudget,
+    /// Place of the own endpoint in its service.
+    pub(crate) standing: Standing,
     next_call: CallId,
     next_attempt: AttemptId,
 }
@@ -80,8 +83,8 @@
             fan_outs: BTreeMap::new(),
             origins: Origins::new(),
             internal: BTreeSet::new(),
-            budgets: BTreeMap::new(),
-            nodes: 1,
+            retry_budget: RetryBudget::new(),
+            standing: Standing { endpoints: 1, rank: 0 },
             next_call: CallId::new(1),
             next_attempt: AttemptId::new(1),
             settings,
@@ -126,8 +129,7 @@
             Event::Upstream(record) => self.upstream_registered(*record, now, &mut actions),
             Event::Member(member) => {
                 self.router.update(*member, now);
-                self.nodes = self.router.members().count().max(1);
-                self.origins.set_sizes(self.router.sizes());
+                self.count_members();
             }
             Event::Tick => self.tick(now, &mut actions),
             Event::Drain => self.draining = true,
@@ -136,6 +138,23 @@
         actions
     }
 
+    /// Counts the nodes of each service and zone, and finds the own endpoint's place.
+    fn count_members(&mut self) {
+        let mut sizes: BTreeMap<Origin, u32> = BTreeMap::new();
+        for member in self.router.members().filter(|member| member.takes_work()) {
+            let (zone, service) = (member.zone.clone(), member.service.clone());
+            *sizes.entry(Origin { zone, service }).or_default() += 1;
+        }
+        self.origins.set_sizes(sizes);
+        let others = self.router.working(&self.settings.service);
+        let others: Vec<bool> = others
+            .filter(|other| other.endpoint != self.settings.endpoint)
+            .map(|other| other.endpoint < self.settings.endpoint)
+            .collect();
+        let rank = others.iter().filter(|is_before| **is_before).count();
+        self.standing = Standing { endpoints: others.len() + 1, rank };
+    }
+
     /// Puts a policy into force unless it is older than the one in force.
     /// Returns whether it was taken.
     pub fn set_policy(&mut self, policy: Arc<Policy>) -> bool {
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use compact_str::format_compact;
-use cuminarch_admission::{AdmissionRequest, Offer, QueueEvent};
+use cuminarch_admission::{AdmissionRequest, Offer, Origin, QueueEvent};
 use cuminarch_attempts::{Budget, grant_for_send};
 use cuminarch_config::Rule;
 use cuminarch_once::KeyResult;
@@ -30,7 +30,8 @@
         let rule = call.rule.number;
         let is_first = arrival.share.is_none();
         if let Some(routed) = &call.routed {
-            self.origins.note(&routed.route, &routed.caller_service);
+            let (zone, service) = (routed.caller_zone.clone(), routed.caller_service.clone());
+            self.origins.note(&routed.route, Origin { zone, service });
         }
         self.insert(id, call, now);
         if !self.look_up_key(id, arrival, now, actions) {
@@ -40,6 +41,12 @@
             let refusal = Refusal::not_run(reason);
             return self.refuse(id, refusal.with_retry_after(Duration::ZERO), now, actions);
         }
+        if let Some(routed) = &arrival.routed
+            && !self.admits_send(routed, rank, now)
+        {
+            let refusal = Refusal::not_run(RefusalReason::RetriesExhausted);
+            return self.refuse(id, refusal.with_retry_after(Duration::ZERO), now, actions);
+        }
         if is_first && !self.spend_first(id) {
             let refusal = Refusal::not_run(RefusalReason::BudgetExhausted);
             return self.refuse(id, refusal, now, actions);
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -1,6 +1,6 @@
 //! Calls to other services through the nodes of their endpoints.
 
-use cuminarch_protocol::Receipt;
+use cuminarch_protocol::{Receipt, RoutedCall};
 use cuminarch_routing::{CallSample, Target};
 use cuminarch_types::{AttemptId, CallId, EndpointId, MonoTime, Outcome, ServiceName};
 use rand::RngExt;
@@ -49,7 +49,7 @@
             return self.refuse(id, refusal, now, actions);
         }
         if let Some(routed) = &arrival.routed {
-            return self.arrive_routed(id, service, routed, now, actions);
+            return self.arrive_routed(id, routed, now, actions);
         }
         self.ratios.entry(service).or_default().on_first(retry_percent);
         self.send(id, now, actions);
@@ -202,6 +202,7 @@
             delivering: false,
         });
         let service = sending.service.clone();
+        let send = Self::send_kind(sending);
         let forward = Forward {
             target,
             share,
@@ -209,7 +210,7 @@
             remaining: call.deadline.since(now),
             idempotent: call.idempotent,
             key,
-            routed: call.routed.clone(),
+            routed: call.routed.clone().map(|routed| RoutedCall { send, ..routed }),
         };
         self.router.started(&service, &endpoint, now);
         actions.push(Action::Forward { call: id, attempt, forward: Box::new(forward) });
--- a/cuminarch-engine/src/refusal.rs
+++ b/cuminarch-engine/src/refusal.rs
@@ -17,6 +17,8 @@
     NoEndpoint,
     /// The attempt budget is exhausted.
     BudgetExhausted,
+    /// The call is a repeat, and the endpoint lets no more of those through.
+    RetriesExhausted,
     /// The deadline has passed.
     DeadlineExceeded,
     /// The call that this one belongs to is over.
@@ -59,6 +61,7 @@
             Self::OverloadedBehind => "overloaded-behind",
             Self::NoEndpoint => "no-endpoint",
             Self::BudgetExhausted => "budget-exhausted",
+            Self::RetriesExhausted => "retries-exhausted",
             Self::DeadlineExceeded => "deadline-exceeded",
             Self::ParentEnded => "parent-ended",
             Self::UpstreamFailed => "upstream-failed",
@@ -75,12 +78,13 @@
     }
 
     /// Every reason.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::Draining,
         Self::Overloaded,
         Self::OverloadedBehind,
         Self::NoEndpoint,
         Self::BudgetExhausted,
+        Self::RetriesExhausted,
         Self::DeadlineExceeded,
         Self::ParentEnded,
         Self::UpstreamFailed,
--- a/cuminarch-engine/src/routed.rs
+++ b/cuminarch-engine/src/routed.rs
@@ -1,14 +1,14 @@
 //! Calls that took a route: refused where they enter if a service behind is short
-//! of capacity, and repeated within a budget that all nodes share.
+//! of capacity, and repeated within the budget of the doors that are asked.
 
 use std::time::Duration;
 
 use compact_str::{CompactString, format_compact};
-use cuminarch_attempts::RetryBudget;
-use cuminarch_protocol::RoutedCall;
-use cuminarch_types::{CallId, MonoTime, RouteName, ServiceName};
+use cuminarch_protocol::{RoutedCall, SendKind};
+use cuminarch_types::{CallId, MonoTime, Outcome, Rank, RouteName};
 use rand::RngExt;
 
+use crate::call::{Sending, Stage};
 use crate::{Action, Engine, Refusal, RefusalReason};
 
 impl Engine {
@@ -26,7 +26,6 @@
     pub(crate) fn arrive_routed(
         &mut self,
         id: CallId,
-        service: ServiceName,
         routed: &RoutedCall,
         now: MonoTime,
         actions: &mut Vec<Action>,
@@ -39,10 +38,6 @@
             self.weights.called(&routed.route, now);
             return self.send(id, now, actions);
         }
-        let (settings, nodes) = (self.settings.retry_budget, self.nodes);
-        let budget = self.budgets.entry(service);
-        let budget = budget.or_insert_with(|| RetryBudget::new(&settings, nodes));
-        budget.on_request(&settings, nodes);
         let Some(rank) = self.calls.get(&id).map(|call| call.rank) else { return };
         if self.shedder.refuses(&routed.route, rank, now) {
             let detail = self.shed_detail(&routed.route, now);
@@ -75,15 +70,16 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
+        let may_have_reached = reached_upstream || refusal.outcome != Outcome::NotRun;
         let Some(sending) = self.sending_mut(id) else { return };
         sending.retries += 1;
-        sending.reached += u32::from(reached_upstream);
-        let is_free = !reached_upstream && sending.retries < Self::MOST_REFUSALS;
+        sending.reached += u32::from(may_have_reached);
+        let is_free = !may_have_reached && sending.retries < Self::MOST_REFUSALS;
         let may_repeat = match refusal.outcome {
-            cuminarch_types::Outcome::NotRun => is_free || self.takes_retry(id, false, now),
-            _ => self.is_repeatable(id) && self.takes_retry(id, true, now),
+            Outcome::NotRun => is_free || self.may_retry(id, false, now),
+            _ => self.is_repeatable(id) && self.may_retry(id, true, now),
         };
-        if refusal.outcome != cuminarch_types::Outcome::NotRun
+        if refusal.outcome != Outcome::NotRun
             && let Some(call) = self.calls.get_mut(&id)
         {
             call.maybe_ran = true;
@@ -104,7 +100,7 @@
         sending.retries += 1;
         sending.reached += u32::from(sent);
         let is_free = !sent && sending.retries < Self::MOST_REFUSALS;
-        let may_repeat = is_free || (self.is_repeatable(id) && self.takes_retry(id, true, now));
+        let may_repeat = is_free || (self.is_repeatable(id) && self.may_retry(id, true, now));
         self.repeat_or_refuse(id, may_repeat, refusal, now, actions);
     }
 
@@ -119,25 +115,45 @@
         has_time && call.replayable && self.has_alternative(id, now)
     }
 
-    /// Takes a repeat that an upstream will see from the budget. What may have run
-    /// already has made its own calls, which a repeat makes again.
-    fn takes_retry(&mut self, id: CallId, may_have_run: bool, now: MonoTime) -> bool {
+    /// Whether a call may be sent again that an upstream has seen, as far as this node
+    /// can tell; the door that is asked decides whether its upstream sees it. What may
+    /// have run already has made its own calls, which a repeat makes again.
+    fn may_retry(&mut self, id: CallId, may_have_run: bool, now: MonoTime) -> bool {
         if !self.can_repeat(id, now) {
             return false;
         }
         let Some(call) = self.calls.get(&id) else { return false };
-        let Some(routed) = call.routed.clone() else { return false };
-        let most = call.rule.max_endpoints;
-        let Some(sending) = self.sending_mut(id) else { return false };
-        let (service, reached) = (sending.service.clone(), sending.reached);
+        let Some(routed) = &call.routed else { return false };
+        let Stage::Sending(sending) = &call.stage else { return false };
         let fan_out_milli = self.fan_outs.get(&routed.route).copied().unwrap_or(0);
         let is_dear = may_have_run && fan_out_milli > Self::MOST_REPEATED_MILLI;
-        if reached >= most || is_dear {
-            return false;
+        sending.reached < call.rule.max_endpoints && !is_dear
+    }
+
+    /// What the next send of a call is to the service that is called.
+    pub(crate) fn send_kind(sending: &Sending) -> SendKind {
+        match (sending.reached, sending.retries) {
+            (0, 0) => SendKind::First,
+            (0, _) => SendKind::Elsewhere,
+            _ => SendKind::Repeat,
+        }
+    }
+
+    /// Whether a call that another node sends here fits the budget of repeats. Calls of
+    /// requests under way are urgent: all the work above them is lost with them.
+    pub(crate) fn admits_send(&mut self, routed: &RoutedCall, rank: Rank, now: MonoTime) -> bool {
+        let settings = self.settings.retry_budget;
+        self.retry_budget.advance(&settings, self.standing, now);
+        let is_nested = routed.is_nested || self.origins.is_internal(&routed.route);
+        match routed.send {
+            SendKind::First if !is_nested => self.retry_budget.note_first(&settings),
+            SendKind::First | SendKind::Elsewhere => {}
+            SendKind::Repeat => {
+                let is_urgent = is_nested || rank.priority() >= self.policy.top_priority();
+                return self.retry_budget.try_retry(&settings, is_urgent);
+            }
         }
-        let (settings, nodes) = (self.settings.retry_budget, self.nodes);
-        let budget = self.budgets.entry(service);
-        budget.or_insert_with(|| RetryBudget::new(&settings, nodes)).try_retry()
+        true
     }
 
     fn repeat_or_refuse(
--- a/cuminarch-engine/src/settings.rs
+++ b/cuminarch-engine/src/settings.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use cuminarch_admission::{Admission, AdmissionControl, AdmissionSettings, SlotAdmission};
 use cuminarch_attempts::RetryBudgetSettings;
 use cuminarch_once::KeyTableSettings;
@@ -45,8 +47,9 @@
 }
 
 impl EngineSettings {
-    /// One repeat for ten requests, and ten more.
-    const DEFAULT_RETRY_BUDGET: RetryBudgetSettings = RetryBudgetSettings::new(0.1, 10.0);
+    /// One repeat for ten requests, and ten more in ten seconds.
+    const DEFAULT_RETRY_BUDGET: RetryBudgetSettings =
+        RetryBudgetSettings::new(0.1, 10.0, Duration::from_secs(10));
 
     /// Settings with default bounds, incarnation 1 and seed 1.
     #[must_use]
--- a/cuminarch-engine/tests/routed.rs
+++ b/cuminarch-engine/tests/routed.rs
@@ -10,8 +10,12 @@
 use cuminarch_engine::{
     Action, Arrival, Engine, EngineSettings, Event, Refusal, RefusalReason, RemoteRefusal,
 };
-use cuminarch_protocol::{Member, MemberState, Receipt, RoutedCall, UpstreamRecord, UpstreamState};
-use cuminarch_types::{AttemptId, CallId, Incarnation, MonoTime, Outcome, RequestId, Revision};
+use cuminarch_protocol::{
+    Member, MemberState, Receipt, RoutedCall, SendKind, UpstreamRecord, UpstreamState,
+};
+use cuminarch_types::{
+    AttemptId, Attempts, CallId, Incarnation, MonoTime, Outcome, Rank, RequestId, Revision,
+};
 use rstest::rstest;
 
 const SHEET: &str = "classes:
@@ -46,7 +50,7 @@
             "zrh-a".parse().unwrap(),
             "ch-central".parse().unwrap(),
         );
-        settings.retry_budget = RetryBudgetSettings::new(0.1, 10.0);
+        settings.retry_budget = RetryBudgetSettings::new(0.1, 10.0, Duration::from_secs(10));
         let sheet = Sheet::parse(SHEET).unwrap();
         let policy = Policy::from_sheet(Revision::new(1), &sheet).unwrap();
         Self { engine: Engine::new(settings, Arc::new(policy)), now: MonoTime::from_millis(1) }
@@ -83,8 +87,10 @@
         let routed = RoutedCall {
             route: "lookup".parse().unwrap(),
             caller_service: "kasse".parse().unwrap(),
+            caller_zone: "zrh-a".parse().unwrap(),
             is_nested: false,
             objective_ms: 500,
+            send: SendKind::First,
         };
         let service = "auftrag".parse().unwrap();
         let arrival = Arrival::outbound(service, RequestId::new(number), method, "/lookup/1");
@@ -213,3 +219,73 @@
     assert!(forwarded(&actions).is_none(), "{actions:?}");
     assert_eq!(final_outcome(&actions), Some(Outcome::Unknown));
 }
+
+/// A call from another node, as its door gets it. Returns why it is refused, if it is.
+fn arrive_at_door(node: &mut Node, number: u128, send: SendKind) -> Option<RefusalReason> {
+    let routed = RoutedCall {
+        route: "lookup".parse().unwrap(),
+        caller_service: "auftrag".parse().unwrap(),
+        caller_zone: "zrh-a".parse().unwrap(),
+        is_nested: false,
+        objective_ms: 500,
+        send,
+    };
+    let arrival = Arrival::inbound(RequestId::new(number), "GET", "/lookup/1")
+        .with_share(Attempts::new(4), Rank::MAX)
+        .with_routed(Some(routed));
+    let call = node.engine.next_call();
+    let actions = node.handle(Event::arrive(call, arrival));
+    let refused = actions.iter().find_map(|action| match action {
+        Action::Refuse { refusal, .. } => Some((refusal.outcome, refusal.reason)),
+        _ => None,
+    });
+    node.handle(Event::Cancel(call));
+    let (outcome, reason) = refused?;
+    assert_eq!(outcome, Outcome::NotRun);
+    Some(reason)
+}
+
+/// Callers that repeat hard at a service with few requests reach its upstream no more
+/// often than the bound of the whole fleet allows.
+#[test]
+fn a_door_lets_no_more_repeats_through_than_its_budget_holds() {
+    let mut node = Node::new();
+    assert_eq!(arrive_at_door(&mut node, 1, SendKind::First), None);
+    node.now = node.now.after(Duration::from_secs(60));
+    let mut passed = 0;
+    for number in 2..202 {
+        match arrive_at_door(&mut node, number, SendKind::Repeat) {
+            None => passed += 1,
+            Some(reason) => assert_eq!(reason, RefusalReason::RetriesExhausted),
+        }
+    }
+    assert!((1..=10).contains(&passed), "{passed}");
+    assert_eq!(arrive_at_door(&mut node, 300, SendKind::First), None);
+    assert_eq!(arrive_at_door(&mut node, 301, SendKind::Elsewhere), None);
+}
+
+/// What a node marks as a repeat: only what an upstream may have seen.
+#[rstest]
+#[case::refused_by_the_door(Refusal::not_run(RefusalReason::Overloaded), SendKind::Elsewhere)]
+#[case::turned_away(Refusal::not_run(RefusalReason::TurnedAway), SendKind::Repeat)]
+#[case::answer_lost(Refusal::unknown(RefusalReason::UpstreamFailed), SendKind::Repeat)]
+fn a_call_that_an_upstream_may_have_seen_is_marked(
+    #[case] refusal: Refusal,
+    #[case] expected: SendKind,
+) {
+    let mut node = Node::new();
+    node.know("auftrag-1");
+    node.know("auftrag-2");
+    let (call, actions) = node.call(1);
+    assert_eq!(sent_as(&actions), Some(SendKind::First));
+    let (_, attempt) = forwarded(&actions).unwrap();
+    let actions = node.refuse(call, attempt, refusal);
+    assert_eq!(sent_as(&actions), Some(expected));
+}
+
+fn sent_as(actions: &[Action]) -> Option<SendKind> {
+    actions.iter().find_map(|action| match action {
+        Action::Forward { forward, .. } => Some(forward.routed.as_ref()?.send),
+        _ => None,
+    })
+}
--- a/cuminarch-membership/src/roster/gossip.rs
+++ b/cuminarch-membership/src/roster/gossip.rs
@@ -16,7 +16,11 @@
 impl Roster {
     /// Members that are asked in each round whether they know the same.
     const ASKED: usize = 2;
-    const GOSSIP_PERIOD: Duration = Duration::from_millis(400);
+    /// Time between two rounds of questions, as part of the time in which a
+    /// configuration has to be in force: five rounds make up for a lost push.
+    const GOSSIP_PART: f64 = 0.2;
+    /// Longest time between two rounds, as members are compared by them, too.
+    const LONGEST_GOSSIP_PERIOD: Duration = Duration::from_millis(600);
     /// Time in which a member that has gone may be back with a new process.
     const RETURN_TIME: Duration = Duration::from_secs(30);
     /// Shortest time between two comparisons of members with one peer.
@@ -30,7 +34,9 @@
             return;
         }
         let jitter = self.rng.random_range(0.8..1.2);
-        self.next_gossip_at = now.after(Self::GOSSIP_PERIOD.mul_f64(jitter));
+        let period = self.settings.config_apply.mul_f64(Self::GOSSIP_PART);
+        let period = period.min(Self::LONGEST_GOSSIP_PERIOD);
+        self.next_gossip_at = now.after(period.mul_f64(jitter));
         let mut asked = self.random_peers(Self::ASKED, None);
         asked.extend(self.recently_gone(now));
         for peer in asked {
--- a/cuminarch-membership/src/roster/store.rs
+++ b/cuminarch-membership/src/roster/store.rs
@@ -62,11 +62,13 @@
     /// Members of a zone that hold a watch on the configuration; more than one, so
     /// that the loss of any of them is not felt.
     const WATCHERS: usize = 3;
-    /// Time after which a configuration that nobody has confirmed is asked for.
-    const STALE_AFTER: Duration = Duration::from_millis(2_500);
-    /// Further time for each rank below the watchers, so that a zone does not ask
-    /// all at once and the first answers serve the others.
-    const STALE_STEP: Duration = Duration::from_millis(150);
+    /// Time after which a configuration that nobody has confirmed is asked for, as part
+    /// of that in which it has to be in force: more than a watch takes, which confirms it
+    /// to all.
+    const STALE_PART: f64 = 1.25;
+    /// Further time for each rank below the watchers, as part of the same, so that a zone
+    /// does not ask all at once and the first answers serve the others.
+    const STALE_STEP_PART: f64 = 0.075;
     /// Wait after the first failure; doubled with each further one.
     const BACKOFF: Duration = Duration::from_millis(250);
     /// Longest wait after a failure.
@@ -134,7 +136,8 @@
             return;
         }
         let later = u32::try_from(rank - Self::WATCHERS).unwrap_or(u32::MAX);
-        let patience = Self::STALE_AFTER + Self::STALE_STEP.saturating_mul(later);
+        let parts = f64::from(later).mul_add(Self::STALE_STEP_PART, Self::STALE_PART);
+        let patience = self.settings.config_apply.mul_f64(parts);
         let is_fresh = self.verified_at.is_some_and(|at| now.since(at) < patience);
         if !is_fresh || self.revision() == Revision::default() {
             self.call(PlatformCall::ListConfig);
--- a/cuminarch-membership/src/settings.rs
+++ b/cuminarch-membership/src/settings.rs
@@ -22,6 +22,8 @@
     pub refute_time: Duration,
     /// Time for which a member that has gone is remembered.
     pub tombstone_time: Duration,
+    /// Time in which an accepted configuration has to be in force on every node.
+    pub config_apply: Duration,
 }
 
 impl FleetSettings {
@@ -37,6 +39,7 @@
             vote_time: Duration::from_secs(1),
             refute_time: Duration::from_secs(4),
             tombstone_time: Duration::from_secs(3_600),
+            config_apply: Duration::from_secs(2),
         }
     }
 
@@ -47,6 +50,13 @@
         self
     }
 
+    /// Sets the time in which an accepted configuration has to be in force.
+    #[must_use]
+    pub const fn with_config_apply(mut self, config_apply: Duration) -> Self {
+        self.config_apply = config_apply;
+        self
+    }
+
     /// Sets the addresses to try while no member is known.
     #[must_use]
     pub fn with_seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
--- a/cuminarch-node/src/data/handler.rs
+++ b/cuminarch-node/src/data/handler.rs
@@ -95,6 +95,7 @@
         peer: request.turn.shared.peer,
         policy: &policy,
         own_service: &context.own_service,
+        own_zone: &context.own_zone,
     };
     let plan = match context.interface.read_call(&incoming) {
         Reading::Call(plan) => *plan,
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -13,7 +13,7 @@
 use cuminarch_once::StoredAnswer;
 use cuminarch_protocol::{AnswerHead, HeaderField, Receipt, RoutedCall, UpstreamRecord};
 use cuminarch_routing::Splitter;
-use cuminarch_types::{Outcome, RequestId, ServiceName};
+use cuminarch_types::{Outcome, RequestId, ServiceName, ZoneName};
 use flume::Sender;
 use log::{info, warn};
 
@@ -40,6 +40,7 @@
     pub upstream: UpstreamPool,
     pub links: LinkPool,
     pub own_service: ServiceName,
+    pub own_zone: ZoneName,
     pub hello: LinkHello,
     pub metrics: Arc<Metrics>,
     pub tasks: Tasks,
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -90,6 +90,7 @@
             upstream: UpstreamPool::new(self.settings.upstream_address),
             links: LinkPool::new(hello.clone()),
             own_service: self.settings.service.clone(),
+            own_zone: self.settings.zone.clone(),
             hello,
             metrics: self.metrics,
             tasks,
--- a/cuminarch-node/src/interface/plan.rs
+++ b/cuminarch-node/src/interface/plan.rs
@@ -5,7 +5,7 @@
 use cuminarch_engine::Arrival;
 use cuminarch_http::RequestHead;
 use cuminarch_protocol::HeaderField;
-use cuminarch_types::{RequestId, ServiceName};
+use cuminarch_types::{RequestId, ServiceName, ZoneName};
 
 use super::DirectAnswer;
 
@@ -31,6 +31,8 @@
     pub policy: &'a Policy,
     /// The service of the own upstream.
     pub own_service: &'a ServiceName,
+    /// Zone of the node.
+    pub own_zone: &'a ZoneName,
 }
 
 /// What becomes of a request.
--- a/cuminarch-node/src/node.rs
+++ b/cuminarch-node/src/node.rs
@@ -4,7 +4,6 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use cuminarch_attempts::RetryBudgetSettings;
 use cuminarch_config::Policy;
 use cuminarch_engine::{Engine, EngineSettings};
 use cuminarch_membership::{ControlPlane, Fleet, FleetSettings, PlatformReply, Roster};
@@ -135,8 +134,7 @@
 impl ShutdownTimes {
     fn of(settings: &NodeSettings) -> Self {
         let timeout = settings.shutdown_timeout();
-        let linger = Duration::from_millis(settings.shutdown_linger_ms).min(timeout);
-        Self { timeout, linger }
+        Self { timeout, linger: settings.shutdown_linger().min(timeout) }
     }
 }
 
@@ -253,7 +251,7 @@
     /// Puts new settings into force, as far as they can change while the node
     /// runs; the others hold from the next start on.
     pub fn reload(&self, settings: &NodeSettings) {
-        let budget = RetryBudgetSettings::new(settings.retry_ratio, settings.retry_slack);
+        let budget = settings.retry_budget();
         let is_told = self.commands.send(DataCommand::RetryBudget(budget)).is_ok();
         info!("{} is_told={is_told} {budget:?}", NodeEvent::SettingsReloaded);
     }
@@ -339,6 +337,7 @@
     FleetSettings::new(settings.fleet.clone())
         .with_seed(incarnation.get())
         .with_seeds(settings.seeds.clone())
+        .with_config_apply(settings.config_apply())
 }
 
 fn plane_of(
@@ -355,7 +354,7 @@
 }
 
 fn engine_of(settings: &NodeSettings, incarnation: Incarnation) -> Engine {
-    let retry_budget = RetryBudgetSettings::new(settings.retry_ratio, settings.retry_slack);
+    let retry_budget = settings.retry_budget();
     let registers = settings.registration_address.is_some();
     let settings = EngineSettings::new(
         settings.endpoint.clone(),
--- a/cuminarch-node/src/settings.rs
+++ b/cuminarch-node/src/settings.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use cuminarch_attempts::RetryBudgetSettings;
 use cuminarch_types::{EndpointId, RegionName, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -55,9 +56,14 @@
     #[serde(default = "default_shutdown_timeout_ms")]
     pub shutdown_timeout_ms: u64,
     /// Time at shutdown in which callers are still served while they turn
-    /// elsewhere, in milliseconds.
+    /// elsewhere, in milliseconds. If it is not given, that is none for a node that is
+    /// not asked whether it is ready, and else as long as callers take to notice.
     #[serde(default)]
-    pub shutdown_linger_ms: u64,
+    pub shutdown_linger_ms: Option<u64>,
+    /// Time in which an accepted configuration has to be in force on every node, in
+    /// milliseconds.
+    #[serde(default = "default_config_apply_ms")]
+    pub config_apply_ms: f64,
     /// Repeats of routed calls towards a service, for each request of a caller,
     /// over all nodes.
     #[serde(default = "default_retry_ratio")]
@@ -65,6 +71,9 @@
     /// Further repeats of routed calls within a window, over all nodes.
     #[serde(default = "default_retry_slack")]
     pub retry_slack: f64,
+    /// Length of that window in seconds.
+    #[serde(default = "default_retry_window_s")]
+    pub retry_window_s: f64,
     /// Longest request body in bytes; longer ones are answered with 413.
     #[serde(default = "default_max_request_body_bytes")]
     pub max_request_body_bytes: u64,
@@ -91,6 +100,15 @@
     10.0
 }
 
+const fn default_retry_window_s() -> f64 {
+    10.0
+}
+
+/// Bound of the size that the design is made for.
+const fn default_config_apply_ms() -> f64 {
+    12_000.0
+}
+
 const fn default_max_request_body_bytes() -> u64 {
     1024 * 1024 * 1024
 }
@@ -114,6 +132,16 @@
     /// threads to end one after the other.
     const TERMINATION_MARGIN: Duration = Duration::from_millis(400);
     const MAX_GRACE_S: f64 = 3_600.0;
+    /// Shortest and longest bounds in milliseconds of the configuration and of repeats.
+    /// Below the first, a few round trips between zones and the store take too much of
+    /// them.
+    const BOUNDS_MS: (f64, f64) = (250.0, 3_600_000.0);
+    /// Time after which callers turn elsewhere once a node says that it is not ready:
+    /// the platform asks once a second, twice, and its answers have to spread.
+    const NOTICE_TIME: Duration = Duration::from_millis(2_500);
+    /// Part of the time to stop that callers have at most to turn elsewhere; the rest is
+    /// for the calls in flight.
+    const NOTICE_PART: f64 = 0.45;
 
     /// Reads and checks settings.
     ///
@@ -141,6 +169,30 @@
         })
     }
 
+    /// Time at shutdown in which callers are still served while they turn elsewhere.
+    #[must_use]
+    pub fn shutdown_linger(&self) -> Duration {
+        let timeout = self.shutdown_timeout();
+        match (self.shutdown_linger_ms, self.readiness_address) {
+            (Some(linger_ms), _) => Duration::from_millis(linger_ms),
+            (None, None) => Duration::ZERO,
+            (None, Some(_)) => Self::NOTICE_TIME.min(timeout.mul_f64(Self::NOTICE_PART)),
+        }
+    }
+
+    /// Time in which an accepted configuration has to be in force on every node.
+    #[must_use]
+    pub fn config_apply(&self) -> Duration {
+        Duration::from_secs_f64(self.config_apply_ms / 1_000.0)
+    }
+
+    /// Bounds of the repeats of routed calls.
+    #[must_use]
+    pub fn retry_budget(&self) -> RetryBudgetSettings {
+        let window = Duration::from_secs_f64(self.retry_window_s);
+        RetryBudgetSettings::new(self.retry_ratio, self.retry_slack, window)
+    }
+
     fn faults(&self) -> Vec<Fault> {
         let mut faults = self.address_faults();
         let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
@@ -167,12 +219,32 @@
             let reason = format!("must be 0 to {}", Self::MAX_GRACE_S);
             faults.push(Fault::new("termination_grace_s", reason));
         }
+        let (shortest_ms, longest_ms) = Self::BOUNDS_MS;
+        let bounds = [
+            ("config_apply_ms", self.config_apply_ms, 1.0),
+            ("retry_window_s", self.retry_window_s, 1_000.0),
+        ];
+        for (field, bound, unit_ms) in bounds {
+            if !(shortest_ms..=longest_ms).contains(&(bound * unit_ms)) {
+                let (shortest, longest) = (shortest_ms / unit_ms, longest_ms / unit_ms);
+                let reason = format!("must be {shortest} to {longest}");
+                faults.push(Fault::new(field, reason));
+            }
+        }
         let shares = [("retry_ratio", self.retry_ratio), ("retry_slack", self.retry_slack)];
         for (field, share) in shares {
             if !share.is_finite() || share < 0.0 {
                 faults.push(Fault::new(field, "must be a number from 0"));
             }
         }
+        if let Some(linger_ms) = self.shutdown_linger_ms
+            && faults.is_empty()
+            && Duration::from_millis(linger_ms) >= self.shutdown_timeout()
+        {
+            let timeout_ms = self.shutdown_timeout().as_millis();
+            let reason = format!("leaves no time for calls in flight: {timeout_ms} ms in all");
+            faults.push(Fault::new("shutdown_linger_ms", reason));
+        }
         if self.max_request_body_bytes == 0 {
             faults.push(Fault::new("max_request_body_bytes", "must be at least 1"));
         }
--- a/cuminarch-node/tests/settings.rs
+++ b/cuminarch-node/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings: every fault is named with its place.
 
+use std::time::Duration;
+
 use cuminarch_node::NodeSettings;
 use rstest::rstest;
 
@@ -56,3 +58,29 @@
     let more = "shutdown_timeout_ms: 0\nmax_connections: 0\nmax_request_body_bytes: 0\n";
     insta::assert_snapshot!("contradictions", error(&format!("{text}{more}")));
 }
+
+/// Bounds of a deployment, and the times that follow from them in milliseconds.
+#[rstest]
+#[case::short(2.0, 500.0, 720)]
+#[case::usual(6.0, 2_000.0, 2_500)]
+#[case::long(30.0, 12_000.0, 2_500)]
+fn times_follow_from_the_bounds_of_the_deployment(
+    #[case] grace_s: f64,
+    #[case] config_apply_ms: f64,
+    #[case] linger_ms: u128,
+) {
+    let more = format!("termination_grace_s: {grace_s}\nconfig_apply_ms: {config_apply_ms}\n");
+    let readiness = "readiness_address: 10.0.0.1:8090\n";
+    let settings = NodeSettings::parse(&format!("{GOOD}{readiness}{more}")).unwrap();
+    assert_eq!(settings.shutdown_linger().as_millis(), linger_ms);
+    assert!(settings.shutdown_timeout().as_secs_f64() < grace_s);
+    assert_eq!(settings.config_apply(), Duration::from_secs_f64(config_apply_ms / 1_000.0));
+}
+
+#[test]
+fn bounds_that_contradict_each_other_are_named_with_their_lines() {
+    let text = format!("{GOOD}termination_grace_s: 2\nshutdown_linger_ms: 2500\n");
+    insta::assert_snapshot!("linger_without_rest", error(&text));
+    let text = format!("{GOOD}config_apply_ms: 0\nretry_window_s: -1\n");
+    insta::assert_snapshot!("bounds_out_of_range", error(&text));
+}
--- a/cuminarch-protocol/src/call.rs
+++ b/cuminarch-protocol/src/call.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use cuminarch_types::{Attempts, Outcome, Rank, RequestId, RouteName, ServiceName};
+use cuminarch_types::{Attempts, Outcome, Rank, RequestId, RouteName, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::codec::{decode, encode_tagged, split_tag};
@@ -32,6 +32,29 @@
     }
 }
 
+/// What a send of a call is to the service that is called.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum SendKind {
+    /// The first one.
+    #[default]
+    #[serde(rename = "f")]
+    First,
+    /// No earlier one has reached an upstream.
+    #[serde(rename = "e")]
+    Elsewhere,
+    /// An upstream has seen an earlier one, or may have.
+    #[serde(rename = "r")]
+    Repeat,
+}
+
+impl SendKind {
+    // Serde passes a reference.
+    #[allow(clippy::trivially_copy_pass_by_ref)]
+    fn is_first(&self) -> bool {
+        *self == Self::First
+    }
+}
+
 /// What the first node knows of a call from the route that it took.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -42,12 +65,18 @@
     /// Service of the upstream beside the first node.
     #[serde(rename = "c")]
     pub caller_service: ServiceName,
+    /// Zone of the first node.
+    #[serde(rename = "z")]
+    pub caller_zone: ZoneName,
     /// Whether an upstream makes the call for a request that it runs.
     #[serde(default, rename = "n", skip_serializing_if = "std::ops::Not::not")]
     pub is_nested: bool,
     /// Time within which an answer is of full use, in milliseconds.
     #[serde(rename = "o")]
     pub objective_ms: u32,
+    /// Which send this is.
+    #[serde(default, rename = "s", skip_serializing_if = "SendKind::is_first")]
+    pub send: SendKind,
 }
 
 /// Opens a call on a data link.
--- a/cuminarch-protocol/src/lib.rs
+++ b/cuminarch-protocol/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use call::{
     AnswerFrame, AnswerHead, CallFrame, CallHead, HeaderField, LoadReport, PressureReport, Receipt,
-    RefusalHead, RoutedCall,
+    RefusalHead, RoutedCall, SendKind,
 };
 pub use control::{ConfigOffer, ConfigPatch, ControlMessage, Coverage, Hearsay, Heartbeat, Hello};
 pub use error::ProtocolError;
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -141,13 +141,10 @@
         self.services.values_mut().for_each(Service::forget_levels);
     }
 
-    /// Number of endpoints of each service that take work.
-    #[must_use]
-    pub fn sizes(&self) -> BTreeMap<ServiceName, usize> {
-        let size = |service: &Service| {
-            service.endpoints().filter(|endpoint| endpoint.takes_work()).count()
-        };
-        self.services.iter().map(|(name, service)| (name.clone(), size(service))).collect()
+    /// The endpoints of a service that take work, in the order of their names.
+    pub fn working(&self, service: &ServiceName) -> impl Iterator<Item = &Member> {
+        let endpoints = self.services.get(service).into_iter().flat_map(Service::endpoints);
+        endpoints.filter(|endpoint| endpoint.takes_work()).map(|endpoint| &endpoint.member)
     }
 
     /// All members known.
