perf(membership): calls to the store by what a start has to find out

Cause, by the price of the calls in virtual time: each node read all members twice in full, wrote its object by a call that failed and another that created it, and until it knew the others took itself for one that has to watch the configuration.

Change: readings that may lag (a tenth of the price on the platform) for members and for the first configuration, repeated while a node is new; objects written over the version that is known, first as new ones, so that a write that is carried out late replaces nothing newer; a watch is held by two nodes of a zone, and by none that has not settled; what a start found in the store counts as confirmed until gossip had its time.

--- a/cuminarch-membership/src/action.rs
+++ b/cuminarch-membership/src/action.rs
@@ -13,18 +13,23 @@
 pub enum PlatformCall {
     /// List the objects under `members/`.
     ListMembers,
+    /// The same, though what is returned may be some seconds old.
+    ListMembersLagging,
     /// Wait for a change under `members/`.
     WatchMembers(ObjectVersion),
     /// List the objects under `config/`.
     ListConfig,
+    /// The same, though what is returned may be some seconds old.
+    ListConfigLagging,
     /// Wait for a change under `config/`.
     WatchConfig(ObjectVersion),
     /// Write the own zone's object under `members/` over this version of it.
     PutMembers(Arc<ZoneMembers>, Option<ObjectVersion>),
     /// Write the own zone's object under `status/`.
     PutStatus(ZoneStatus),
-    /// Write the own object under `members/`, whatever is there.
-    PutMember(Arc<Member>),
+    /// Write a node's object under `members/` over this version of it, so that a write
+    /// that is carried out late replaces nothing newer.
+    PutMember(Arc<Member>, Option<ObjectVersion>),
 }
 
 /// Something that operators should know.
--- a/cuminarch-membership/src/platform.rs
+++ b/cuminarch-membership/src/platform.rs
@@ -114,9 +114,13 @@
 
 const fn kind_of(call: &PlatformCall) -> CallKind {
     match call {
-        PlatformCall::ListMembers | PlatformCall::WatchMembers(_) => CallKind::Members,
-        PlatformCall::ListConfig | PlatformCall::WatchConfig(_) => CallKind::Config,
-        PlatformCall::PutMembers(..) | PlatformCall::PutMember(_) => CallKind::PutMembers,
+        PlatformCall::ListMembers
+        | PlatformCall::ListMembersLagging
+        | PlatformCall::WatchMembers(_) => CallKind::Members,
+        PlatformCall::ListConfig
+        | PlatformCall::ListConfigLagging
+        | PlatformCall::WatchConfig(_) => CallKind::Config,
+        PlatformCall::PutMembers(..) | PlatformCall::PutMember(..) => CallKind::PutMembers,
         PlatformCall::PutStatus(_) => CallKind::PutStatus,
     }
 }
--- a/cuminarch-membership/src/roster/store.rs
+++ b/cuminarch-membership/src/roster/store.rs
@@ -1,6 +1,6 @@
 //! Calls to the platform's store.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 
 use super::Roster;
 use crate::topology::rank_in_zone;
-use crate::{FleetAction, FleetNotice, PlatformCall, PlatformReply};
+use crate::{FleetAction, FleetNotice, PlatformCall, PlatformReply, ZoneObject};
 
 /// Kind of a call; at most one of each is under way.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -31,9 +31,15 @@
     next_list_at: Option<MonoTime>,
     /// Whether the own object says what the node would say now.
     pub is_written: bool,
-    /// Members whose objects have to be written by this node.
-    outdated: BTreeSet<EndpointId>,
+    /// When the own object was last written; zero before the first time.
+    written_at: MonoTime,
+    /// Version of the own object, if there is one.
+    own_version: Option<ObjectVersion>,
+    /// Members whose objects have to be written by this node, with their versions.
+    outdated: BTreeMap<EndpointId, ObjectVersion>,
     next_call_at: MonoTime,
+    /// When the configuration is asked for next, as long as there is none.
+    next_config_at: MonoTime,
     failures: u32,
     pub is_lost: bool,
     is_default_told: bool,
@@ -49,8 +55,11 @@
             config_version: None,
             next_list_at: None,
             is_written: true,
-            outdated: BTreeSet::new(),
+            written_at: MonoTime::ZERO,
+            own_version: None,
+            outdated: BTreeMap::new(),
             next_call_at: now.after(Self::START_JITTER.mul_f64(rng.random_range(0.0..1.0))),
+            next_config_at: now,
             failures: 0,
             is_lost: false,
             is_default_told: false,
@@ -61,7 +70,18 @@
 impl Roster {
     /// Members of a zone that hold a watch on the configuration; more than one, so
     /// that the loss of any of them is not felt.
-    const WATCHERS: usize = 3;
+    const WATCHERS: usize = 2;
+    /// Time after the start by which a node knows the others, or is alone. Before that it
+    /// does not take itself for one that has to watch, as all nodes of a fleet that
+    /// starts would.
+    const SETTLE_TIME: Duration = Duration::from_secs(4);
+    /// Time between two questions for the configuration by a node that has none.
+    const FIRST_CONFIG_PERIOD: Duration = Duration::from_millis(700);
+    /// Time between two readings of the members by a node that has just started.
+    const START_LIST_PERIOD: Duration = Duration::from_millis(1_500);
+    /// Time after which a reading that may lag shows what was written before: the
+    /// platform speaks of seconds.
+    const LAG_TIME: Duration = Duration::from_millis(3_500);
     /// Time after which a configuration that nobody has confirmed is asked for, as part
     /// of that in which it has to be in force: more than a watch takes, which confirms it
     /// to all.
@@ -108,16 +128,21 @@
         period.mul_f64(self.rng.random_range(0.8..1.2))
     }
 
+    fn start_period(&mut self) -> Duration {
+        Self::START_LIST_PERIOD.mul_f64(self.rng.random_range(0.8..1.2))
+    }
+
     pub(super) fn drive_store(&mut self, now: MonoTime) {
         self.check_defaults(now);
         if now < self.store.next_call_at || self.own.state >= MemberState::Gone {
             return;
         }
         if self.store.next_list_at.is_none_or(|at| at <= now) {
-            self.call(PlatformCall::ListMembers);
+            self.call(PlatformCall::ListMembersLagging);
         }
         if !self.store.is_written && self.has_upstream() {
-            self.call(PlatformCall::PutMember(self.own.clone()));
+            let version = self.store.own_version;
+            self.call(PlatformCall::PutMember(self.own.clone(), version));
         }
         self.repair_outdated();
         self.ask_for_config(now);
@@ -129,6 +154,17 @@
     }
 
     fn ask_for_config(&mut self, now: MonoTime) {
+        if self.revision() == Revision::default() {
+            if self.store.next_config_at <= now {
+                self.store.next_config_at = now.after(Self::FIRST_CONFIG_PERIOD);
+                self.call(PlatformCall::ListConfigLagging);
+            }
+            return;
+        }
+        let knows_others = self.table.len() > 1;
+        if !knows_others && now.since(self.started_at) < Self::SETTLE_TIME {
+            return;
+        }
         let rank = self.rank();
         if rank < Self::WATCHERS {
             let call = self.store.config_version;
@@ -138,8 +174,9 @@
         let later = u32::try_from(rank - Self::WATCHERS).unwrap_or(u32::MAX);
         let parts = f64::from(later).mul_add(Self::STALE_STEP_PART, Self::STALE_PART);
         let patience = self.settings.config_apply.mul_f64(parts);
-        let is_fresh = self.verified_at.is_some_and(|at| now.since(at) < patience);
-        if !is_fresh || self.revision() == Revision::default() {
+        // What a start found in the store is confirmed by the peers meanwhile.
+        let verified_at = self.verified_at.unwrap_or(self.started_at);
+        if now.since(verified_at) >= patience {
             self.call(PlatformCall::ListConfig);
         }
     }
@@ -165,55 +202,86 @@
             self.notice(FleetNotice::PlatformFound);
         }
         match reply {
-            PlatformReply::Members { zones, .. } => {
-                self.store.next_list_at = Some(now.after(self.list_period()));
-                let members = zones.iter().flat_map(|object| &object.value.members);
-                for member in members {
-                    self.member_listed(member, now);
-                }
-            }
+            PlatformReply::Members { zones, .. } => self.members_listed(&zones, now),
             PlatformReply::Config { version, document } => {
-                self.store.config_version = Some(version);
                 if let Some(document) = document {
                     self.offer_config(&document, None, now);
                 }
-                self.verified_at = Some(now);
-            }
-            PlatformReply::MembersWritten(_) => {
-                let PlatformCall::PutMember(written) = call else { return };
-                if written.endpoint != self.own.endpoint {
-                    self.store.outdated.remove(&written.endpoint);
-                    return self.drive_store(now);
+                // A reading that may lag says neither where a watch has to begin nor that
+                // nothing newer is there.
+                if *call != PlatformCall::ListConfigLagging {
+                    self.store.config_version = Some(version);
+                    self.verified_at = Some(now);
                 }
-                self.store.is_written = written.upstream == self.own.upstream;
-                // Of two nodes that write and then read, one finds the other.
-                self.store.next_list_at = None;
             }
+            PlatformReply::MembersWritten(version) => self.member_written(call, version, now),
+            PlatformReply::MembersConflict(object) => self.write_conflicted(call, object.as_ref()),
             _ => {}
         }
         self.drive_store(now);
     }
 
+    fn members_listed(&mut self, objects: &[ZoneObject], now: MonoTime) {
+        let is_alone = self.table.len() == 1;
+        for object in objects {
+            for member in &object.value.members {
+                self.member_listed(member, object.version, now);
+            }
+        }
+        // Of two nodes that write and then read, one finds the other.
+        let is_new = now.since(self.store.written_at) < Self::LAG_TIME;
+        let period = if is_alone || is_new { self.start_period() } else { self.list_period() };
+        self.store.next_list_at = Some(now.after(period));
+    }
+
+    fn member_written(&mut self, call: &PlatformCall, version: ObjectVersion, now: MonoTime) {
+        let PlatformCall::PutMember(written, _) = call else { return };
+        if written.endpoint != self.own.endpoint {
+            self.store.outdated.remove(&written.endpoint);
+            return;
+        }
+        self.store.own_version = Some(version);
+        self.store.is_written = written.upstream == self.own.upstream;
+        if std::mem::replace(&mut self.store.written_at, now) == MonoTime::ZERO {
+            self.store.next_list_at = None;
+        }
+    }
+
+    /// Another write came first: an earlier one of this process whose answer was lost, one
+    /// of the process before it, or one that mended the object.
+    fn write_conflicted(&mut self, call: &PlatformCall, object: Option<&ZoneObject>) {
+        let PlatformCall::PutMember(written, _) = call else { return };
+        if written.endpoint == self.own.endpoint {
+            self.store.own_version = object.map(|object| object.version);
+        } else {
+            self.store.outdated.remove(&written.endpoint);
+        }
+    }
+
     /// Takes in an object of the store. That of this node may be up to date
     /// although an earlier process wrote it.
-    fn member_listed(&mut self, member: &Arc<Member>, now: MonoTime) {
+    fn member_listed(&mut self, member: &Arc<Member>, version: ObjectVersion, now: MonoTime) {
         if member.endpoint == self.own.endpoint {
+            self.store.own_version = self.store.own_version.max(Some(version));
             return self.own_described(member, now);
         }
         self.merge(member, now);
         let held = self.table.get(&member.endpoint);
         let is_outdated = held.is_some_and(|held| held.replaces(member) && !held.takes_work());
         if is_outdated && member.takes_work() && self.rank() == 0 {
-            self.store.outdated.insert(member.endpoint.clone());
+            self.store.outdated.insert(member.endpoint.clone(), version);
         }
     }
 
     /// Writes for members that left while the store was away, as nodes that start
     /// later would take them for alive.
     fn repair_outdated(&mut self) {
-        let Some(endpoint) = self.store.outdated.first().cloned() else { return };
+        let Some((endpoint, version)) = self.store.outdated.first_key_value() else { return };
+        let (endpoint, version) = (endpoint.clone(), *version);
         match self.table.get(&endpoint).cloned() {
-            Some(held) if !held.takes_work() => self.call(PlatformCall::PutMember(held)),
+            Some(held) if !held.takes_work() => {
+                self.call(PlatformCall::PutMember(held, Some(version)));
+            }
             _ => {
                 self.store.outdated.remove(&endpoint);
             }
@@ -237,8 +305,12 @@
 
 const fn kind_of(call: &PlatformCall) -> CallKind {
     match call {
-        PlatformCall::ListMembers | PlatformCall::WatchMembers(_) => CallKind::Members,
-        PlatformCall::ListConfig | PlatformCall::WatchConfig(_) => CallKind::Config,
+        PlatformCall::ListMembers
+        | PlatformCall::ListMembersLagging
+        | PlatformCall::WatchMembers(_) => CallKind::Members,
+        PlatformCall::ListConfig
+        | PlatformCall::ListConfigLagging
+        | PlatformCall::WatchConfig(_) => CallKind::Config,
         _ => CallKind::Write,
     }
 }
--- a/cuminarch-membership/tests/roster.rs
+++ b/cuminarch-membership/tests/roster.rs
@@ -26,6 +26,8 @@
     in_force: BTreeMap<EndpointId, Revision>,
     views: BTreeMap<(EndpointId, EndpointId), Member>,
     calls: u64,
+    /// Price of the calls so far, in tenths of that of one which does not lag.
+    price_tenths: u64,
     /// Events that have to be handed to nodes.
     due: VecDeque<(EndpointId, FleetEvent)>,
     /// Pairs of nodes that have greeted each other.
@@ -80,6 +82,7 @@
             in_force: BTreeMap::new(),
             views: BTreeMap::new(),
             calls: 0,
+            price_tenths: 0,
             due: VecDeque::new(),
             linked: BTreeSet::new(),
         };
@@ -137,10 +140,13 @@
 
     fn call(&mut self, node: &EndpointId, call: PlatformCall) {
         self.calls += 1;
+        let is_lagging =
+            matches!(call, PlatformCall::ListMembersLagging | PlatformCall::ListConfigLagging);
+        self.price_tenths += if is_lagging { 1 } else { 10 };
         let version = ObjectVersion::new(self.version);
         let reply = match &call {
             _ if self.cut.contains(node) => PlatformReply::Failed,
-            PlatformCall::ListMembers => {
+            PlatformCall::ListMembers | PlatformCall::ListMembersLagging => {
                 let object = |member: &Arc<Member>| ZoneObject {
                     version,
                     value: ZoneMembers { zone: member.zone.clone(), members: vec![member.clone()] },
@@ -150,7 +156,7 @@
                     zones: self.objects.values().map(object).collect(),
                 }
             }
-            PlatformCall::PutMember(member) => {
+            PlatformCall::PutMember(member, _) => {
                 self.version += 1;
                 self.objects.insert(member.endpoint.clone(), Arc::clone(member));
                 PlatformReply::MembersWritten(version)
@@ -324,3 +330,19 @@
     println!("calls in 10 s: {few} of 12 nodes, {many} of 96");
     assert!(many <= few * 4, "{few} of 12 nodes, {many} of 96");
 }
+
+/// A start of 195 nodes, and ten seconds at rest after it, by the price of their calls.
+/// A node has to write its object once; nothing else may cost a whole call for each.
+#[test]
+fn a_mass_start_costs_little_more_than_the_objects_that_it_writes() {
+    let nodes = 195;
+    let mut world = settled(nodes);
+    world.run(Duration::from_secs(3));
+    assert!(world.all_know(UpstreamState::Ready, nodes - 1));
+    let start = world.price_tenths;
+    world.run(Duration::from_secs(10));
+    let rest = world.price_tenths - start;
+    println!("price in tenths: {start} for the start, {rest} at rest");
+    assert!(start <= nodes as u64 * 10 * 2, "{start}");
+    assert!(rest <= nodes as u64 * 10 / 2, "{rest}");
+}
--- a/cuminarch-node/src/control/platform.rs
+++ b/cuminarch-node/src/control/platform.rs
@@ -53,7 +53,9 @@
     pub fn call(&self, call: PlatformCall) -> Option<(PlatformCall, PlatformReply)> {
         let ring = match call {
             PlatformCall::WatchMembers(_) => &self.members,
-            PlatformCall::ListConfig | PlatformCall::WatchConfig(_) => &self.config,
+            PlatformCall::ListConfig
+            | PlatformCall::ListConfigLagging
+            | PlatformCall::WatchConfig(_) => &self.config,
             _ => &self.calls,
         };
         match ring.try_send(call) {
@@ -107,10 +109,14 @@
         let store = &*self.store;
         match call {
             PlatformCall::ListMembers => read_members(store),
+            PlatformCall::ListMembersLagging => {
+                Ok(members_of(&store.list_lagging(&path(MEMBERS)?)?))
+            }
             PlatformCall::WatchMembers(after) => {
                 Ok(members_of(&store.watch(&path(MEMBERS)?, *after, self.watch_time)?))
             }
             PlatformCall::ListConfig => config_of(&store.list(&path(CURRENT)?)?),
+            PlatformCall::ListConfigLagging => config_of(&store.list_lagging(&path(CURRENT)?)?),
             PlatformCall::WatchConfig(after) => {
                 config_of(&store.watch(&path(CURRENT)?, *after, self.watch_time)?)
             }
@@ -120,10 +126,10 @@
                 let value = serde_json::to_string(status).map_err(malformed)?;
                 store.put(&path, &value, Expect::Any).map(|_| PlatformReply::StatusWritten)
             }
-            PlatformCall::PutMember(member) => {
+            PlatformCall::PutMember(member, expected) => {
                 let path = path(&format!("{MEMBERS}/{}", member.endpoint))?;
                 let value = serde_json::to_string(member).map_err(malformed)?;
-                store.put(&path, &value, Expect::Any).map(PlatformReply::MembersWritten)
+                put_expected(store, &path, &value, *expected)
             }
         }
     }
@@ -136,11 +142,18 @@
 ) -> Result<PlatformReply, PlatformError> {
     let path = members_path(&value.zone)?;
     let text = serde_json::to_string(value).map_err(malformed)?;
-    let expect = match expected {
-        Some(version) => Expect::Version(version),
-        None => Expect::Absent,
-    };
-    match store.put(&path, &text, expect) {
+    put_expected(store, &path, &text, expected)
+}
+
+/// Writes an object over this version of it, or where there is none.
+fn put_expected(
+    store: &dyn ObjectStore,
+    path: &ObjectPath,
+    text: &str,
+    expected: Option<ObjectVersion>,
+) -> Result<PlatformReply, PlatformError> {
+    let expect = expected.map_or(Expect::Absent, Expect::Version);
+    match store.put(path, text, expect) {
         Ok(version) => Ok(PlatformReply::MembersWritten(version)),
         Err(PlatformError::Conflict { current, .. }) => {
             let object = current.and_then(|current| zone_object(&current));
--- a/cuminarch-platform/src/limited_store.rs
+++ b/cuminarch-platform/src/limited_store.rs
@@ -74,6 +74,10 @@
         self.admit(CallKind::List)?.list(prefix)
     }
 
+    fn list_lagging(&self, prefix: &ObjectPath) -> Result<Listing, PlatformError> {
+        self.admit(CallKind::List)?.list_lagging(prefix)
+    }
+
     fn watch(
         &self,
         prefix: &ObjectPath,
--- a/cuminarch-platform/src/store.rs
+++ b/cuminarch-platform/src/store.rs
@@ -38,6 +38,16 @@
     /// Fails when the platform does not answer.
     fn list(&self, prefix: &ObjectPath) -> Result<Listing, PlatformError>;
 
+    /// The same as [`ObjectStore::list`], but what it returns may be some seconds old,
+    /// where the platform gives that at a lower price.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    fn list_lagging(&self, prefix: &ObjectPath) -> Result<Listing, PlatformError> {
+        self.list(prefix)
+    }
+
     /// Waits until an object under `prefix` has a version above `after`, or
     /// `timeout` has passed, and returns the objects changed since, if any.
     ///
--- a/cuminarch-testing/src/virtual_fleet/platform.rs
+++ b/cuminarch-testing/src/virtual_fleet/platform.rs
@@ -97,13 +97,13 @@
 
     pub(super) fn count(&mut self, call: &PlatformCall, now: MonoTime) {
         let kind = match call {
-            PlatformCall::ListMembers => "list members",
+            PlatformCall::ListMembers | PlatformCall::ListMembersLagging => "list members",
             PlatformCall::WatchMembers(_) => "watch members",
-            PlatformCall::ListConfig => "list config",
+            PlatformCall::ListConfig | PlatformCall::ListConfigLagging => "list config",
             PlatformCall::WatchConfig(_) => "watch config",
             PlatformCall::PutMembers(..) => "put members",
             PlatformCall::PutStatus(_) => "put status",
-            PlatformCall::PutMember(_) => "put member",
+            PlatformCall::PutMember(..) => "put member",
         };
         *self.calls.entry(kind).or_default() += 1;
         *self.calls_by_second.entry(now.as_micros() / 1_000_000).or_default() += 1;
@@ -115,8 +115,12 @@
             return Some(PlatformReply::Failed);
         }
         match call {
-            PlatformCall::ListMembers => Some(self.members_after(0)),
-            PlatformCall::ListConfig => Some(self.config_after(0)),
+            PlatformCall::ListMembers | PlatformCall::ListMembersLagging => {
+                Some(self.members_after(0))
+            }
+            PlatformCall::ListConfig | PlatformCall::ListConfigLagging => {
+                Some(self.config_after(0))
+            }
             PlatformCall::WatchMembers(after) => {
                 let is_changed =
                     self.members.values().any(|object| object.version.get() > after.get());
@@ -135,7 +139,7 @@
                 Some(PlatformReply::StatusWritten)
             }
             // Fleets with relays write whole zones.
-            PlatformCall::PutMember(_) => Some(PlatformReply::Failed),
+            PlatformCall::PutMember(..) => Some(PlatformReply::Failed),
         }
     }
 
