fix(node): answers without end are broken off; what runs once waits for a quiet connection

Change: an answer to a call that took a route is broken off at twice its time limit; the caller sees that it is not whole. A call that can't be sent again takes no connection that has been quiet for less than 10 ms.

--- a/cuminarch-node/src/data/answer.rs
+++ b/cuminarch-node/src/data/answer.rs
@@ -110,6 +110,8 @@
     receipt: Receipt,
     left_bytes: Option<u64>,
     passed_bytes: u64,
+    /// When the answer is broken off; nobody waits for its end any more by then.
+    until: Option<Instant>,
 }
 
 impl AnswerBody {
@@ -120,7 +122,22 @@
     pub fn new(guard: CallGuard, source: AnswerSource, len_bytes: Option<u64>) -> Self {
         let receipt = Receipt::default();
         let (source, guard) = (Some(source), Some(guard));
-        Self { log: None, source, guard, receipt, left_bytes: len_bytes, passed_bytes: 0 }
+        Self {
+            log: None,
+            source,
+            guard,
+            receipt,
+            left_bytes: len_bytes,
+            passed_bytes: 0,
+            until: None,
+        }
+    }
+
+    /// Sets when the answer is broken off if it has not ended.
+    #[must_use]
+    pub const fn with_until(mut self, until: Option<Instant>) -> Self {
+        self.until = until;
+        self
     }
 
     /// Sets what is written if the answer breaks off.
@@ -133,14 +150,30 @@
     /// A body held in memory, of a call that is over.
     pub fn held(bytes: Bytes, receipt: Receipt) -> Self {
         let source = Some(AnswerSource::Held(bytes));
-        Self { log: None, source, guard: None, receipt, left_bytes: None, passed_bytes: 0 }
+        Self {
+            log: None,
+            source,
+            guard: None,
+            receipt,
+            left_bytes: None,
+            passed_bytes: 0,
+            until: None,
+        }
     }
 
     /// The body of a call that another task carries to its end.
     pub fn detached(items: mpsc::Receiver<DetachedItem>, len_bytes: Option<u64>) -> Self {
         let source = Some(AnswerSource::Detached(items));
         let receipt = Receipt::default();
-        Self { log: None, source, guard: None, receipt, left_bytes: len_bytes, passed_bytes: 0 }
+        Self {
+            log: None,
+            source,
+            guard: None,
+            receipt,
+            left_bytes: len_bytes,
+            passed_bytes: 0,
+            until: None,
+        }
     }
 
     /// What the call leaves of its share; known once the body has ended.
@@ -168,6 +201,10 @@
     }
 
     async fn take_part(&mut self) -> Option<Result<Bytes, BrokenBody>> {
+        if self.until.is_some_and(|until| Instant::now() >= until) {
+            self.source = None;
+            return Some(Err(BrokenBody));
+        }
         let bytes = match self.pull().await? {
             Ok(bytes) => bytes,
             Err(broken) => return Some(Err(broken)),
--- a/cuminarch-node/src/data/local.rs
+++ b/cuminarch-node/src/data/local.rs
@@ -109,14 +109,14 @@
 ) -> Result<(ResponseHead, UpstreamConnection), NoAnswer> {
     let pool = &context.upstream;
     let is_head = request.method == "HEAD";
-    let max_idle = if request.is_idempotent() {
-        UpstreamPool::MAX_IDLE_TIME
+    let idle_time = if request.is_idempotent() {
+        Duration::ZERO..=UpstreamPool::MAX_IDLE_TIME
     } else {
-        UpstreamPool::MAX_IDLE_TIME_ONCE
+        UpstreamPool::MIN_IDLE_TIME_ONCE..=UpstreamPool::MAX_IDLE_TIME_ONCE
     };
     let is_chunked = request.body_len_bytes.is_none();
     let mut body = body;
-    if let Some(mut connection) = pool.take_idle(max_idle) {
+    if let Some(mut connection) = pool.take_idle(idle_time) {
         match connection.send(head_bytes, body, is_chunked).await {
             Ok(()) => return answer(context, connection, fields, is_head).await,
             Err(SendFault::Untouched(unsent)) => body = unsent,
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -130,9 +130,11 @@
     progress: &Progress,
 ) -> Reply {
     let mut guard = context.driver.begin(arrival);
+    let mut until;
     while let Some(action) = guard.next().await {
         let answer = match action {
             Action::RunLocal { keep_answer, remaining, instance, .. } => {
+                until = end_of_answer(&request, remaining);
                 if keep_answer {
                     progress.set_must_finish();
                 }
@@ -142,6 +144,7 @@
                 until_interrupted(&mut guard, run).await
             }
             Action::Forward { attempt, forward, .. } => {
+                until = end_of_answer(&request, forward.remaining);
                 let send = send_call(context, guard.call(), attempt, &forward, &mut request);
                 until_interrupted(&mut guard, send).await
             }
@@ -157,7 +160,9 @@
             _ => continue,
         };
         match answer {
-            Ok(Some((head, source))) => return deliver(context, guard, &request, head, source),
+            Ok(Some((head, source))) => {
+                return deliver(context, guard, &request, (head, source), until);
+            }
             Ok(None) => {}
             Err(action) => {
                 let reply = interrupted(&mut guard, action).await;
@@ -171,13 +176,21 @@
     no_reply()
 }
 
+/// When an answer is broken off that takes much longer than the time limit of its route:
+/// what comes without end would hold its connections and a slot for ever.
+fn end_of_answer(request: &CallRequest, remaining: Duration) -> Option<Instant> {
+    const TIME_LIMITS: u32 = 2;
+    request.routed.as_ref()?;
+    Instant::now().checked_add(remaining * TIME_LIMITS)
+}
+
 /// The answer that has begun, which logs if it breaks off.
 fn deliver(
     context: &DataContext,
     guard: CallGuard,
     request: &CallRequest,
-    head: AnswerHead,
-    source: AnswerSource,
+    (head, source): (AnswerHead, AnswerSource),
+    until: Option<Instant>,
 ) -> Reply {
     let log = AnswerLog {
         decisions: Rc::clone(&context.decisions),
@@ -185,7 +198,7 @@
         route: request.route().into(),
         received_at: request.received_at,
     };
-    let body = AnswerBody::new(guard, source, head.body_len_bytes).with_log(log);
+    let body = AnswerBody::new(guard, source, head.body_len_bytes).with_log(log).with_until(until);
     Reply::Answer(Box::new(Answer { head, body }))
 }
 
--- a/cuminarch-node/src/data/upstream_pool.rs
+++ b/cuminarch-node/src/data/upstream_pool.rs
@@ -1,6 +1,7 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -28,6 +29,9 @@
     /// The same for a request that can't: it is lost if the upstream has
     /// forgotten the connection meanwhile.
     pub const MAX_IDLE_TIME_ONCE: Duration = Duration::from_millis(700);
+    /// Shortest idle time for such a request: what an upstream has sent behind its last
+    /// answer, and would be taken for the next one, has arrived by then.
+    pub const MIN_IDLE_TIME_ONCE: Duration = Duration::from_millis(10);
     /// The upstream is on the same host.
     const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -41,15 +45,17 @@
         self.address
     }
 
-    /// A connection that was idle for at most `max_idle`, if there is one.
-    pub fn take_idle(&self, max_idle: Duration) -> Option<UpstreamConnection> {
+    /// A connection that was idle for a time within these bounds, if there is one.
+    pub fn take_idle(&self, bounds: RangeInclusive<Duration>) -> Option<UpstreamConnection> {
         let mut idle = self.idle.borrow_mut();
         while idle.front().is_some_and(|oldest| oldest.since.elapsed() > Self::MAX_IDLE_TIME) {
             idle.pop_front();
         }
         loop {
-            let last = idle.pop_back()?;
-            let limit = max_idle.min(last.connection.idle_limit());
+            let is_settled = |idle: &Idle| idle.since.elapsed() >= *bounds.start();
+            let last = idle.iter().rposition(is_settled)?;
+            let last = idle.remove(last)?;
+            let limit = (*bounds.end()).min(last.connection.idle_limit());
             if last.since.elapsed() <= limit && last.connection.is_quiet() {
                 return Some(last.connection);
             }
