fix(node): a planned stop answers what was accepted last

Cause: at the end of a stop the listeners closed with connections in their queues, and a connection that had been accepted but not read yet ended at once, although its caller had written a request. Twelve callers that open a connection for each request had 9 to 12 requests cut off in each of five stops (platform/tests/stop.rs).

--- a/cuminarch-node/src/data/front_reader.rs
+++ b/cuminarch-node/src/data/front_reader.rs
@@ -37,7 +37,19 @@
     next_number: u64,
 }
 
+/// Waits until a connection without a request under way has to end. One that has just
+/// been opened is about to carry its first request, which still gets an answer.
+async fn stopped(connection: &mut Connection, requests: u64) {
+    connection.stopping().await;
+    if requests == 0 {
+        tokio::time::sleep(Reader::FIRST_REQUEST_TIME).await;
+    }
+}
+
 impl Reader {
+    /// Time after the end of a node in which a new connection may send its first request:
+    /// some round trips to callers, and less than the node waits for its connections.
+    const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
     /// Parts of a request body that wait for the upstream.
     const BODY_RING: usize = 2;
     /// Room for bytes that is made before each read.
@@ -121,7 +133,9 @@
             let count = tokio::select! {
                 biased;
                 read = read.read_buf(&mut self.buffer) => read.ok(),
-                () = self.connection.stopping(), if is_idle => return Err(ReadEnd::Finished),
+                () = stopped(&mut self.connection, self.next_number), if is_idle => {
+                    return Err(ReadEnd::Finished);
+                }
                 () = tokio::time::sleep(left) => {
                     let quiet = self.shared.quiet_since.get().elapsed();
                     let is_idle = self.shared.unanswered.get() == 0;
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -179,7 +179,8 @@
     context.links.close_idle();
 }
 
-/// Accepts connections until they are told to end.
+/// Accepts connections until they are told to end, and then those that have opened
+/// already: closing the listener would reset them, with what their callers have sent.
 async fn accept<F>(
     context: DataContext,
     listener: TcpListener,
@@ -188,19 +189,30 @@
 ) where
     F: Future<Output = ()> + 'static,
 {
+    let pending = listener.try_clone();
     let listener = tokio::net::TcpListener::from_std(listener);
     let listener = listener.expect("a listening socket");
+    let take = |stream: TcpStream| match connections.add() {
+        Some(connection) => context.spawn(serve(stream, connection)),
+        None => context.metrics.connection_refused(),
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = connections.stopping() => return,
+            () = connections.stopping() => break,
         };
         match accepted {
-            Ok((stream, _)) => match connections.add() {
-                Some(connection) => context.spawn(serve(stream, connection)),
-                None => context.metrics.connection_refused(),
-            },
+            Ok((stream, _)) => take(stream),
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
+    // Asked directly, as the event loop may not have heard of the last ones yet.
+    let Ok(pending) = pending else { return };
+    while let Ok((stream, _)) = pending.accept() {
+        if stream.set_nonblocking(true).is_ok()
+            && let Ok(stream) = TcpStream::from_std(stream)
+        {
+            take(stream);
+        }
+    }
 }
