fix(admission): work that an upstream turns away makes its service short

Their doors saw free slots and reported no shortage, so that refusals at the entries fell from 9,600 to 900 in two seconds while 3,000 to 6,600 requests failed when their calls did; each call asked three doors for a repeat that none had left (25,000 denied in two seconds).

Ruled out: a shortage that follows what is let through (with a part turned away that does not depend on the load it runs to its limit and shuts the service).

Change: the part turned away counts as short from 15 in 100 on; an upstream that turns all away says nothing of its service, as its calls go elsewhere. A node to which a door has denied a repeat asks none of that service for 100 ms.

admission/tests/surge.rs: shortage 0 before, 400 to 700 thousandths now at 55 in 100 turned away, and 0 again after it.

--- a/cuminarch-admission/src/control.rs
+++ b/cuminarch-admission/src/control.rs
@@ -59,6 +59,11 @@
     /// Number of requests that wait.
     fn waiting(&self) -> usize;
 
+    /// Takes a request off that the upstream has turned away.
+    fn turned_away(&mut self, call: CallId, now: MonoTime) -> Vec<QueueEvent> {
+        self.finish(call, None, now)
+    }
+
     /// Part of the offered load that exceeds the capacity, in thousandths.
     fn shortage_milli(&self) -> u16;
 
--- a/cuminarch-admission/src/shortage.rs
+++ b/cuminarch-admission/src/shortage.rs
@@ -8,11 +8,21 @@
 /// work is compared with what the slots can do, the requests that already stay
 /// away taken into account. It rises and falls by a part of the difference, so
 /// that senders which hear of it late do not make it swing.
+///
+/// An upstream that turns part of its work away has less room than its slots say,
+/// however few of them are taken. What it turns away counts as short, too; otherwise
+/// the requests above go on to be admitted, and fail when their calls do. One that
+/// turns all of it away says nothing of its service: its calls go elsewhere.
 #[derive(Clone, Debug)]
 pub struct Shortage {
     since: MonoTime,
     offered: Duration,
     milli: u32,
+    /// Requests that the upstream has run in this window, and that it has turned away.
+    ended: u32,
+    turned_away: u32,
+    /// Part of the requests that the upstream has turned away lately.
+    turned_part: f64,
 }
 
 impl Shortage {
@@ -31,7 +41,29 @@
 
     /// No shortage.
     pub const fn new() -> Self {
-        Self { since: MonoTime::ZERO, offered: Duration::ZERO, milli: 0 }
+        Self {
+            since: MonoTime::ZERO,
+            offered: Duration::ZERO,
+            milli: 0,
+            ended: 0,
+            turned_away: 0,
+            turned_part: 0.0,
+        }
+    }
+
+    /// Part turned away below which nothing is short: repeats make up for that.
+    const LEAST_TURNED_PART: f64 = 0.15;
+    /// Requests in a window that say something of the part turned away.
+    const LEAST_REQUESTS: u32 = 4;
+
+    /// Notes a request that the upstream has run.
+    pub const fn ended(&mut self) {
+        self.ended = self.ended.saturating_add(1);
+    }
+
+    /// Notes a request that the upstream has turned away.
+    pub const fn turned_away(&mut self) {
+        self.turned_away = self.turned_away.saturating_add(1);
     }
 
     /// Notes work that a request brings.
@@ -41,7 +73,24 @@
 
     /// The part in thousandths.
     pub fn milli(&self) -> u16 {
-        u16::try_from(self.milli).unwrap_or(u16::MAX)
+        let is_turning_away = self.turned_part >= Self::LEAST_TURNED_PART;
+        let turned_milli = if is_turning_away { (self.turned_part * 1_000.0) as u32 } else { 0 };
+        let milli = self.milli.max(turned_milli.min(Self::MOST_MILLI));
+        u16::try_from(milli).unwrap_or(u16::MAX)
+    }
+
+    /// Takes in what the upstream did with its requests in a window.
+    fn note_turned_part(&mut self, kept: f64) {
+        let requests = self.ended + self.turned_away;
+        if requests >= Self::LEAST_REQUESTS {
+            let part = f64::from(self.turned_away) / f64::from(requests);
+            let part = if self.ended > 0 { part } else { 0.0 };
+            self.turned_part += (part - self.turned_part) * (1.0 - kept);
+        } else {
+            self.turned_part *= kept;
+        }
+        self.ended = 0;
+        self.turned_away = 0;
     }
 
     /// Adapts the value if the window is over.
@@ -60,6 +109,7 @@
         let wanted = 1_000_u64.saturating_sub(fitting_milli).min(u64::from(Self::MOST_MILLI));
         // Without calls nothing advances the value, so one call may end many windows.
         let windows = age.as_secs_f64() / Self::WINDOW.as_secs_f64();
+        self.note_turned_part(Self::KEPT.powf(windows));
         let difference = wanted as f64 - f64::from(self.milli);
         let moved = wanted as f64 - difference * Self::KEPT.powf(windows);
         let is_over = moved < Self::LEAST_MILLI && difference < 0.0;
--- a/cuminarch-admission/src/slot_admission.rs
+++ b/cuminarch-admission/src/slot_admission.rs
@@ -170,11 +170,19 @@
         if let Some(ended) = self.running.remove(&call)
             && latency.is_some()
         {
+            self.shortage.ended();
             self.learn(&ended, now);
         }
         self.poll(now)
     }
 
+    fn turned_away(&mut self, call: CallId, now: MonoTime) -> Vec<QueueEvent> {
+        if self.running.contains_key(&call) {
+            self.shortage.turned_away();
+        }
+        self.finish(call, None, now)
+    }
+
     fn cancel(&mut self, call: CallId, now: MonoTime) -> Vec<QueueEvent> {
         self.dequeue(call);
         self.finish(call, None, now)
--- a/cuminarch-admission/tests/surge.rs
+++ b/cuminarch-admission/tests/surge.rs
@@ -305,3 +305,51 @@
     }
     assert_eq!(played.door.shortage_milli(), 0);
 }
+
+/// Half of the capacity is asked for, and the upstream turns this part of it away at
+/// once, as one does whose room is taken by others. Returns the shortage.
+fn shortage_when_turning_away(admission: &mut SlotAdmission, from: u64, part: f64) -> u16 {
+    let (gap_ms, holding_ms) = (10, 200);
+    let mut turned = 0.0;
+    let mut ends: std::collections::VecDeque<(MonoTime, CallId)> = Default::default();
+    for number in 0..200_u64 {
+        let now = MonoTime::from_millis(from + number * gap_ms);
+        while ends.front().is_some_and(|(end, _)| *end <= now) {
+            let (end, call) = ends.pop_front().unwrap();
+            admission.finish(call, Some(Duration::from_millis(holding_ms)), end);
+        }
+        let request = request(from * 1_000 + number, 1, true, now);
+        let call = request.call;
+        admission.offer(&request, now);
+        turned += part;
+        if turned >= 1.0 {
+            turned -= 1.0;
+            admission.turned_away(call, now);
+        } else {
+            ends.push_back((now.after(Duration::from_millis(holding_ms)), call));
+        }
+    }
+    for (end, call) in ends {
+        admission.finish(call, Some(Duration::from_millis(holding_ms)), end);
+    }
+    admission.shortage_milli()
+}
+
+/// The requests above have to be refused before they begin, as most of them fail when
+/// their calls do.
+#[rstest]
+#[case::none(0.0, 0..=0)]
+#[case::few(0.1, 0..=0)]
+#[case::half(0.55, 400..=700)]
+#[case::all(1.0, 0..=0)]
+fn work_that_an_upstream_turns_away_makes_its_service_short(
+    #[case] part: f64,
+    #[case] expected: std::ops::RangeInclusive<u16>,
+) {
+    let mut admission = door(40);
+    shortage_when_turning_away(&mut admission, 1_000, 0.0);
+    let shortage = shortage_when_turning_away(&mut admission, 4_000, part);
+    assert!(expected.contains(&shortage), "{shortage}");
+    let later = shortage_when_turning_away(&mut admission, 7_000, 0.0);
+    assert_eq!(later, 0);
+}
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -49,6 +49,8 @@
     pub(crate) internal: BTreeSet<RouteName>,
     /// Repeats that reach the own upstream.
     pub(crate) retry_budget: RetryBudget,
+    /// Until when no repeats are sent to a service, as its doors deny them.
+    pub(crate) denied_until: BTreeMap<ServiceName, MonoTime>,
     /// Place of the own endpoint in its service.
     pub(crate) standing: Standing,
     next_call: CallId,
@@ -84,6 +86,7 @@
             origins: Origins::new(),
             internal: BTreeSet::new(),
             retry_budget: RetryBudget::new(),
+            denied_until: BTreeMap::new(),
             standing: Standing { endpoints: 1, rank: 0 },
             next_call: CallId::new(1),
             next_attempt: AttemptId::new(1),
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -168,13 +168,19 @@
             _ => None,
         };
         let latency = latency.map(|latency| latency.saturating_sub(call.deeper.total()));
+        let is_turned_away =
+            matches!((&call.stage, &result), (Stage::Running { .. }, KeyResult::NotRun));
         self.run_ended(id, now);
         let Some(call) = self.calls.get(&id) else { return Receipt::default() };
         if let Some(key) = call.key.clone() {
             self.keys.finish(&key, id, result);
         }
         let receipt = self.remove(id, now, actions).unwrap_or_default();
-        let events = self.admission.finish(id, latency, now);
+        let events = if is_turned_away {
+            self.admission.turned_away(id, now)
+        } else {
+            self.admission.finish(id, latency, now)
+        };
         self.apply_queue_events(events, now, actions);
         receipt
     }
--- a/cuminarch-engine/src/routed.rs
+++ b/cuminarch-engine/src/routed.rs
@@ -19,6 +19,9 @@
     /// Part of the time left after which a refused caller is told to come back:
     /// shortest and longest. Callers wait for a third of it at most.
     const RETURN_PART: (f64, f64) = (0.1, 0.3);
+    /// Time in which no repeat is sent to a service of which a door has denied one: that
+    /// in which a door earns a repeat, where they are short.
+    const DENIED_TIME: Duration = Duration::from_millis(100);
     /// Calls behind a call from which on a repeat of it is too dear, in thousandths:
     /// all of them are made again.
     const MOST_REPEATED_MILLI: u32 = 100;
@@ -70,6 +73,9 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
+        if refusal.reason == RefusalReason::RetriesExhausted {
+            return self.repeat_denied(id, refusal, now, actions);
+        }
         let may_have_reached = reached_upstream || refusal.outcome != Outcome::NotRun;
         let Some(sending) = self.sending_mut(id) else { return };
         sending.retries += 1;
@@ -87,6 +93,21 @@
         self.repeat_or_refuse(id, may_repeat, refusal, now, actions);
     }
 
+    /// A door lets no more repeats through. Others hardly do either, and asking them
+    /// costs most when many calls fail.
+    fn repeat_denied(
+        &mut self,
+        id: CallId,
+        refusal: Refusal,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(sending) = self.sending_mut(id) else { return };
+        let service = sending.service.clone();
+        self.denied_until.insert(service, now.after(Self::DENIED_TIME));
+        self.refuse_routed(id, refusal, now, actions);
+    }
+
     /// The way to another node broke.
     pub(crate) fn routed_lost(
         &mut self,
@@ -127,7 +148,8 @@
         let Stage::Sending(sending) = &call.stage else { return false };
         let fan_out_milli = self.fan_outs.get(&routed.route).copied().unwrap_or(0);
         let is_dear = may_have_run && fan_out_milli > Self::MOST_REPEATED_MILLI;
-        sending.reached < call.rule.max_endpoints && !is_dear
+        let is_denied = self.denied_until.get(&sending.service).is_some_and(|until| now < *until);
+        sending.reached < call.rule.max_endpoints && !is_dear && !is_denied
     }
 
     /// What the next send of a call is to the service that is called.
