fix(membership): a write that conflicts without telling why is not repeated at once

Cause, found by reading: a conflict whose object cannot be read leaves no version to write over, and the write was repeated in the same step, for as long as the store answers. A call with a long body counts as begun if its link fails while it is sent, as the peer begins such a call before it has all of it.

membership/tests/roster.rs: without end before, at most 20 writes in 5 s now.

--- a/cuminarch-membership/src/roster/store.rs
+++ b/cuminarch-membership/src/roster/store.rs
@@ -215,7 +215,9 @@
                 }
             }
             PlatformReply::MembersWritten(version) => self.member_written(call, version, now),
-            PlatformReply::MembersConflict(object) => self.write_conflicted(call, object.as_ref()),
+            PlatformReply::MembersConflict(object) => {
+                self.write_conflicted(call, object.as_ref(), now);
+            }
             _ => {}
         }
         self.drive_store(now);
@@ -249,12 +251,22 @@
 
     /// Another write came first: an earlier one of this process whose answer was lost, one
     /// of the process before it, or one that mended the object.
-    fn write_conflicted(&mut self, call: &PlatformCall, object: Option<&ZoneObject>) {
-        let PlatformCall::PutMember(written, _) = call else { return };
-        if written.endpoint == self.own.endpoint {
-            self.store.own_version = object.map(|object| object.version);
-        } else {
+    fn write_conflicted(
+        &mut self,
+        call: &PlatformCall,
+        object: Option<&ZoneObject>,
+        now: MonoTime,
+    ) {
+        let PlatformCall::PutMember(written, expected) = call else { return };
+        if written.endpoint != self.own.endpoint {
             self.store.outdated.remove(&written.endpoint);
+            return;
+        }
+        let version = object.map(|object| object.version);
+        self.store.own_version = version;
+        if version.is_none() || version == *expected {
+            // Nothing was learned that would let the next write succeed.
+            self.back_off(now);
         }
     }
 
@@ -288,14 +300,19 @@
         }
     }
 
+    /// Makes no call for a while, longer after each failure in a row.
+    fn back_off(&mut self, now: MonoTime) {
+        let doubled = Self::BACKOFF.saturating_mul(1 << self.store.failures.min(8));
+        let wait = doubled.min(Self::MAX_BACKOFF).mul_f64(self.rng.random_range(0.5..1.0));
+        self.store.next_call_at = self.store.next_call_at.max(now.after(wait));
+    }
+
     fn store_failed(&mut self, call: &PlatformCall, now: MonoTime) {
         self.store.failures = self.store.failures.saturating_add(1);
         if kind_of(call) == CallKind::Config {
             self.store.config_version = None;
         }
-        let doubled = Self::BACKOFF.saturating_mul(1 << self.store.failures.min(8));
-        let wait = doubled.min(Self::MAX_BACKOFF).mul_f64(self.rng.random_range(0.5..1.0));
-        self.store.next_call_at = self.store.next_call_at.max(now.after(wait));
+        self.back_off(now);
         if self.store.failures >= Self::FAILURES_TO_LOSE && !self.store.is_lost {
             self.store.is_lost = true;
             self.notice(FleetNotice::PlatformLost);
--- a/cuminarch-membership/tests/roster.rs
+++ b/cuminarch-membership/tests/roster.rs
@@ -346,3 +346,31 @@
     assert!(start <= nodes as u64 * 10 * 2, "{start}");
     assert!(rest <= nodes as u64 * 10 / 2, "{rest}");
 }
+
+/// Another writer holds an object under the node's name that cannot be read.
+#[test]
+fn a_write_that_can_never_succeed_is_not_repeated_at_once() {
+    let mut now = MonoTime::from_millis(1_000);
+    let mut roster = Roster::new(FleetSettings::new("tests"), member(0, 1), now);
+    let mut due = VecDeque::from([FleetEvent::Upstream(record(UpstreamState::Ready))]);
+    let mut writes = 0;
+    for _ in 0..20 {
+        due.push_back(FleetEvent::Tick);
+        while let Some(event) = due.pop_front() {
+            for action in roster.handle(event, now) {
+                let FleetAction::Platform(call) = action else { continue };
+                let reply = match &call {
+                    PlatformCall::PutMember(..) => {
+                        writes += 1;
+                        PlatformReply::MembersConflict(None)
+                    }
+                    _ => PlatformReply::Members { version: ObjectVersion::new(1), zones: vec![] },
+                };
+                due.push_back(FleetEvent::Platform(call, reply));
+                assert!(writes < 40, "writes without end");
+            }
+        }
+        now = now.after(Roster::TICK);
+    }
+    assert!((2..=20).contains(&writes), "{writes} writes in 5 s");
+}
--- a/cuminarch-node/src/data/body.rs
+++ b/cuminarch-node/src/data/body.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Whether a node that gets the body has all of it before it begins the call.
+    pub const fn is_short(&self) -> bool {
+        matches!(self, Self::Held(bytes) if bytes.len() < Self::MAX_HELD_BYTES)
+    }
+
     /// Whether the body can be sent again.
     pub const fn is_held(&self) -> bool {
         matches!(self, Self::Held(_))
--- a/cuminarch-node/src/data/link_client.rs
+++ b/cuminarch-node/src/data/link_client.rs
@@ -33,10 +33,11 @@
     };
     context.metrics.attempt_sent();
     let head = call_head(request, forward);
+    let is_short = request.body.is_short();
     if let Err(error) = link.send(head, &mut request.body).await {
         // The peer begins nothing before it has the whole head and a short body.
         log_attempt(context, request, forward, &error.to_string());
-        driver.post(Event::RemoteLost { call, attempt, sent: false });
+        driver.post(Event::RemoteLost { call, attempt, sent: !is_short });
         return None;
     }
     let before_sent = request.received_at.elapsed();
