--- a/cuminarch-attempts/src/lib.rs
+++ b/cuminarch-attempts/src/lib.rs
@@ -25,11 +25,15 @@
 mod grant;
 mod need;
 mod retry_budget;
+mod retry_budget_settings;
 mod retry_ratio;
+mod standing;
 
 pub use backoff::Backoff;
 pub use budget::{Budget, BudgetExhausted};
 pub use grant::grant_for_send;
 pub use need::NeedEstimator;
-pub use retry_budget::{RetryBudget, RetryBudgetSettings, Standing};
+pub use retry_budget::RetryBudget;
+pub use retry_budget_settings::RetryBudgetSettings;
 pub use retry_ratio::RetryRatio;
+pub use standing::Standing;
--- a/cuminarch-attempts/src/retry_budget.rs
+++ b/cuminarch-attempts/src/retry_budget.rs
@@ -2,33 +2,7 @@
 
 use cuminarch_types::MonoTime;
 
-/// Bounds of the repeats towards one service, over all its endpoints together.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RetryBudgetSettings {
-    /// Repeats for each request that callers send to the service.
-    pub ratio: f64,
-    /// Further repeats within any window.
-    pub slack: f64,
-    /// Length of the window.
-    pub window: Duration,
-}
-
-impl RetryBudgetSettings {
-    /// Bounds on the repeats of a fleet.
-    #[must_use]
-    pub const fn new(ratio: f64, slack: f64, window: Duration) -> Self {
-        Self { ratio, slack, window }
-    }
-}
-
-/// Place of an endpoint among those of its service.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Standing {
-    /// Endpoints of the service, this one among them.
-    pub endpoints: usize,
-    /// Those that come before it in the order of their names.
-    pub rank: usize,
-}
+use crate::{RetryBudgetSettings, Standing};
 
 /// Repeats that the door of one endpoint lets through to its upstream.
 ///
--- a/cuminarch-membership/src/lib.rs
+++ b/cuminarch-membership/src/lib.rs
@@ -30,6 +30,7 @@
 //! ```
 
 mod action;
+mod call_kind;
 mod configuration;
 mod control_plane;
 mod detector;
--- a/cuminarch-membership/src/platform.rs
+++ b/cuminarch-membership/src/platform.rs
@@ -10,6 +10,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
+use crate::call_kind::CallKind;
 use crate::fleet::Reach;
 use crate::limiter::CallLimiter;
 use crate::{
@@ -47,15 +48,6 @@
 /// Failures in a row after which the platform counts as lost.
 const FAILURES_TO_LOSE: u32 = 2;
 
-/// Kind of a call; at most one of each is under way.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum CallKind {
-    Members,
-    Config,
-    PutMembers,
-    PutStatus,
-}
-
 /// Those parts of a zone's members that are worth a write when they change.
 type Written = BTreeMap<EndpointId, (Incarnation, bool)>;
 
@@ -112,19 +104,6 @@
     }
 }
 
-const fn kind_of(call: &PlatformCall) -> CallKind {
-    match call {
-        PlatformCall::ListMembers
-        | PlatformCall::ListMembersLagging
-        | PlatformCall::WatchMembers(_) => CallKind::Members,
-        PlatformCall::ListConfig
-        | PlatformCall::ListConfigLagging
-        | PlatformCall::WatchConfig(_) => CallKind::Config,
-        PlatformCall::PutMembers(..) | PlatformCall::PutMember(..) => CallKind::PutMembers,
-        PlatformCall::PutStatus(_) => CallKind::PutStatus,
-    }
-}
-
 impl Fleet {
     /// Whether this node speaks to the platform for its zone: the first relay
     /// in rank that has the platform, or the first of all if none has.
@@ -196,7 +175,7 @@
     /// Makes a call unless one of its kind is under way or the limiter holds it
     /// back. Returns whether it was made.
     fn call(&mut self, call: PlatformCall, now: MonoTime) -> bool {
-        let kind = kind_of(&call);
+        let kind = CallKind::of(&call);
         if self.platform.under_way.contains(&kind) || !self.platform.limiter.take(now) {
             return false;
         }
@@ -277,7 +256,7 @@
         reply: PlatformReply,
         now: MonoTime,
     ) {
-        self.platform.under_way.remove(&kind_of(call));
+        self.platform.under_way.remove(&CallKind::of(call));
         if reply == PlatformReply::Failed {
             self.platform_failed(call, now);
             return;
@@ -334,7 +313,7 @@
     /// The other watch, if it waits, began at a version that the platform still
     /// has, or else ends likewise; its kind must not be read while it waits.
     fn start_anew(&mut self, call: &PlatformCall) {
-        match kind_of(call) {
+        match CallKind::of(call) {
             CallKind::Members => self.platform.members_version = None,
             _ => self.platform.config_version = None,
         }
--- a/cuminarch-membership/src/roster/store.rs
+++ b/cuminarch-membership/src/roster/store.rs
@@ -10,17 +10,10 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::Roster;
+use crate::call_kind::CallKind;
 use crate::topology::rank_in_zone;
 use crate::{FleetAction, FleetNotice, PlatformCall, PlatformReply, ZoneObject};
 
-/// Kind of a call; at most one of each is under way.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum CallKind {
-    Members,
-    Config,
-    Write,
-}
-
 /// What this node knows of the store.
 #[derive(Debug)]
 pub struct StoreState {
@@ -182,7 +175,7 @@
     }
 
     fn call(&mut self, call: PlatformCall) {
-        if self.store.under_way.insert(kind_of(&call)) {
+        if self.store.under_way.insert(CallKind::of(&call)) {
             self.actions.push(FleetAction::Platform(call));
         }
     }
@@ -193,7 +186,7 @@
         reply: PlatformReply,
         now: MonoTime,
     ) {
-        self.store.under_way.remove(&kind_of(call));
+        self.store.under_way.remove(&CallKind::of(call));
         if reply == PlatformReply::Failed {
             return self.store_failed(call, now);
         }
@@ -309,7 +302,7 @@
 
     fn store_failed(&mut self, call: &PlatformCall, now: MonoTime) {
         self.store.failures = self.store.failures.saturating_add(1);
-        if kind_of(call) == CallKind::Config {
+        if CallKind::of(call) == CallKind::Config {
             self.store.config_version = None;
         }
         self.back_off(now);
@@ -319,15 +312,3 @@
         }
     }
 }
-
-const fn kind_of(call: &PlatformCall) -> CallKind {
-    match call {
-        PlatformCall::ListMembers
-        | PlatformCall::ListMembersLagging
-        | PlatformCall::WatchMembers(_) => CallKind::Members,
-        PlatformCall::ListConfig
-        | PlatformCall::ListConfigLagging
-        | PlatformCall::WatchConfig(_) => CallKind::Config,
-        _ => CallKind::Write,
-    }
-}
--- a/cuminarch-protocol/src/call.rs
+++ b/cuminarch-protocol/src/call.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::codec::{decode, encode_tagged, split_tag};
-use crate::{FrameLimit, ProtocolError};
+use crate::{FrameLimit, ProtocolError, SendKind};
 
 const TAG_HEAD: u8 = 1;
 const TAG_BODY: u8 = 2;
@@ -36,29 +36,6 @@
     }
 }
 
-/// What a send of a call is to the service that is called.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub enum SendKind {
-    /// The first one.
-    #[default]
-    #[serde(rename = "f")]
-    First,
-    /// No earlier one has reached an upstream.
-    #[serde(rename = "e")]
-    Elsewhere,
-    /// An upstream has seen an earlier one, or may have.
-    #[serde(rename = "r")]
-    Repeat,
-}
-
-impl SendKind {
-    // Serde passes a reference.
-    #[allow(clippy::trivially_copy_pass_by_ref)]
-    fn is_first(&self) -> bool {
-        *self == Self::First
-    }
-}
-
 /// What the first node knows of a call from the route that it took.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/cuminarch-protocol/src/lib.rs
+++ b/cuminarch-protocol/src/lib.rs
@@ -22,12 +22,14 @@
 mod error;
 mod limit;
 mod member;
+mod send_kind;
 
 pub use call::{
     AnswerFrame, AnswerHead, CallFrame, CallHead, HeaderField, LoadReport, PressureReport, Receipt,
-    RefusalHead, RoutedCall, SendKind,
+    RefusalHead, RoutedCall,
 };
 pub use control::{ConfigOffer, ConfigPatch, ControlMessage, Coverage, Hearsay, Heartbeat, Hello};
 pub use error::ProtocolError;
 pub use limit::{FrameLimit, PROTOCOL_VERSION};
 pub use member::{Member, MemberState, UpstreamRecord, UpstreamState};
+pub use send_kind::SendKind;
--- a/cuminarch-routing/src/lib.rs
+++ b/cuminarch-routing/src/lib.rs
@@ -25,6 +25,7 @@
 mod spill;
 mod splitter;
 mod target;
+mod typical_occupancy;
 mod zone_sight;
 
 pub use learned_level::LearnedLevel;
--- a/cuminarch-routing/src/occupancy.rs
+++ b/cuminarch-routing/src/occupancy.rs
@@ -17,6 +17,7 @@
 
 use crate::endpoint::Endpoint;
 use crate::service::Place;
+use crate::typical_occupancy::TypicalOccupancy;
 
 /// Occupancy of the own zone below which no call leaves it, in thousandths.
 const ROOM_MILLI: f64 = 650.0;
@@ -37,33 +38,6 @@
 /// choose the same (Mitzenmacher, 2001).
 const COMPARED: usize = 2;
 
-/// Mean of the occupancies that endpoints have reported lately, by which those are
-/// judged of which no report is at hand.
-#[derive(Clone, Copy, Debug, Default)]
-struct TypicalOccupancy {
-    milli: f64,
-    noted_at: MonoTime,
-}
-
-impl TypicalOccupancy {
-    /// One report moves the mean by this part of the difference at least.
-    const LEAST_WEIGHT: f64 = 1.0 / 16.0;
-    /// Time over which reports are averaged where they are rare.
-    const MEMORY: Duration = Duration::from_millis(500);
-
-    fn note(&mut self, milli: u32, now: MonoTime) {
-        let gap = now.since(self.noted_at).as_secs_f64() / Self::MEMORY.as_secs_f64();
-        self.milli += (f64::from(milli) - self.milli) * gap.clamp(Self::LEAST_WEIGHT, 1.0);
-        self.noted_at = now;
-    }
-
-    /// The mean in thousandths; none if nothing was reported lately.
-    fn milli(&self, now: MonoTime) -> Option<f64> {
-        let is_known = now.since(self.noted_at) <= Endpoint::OCCUPANCY_LIFETIME;
-        (is_known && self.noted_at > MonoTime::ZERO).then_some(self.milli)
-    }
-}
-
 /// What is known of the occupancy of a service, in the own zone and in others, and
 /// which part of the calls leaves the zone.
 #[derive(Clone, Copy, Debug, Default)]
