--- a/cuminarch-attempts/src/retry_budget.rs
+++ b/cuminarch-attempts/src/retry_budget.rs
@@ -45,6 +45,12 @@
         Self::default()
     }
 
+    /// Repeats that are left, for logs.
+    #[must_use]
+    pub const fn left(&self) -> f64 {
+        self.tokens
+    }
+
     /// Notes the first arrival of a caller's request.
     pub fn note_first(&mut self, settings: &RetryBudgetSettings) {
         self.earn(settings.ratio * Self::USED_PART, settings);
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -45,6 +45,12 @@
             && !self.admits_send(routed, rank, now)
         {
             let refusal = Refusal::not_run(RefusalReason::RetriesExhausted);
+            let refusal = refusal.with_detail(format_compact!(
+                "repeats_left={:.1} endpoints={} rank={}",
+                self.retry_budget.left(),
+                self.standing.endpoints,
+                self.standing.rank,
+            ));
             return self.refuse(id, refusal.with_retry_after(Duration::ZERO), now, actions);
         }
         if is_first && !self.spend_first(id) {
