fix(admission): routes of one class are refused in equal parts; filled slots are rounded

Cause: the shedder sorted routes by class only, so of several routes of one class that load a short service the first by name was refused up to nine in ten, the others not at all; and 94 of 100 of 18 slots, rounded down, left 2 of 18 unused. Ruled out: refusing by cost, which starves the kind with the dearer request.

--- a/cuminarch-admission/src/shedder.rs
+++ b/cuminarch-admission/src/shedder.rs
@@ -43,13 +43,26 @@
     refused: f64,
 }
 
+impl RouteLoad {
+    /// Whether the route loads a service that is short.
+    fn loads(&self, service: &ServiceName) -> bool {
+        self.pressure.as_ref().is_some_and(|held| held.service == *service)
+    }
+
+    /// Time for which the requests offered hold slots of the service that is short, in
+    /// seconds.
+    fn amount(&self) -> f64 {
+        self.offered * self.pressure.as_ref().map_or(0.0, |held| held.load.as_secs_f64())
+    }
+}
+
 /// Refuses requests where they enter, before any work was done for them, as far
 /// as a service deeper down is short of capacity.
 ///
 /// Answers the load of a surge on a chain of services: every answer carries back
 /// which service behind it is shortest of capacity and what a request of the
-/// route costs that service. All routes that load it are looked at together,
-/// and the least urgent are refused first.
+/// route costs that service. All routes that load it are looked at together: the
+/// least urgent are refused first, and routes of one class in equal parts.
 #[derive(Clone, Debug, Default)]
 pub struct Shedder {
     routes: BTreeMap<RouteName, RouteLoad>,
@@ -153,25 +166,23 @@
         }
     }
 
-    /// Spreads the part to shed over the routes that load a service.
+    /// Spreads the part to shed over the routes that load a service: class by class, the
+    /// least urgent first, and in equal parts within a class.
     fn shed(&mut self, service: &ServiceName, part: f64) {
-        let mut loads: Vec<&mut RouteLoad> = self
-            .routes
-            .values_mut()
-            .filter(|load| load.pressure.as_ref().is_some_and(|held| held.service == *service))
-            .collect();
-        loads.sort_by_key(|load| load.priority);
-        let amount = |load: &RouteLoad| {
-            load.offered * load.pressure.as_ref().map_or(0.0, |held| held.load.as_secs_f64())
-        };
-        let mut left = part * loads.iter().map(|load| amount(load)).sum::<f64>();
-        for load in loads {
-            let amount = amount(load);
+        let mut classes: BTreeMap<Priority, Vec<&mut RouteLoad>> = BTreeMap::new();
+        for load in self.routes.values_mut().filter(|load| load.loads(service)) {
+            classes.entry(load.priority).or_default().push(load);
+        }
+        let amount_of = |class: &[&mut RouteLoad]| class.iter().map(|load| load.amount()).sum();
+        let amounts: Vec<f64> = classes.values().map(|class| amount_of(class)).collect();
+        let mut left = part * amounts.iter().sum::<f64>();
+        for (class, amount) in classes.into_values().zip(amounts) {
             if left <= 0.0 || amount <= 0.0 {
                 continue;
             }
-            load.refused = (left / amount).min(Self::MOST_REFUSED);
-            left -= load.refused * amount;
+            let refused = (left / amount).min(Self::MOST_REFUSED);
+            left -= refused * amount;
+            class.into_iter().for_each(|load| load.refused = refused);
         }
     }
 }
--- a/cuminarch-admission/src/slot_admission.rs
+++ b/cuminarch-admission/src/slot_admission.rs
@@ -217,7 +217,8 @@
 
     fn set_capacity(&mut self, capacity: ConcurrencyLimit) {
         if capacity > ConcurrencyLimit::ZERO {
-            let filled = capacity.get().saturating_mul(Self::FILLED_PERCENT) / 100;
+            let percent_slots = capacity.get().saturating_mul(Self::FILLED_PERCENT);
+            let filled = (percent_slots + 50) / 100;
             self.capacity = ConcurrencyLimit::new(filled.max(1));
         }
     }
--- a/cuminarch-admission/tests/surge.rs
+++ b/cuminarch-admission/tests/surge.rs
@@ -1,6 +1,6 @@
 //! Surges at a door and at the entry, in virtual time.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use cuminarch_admission::{
@@ -47,6 +47,17 @@
     assert_eq!((started, door.waiting()), (94, 6));
 }
 
+/// The reserve is a part of the slots, not a whole slot more for small upstreams.
+#[rstest]
+#[case::one(1, 1)]
+#[case::four(4, 4)]
+#[case::ten(10, 9)]
+#[case::eighteen(18, 17)]
+#[case::two_hundred(200, 188)]
+fn the_slots_left_free_are_rounded_to_the_nearest(#[case] slots: u32, #[case] filled: u32) {
+    assert_eq!(door(slots).limit(), ConcurrencyLimit::new(filled));
+}
+
 #[test]
 fn calls_of_runs_under_way_start_first_then_the_more_urgent() {
     let mut door = door(1);
@@ -178,6 +189,40 @@
     assert!((refused_approve - approve).abs() < 0.05, "{refused_approve}");
 }
 
+/// Ten browsers come for each courier, and both load the short service. Returns the parts
+/// that were refused of the route with many and of that with few requests.
+fn shed_within_a_class(many: &RouteName, few: &RouteName, shed_milli: f64) -> (f64, f64) {
+    let mut shedder = Shedder::new();
+    let mut refused = BTreeMap::from([(many, 0_u32), (few, 0)]);
+    for step in 0..44_000_u64 {
+        let now = MonoTime::from_micros(1_000_000 + step * 1_000);
+        let name = if step % 11 == 0 { few } else { many };
+        shedder.note(name, pressure(shed_milli, 50, now), now);
+        let rank = Rank::of_request(Priority::new(2), RequestId::new(u128::from(step) << 40));
+        if shedder.refuses(name, rank, now) && step >= 22_000 {
+            *refused.get_mut(name).unwrap() += 1;
+        }
+    }
+    (f64::from(refused[many]) / 20_000.0, f64::from(refused[few]) / 2_000.0)
+}
+
+/// A surge on a service that two routes of one class load.
+#[rstest]
+#[case::a_fifth("browse", "courier", 200.0)]
+#[case::names_swapped("courier", "browse", 200.0)]
+#[case::a_half("browse", "courier", 500.0)]
+#[case::a_half_names_swapped("courier", "browse", 500.0)]
+fn routes_of_one_class_are_refused_in_equal_parts(
+    #[case] many: &str,
+    #[case] few: &str,
+    #[case] shed_milli: f64,
+) {
+    let (refused_many, refused_few) = shed_within_a_class(&route(many), &route(few), shed_milli);
+    let part = shed_milli / 1_000.0;
+    assert!((refused_many - part).abs() < 0.06, "{refused_many}");
+    assert!((refused_few - part).abs() < 0.06, "{refused_few}");
+}
+
 #[test]
 fn a_shortage_that_nobody_confirms_fades() {
     let mut shedder = Shedder::new();
