feat(membership): a store that comes back from a copy

Cause: versions of two times of the store were compared as one sequence, an own object counted as written for ever, watches went on from versions that meant something else, and a starting node took whatever configuration the store held. Change: the era orders versions before their number and is noticed on any answer; in a new era the object is written again, members are read without lag and written for where they left, watches begin from a full reading; peers pass the era on as a hint that only the store confirms; a first configuration waits for a peer.

--- a/cuminarch-membership/src/action.rs
+++ b/cuminarch-membership/src/action.rs
@@ -4,7 +4,7 @@
 
 use cuminarch_config::{Policy, ZoneStatus};
 use cuminarch_protocol::{ControlMessage, Member};
-use cuminarch_types::{EndpointId, Revision, ZoneName};
+use cuminarch_types::{EndpointId, Revision, StoreEra, ZoneName};
 
 use crate::{ObjectVersion, ZoneMembers};
 
@@ -39,6 +39,8 @@
     PlatformLost,
     /// The platform answers this relay again.
     PlatformFound,
+    /// The platform's store came back from a copy, and is in this era now.
+    StoreRestored(StoreEra),
     /// A configuration came into force.
     ConfigInForce(Revision),
     /// A configuration was refused.
@@ -65,6 +67,7 @@
             Self::PlatformLost | Self::PlatformFound | Self::SafeDefaults | Self::Superseded => {
                 Ok(())
             }
+            Self::StoreRestored(era) => write!(formatter, "era={era}"),
             Self::ConfigInForce(revision) | Self::ConfigConflict(revision) => {
                 write!(formatter, "revision={revision}")
             }
--- a/cuminarch-membership/src/event.rs
+++ b/cuminarch-membership/src/event.rs
@@ -2,7 +2,7 @@
 
 use cuminarch_config::ConfigDocument;
 use cuminarch_protocol::{ControlMessage, Member, UpstreamRecord};
-use cuminarch_types::{EndpointId, ObjectVersion, ZoneName};
+use cuminarch_types::{EndpointId, ObjectVersion, StoreEra, ZoneName};
 use serde::{Deserialize, Serialize};
 
 /// Value of the object `members/ZONE`.
@@ -61,6 +61,8 @@
     LinkLost(EndpointId),
     /// A call to the platform ended.
     Platform(crate::PlatformCall, PlatformReply),
+    /// An answer of the store named this era.
+    StoreEra(StoreEra),
     /// The own upstream has registered something new.
     Upstream(UpstreamRecord),
     /// The own endpoint stops taking work.
--- a/cuminarch-membership/src/fleet.rs
+++ b/cuminarch-membership/src/fleet.rs
@@ -131,6 +131,8 @@
                 FleetEvent::LinkLost(peer) => self.link_lost(&peer, now),
                 FleetEvent::Platform(call, reply) => self.platform_replied(&call, reply, now),
                 // Here upstreams do not register.
+                // This fleet's stores name no era: they are told by versions that go back.
+                FleetEvent::StoreEra(_) => {}
                 FleetEvent::Upstream(_) => {}
                 FleetEvent::Leave => self.announce_state(MemberState::Leaving, now),
                 FleetEvent::Stop => self.announce_state(MemberState::Gone, now),
--- /dev/null
+++ b/cuminarch-membership/src/roster/first_config.rs
@@ -0,0 +1,51 @@
+//! The first configuration of a process.
+//!
+//! A store that came back from a copy may hold an older configuration than the one in
+//! force. A process that has none yet asks its peers before it takes the store's.
+
+use std::time::Duration;
+
+use cuminarch_config::ConfigDocument;
+use cuminarch_types::{MonoTime, Revision};
+
+use super::Roster;
+
+/// A configuration from the store that waits for what the peers have in force.
+#[derive(Clone, Debug)]
+pub struct HeldConfig {
+    document: ConfigDocument,
+    since: MonoTime,
+}
+
+impl Roster {
+    /// Longest wait for a peer, as part of the time in which a configuration has to be in
+    /// force: several times a way to another zone and back.
+    const PEER_WAIT_PART: f64 = 0.1;
+
+    /// Takes in a configuration that the store holds.
+    pub(super) fn offer_stored_config(&mut self, document: ConfigDocument, now: MonoTime) {
+        if self.revision() != Revision::default() {
+            return self.offer_config(&document, None, now);
+        }
+        let since = self.held_config.as_ref().map_or(now, |held| held.since);
+        self.held_config = Some(HeldConfig { document, since });
+        self.release_config(now);
+    }
+
+    /// Puts the held configuration into force once a peer has none that is newer, or no
+    /// peer has told for too long.
+    pub(super) fn release_config(&mut self, now: MonoTime) {
+        let Some(held) = &self.held_config else { return };
+        let revisions = self.peers.values().filter_map(|peer| peer.told_revision).max();
+        let is_confirmed = revisions.is_some_and(|revision| revision <= held.document.revision);
+        let is_alone = self.store.is_listed && self.table.len() == 1;
+        let wait: Duration = self.settings.config_apply.mul_f64(Self::PEER_WAIT_PART);
+        let is_late = now.since(held.since) >= wait;
+        let is_superseded = self.revision() != Revision::default();
+        if is_confirmed || is_alone || is_late || is_superseded {
+            let document = held.document.clone();
+            self.held_config = None;
+            self.offer_config(&document, None, now);
+        }
+    }
+}
--- a/cuminarch-membership/src/roster/gossip.rs
+++ b/cuminarch-membership/src/roster/gossip.rs
@@ -81,6 +81,7 @@
             revision: self.revision(),
             members_digest: self.table.digest(),
             verified_age_ms: age.and_then(|age| u32::try_from(age.as_millis()).ok()),
+            store_era: self.store.era.unwrap_or_default(),
             ..Heartbeat::default()
         }
     }
@@ -148,6 +149,7 @@
 
     /// Compares what a peer knows with the own knowledge.
     fn learn(&mut self, from: &EndpointId, heartbeat: &Heartbeat, now: MonoTime) {
+        self.era_heard(heartbeat.store_era, now);
         if heartbeat.revision <= self.revision()
             && let Some(age_ms) = heartbeat.verified_age_ms
         {
@@ -158,12 +160,14 @@
         let buckets = self.table.buckets().to_vec();
         let peer = self.peers.entry(from.clone()).or_default();
         peer.revision = heartbeat.revision;
+        peer.told_revision = Some(heartbeat.revision);
         let is_pulled = peer.pulled_at.is_some_and(|at| now.since(at) < Self::PULL_PERIOD);
         if differs && !is_pulled {
             peer.pulled_at = Some(now);
             self.send(from, ControlMessage::Buckets(buckets));
         }
         self.send_config(from, now);
+        self.release_config(now);
     }
 
     fn members_received(&mut self, from: &EndpointId, members: &[Arc<Member>], now: MonoTime) {
--- a/cuminarch-membership/src/roster/mod.rs
+++ b/cuminarch-membership/src/roster/mod.rs
@@ -7,6 +7,8 @@
 //! their configuration for a while, so that calls grow more slowly than the fleet
 //! and no node depends on any other.
 
+mod era;
+mod first_config;
 mod gossip;
 mod store;
 
@@ -26,12 +28,15 @@
     make_patch,
 };
 
+use first_config::HeldConfig;
 use store::StoreState;
 
 /// What a node knows of another one from its messages.
 #[derive(Clone, Debug, Default)]
 struct RosterPeer {
     revision: Revision,
+    /// What it said itself to have in force, if it has.
+    told_revision: Option<Revision>,
     pulled_at: Option<MonoTime>,
     offered_at: Option<MonoTime>,
 }
@@ -43,6 +48,7 @@
     own: Arc<Member>,
     table: MemberTable,
     config: ConfigState,
+    held_config: Option<HeldConfig>,
     peers: BTreeMap<EndpointId, RosterPeer>,
     /// Members of which news has to be passed on.
     news: BTreeSet<EndpointId>,
@@ -79,6 +85,7 @@
             own,
             table,
             config: ConfigState::default(),
+            held_config: None,
             peers: BTreeMap::new(),
             news: BTreeSet::new(),
             verified_at: None,
@@ -98,6 +105,7 @@
             FleetEvent::Received(from, message) => self.receive(&from, message, now),
             FleetEvent::LinkLost(_) => {}
             FleetEvent::Platform(call, reply) => self.store_replied(&call, reply, now),
+            FleetEvent::StoreEra(era) => self.era_named(era, now),
             FleetEvent::Upstream(record) => self.upstream_changed(record, now),
             FleetEvent::Leave => self.state_own(MemberState::Leaving, now),
             FleetEvent::Stop => self.state_own(MemberState::Gone, now),
@@ -131,6 +139,7 @@
             is_relay: false,
             is_reporter: self.is_watcher(),
             lacks_platform: self.store.is_lost,
+            store_era: self.store.era.unwrap_or_default(),
             revision: self.revision(),
             zone_relays: Vec::new(),
             homes: Vec::new(),
@@ -149,6 +158,7 @@
         }
         self.gossip(now);
         self.pass_on_news();
+        self.release_config(now);
         self.drive_store(now);
         self.table.forget_gone(Self::TOMBSTONE_TIME, now);
     }
--- a/cuminarch-membership/src/roster/store.rs
+++ b/cuminarch-membership/src/roster/store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cuminarch_protocol::{Member, MemberState};
-use cuminarch_types::{EndpointId, MonoTime, ObjectVersion, Revision};
+use cuminarch_types::{EndpointId, MonoTime, ObjectVersion, Revision, StoreEra};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
@@ -18,19 +18,27 @@
 #[derive(Debug)]
 pub struct StoreState {
     under_way: BTreeSet<CallKind>,
+    /// Latest era that the store itself has named.
+    pub(super) era: Option<StoreEra>,
+    /// Latest era that a peer has told of.
+    pub(super) heard_era: StoreEra,
     /// Version of the store up to which the configuration is known.
-    config_version: Option<ObjectVersion>,
+    pub(super) config_version: Option<ObjectVersion>,
     /// When the members are to be read next; none before the first time.
-    next_list_at: Option<MonoTime>,
+    pub(super) next_list_at: Option<MonoTime>,
+    /// Whether the members have been read.
+    pub(super) is_listed: bool,
+    /// Whether the next reading of the members may not lag.
+    pub(super) must_read_members: bool,
     /// Whether the own object says what the node would say now.
     pub is_written: bool,
     /// When the own object was last written; zero before the first time.
-    written_at: MonoTime,
+    pub(super) written_at: MonoTime,
     /// Version of the own object, if there is one.
-    own_version: Option<ObjectVersion>,
+    pub(super) own_version: Option<ObjectVersion>,
     /// Members whose objects have to be written by this node, with their versions.
-    outdated: BTreeMap<EndpointId, ObjectVersion>,
-    next_call_at: MonoTime,
+    pub(super) outdated: BTreeMap<EndpointId, ObjectVersion>,
+    pub(super) next_call_at: MonoTime,
     /// When the configuration is asked for next, as long as there is none.
     next_config_at: MonoTime,
     failures: u32,
@@ -45,8 +53,12 @@
     pub fn new(rng: &mut ChaCha8Rng, now: MonoTime) -> Self {
         Self {
             under_way: BTreeSet::new(),
+            era: None,
+            heard_era: StoreEra::default(),
             config_version: None,
             next_list_at: None,
+            is_listed: false,
+            must_read_members: false,
             is_written: true,
             written_at: MonoTime::ZERO,
             own_version: None,
@@ -96,7 +108,7 @@
     const DEFAULTS_AFTER: Duration = Duration::from_secs(3);
 
     /// Place of this node among those of its zone, from 0.
-    fn rank(&self) -> usize {
+    pub(super) fn rank(&self) -> usize {
         rank_in_zone(&self.own, &self.table)
     }
 
@@ -131,7 +143,12 @@
             return;
         }
         if self.store.next_list_at.is_none_or(|at| at <= now) {
-            self.call(PlatformCall::ListMembersLagging);
+            let may_lag = !self.store.must_read_members;
+            self.call(if may_lag {
+                PlatformCall::ListMembersLagging
+            } else {
+                PlatformCall::ListMembers
+            });
         }
         if !self.store.is_written && self.has_upstream() {
             let version = self.store.own_version;
@@ -195,17 +212,16 @@
             self.notice(FleetNotice::PlatformFound);
         }
         match reply {
-            PlatformReply::Members { zones, .. } => self.members_listed(&zones, now),
+            PlatformReply::Members { version, zones } => {
+                self.era_named(version.era(), now);
+                self.members_listed(call, version, &zones, now);
+            }
             PlatformReply::Config { version, document } => {
+                self.era_named(version.era(), now);
                 if let Some(document) = document {
-                    self.offer_config(&document, None, now);
-                }
-                // A reading that may lag says neither where a watch has to begin nor that
-                // nothing newer is there.
-                if *call != PlatformCall::ListConfigLagging {
-                    self.store.config_version = Some(version);
-                    self.verified_at = Some(now);
+                    self.offer_stored_config(document, now);
                 }
+                self.config_read(call, version, now);
             }
             PlatformReply::MembersWritten(version) => self.member_written(call, version, now),
             PlatformReply::MembersConflict(object) => {
@@ -216,13 +232,42 @@
         self.drive_store(now);
     }
 
-    fn members_listed(&mut self, objects: &[ZoneObject], now: MonoTime) {
+    /// Notes up to where the configuration of the store is known.
+    fn config_read(&mut self, call: &PlatformCall, version: ObjectVersion, now: MonoTime) {
+        // A reading that may lag says neither where a watch has to begin nor that
+        // nothing newer is there.
+        if *call == PlatformCall::ListConfigLagging || !self.is_of_latest_era(version) {
+            return;
+        }
+        // A watch that began in an earlier era has missed what was written between.
+        let is_gapless = match call {
+            PlatformCall::WatchConfig(after) => after.era() == version.era(),
+            _ => true,
+        };
+        self.store.config_version = Some(version).filter(|_| is_gapless);
+        self.verified_at = Some(now);
+    }
+
+    fn members_listed(
+        &mut self,
+        call: &PlatformCall,
+        version: ObjectVersion,
+        objects: &[ZoneObject],
+        now: MonoTime,
+    ) {
         let is_alone = self.table.len() == 1;
         for object in objects {
             for member in &object.value.members {
                 self.member_listed(member, object.version, now);
             }
         }
+        self.check_own_object(version, objects);
+        if *call == PlatformCall::ListMembers {
+            self.store.must_read_members = false;
+        }
+        if !std::mem::replace(&mut self.store.is_listed, true) {
+            self.ask_first_peers(now);
+        }
         // Of two nodes that write and then read, one finds the other.
         let is_new = now.since(self.store.written_at) < Self::LAG_TIME;
         let period = if is_alone || is_new { self.start_period() } else { self.list_period() };
@@ -230,11 +275,20 @@
     }
 
     fn member_written(&mut self, call: &PlatformCall, version: ObjectVersion, now: MonoTime) {
-        let PlatformCall::PutMember(written, _) = call else { return };
+        let PlatformCall::PutMember(written, expected) = call else { return };
+        if expected.is_some_and(|expected| expected.era() != version.era()) {
+            // The number that was expected may stand for another write in this era.
+            self.store.must_read_members = true;
+            self.store.next_list_at = Some(now);
+        }
         if written.endpoint != self.own.endpoint {
             self.store.outdated.remove(&written.endpoint);
             return;
         }
+        self.era_named(version.era(), now);
+        if !self.is_of_latest_era(version) {
+            return;
+        }
         self.store.own_version = Some(version);
         self.store.is_written = written.upstream == self.own.upstream;
         if std::mem::replace(&mut self.store.written_at, now) == MonoTime::ZERO {
@@ -256,7 +310,14 @@
             return;
         }
         let version = object.map(|object| object.version);
+        if let Some(version) = version {
+            self.era_named(version.era(), now);
+        }
         self.store.own_version = version;
+        if object.is_some_and(|object| self.is_said_by(object)) {
+            self.store.is_written = true;
+            return;
+        }
         if version.is_none() || version == *expected {
             // Nothing was learned that would let the next write succeed.
             self.back_off(now);
@@ -267,17 +328,47 @@
     /// although an earlier process wrote it.
     fn member_listed(&mut self, member: &Arc<Member>, version: ObjectVersion, now: MonoTime) {
         if member.endpoint == self.own.endpoint {
-            self.store.own_version = self.store.own_version.max(Some(version));
+            if self.is_of_latest_era(version) {
+                self.store.own_version = self.store.own_version.max(Some(version));
+            }
             return self.own_described(member, now);
         }
         self.merge(member, now);
         let held = self.table.get(&member.endpoint);
         let is_outdated = held.is_some_and(|held| held.replaces(member) && !held.takes_work());
-        if is_outdated && member.takes_work() && self.rank() == 0 {
+        let is_repairable = self.rank() == 0 && self.is_of_latest_era(version);
+        if is_outdated && member.takes_work() && is_repairable {
             self.store.outdated.insert(member.endpoint.clone(), version);
         }
     }
 
+    /// Whether an object says what this node would write now.
+    fn is_said_by(&self, object: &ZoneObject) -> bool {
+        object.value.members.iter().any(|member| {
+            member.endpoint == self.own.endpoint
+                && member.incarnation == self.own.incarnation
+                && member.upstream == self.own.upstream
+        })
+    }
+
+    /// Writes the own object again if a reading that is not older than it shows that it is
+    /// missing or says something else.
+    fn check_own_object(&mut self, version: ObjectVersion, objects: &[ZoneObject]) {
+        let is_newer = self.store.own_version.is_some_and(|own| own <= version);
+        if self.store.is_written && is_newer && self.store.written_at != MonoTime::ZERO {
+            self.store.is_written = objects.iter().any(|object| self.is_said_by(object));
+        }
+    }
+
+    /// Asks some peers what they have in force as soon as any are known.
+    fn ask_first_peers(&mut self, now: MonoTime) {
+        if self.revision() == Revision::default() {
+            self.next_gossip_at = now;
+            self.gossip(now);
+        }
+        self.release_config(now);
+    }
+
     /// Writes for members that left while the store was away, as nodes that start
     /// later would take them for alive.
     fn repair_outdated(&mut self) {
--- a/cuminarch-membership/src/summary.rs
+++ b/cuminarch-membership/src/summary.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use cuminarch_protocol::Member;
-use cuminarch_types::{EndpointId, Revision, ZoneName};
+use cuminarch_types::{EndpointId, Revision, StoreEra, ZoneName};
 use serde::Serialize;
 
 use crate::peer::Peer;
@@ -16,6 +16,8 @@
     pub is_reporter: bool,
     /// Whether the platform does not answer it.
     pub lacks_platform: bool,
+    /// Latest era that the store named; it rises when the store comes back from a copy.
+    pub store_era: StoreEra,
     /// Revision of the configuration in force; 0 for the safe defaults.
     pub revision: Revision,
     /// Other relays of its zone.
@@ -40,6 +42,7 @@
             is_relay: self.topology.is_relay,
             is_reporter: self.is_reporter(),
             lacks_platform: self.platform.is_lost,
+            store_era: StoreEra::default(),
             revision: self.revision(),
             zone_relays: self.topology.zone_relays.clone(),
             homes: self.topology.homes.clone(),
--- a/cuminarch-membership/tests/roster.rs
+++ b/cuminarch-membership/tests/roster.rs
@@ -1,238 +1,16 @@
 //! Fleets that find each other by objects in a store and by gossip, in virtual time.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::sync::Arc;
+mod roster_world;
+
+use std::collections::VecDeque;
 use std::time::Duration;
 
-use cuminarch_config::ConfigDocument;
 use cuminarch_membership::{
     FleetAction, FleetEvent, FleetSettings, ObjectVersion, PlatformCall, PlatformReply, Roster,
-    ZoneMembers, ZoneObject,
 };
-use cuminarch_protocol::{Member, MemberState, UpstreamRecord, UpstreamState};
-use cuminarch_types::{EndpointId, Incarnation, MonoTime, Revision};
-
-const STEP: Duration = Duration::from_millis(50);
-
-/// Nodes, and a store that some of them may not reach.
-struct World {
-    now: MonoTime,
-    nodes: BTreeMap<EndpointId, Roster>,
-    objects: BTreeMap<EndpointId, Arc<Member>>,
-    config: Option<(u64, ConfigDocument)>,
-    version: u64,
-    cut: BTreeSet<EndpointId>,
-    watches: Vec<(EndpointId, u64, MonoTime)>,
-    in_force: BTreeMap<EndpointId, Revision>,
-    views: BTreeMap<(EndpointId, EndpointId), Member>,
-    calls: u64,
-    /// Price of the calls so far, in tenths of that of one which does not lag.
-    price_tenths: u64,
-    /// Events that have to be handed to nodes.
-    due: VecDeque<(EndpointId, FleetEvent)>,
-    /// Pairs of nodes that have greeted each other.
-    linked: BTreeSet<(EndpointId, EndpointId)>,
-}
-
-fn name(index: usize) -> EndpointId {
-    format!("node-{index}").parse().unwrap()
-}
-
-fn member(index: usize, incarnation: u64) -> Member {
-    let port = 7_000 + u16::try_from(index).unwrap() * 2;
-    Member {
-        endpoint: name(index),
-        service: "katalog".parse().unwrap(),
-        zone: format!("zone-{}", index % 3).parse().unwrap(),
-        region: "central".parse().unwrap(),
-        incarnation: Incarnation::new(incarnation),
-        statement: 0,
-        data_address: ([127, 0, 0, 1], port).into(),
-        control_address: ([127, 0, 0, 1], port + 1).into(),
-        state: MemberState::Active,
-        upstream: Some(UpstreamRecord::absent()),
-    }
-}
-
-fn record(state: UpstreamState) -> UpstreamRecord {
-    let instance = Some("i-1".parse().unwrap());
-    UpstreamRecord { instance, started_at_ms: 5, state, slots: 40, warm_up_ms: 0 }
-}
-
-fn document(revision: u64) -> ConfigDocument {
-    ConfigDocument {
-        revision: Revision::new(revision),
-        change: format!("change-{revision}").parse().unwrap(),
-        sheet: "classes: [{name: browse, grant_attempts: 16, deadline_ms: 1000}]\n\
-                default_class: browse\n"
-            .to_owned(),
-    }
-}
-
-impl World {
-    fn new(nodes: usize) -> Self {
-        let mut world = Self {
-            now: MonoTime::from_millis(1_000),
-            nodes: BTreeMap::new(),
-            objects: BTreeMap::new(),
-            config: None,
-            version: 1,
-            cut: BTreeSet::new(),
-            watches: Vec::new(),
-            in_force: BTreeMap::new(),
-            views: BTreeMap::new(),
-            calls: 0,
-            price_tenths: 0,
-            due: VecDeque::new(),
-            linked: BTreeSet::new(),
-        };
-        (0..nodes).for_each(|index| world.start(index, 1));
-        world
-    }
-
-    fn start(&mut self, index: usize, incarnation: u64) {
-        let seed = incarnation * 100 + index as u64;
-        let settings = FleetSettings::new("tests").with_seed(seed);
-        let roster = Roster::new(settings, member(index, incarnation), self.now);
-        self.nodes.insert(name(index), roster);
-        self.in_force.remove(&name(index));
-        self.linked.retain(|(from, to)| *from != name(index) && *to != name(index));
-        self.watches.retain(|(node, ..)| *node != name(index));
-    }
-
-    fn publish(&mut self, revision: u64) {
-        self.version += 1;
-        self.config = Some((self.version, document(revision)));
-    }
-
-    /// Hands an event to a node, and carries out all that follows from it.
-    fn feed(&mut self, node: &EndpointId, event: FleetEvent) {
-        self.due.push_back((node.clone(), event));
-        while let Some((node, event)) = self.due.pop_front() {
-            self.handle(&node, event);
-        }
-    }
-
-    fn handle(&mut self, node: &EndpointId, event: FleetEvent) {
-        let Some(roster) = self.nodes.get_mut(node) else { return };
-        for action in roster.handle(event, self.now) {
-            match action {
-                FleetAction::Send(to, _, message) => {
-                    let hello = self.nodes[node].hello();
-                    if self.linked.insert((node.clone(), to.clone())) {
-                        let greeting = FleetEvent::Received(node.clone(), hello);
-                        self.due.push_back((to.clone(), greeting));
-                    }
-                    self.due.push_back((to, FleetEvent::Received(node.clone(), message)));
-                }
-                FleetAction::Platform(call) => self.call(node, call),
-                FleetAction::Policy(policy) => {
-                    let held = self.in_force.insert(node.clone(), policy.revision());
-                    assert!(held.unwrap_or_default() < policy.revision(), "{node} went back");
-                }
-                FleetAction::View(member) => {
-                    self.views.insert((node.clone(), member.endpoint.clone()), *member);
-                }
-                FleetAction::Contact(_) | FleetAction::Notice(_) => {}
-            }
-        }
-    }
-
-    fn call(&mut self, node: &EndpointId, call: PlatformCall) {
-        self.calls += 1;
-        let is_lagging =
-            matches!(call, PlatformCall::ListMembersLagging | PlatformCall::ListConfigLagging);
-        self.price_tenths += if is_lagging { 1 } else { 10 };
-        let version = ObjectVersion::new(self.version);
-        let reply = match &call {
-            _ if self.cut.contains(node) => PlatformReply::Failed,
-            PlatformCall::ListMembers | PlatformCall::ListMembersLagging => {
-                let object = |member: &Arc<Member>| ZoneObject {
-                    version,
-                    value: ZoneMembers { zone: member.zone.clone(), members: vec![member.clone()] },
-                };
-                PlatformReply::Members {
-                    version,
-                    zones: self.objects.values().map(object).collect(),
-                }
-            }
-            PlatformCall::PutMember(member, _) => {
-                self.version += 1;
-                self.objects.insert(member.endpoint.clone(), Arc::clone(member));
-                PlatformReply::MembersWritten(version)
-            }
-            PlatformCall::WatchConfig(after) => {
-                let until = self.now.after(Duration::from_millis(1_400));
-                return self.watches.push((node.clone(), after.get(), until));
-            }
-            _ => PlatformReply::Config {
-                version,
-                document: self.config.as_ref().map(|(_, document)| document.clone()),
-            },
-        };
-        self.due.push_back((node.clone(), FleetEvent::Platform(call, reply)));
-    }
-
-    fn end_watches(&mut self) {
-        let changed_at = self.config.as_ref().map_or(0, |(version, _)| *version);
-        let due = |(_, after, until): &(EndpointId, u64, MonoTime), now| {
-            changed_at > *after || *until <= now
-        };
-        let now = self.now;
-        let ended: Vec<_> = self.watches.iter().filter(|watch| due(watch, now)).cloned().collect();
-        self.watches.retain(|watch| !due(watch, now));
-        for (node, after, _) in ended {
-            let is_cut = self.cut.contains(&node);
-            let document = self.config.as_ref().filter(|(version, _)| *version > after);
-            let reply = PlatformReply::Config {
-                version: ObjectVersion::new(self.version),
-                document: document.map(|(_, document)| document.clone()),
-            };
-            let reply = if is_cut { PlatformReply::Failed } else { reply };
-            let call = PlatformCall::WatchConfig(ObjectVersion::new(after));
-            self.feed(&node, FleetEvent::Platform(call, reply));
-        }
-    }
-
-    fn run(&mut self, span: Duration) {
-        let until = self.now.after(span);
-        while self.now < until {
-            self.now = self.now.after(STEP);
-            self.end_watches();
-            if self.now.as_micros().is_multiple_of(Roster::TICK.as_micros() as u64) {
-                for node in self.nodes.keys().cloned().collect::<Vec<_>>() {
-                    self.feed(&node, FleetEvent::Tick);
-                }
-            }
-        }
-    }
-
-    fn register_all(&mut self) {
-        for node in self.nodes.keys().cloned().collect::<Vec<_>>() {
-            self.feed(&node, FleetEvent::Upstream(record(UpstreamState::Ready)));
-        }
-    }
-
-    fn all_know(&self, state: UpstreamState, of: usize) -> bool {
-        self.nodes.keys().all(|node| {
-            let view = self.views.get(&(node.clone(), name(of)));
-            view.and_then(|view| view.upstream.as_ref()).is_some_and(|held| held.state == state)
-        })
-    }
-
-    fn all_have(&self, revision: u64) -> bool {
-        self.nodes.keys().all(|node| self.in_force.get(node) == Some(&Revision::new(revision)))
-    }
-}
-
-fn settled(nodes: usize) -> World {
-    let mut world = World::new(nodes);
-    world.publish(1);
-    world.run(Duration::from_millis(500));
-    world.register_all();
-    world.run(Duration::from_secs(3));
-    world
-}
+use cuminarch_protocol::{MemberState, UpstreamState};
+use cuminarch_types::MonoTime;
+use roster_world::{member, name, record, settled};
 
 #[test]
 fn nodes_that_start_together_find_each_other() {
@@ -295,10 +73,10 @@
     world.feed(&name(2), FleetEvent::Stop);
     world.nodes.remove(&name(2));
     world.run(Duration::from_secs(1));
-    assert_eq!(world.objects[&name(2)].upstream.as_ref().unwrap().state, UpstreamState::Ready);
+    assert!(world.is_stored(2, UpstreamState::Ready));
     world.cut.clear();
     world.run(Duration::from_secs(15));
-    assert!(!world.objects[&name(2)].takes_work());
+    assert!(!world.store.object(&name(2)).unwrap().takes_work());
 }
 
 #[test]
--- /dev/null
+++ b/cuminarch-membership/tests/roster_world/mod.rs
@@ -0,0 +1,262 @@
+//! Nodes with a store and gossip, in virtual time.
+#![allow(dead_code)]
+
+mod store;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use cuminarch_config::ConfigDocument;
+use cuminarch_membership::{
+    FleetAction, FleetEvent, FleetSettings, ObjectVersion, PlatformCall, PlatformReply, Roster,
+};
+use cuminarch_protocol::{Member, MemberState, UpstreamRecord, UpstreamState};
+use cuminarch_types::{EndpointId, Incarnation, MonoTime, Revision};
+
+pub use store::StoreModel;
+
+pub const STEP: Duration = Duration::from_millis(50);
+/// Time for which the store lets a watch wait.
+const WATCH_TIME: Duration = Duration::from_millis(1_400);
+/// Time after which a late write is carried out.
+const LATE_TIME: Duration = Duration::from_millis(2_500);
+
+/// Nodes, and a store that some of them may not reach.
+pub struct World {
+    pub now: MonoTime,
+    pub nodes: BTreeMap<EndpointId, Roster>,
+    pub store: StoreModel,
+    /// Nodes that do not reach the store.
+    pub cut: BTreeSet<EndpointId>,
+    /// Whether writes are carried out late and their answers are lost.
+    pub is_late: bool,
+    late_writes: Vec<(MonoTime, PlatformCall)>,
+    watches: Vec<(EndpointId, ObjectVersion, MonoTime)>,
+    pub in_force: BTreeMap<EndpointId, Revision>,
+    /// Every configuration that the present process of a node has had in force.
+    pub ever_in_force: BTreeSet<(EndpointId, Revision)>,
+    pub views: BTreeMap<(EndpointId, EndpointId), Member>,
+    pub calls: u64,
+    /// Price of the calls so far, in tenths of that of one which does not lag.
+    pub price_tenths: u64,
+    /// Events that have to be handed to nodes.
+    pub due: VecDeque<(EndpointId, FleetEvent)>,
+    /// Pairs of nodes that have greeted each other.
+    pub linked: BTreeSet<(EndpointId, EndpointId)>,
+}
+
+pub fn name(index: usize) -> EndpointId {
+    format!("node-{index}").parse().unwrap()
+}
+
+pub fn member(index: usize, incarnation: u64) -> Member {
+    let port = 7_000 + u16::try_from(index).unwrap() * 2;
+    Member {
+        endpoint: name(index),
+        service: "katalog".parse().unwrap(),
+        zone: format!("zone-{}", index % 3).parse().unwrap(),
+        region: "central".parse().unwrap(),
+        incarnation: Incarnation::new(incarnation),
+        statement: 0,
+        data_address: ([127, 0, 0, 1], port).into(),
+        control_address: ([127, 0, 0, 1], port + 1).into(),
+        state: MemberState::Active,
+        upstream: Some(UpstreamRecord::absent()),
+    }
+}
+
+pub fn record(state: UpstreamState) -> UpstreamRecord {
+    let instance = Some("i-1".parse().unwrap());
+    UpstreamRecord { instance, started_at_ms: 5, state, slots: 40, warm_up_ms: 0 }
+}
+
+pub fn document(revision: u64) -> ConfigDocument {
+    ConfigDocument {
+        revision: Revision::new(revision),
+        change: format!("change-{revision}").parse().unwrap(),
+        sheet: "classes: [{name: browse, grant_attempts: 16, deadline_ms: 1000}]\n\
+                default_class: browse\n"
+            .to_owned(),
+    }
+}
+
+impl World {
+    pub fn new(nodes: usize) -> Self {
+        let mut world = Self {
+            now: MonoTime::from_millis(1_000),
+            nodes: BTreeMap::new(),
+            store: StoreModel::new(),
+            cut: BTreeSet::new(),
+            is_late: false,
+            late_writes: Vec::new(),
+            watches: Vec::new(),
+            in_force: BTreeMap::new(),
+            ever_in_force: BTreeSet::new(),
+            views: BTreeMap::new(),
+            calls: 0,
+            price_tenths: 0,
+            due: VecDeque::new(),
+            linked: BTreeSet::new(),
+        };
+        (0..nodes).for_each(|index| world.start(index, 1));
+        world
+    }
+
+    pub fn start(&mut self, index: usize, incarnation: u64) {
+        let seed = incarnation * 100 + index as u64;
+        let settings = FleetSettings::new("tests").with_seed(seed);
+        let roster = Roster::new(settings, member(index, incarnation), self.now);
+        self.nodes.insert(name(index), roster);
+        self.in_force.remove(&name(index));
+        self.ever_in_force.retain(|(node, _)| *node != name(index));
+        self.linked.retain(|(from, to)| *from != name(index) && *to != name(index));
+        self.watches.retain(|(node, ..)| *node != name(index));
+    }
+
+    pub fn publish(&mut self, revision: u64) {
+        self.store.publish(document(revision));
+    }
+
+    /// Hands an event to a node, and carries out all that follows from it.
+    pub fn feed(&mut self, node: &EndpointId, event: FleetEvent) {
+        self.due.push_back((node.clone(), event));
+        self.drain();
+    }
+
+    fn drain(&mut self) {
+        while let Some((node, event)) = self.due.pop_front() {
+            self.handle(&node, event);
+        }
+    }
+
+    pub fn handle(&mut self, node: &EndpointId, event: FleetEvent) {
+        let Some(roster) = self.nodes.get_mut(node) else { return };
+        for action in roster.handle(event, self.now) {
+            match action {
+                FleetAction::Send(to, _, message) => {
+                    let hello = self.nodes[node].hello();
+                    if self.linked.insert((node.clone(), to.clone())) {
+                        let greeting = FleetEvent::Received(node.clone(), hello);
+                        self.due.push_back((to.clone(), greeting));
+                    }
+                    self.due.push_back((to, FleetEvent::Received(node.clone(), message)));
+                }
+                FleetAction::Platform(call) => self.call(node, call),
+                FleetAction::Policy(policy) => {
+                    let held = self.in_force.insert(node.clone(), policy.revision());
+                    self.ever_in_force.insert((node.clone(), policy.revision()));
+                    assert!(held.unwrap_or_default() < policy.revision(), "{node} went back");
+                }
+                FleetAction::View(member) => {
+                    self.views.insert((node.clone(), member.endpoint.clone()), *member);
+                }
+                FleetAction::Contact(_) | FleetAction::Notice(_) => {}
+            }
+        }
+    }
+
+    pub fn call(&mut self, node: &EndpointId, call: PlatformCall) {
+        self.calls += 1;
+        let is_lagging =
+            matches!(call, PlatformCall::ListMembersLagging | PlatformCall::ListConfigLagging);
+        self.price_tenths += if is_lagging { 1 } else { 10 };
+        let reply = match &call {
+            _ if self.cut.contains(node) => {
+                let failed = FleetEvent::Platform(call, PlatformReply::Failed);
+                return self.due.push_back((node.clone(), failed));
+            }
+            PlatformCall::WatchConfig(after) => {
+                let until = self.now.after(WATCH_TIME);
+                return self.watches.push((node.clone(), *after, until));
+            }
+            PlatformCall::PutMember(..) if self.is_late => {
+                self.late_writes.push((self.now.after(LATE_TIME), call.clone()));
+                PlatformReply::Failed
+            }
+            _ => self.store.call(&call, self.now),
+        };
+        self.answer(node, call, reply);
+    }
+
+    /// Hands an answer of the store to a node, the era that it names first.
+    fn answer(&mut self, node: &EndpointId, call: PlatformCall, reply: PlatformReply) {
+        self.due.push_back((node.clone(), FleetEvent::StoreEra(self.store.era())));
+        self.due.push_back((node.clone(), FleetEvent::Platform(call, reply)));
+    }
+
+    fn end_watches(&mut self) {
+        for (node, after, until) in std::mem::take(&mut self.watches) {
+            let call = PlatformCall::WatchConfig(after);
+            if self.cut.contains(&node) {
+                self.feed(&node, FleetEvent::Platform(call, PlatformReply::Failed));
+            } else if let Some(reply) = self.store.watch(after, until <= self.now) {
+                self.answer(&node, call, reply);
+                self.drain();
+            } else {
+                self.watches.push((node, after, until));
+            }
+        }
+    }
+
+    fn write_late(&mut self) {
+        let now = self.now;
+        let (due, left) = self.late_writes.drain(..).partition(|(at, _)| *at <= now);
+        self.late_writes = left;
+        for (_, call) in due {
+            self.store.call(&call, now);
+        }
+    }
+
+    /// The store comes back from a copy; what the operator wrote since, it writes again.
+    pub fn restore_store(&mut self, age: Duration) {
+        self.store.restore(age, self.now);
+    }
+
+    /// Whether the object of a node says what its upstream registered last.
+    pub fn is_stored(&self, index: usize, state: UpstreamState) -> bool {
+        let object = self.store.object(&name(index));
+        let upstream = object.and_then(|member| member.upstream.as_ref());
+        upstream.is_some_and(|held| held.state == state)
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let until = self.now.after(span);
+        while self.now < until {
+            self.now = self.now.after(STEP);
+            self.store.keep_copy(self.now);
+            self.write_late();
+            self.end_watches();
+            if self.now.as_micros().is_multiple_of(Roster::TICK.as_micros() as u64) {
+                for node in self.nodes.keys().cloned().collect::<Vec<_>>() {
+                    self.feed(&node, FleetEvent::Tick);
+                }
+            }
+        }
+    }
+
+    pub fn register_all(&mut self) {
+        for node in self.nodes.keys().cloned().collect::<Vec<_>>() {
+            self.feed(&node, FleetEvent::Upstream(record(UpstreamState::Ready)));
+        }
+    }
+
+    pub fn all_know(&self, state: UpstreamState, of: usize) -> bool {
+        self.nodes.keys().all(|node| {
+            let view = self.views.get(&(node.clone(), name(of)));
+            view.and_then(|view| view.upstream.as_ref()).is_some_and(|held| held.state == state)
+        })
+    }
+
+    pub fn all_have(&self, revision: u64) -> bool {
+        self.nodes.keys().all(|node| self.in_force.get(node) == Some(&Revision::new(revision)))
+    }
+}
+
+pub fn settled(nodes: usize) -> World {
+    let mut world = World::new(nodes);
+    world.publish(1);
+    world.run(Duration::from_millis(500));
+    world.register_all();
+    world.run(Duration::from_secs(3));
+    world
+}
--- a/cuminarch-node/src/admin.rs
+++ b/cuminarch-node/src/admin.rs
@@ -108,7 +108,10 @@
 
     fn metrics(&self) -> Page {
         match self.summary() {
-            Some(summary) => page(200, METRICS_TYPE, self.metrics.text(&summary)),
+            Some(summary) => {
+                let store_era = self.fleet().map(|fleet| fleet.store_era).unwrap_or_default();
+                page(200, METRICS_TYPE, self.metrics.text(&summary, store_era))
+            }
             None => silent(),
         }
     }
--- a/cuminarch-node/src/control/platform.rs
+++ b/cuminarch-node/src/control/platform.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use cuminarch_config::ConfigDocument;
-use cuminarch_membership::{PlatformCall, PlatformReply, ZoneMembers, ZoneObject};
+use cuminarch_membership::{FleetEvent, PlatformCall, PlatformReply, ZoneMembers, ZoneObject};
 use cuminarch_platform::{
     Expect, Listing, Object, ObjectPath, ObjectStore, ObjectVersion, PlatformError,
 };
 use cuminarch_protocol::Member;
-use cuminarch_types::{ParseError, ZoneName};
+use cuminarch_types::{ParseError, StoreEra, ZoneName};
 use flume::{Receiver, Sender, TrySendError};
 
 use crate::NodeError;
@@ -24,7 +24,7 @@
     calls: Sender<PlatformCall>,
     members: Sender<PlatformCall>,
     config: Sender<PlatformCall>,
-    replies: Receiver<(PlatformCall, PlatformReply)>,
+    replies: Receiver<FleetEvent>,
 }
 
 impl PlatformThreads {
@@ -66,8 +66,8 @@
         }
     }
 
-    /// Where replies come.
-    pub const fn replies(&self) -> &Receiver<(PlatformCall, PlatformReply)> {
+    /// Where replies come, and what they say of the store.
+    pub const fn replies(&self) -> &Receiver<FleetEvent> {
         &self.replies
     }
 }
@@ -79,17 +79,18 @@
     watch_time: Duration,
 }
 
-fn run(
-    caller: &StoreCaller,
-    calls: &Receiver<PlatformCall>,
-    replies: &Sender<(PlatformCall, PlatformReply)>,
-) {
+fn run(caller: &StoreCaller, calls: &Receiver<PlatformCall>, replies: &Sender<FleetEvent>) {
+    let mut told_era = StoreEra::default();
     while let Ok(call) = calls.recv() {
         let reply = caller.carry_out(&call).unwrap_or_else(|error| {
             log::warn!("{} {call:?}: {error}", NodeEvent::PlatformCallFailed);
             PlatformReply::Failed
         });
-        if replies.send((call, reply)).is_err() {
+        // Told first, as the reply is judged by it.
+        let era = caller.store.latest_era();
+        let is_told = std::mem::replace(&mut told_era, era) == era
+            || replies.send(FleetEvent::StoreEra(era)).is_ok();
+        if !is_told || replies.send(FleetEvent::Platform(call, reply)).is_err() {
             return;
         }
     }
--- a/cuminarch-node/src/control/thread.rs
+++ b/cuminarch-node/src/control/thread.rs
@@ -105,7 +105,7 @@
                     if tick.is_err() { Wake::Stop } else { Wake::Fleet(FleetEvent::Tick) }
                 }
                 reply = replies.recv_async() => match reply {
-                    Ok((call, reply)) => Wake::Fleet(FleetEvent::Platform(call, reply)),
+                    Ok(event) => Wake::Fleet(event),
                     Err(_) => Wake::Stop,
                 },
                 Ok(record) = self.upstreams.recv_async() => {
@@ -204,6 +204,7 @@
     match notice {
         FleetNotice::PlatformLost => warn!("{}", NodeEvent::PlatformUnavailable),
         FleetNotice::PlatformFound => info!("{}", NodeEvent::PlatformAvailable),
+        FleetNotice::StoreRestored(_) => warn!("{} {notice}", NodeEvent::StoreRestored),
         FleetNotice::ConfigInForce(_) => info!("{} {notice}", NodeEvent::ConfigInForce),
         FleetNotice::ConfigRefused(..) => warn!("{} {notice}", NodeEvent::ConfigRefused),
         FleetNotice::ConfigConflict(_) => error!("{} {notice}", NodeEvent::ConfigConflict),
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -15,6 +15,8 @@
     PlatformUnavailable,
     /// The platform answers again.
     PlatformAvailable,
+    /// The platform's store came back from a copy.
+    StoreRestored,
     /// A configuration came into force.
     ConfigInForce,
     /// A configuration was refused.
@@ -63,7 +65,7 @@
 
 impl NodeEvent {
     /// Every event, in order of code.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -86,6 +88,7 @@
         Self::RegistrationRefused,
         Self::ObjectUnreadable,
         Self::PlatformCallFailed,
+        Self::StoreRestored,
         Self::SettingsReloaded,
         Self::CallRefused,
         Self::AttemptFailed,
@@ -120,6 +123,7 @@
             Self::RegistrationRefused => 6007,
             Self::ObjectUnreadable => 3003,
             Self::PlatformCallFailed => 3004,
+            Self::StoreRestored => 3005,
             Self::SettingsReloaded => 1005,
             Self::CallRefused => 2101,
             Self::AttemptFailed => 2102,
@@ -155,6 +159,7 @@
             Self::RegistrationRefused => "registration-refused",
             Self::ObjectUnreadable => "object-unreadable",
             Self::PlatformCallFailed => "platform-call-failed",
+            Self::StoreRestored => "store-restored",
             Self::SettingsReloaded => "settings-reloaded",
             Self::CallRefused => "call-refused",
             Self::AttemptFailed => "attempt-failed",
--- a/cuminarch-node/src/metrics.rs
+++ b/cuminarch-node/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cuminarch_engine::EngineSummary;
-use cuminarch_types::Outcome;
+use cuminarch_types::{Outcome, StoreEra};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -63,6 +63,7 @@
     members: Gauge,
     revision: Gauge,
     draining: Gauge,
+    store_era: Gauge,
 }
 
 /// All metrics of a node.
@@ -181,8 +182,9 @@
     }
 
     /// The text for a scrape.
-    pub fn text(&self, summary: &EngineSummary) -> String {
+    pub fn text(&self, summary: &EngineSummary, store_era: StoreEra) -> String {
         self.gauges.set(summary);
+        self.gauges.store_era.set(i64::try_from(store_era.get()).unwrap_or(i64::MAX));
         let mut text = String::new();
         let _ = encode(&mut text, &self.registry);
         text
@@ -202,6 +204,7 @@
             ("members", "Members known", &gauges.members),
             ("config_revision", "Revision of the configuration in force", &gauges.revision),
             ("draining", "1 while new calls are refused", &gauges.draining),
+            ("store_era", "Times that the store came back from a copy", &gauges.store_era),
         ];
         for (name, help, gauge) in entries {
             registry.register(name, help, gauge.clone());
--- a/cuminarch-platform/src/limited_store.rs
+++ b/cuminarch-platform/src/limited_store.rs
@@ -1,7 +1,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use cuminarch_types::RatePerSecond;
+use cuminarch_types::{RatePerSecond, StoreEra};
 
 use crate::{
     CallCounter, CallCounts, CallKind, Clock, Expect, Listing, Object, ObjectPath, ObjectStore,
@@ -78,6 +78,10 @@
         self.admit(CallKind::List)?.list_lagging(prefix)
     }
 
+    fn latest_era(&self) -> StoreEra {
+        self.inner.latest_era()
+    }
+
     fn watch(
         &self,
         prefix: &ObjectPath,
--- a/cuminarch-platform/src/store.rs
+++ b/cuminarch-platform/src/store.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use cuminarch_types::StoreEra;
+
 use crate::{Expect, Listing, Object, ObjectPath, ObjectVersion, PlatformError};
 
 /// What the system needs of the platform. Each method is one counted call.
@@ -48,6 +50,12 @@
         self.list(prefix)
     }
 
+    /// Latest era of the store that any of its answers has named, also those that were
+    /// errors. Stores that never come back from a copy name none.
+    fn latest_era(&self) -> StoreEra {
+        StoreEra::default()
+    }
+
     /// Waits until an object under `prefix` has a version above `after`, or
     /// `timeout` has passed, and returns the objects changed since, if any.
     ///
--- a/cuminarch-protocol/src/control.rs
+++ b/cuminarch-protocol/src/control.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
-use cuminarch_types::{ChangeId, EndpointId, Revision, ZoneName};
+use cuminarch_types::{ChangeId, EndpointId, Revision, StoreEra, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::codec::{decode, encode_tagged, split_tag};
@@ -46,6 +46,9 @@
     /// Time since the platform was known to hold no newer configuration, in milliseconds.
     #[serde(default, rename = "v", skip_serializing_if = "Option::is_none")]
     pub verified_age_ms: Option<u32>,
+    /// Latest era of the platform's store that the sender has seen.
+    #[serde(default, rename = "e", skip_serializing_if = "is_no_era")]
+    pub store_era: StoreEra,
 }
 
 /// How far the configuration is in force at the members that a relay serves.
@@ -63,6 +66,12 @@
     pub lowest: Revision,
 }
 
+// Serde passes a reference.
+#[allow(clippy::trivially_copy_pass_by_ref)]
+const fn is_no_era(era: &StoreEra) -> bool {
+    era.get() == 0
+}
+
 // Serde passes a reference.
 #[allow(clippy::trivially_copy_pass_by_ref)]
 const fn is_false(value: &bool) -> bool {
--- a/cuminarch-types/src/id.rs
+++ b/cuminarch-types/src/id.rs
@@ -37,11 +37,6 @@
     Incarnation,
     u64
 );
-id_type!(
-    /// Version of an object of the platform or of its whole store; each write gives a higher one.
-    ObjectVersion,
-    u64
-);
 id_type!(
     /// Place of a rule in the sheet, from 1; 0 stands for the default class.
     RuleNumber,
@@ -53,6 +48,12 @@
     u64
 );
 
+id_type!(
+    /// Counts how often the platform's store came back from a copy; it rises by one each time.
+    StoreEra,
+    u64
+);
+
 /// Counts the sends of one request by its client, the first being 1.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
--- a/cuminarch-types/src/lib.rs
+++ b/cuminarch-types/src/lib.rs
@@ -22,18 +22,20 @@
 mod mono_time;
 mod name;
 mod number;
+mod object_version;
 mod outcome;
 mod rank;
 
 pub use count::{Attempts, ByteCount, ConcurrencyLimit, RatePerSecond};
 pub use error::ParseError;
 pub use id::{
-    AttemptId, CallId, Incarnation, ObjectVersion, RequestId, ResendNumber, Revision, RuleNumber,
+    AttemptId, CallId, Incarnation, RequestId, ResendNumber, Revision, RuleNumber, StoreEra,
 };
 pub use mono_time::MonoTime;
 pub use name::{
     ChangeId, ClassName, ClientKey, EndpointId, InstanceId, RegionName, RouteName, ServiceName,
     ZoneName,
 };
+pub use object_version::ObjectVersion;
 pub use outcome::Outcome;
 pub use rank::{Priority, Rank};
