fix(node): a log record is one line

Cause: the faults of a sheet stand on lines of their own, so CU4002 wrote several lines, of which only the first had a code. The ring joins the lines of a record.

--- a/cuminarch-node/src/logging.rs
+++ b/cuminarch-node/src/logging.rs
@@ -7,8 +7,9 @@
 
 use flume::{Receiver, Sender, TrySendError};
 
-/// Writer that hands lines to a thread through a bounded ring. Lines that find no
-/// room are dropped; their number is written once there is room again.
+/// Writer that takes one record at a time and hands it, as one line, to a thread through a
+/// bounded ring. Lines that find no room are dropped; their number is written once there
+/// is room again.
 #[derive(Clone, Debug)]
 pub struct LogRing {
     lines: Sender<Vec<u8>>,
@@ -46,7 +47,7 @@
 
 impl Write for LogRing {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        if let Err(TrySendError::Full(_)) = self.lines.try_send(bytes.to_vec()) {
+        if let Err(TrySendError::Full(_)) = self.lines.try_send(one_line(bytes)) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(bytes.len())
@@ -57,6 +58,20 @@
     }
 }
 
+/// A record as one line, also if its text has several.
+fn one_line(record: &[u8]) -> Vec<u8> {
+    let text = record.strip_suffix(b"\n").unwrap_or(record);
+    let mut line = Vec::with_capacity(record.len());
+    for (index, part) in text.split(|byte| *byte == b'\n').enumerate() {
+        if index > 0 {
+            line.extend_from_slice(b"; ");
+        }
+        line.extend_from_slice(part.trim_ascii());
+    }
+    line.push(b'\n');
+    line
+}
+
 fn write_lines(ring: &Receiver<Vec<u8>>, mut output: impl Write, dropped: &AtomicU64) {
     while let Ok(line) = ring.recv() {
         let count = dropped.swap(0, Ordering::Relaxed);
