fix(admission): a shortage reported late neither swings nor idles; switches for ablation

Cause: Shortage took what it reported for done at once. Answers carry it up the chain and requests under way come down it, so the same excess was counted again in each window. Change: only what senders have probably put into force counts as staying away; their reaction time grows when the endpoint idles while requests stay away, and a backlog is worked off in that time.

--- a/cuminarch-admission/src/lib.rs
+++ b/cuminarch-admission/src/lib.rs
@@ -25,6 +25,7 @@
 mod limiter;
 mod origin;
 mod origins;
+mod senders;
 mod settings;
 mod shedder;
 mod shortage;
--- /dev/null
+++ b/cuminarch-admission/src/senders.rs
@@ -0,0 +1,86 @@
+use std::time::Duration;
+
+/// What the senders of a service do with the shortage that an endpoint reports.
+///
+/// Answers the load of a surge through a long chain: answers carry the report up the
+/// chain, and requests that were under way still come down it. An endpoint that took its
+/// report for done at once would see the same excess again in each window, ask for more
+/// to be kept away each time, and then idle (the remedy is Smith's predictor, 1957). The
+/// time that senders need is not known; it grows when the endpoint is seen to idle
+/// although requests stay away.
+#[derive(Clone, Copy, Debug)]
+pub struct Senders {
+    /// What they have probably put into force, in thousandths.
+    applied_milli: f64,
+    /// Time that they seem to need.
+    reaction: Duration,
+    /// Whether the endpoint was full when it was last full or idle.
+    was_full: bool,
+}
+
+impl Senders {
+    /// Shortest time in which senders react: some runs of a short chain.
+    const LEAST_REACTION: Duration = Duration::from_millis(800);
+    /// Longest time that is ever supposed; requests seldom take longer.
+    const MOST_REACTION: Duration = Duration::from_millis(6_400);
+    /// Factor by which the time grows when it proves too short.
+    const GROWTH: u32 = 2;
+    /// Time in which what it has grown is forgotten, as chains become faster again.
+    const MEMORY: Duration = Duration::from_secs(30);
+    /// Load from which an endpoint is full, in thousandths.
+    const FULL_MILLI: u64 = 960;
+    /// Load below which it idles, in thousandths.
+    const IDLE_MILLI: u64 = 850;
+    /// Shortage below which idling shows nothing, in thousandths.
+    const LEAST_MILLI: f64 = 50.0;
+
+    /// Senders that keep nothing away.
+    pub const fn new() -> Self {
+        Self { applied_milli: 0.0, reaction: Self::LEAST_REACTION, was_full: false }
+    }
+
+    /// Time that they seem to need to react to a report.
+    pub const fn reaction(&self) -> Duration {
+        self.reaction
+    }
+
+    /// Part of what they have that still comes, in thousandths.
+    pub const fn passed_milli(&self) -> u64 {
+        1_000 - self.applied_milli as u64
+    }
+
+    /// Whether an endpoint with this load, in thousandths, has room to spare.
+    pub const fn is_idle(load_milli: u64) -> bool {
+        load_milli < Self::IDLE_MILLI
+    }
+
+    /// Takes in the load of the last window, in thousandths of what the endpoint can do,
+    /// and the shortage that was reported meanwhile.
+    pub fn advance(&mut self, load_milli: u64, reported_milli: f64, elapsed: Duration) {
+        self.learn(load_milli, reported_milli, elapsed);
+        let left = left_after(elapsed, self.reaction);
+        self.applied_milli = reported_milli + (self.applied_milli - reported_milli) * left;
+        if Self::is_idle(load_milli) {
+            // What is asked back comes at the latest when the senders hear of it.
+            self.applied_milli = self.applied_milli.min(reported_milli);
+        }
+    }
+
+    /// An endpoint that goes from full to idle while requests stay away has asked for too
+    /// much, as it did not wait for what it asked before.
+    fn learn(&mut self, load_milli: u64, reported_milli: f64, elapsed: Duration) {
+        let grown = self.reaction.saturating_sub(Self::LEAST_REACTION);
+        self.reaction = Self::LEAST_REACTION + grown.mul_f64(left_after(elapsed, Self::MEMORY));
+        if load_milli >= Self::FULL_MILLI {
+            self.was_full = true;
+        } else if self.was_full && Self::is_idle(load_milli) && reported_milli > Self::LEAST_MILLI {
+            self.was_full = false;
+            self.reaction = (self.reaction * Self::GROWTH).min(Self::MOST_REACTION);
+        }
+    }
+}
+
+/// Part of a difference that is left after some time, if it fades with that time constant.
+pub fn left_after(elapsed: Duration, time: Duration) -> f64 {
+    (-elapsed.as_secs_f64() / time.as_secs_f64()).exp()
+}
--- a/cuminarch-admission/src/slot_admission.rs
+++ b/cuminarch-admission/src/slot_admission.rs
@@ -1,7 +1,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use cuminarch_types::{CallId, ConcurrencyLimit, MonoTime, Priority, Rank, RouteName};
+use cuminarch_types::{
+    CallId, ConcurrencyLimit, Disabled, Mechanism, MonoTime, Priority, Rank, RouteName,
+};
 
 use crate::shortage::Shortage;
 use crate::{AdmissionControl, AdmissionRequest, Offer, OfferReply, QueueEvent};
@@ -39,6 +41,7 @@
     /// None before the first run has ended.
     mean_holding: Option<Duration>,
     shortage: Shortage,
+    disabled: Disabled,
 }
 
 impl SlotAdmission {
@@ -68,9 +71,18 @@
             holding: BTreeMap::new(),
             mean_holding: None,
             shortage: Shortage::new(),
+            disabled: Disabled::default(),
         }
     }
 
+    /// Switches mechanisms off.
+    #[must_use]
+    pub fn with_disabled(mut self, disabled: Disabled) -> Self {
+        self.shortage = Shortage::new().with_disabled(&disabled);
+        self.disabled = disabled;
+        self
+    }
+
     fn has_room(&self) -> bool {
         self.running.len() < self.capacity.get() as usize
     }
@@ -94,8 +106,9 @@
     fn latest_start(&self, request: &AdmissionRequest, now: MonoTime) -> MonoTime {
         let holding = self.holding_of(request.route.as_ref());
         let left = request.deadline.since(now).saturating_sub(holding);
+        let is_patient = request.is_nested || self.disabled.has(Mechanism::WaitRefusal);
         let patience =
-            if request.is_nested { left } else { left.min(request.objective / Self::WAIT_DIVISOR) };
+            if is_patient { left } else { left.min(request.objective / Self::WAIT_DIVISOR) };
         now.after(patience)
     }
 
@@ -147,7 +160,9 @@
             self.start(request.call, request.route.clone(), now);
             return OfferReply { decision: Offer::Run, evicted: None };
         }
-        let urgency = Priority::HIGHEST.get() - request.rank.priority().get();
+        let priority = request.rank.priority().get();
+        let has_order = !self.disabled.has(Mechanism::ClassOrder);
+        let urgency = if has_order { Priority::HIGHEST.get() - priority } else { 0 };
         let place = (if request.is_nested { 0 } else { 1 + urgency }, now, request.call);
         let wait = self.predicted_wait(place);
         let latest_start = self.latest_start(request, now);
@@ -217,7 +232,9 @@
 
     fn set_capacity(&mut self, capacity: ConcurrencyLimit) {
         if capacity > ConcurrencyLimit::ZERO {
-            let percent_slots = capacity.get().saturating_mul(Self::FILLED_PERCENT);
+            let has_reserve = !self.disabled.has(Mechanism::SlotReserve);
+            let filled_percent = if has_reserve { Self::FILLED_PERCENT } else { 100 };
+            let percent_slots = capacity.get().saturating_mul(filled_percent);
             let filled = (percent_slots + 50) / 100;
             self.capacity = ConcurrencyLimit::new(filled.max(1));
         }
--- a/cuminarch-types/src/lib.rs
+++ b/cuminarch-types/src/lib.rs
@@ -19,6 +19,7 @@
 mod count;
 mod error;
 mod id;
+mod mechanism;
 mod mono_time;
 mod name;
 mod number;
@@ -31,6 +32,7 @@
 pub use id::{
     AttemptId, CallId, Incarnation, RequestId, ResendNumber, Revision, RuleNumber, StoreEra,
 };
+pub use mechanism::{Disabled, Mechanism};
 pub use mono_time::MonoTime;
 pub use name::{
     ChangeId, ClassName, ClientKey, EndpointId, InstanceId, RegionName, RouteName, ServiceName,
