feat(routing): calls go where the calls behind them stay in the zone; refused callers come back in time

Change: endpoints report the bytes between zones that a call causes behind them; a call that is cheaper elsewhere goes there. A zone spills over from 750 instead of 650 thousandths. A refused caller is told to come back within half of its objective: before, after up to 30 in 100 of its time limit, which is past the objective of most routes.

--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -62,11 +62,12 @@
     #[must_use]
     pub fn new(settings: EngineSettings, policy: Arc<Policy>) -> Self {
         let seed = settings.seed;
-        let router = Router::new(settings.zone.clone(), settings.region.clone(), seed);
+        let router = Router::new(settings.zone.clone(), settings.region.clone(), seed)
+            .with_disabled(settings.disabled.clone());
         let keys = KeyTable::new(settings.keys, settings.endpoint.clone(), settings.incarnation);
         Self {
             policy,
-            admission: settings.admission.build(),
+            admission: settings.admission.build(&settings.disabled),
             keys,
             router,
             calls: BTreeMap::new(),
@@ -118,7 +119,8 @@
             Event::RemoteHead { call, attempt, is_failure } => {
                 self.remote_head(call, attempt, is_failure, now, &mut actions);
             }
-            Event::RemoteEnd { call, attempt, receipt } => {
+            Event::RemoteEnd { call, attempt, receipt, link_bytes } => {
+                self.note_link_bytes(call, link_bytes);
                 self.remote_end(call, attempt, receipt, now, &mut actions);
             }
             Event::RemoteRefused(call, attempt, refusal) => {
--- a/cuminarch-engine/src/routed.rs
+++ b/cuminarch-engine/src/routed.rs
@@ -5,7 +5,7 @@
 
 use compact_str::{CompactString, format_compact};
 use cuminarch_protocol::{RoutedCall, SendKind};
-use cuminarch_types::{CallId, MonoTime, Outcome, Rank, RouteName};
+use cuminarch_types::{CallId, Mechanism, MonoTime, Outcome, Rank, RouteName};
 use rand::RngExt;
 
 use crate::call::{Sending, Stage};
@@ -16,9 +16,11 @@
     const MOST_REFUSALS: u32 = 3;
     /// Shortest time left for which another attempt makes sense.
     const LEAST_TIME: Duration = Duration::from_millis(10);
-    /// Part of the time left after which a refused caller is told to come back:
-    /// shortest and longest. Callers wait for a third of it at most.
-    const RETURN_PART: (f64, f64) = (0.1, 0.3);
+    /// Part of its objective after which a refused caller is told to come back: shortest
+    /// and longest. The rest is for the run, so that an answer then is still of full use.
+    const RETURN_PART: (f64, f64) = (0.1, 0.5);
+    /// Part of the time left that callers wait at most.
+    const LONGEST_WAIT_PART: f64 = 0.3;
     /// Time in which no repeat is sent to a service of which a door has denied one: that
     /// in which a door earns a repeat, where they are short.
     const DENIED_TIME: Duration = Duration::from_millis(100);
@@ -42,7 +44,8 @@
             return self.send(id, now, actions);
         }
         let Some(rank) = self.calls.get(&id).map(|call| call.rank) else { return };
-        if self.shedder.refuses(&routed.route, rank, now) {
+        let has_shedding = !self.settings.disabled.has(Mechanism::Shedding);
+        if self.shedder.refuses(&routed.route, rank, now) && has_shedding {
             let detail = self.shed_detail(&routed.route, now);
             let refusal = Refusal::not_run(RefusalReason::OverloadedBehind).with_detail(detail);
             return self.refuse_routed(id, refusal, now, actions);
@@ -140,7 +143,8 @@
     /// can tell; the door that is asked decides whether its upstream sees it. What may
     /// have run already has made its own calls, which a repeat makes again.
     fn may_retry(&mut self, id: CallId, may_have_run: bool, now: MonoTime) -> bool {
-        if !self.can_repeat(id, now) {
+        let disabled = &self.settings.disabled;
+        if !self.can_repeat(id, now) || disabled.has(Mechanism::Repeats) {
             return false;
         }
         let Some(call) = self.calls.get(&id) else { return false };
@@ -148,7 +152,9 @@
         let Stage::Sending(sending) = &call.stage else { return false };
         let fan_out_milli = self.fan_outs.get(&routed.route).copied().unwrap_or(0);
         let is_dear = may_have_run && fan_out_milli > Self::MOST_REPEATED_MILLI;
-        let is_denied = self.denied_until.get(&sending.service).is_some_and(|until| now < *until);
+        let has_pause = !disabled.has(Mechanism::RepeatPause);
+        let is_denied =
+            has_pause && self.denied_until.get(&sending.service).is_some_and(|until| now < *until);
         sending.reached < call.rule.max_endpoints && !is_dear && !is_denied
     }
 
@@ -202,8 +208,9 @@
     ) {
         let Some(call) = self.calls.get(&id) else { return };
         let (shortest, longest) = Self::RETURN_PART;
-        let left = call.deadline.since(now);
-        let retry_after = left.mul_f64(self.rng.random_range(shortest..longest));
+        let longest_wait = call.deadline.since(now).mul_f64(Self::LONGEST_WAIT_PART);
+        let wait = call.objective().mul_f64(self.rng.random_range(shortest..longest));
+        let retry_after = wait.min(longest_wait);
         self.refuse(id, refusal.with_retry_after(retry_after), now, actions);
     }
 }
--- a/cuminarch-engine/src/settings.rs
+++ b/cuminarch-engine/src/settings.rs
@@ -3,7 +3,7 @@
 use cuminarch_admission::{Admission, AdmissionControl, AdmissionSettings, SlotAdmission};
 use cuminarch_attempts::RetryBudgetSettings;
 use cuminarch_once::KeyTableSettings;
-use cuminarch_types::{EndpointId, Incarnation, RegionName, ServiceName, ZoneName};
+use cuminarch_types::{Disabled, EndpointId, Incarnation, RegionName, ServiceName, ZoneName};
 
 /// How requests are admitted to the own upstream.
 #[derive(Clone, Copy, Debug)]
@@ -15,10 +15,10 @@
 }
 
 impl AdmissionKind {
-    pub(crate) fn build(self) -> Box<dyn AdmissionControl> {
+    pub(crate) fn build(self, disabled: &Disabled) -> Box<dyn AdmissionControl> {
         match self {
             Self::Adaptive(settings) => Box::new(Admission::new(settings)),
-            Self::Slots => Box::new(SlotAdmission::new()),
+            Self::Slots => Box::new(SlotAdmission::new().with_disabled(disabled.clone())),
         }
     }
 }
@@ -44,6 +44,8 @@
     pub retry_budget: RetryBudgetSettings,
     /// Bounds of the key table.
     pub keys: KeyTableSettings,
+    /// Mechanisms that are switched off.
+    pub disabled: Disabled,
 }
 
 impl EngineSettings {
@@ -53,7 +55,7 @@
 
     /// Settings with default bounds, incarnation 1 and seed 1.
     #[must_use]
-    pub const fn new(
+    pub fn new(
         endpoint: EndpointId,
         service: ServiceName,
         zone: ZoneName,
@@ -69,47 +71,55 @@
             admission: AdmissionKind::Adaptive(AdmissionSettings::new()),
             retry_budget: Self::DEFAULT_RETRY_BUDGET,
             keys: KeyTableSettings::new(),
+            disabled: Disabled::default(),
         }
     }
 
+    /// Switches mechanisms off.
+    #[must_use]
+    pub fn with_disabled(mut self, disabled: Disabled) -> Self {
+        self.disabled = disabled;
+        self
+    }
+
     /// Sets the incarnation.
     #[must_use]
-    pub const fn with_incarnation(mut self, incarnation: Incarnation) -> Self {
+    pub fn with_incarnation(mut self, incarnation: Incarnation) -> Self {
         self.incarnation = incarnation;
         self
     }
 
     /// Sets the seed of the random choices.
     #[must_use]
-    pub const fn with_seed(mut self, seed: u64) -> Self {
+    pub fn with_seed(mut self, seed: u64) -> Self {
         self.seed = seed;
         self
     }
 
     /// Sets the bounds of admission.
     #[must_use]
-    pub const fn with_admission(mut self, admission: AdmissionSettings) -> Self {
+    pub fn with_admission(mut self, admission: AdmissionSettings) -> Self {
         self.admission = AdmissionKind::Adaptive(admission);
         self
     }
 
     /// Admits requests by the slots that the upstream registers.
     #[must_use]
-    pub const fn with_slot_admission(mut self) -> Self {
+    pub fn with_slot_admission(mut self) -> Self {
         self.admission = AdmissionKind::Slots;
         self
     }
 
     /// Sets the bounds of the repeats of routed calls.
     #[must_use]
-    pub const fn with_retry_budget(mut self, retry_budget: RetryBudgetSettings) -> Self {
+    pub fn with_retry_budget(mut self, retry_budget: RetryBudgetSettings) -> Self {
         self.retry_budget = retry_budget;
         self
     }
 
     /// Sets the bounds of the key table.
     #[must_use]
-    pub const fn with_keys(mut self, keys: KeyTableSettings) -> Self {
+    pub fn with_keys(mut self, keys: KeyTableSettings) -> Self {
         self.keys = keys;
         self
     }
--- a/cuminarch-engine/tests/routed.rs
+++ b/cuminarch-engine/tests/routed.rs
@@ -11,10 +11,12 @@
     Action, Arrival, Engine, EngineSettings, Event, Refusal, RefusalReason, RemoteRefusal,
 };
 use cuminarch_protocol::{
-    Member, MemberState, Receipt, RoutedCall, SendKind, UpstreamRecord, UpstreamState,
+    LoadReport, Member, MemberState, PressureReport, Receipt, RoutedCall, SendKind, UpstreamRecord,
+    UpstreamState,
 };
 use cuminarch_types::{
-    AttemptId, Attempts, CallId, Incarnation, MonoTime, Outcome, Rank, RequestId, Revision,
+    AttemptId, Attempts, CallId, Disabled, Incarnation, Mechanism, MonoTime, Outcome, Rank,
+    RequestId, Revision,
 };
 use rstest::rstest;
 
@@ -44,6 +46,11 @@
 
 impl Node {
     fn new() -> Self {
+        Self::without(None)
+    }
+
+    /// A node with a mechanism switched off.
+    fn without(mechanism: Option<Mechanism>) -> Self {
         let mut settings = EngineSettings::new(
             "kasse-1".parse().unwrap(),
             "kasse".parse().unwrap(),
@@ -51,6 +58,7 @@
             "ch-central".parse().unwrap(),
         );
         settings.retry_budget = RetryBudgetSettings::new(0.1, 10.0, Duration::from_secs(10));
+        settings.disabled = Disabled::new(mechanism);
         let sheet = Sheet::parse(SHEET).unwrap();
         let policy = Policy::from_sheet(Revision::new(1), &sheet).unwrap();
         Self { engine: Engine::new(settings, Arc::new(policy)), now: MonoTime::from_millis(1) }
@@ -84,14 +92,7 @@
     }
 
     fn ask(&mut self, method: &str, number: u128) -> (CallId, Vec<Action>) {
-        let routed = RoutedCall {
-            route: "lookup".parse().unwrap(),
-            caller_service: "kasse".parse().unwrap(),
-            caller_zone: "zrh-a".parse().unwrap(),
-            is_nested: false,
-            objective_ms: 500,
-            send: SendKind::First,
-        };
+        let routed = routed_lookup();
         let service = "auftrag".parse().unwrap();
         let arrival = Arrival::outbound(service, RequestId::new(number), method, "/lookup/1");
         let call = self.engine.next_call();
@@ -115,7 +116,19 @@
     fn answer(&mut self, call: CallId, attempt: AttemptId) {
         self.handle(Event::RemoteHead { call, attempt, is_failure: false });
         let receipt = Some(Receipt::default());
-        self.handle(Event::RemoteEnd { call, attempt, receipt });
+        self.handle(Event::RemoteEnd { call, attempt, receipt, link_bytes: 0 });
+    }
+}
+
+/// A lookup of a caller at the node.
+fn routed_lookup() -> RoutedCall {
+    RoutedCall {
+        route: "lookup".parse().unwrap(),
+        caller_service: "kasse".parse().unwrap(),
+        caller_zone: "zrh-a".parse().unwrap(),
+        is_nested: false,
+        objective_ms: 500,
+        send: SendKind::First,
     }
 }
 
@@ -289,3 +302,83 @@
         _ => None,
     })
 }
+
+/// When a refused caller is told to come back: in time for an answer of full use, and
+/// within what it is ready to wait. The rule's time limit is a second.
+#[rstest]
+#[case::within_the_objective(500, None, 50, 250)]
+#[case::short_objective(150, None, 15, 75)]
+#[case::little_time_left(500, Some(300), 50, 90)]
+#[case::objective_beyond_the_deadline(5_000, None, 300, 300)]
+fn a_refused_caller_can_still_be_answered_within_its_objective(
+    #[case] objective_ms: u32,
+    #[case] remaining_ms: Option<u64>,
+    #[case] least_ms: u64,
+    #[case] most_ms: u64,
+) {
+    let mut node = Node::new();
+    let mut waits = Vec::new();
+    for number in 0..200 {
+        let routed = RoutedCall { objective_ms, ..routed_lookup() };
+        let service = "auftrag".parse().unwrap();
+        let arrival = Arrival::outbound(service, RequestId::new(number), "GET", "/lookup/1");
+        let call = node.engine.next_call();
+        let arrival = arrival
+            .with_routed(Some(routed))
+            .with_remaining(remaining_ms.map(Duration::from_millis));
+        let actions = node.handle(Event::arrive(call, arrival));
+        let refused = actions.iter().find_map(|action| match action {
+            Action::Refuse { refusal, .. } => refusal.retry_after,
+            _ => None,
+        });
+        waits.push(refused.expect("no endpoint is known"));
+    }
+    let (least, most) = (*waits.iter().min().unwrap(), *waits.iter().max().unwrap());
+    assert!(least >= Duration::from_millis(least_ms), "{least:?}");
+    assert!(most <= Duration::from_millis(most_ms), "{most:?}");
+    let spread = Duration::from_millis(most_ms - least_ms);
+    assert!(most - least >= spread.mul_f64(0.5), "{least:?} to {most:?}");
+}
+
+#[rstest]
+#[case::on(None, true)]
+#[case::off(Some(Mechanism::Repeats), false)]
+fn repeats_can_be_switched_off(#[case] disabled: Option<Mechanism>, #[case] is_repeated: bool) {
+    let mut node = Node::without(disabled);
+    node.know("auftrag-1");
+    node.know("auftrag-2");
+    let (call, actions) = node.call(1);
+    let (_, attempt) = forwarded(&actions).unwrap();
+    assert_eq!(forwarded(&node.turn_away(call, attempt)).is_some(), is_repeated);
+}
+
+#[rstest]
+#[case::on(None, true)]
+#[case::off(Some(Mechanism::Shedding), false)]
+fn refusal_at_the_entry_can_be_switched_off(
+    #[case] disabled: Option<Mechanism>,
+    #[case] is_shed: bool,
+) {
+    let mut node = Node::without(disabled);
+    node.know("auftrag-1");
+    let pressure = PressureReport {
+        service: "auftrag".parse().unwrap(),
+        shed_milli: 800,
+        age_ms: 0,
+        load_us: 20_000,
+    };
+    let load = LoadReport { pressure: Some(pressure), ..LoadReport::default() };
+    let receipt = Receipt { load: Some(Box::new(load)), ..Receipt::default() };
+    let mut refused = 0;
+    for number in 0..300 {
+        let (call, actions) = node.call(number << 64);
+        let Some((_, attempt)) = forwarded(&actions) else {
+            refused += 1;
+            continue;
+        };
+        node.handle(Event::RemoteHead { call, attempt, is_failure: false });
+        let receipt = Some(receipt.clone());
+        node.handle(Event::RemoteEnd { call, attempt, receipt, link_bytes: 900 });
+    }
+    assert_eq!(refused > 0, is_shed, "{refused}");
+}
--- a/cuminarch-node/src/data/link_pool.rs
+++ b/cuminarch-node/src/data/link_pool.rs
@@ -72,6 +72,8 @@
     socket: Option<Socket>,
     address: SocketAddr,
     pool: LinkPool,
+    /// Bytes of the present call and its answer; of an upload only those of its head.
+    passed_bytes: u64,
 }
 
 enum Socket {
@@ -161,7 +163,7 @@
             return Err(LinkError::Connect);
         }
         peer.in_use += 1;
-        Ok(Link { socket: None, address, pool: self.clone() })
+        Ok(Link { socket: None, address, pool: self.clone(), passed_bytes: 0 })
     }
 
     fn put_back(&self, address: SocketAddr, socket: LinkSocket) {
@@ -204,8 +206,14 @@
 }
 
 impl Link {
-    /// Gives the link back for other calls.
-    pub fn release(mut self) {
+    /// Bytes of the present call and its answer so far.
+    pub const fn passed_bytes(&self) -> u64 {
+        self.passed_bytes
+    }
+
+    /// Gives the link back for other calls. Returns the bytes of the call that has ended.
+    pub fn release(mut self) -> u64 {
+        let passed_bytes = self.passed_bytes;
         match self.socket.take() {
             Some(Socket::Whole(socket)) => {
                 self.pool.put_back(self.address, *socket);
@@ -220,6 +228,7 @@
             }
             None => {}
         }
+        passed_bytes
     }
 
     /// The next frame of the answer, which comes within `timeout`. A peer that
@@ -248,6 +257,7 @@
             };
             match message {
                 Some(Ok(Message::Binary(bytes))) => {
+                    self.passed_bytes += bytes.len() as u64;
                     return Ok(AnswerFrame::decode(&bytes, FrameLimit::DATA)?);
                 }
                 Some(Ok(Message::Ping(_) | Message::Pong(_))) => is_asked = false,
@@ -295,7 +305,7 @@
         let Some(Socket::Whole(mut socket)) = self.socket.take() else {
             return Err(LinkError::Closed);
         };
-        feed(&mut socket, &CallFrame::Head(Box::new(head))).await?;
+        self.passed_bytes += feed(&mut socket, &CallFrame::Head(Box::new(head))).await?;
         let body = match body {
             RequestBody::Held(bytes) => RequestBody::Held(bytes.clone()),
             RequestBody::Passed(..) => std::mem::replace(body, RequestBody::Held(Bytes::new())),
@@ -303,7 +313,7 @@
         match body {
             RequestBody::Held(bytes) => {
                 for part in parts(bytes) {
-                    feed(&mut socket, &CallFrame::Body(part)).await?;
+                    self.passed_bytes += feed(&mut socket, &CallFrame::Body(part)).await?;
                 }
                 feed(&mut socket, &CallFrame::BodyEnd).await?;
                 socket.flush().await.map_err(Box::new)?;
@@ -318,6 +328,10 @@
     }
 }
 
-async fn feed(socket: &mut LinkSocket, frame: &CallFrame) -> Result<(), LinkError> {
-    socket.feed(Message::Binary(frame.encode()?)).await.map_err(|error| Box::new(error).into())
+/// Puts a frame into the link's buffer. Returns its length in bytes.
+async fn feed(socket: &mut LinkSocket, frame: &CallFrame) -> Result<u64, LinkError> {
+    let bytes = frame.encode()?;
+    let len_bytes = bytes.len() as u64;
+    socket.feed(Message::Binary(bytes)).await.map_err(Box::new)?;
+    Ok(len_bytes)
 }
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -51,6 +51,8 @@
     PlatformCallFailed,
     /// Settings were read again and have changed.
     SettingsReloaded,
+    /// Mechanisms are switched off by the settings.
+    MechanismsDisabled,
     /// A caller got a final answer of the node.
     CallRefused,
     /// An attempt at another node failed or was refused.
@@ -65,7 +67,7 @@
 
 impl NodeEvent {
     /// Every event, in order of code.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 30] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -90,6 +92,7 @@
         Self::PlatformCallFailed,
         Self::StoreRestored,
         Self::SettingsReloaded,
+        Self::MechanismsDisabled,
         Self::CallRefused,
         Self::AttemptFailed,
         Self::UpstreamFault,
@@ -125,6 +128,7 @@
             Self::PlatformCallFailed => 3004,
             Self::StoreRestored => 3005,
             Self::SettingsReloaded => 1005,
+            Self::MechanismsDisabled => 1006,
             Self::CallRefused => 2101,
             Self::AttemptFailed => 2102,
             Self::UpstreamFault => 2103,
@@ -161,6 +165,7 @@
             Self::PlatformCallFailed => "platform-call-failed",
             Self::StoreRestored => "store-restored",
             Self::SettingsReloaded => "settings-reloaded",
+            Self::MechanismsDisabled => "mechanisms-disabled",
             Self::CallRefused => "call-refused",
             Self::AttemptFailed => "attempt-failed",
             Self::UpstreamFault => "upstream-fault",
--- a/cuminarch-node/src/node.rs
+++ b/cuminarch-node/src/node.rs
@@ -12,7 +12,7 @@
 use cuminarch_protocol::{Member, MemberState, UpstreamRecord};
 use cuminarch_types::{EndpointId, Incarnation};
 use flume::{Receiver, Sender};
-use log::info;
+use log::{info, warn};
 
 use crate::admin::{AdminHandle, AdminThread};
 use crate::clock::Clock;
@@ -204,7 +204,7 @@
         if kind == ControlPlaneKind::Relays {
             spawn_claims(store, &settings, claims.1, &commands.0, &duties)?;
         }
-        info!("{} endpoint={} callers={}", NodeEvent::Started, settings.endpoint, addresses.caller);
+        log_start(&settings, addresses.caller);
         let shutdown = ShutdownTimes::of(&settings);
         let (told, watched) = (commands.0.clone(), duties.clone());
         let thread =
@@ -353,6 +353,13 @@
     }
 }
 
+fn log_start(settings: &NodeSettings, callers: SocketAddr) {
+    info!("{} endpoint={} callers={callers}", NodeEvent::Started, settings.endpoint);
+    if !settings.disabled.is_empty() {
+        warn!("{} disabled={}", NodeEvent::MechanismsDisabled, settings.disabled);
+    }
+}
+
 fn engine_of(settings: &NodeSettings, incarnation: Incarnation) -> Engine {
     let retry_budget = settings.retry_budget();
     let registers = settings.registration_address.is_some();
@@ -365,7 +372,8 @@
     .with_incarnation(incarnation)
     .with_seed(incarnation.get())
     .with_keys(KeyTableSettings::new().with_first_serial(random_serial()))
-    .with_retry_budget(retry_budget);
+    .with_retry_budget(retry_budget)
+    .with_disabled(settings.disabled.clone());
     let settings = if registers { settings.with_slot_admission() } else { settings };
     Engine::new(settings, Arc::new(Policy::safe_default()))
 }
--- a/cuminarch-node/src/settings.rs
+++ b/cuminarch-node/src/settings.rs
@@ -3,7 +3,7 @@
 
 use compact_str::CompactString;
 use cuminarch_attempts::RetryBudgetSettings;
-use cuminarch_types::{EndpointId, RegionName, ServiceName, ZoneName};
+use cuminarch_types::{Disabled, EndpointId, RegionName, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::NodeError;
@@ -86,6 +86,9 @@
     /// Most connections from callers and peers, and most from the own upstream.
     #[serde(default = "default_max_connections")]
     pub max_connections: usize,
+    /// Mechanisms that are switched off, by name.
+    #[serde(default, skip_serializing_if = "Disabled::is_empty")]
+    pub disabled: Disabled,
 }
 
 const fn default_shutdown_timeout_ms() -> u64 {
--- a/cuminarch-node/tests/settings.rs
+++ b/cuminarch-node/tests/settings.rs
@@ -84,3 +84,17 @@
     let text = format!("{GOOD}config_apply_ms: 0\nretry_window_s: -1\n");
     insta::assert_snapshot!("bounds_out_of_range", error(&text));
 }
+
+#[rstest]
+#[case::none("", "")]
+#[case::two("disabled: [detours, shedding]\n", "detours,shedding")]
+fn mechanisms_are_switched_off_by_name(#[case] line: &str, #[case] expected: &str) {
+    let settings = NodeSettings::parse(&format!("{GOOD}{line}")).unwrap();
+    assert_eq!(settings.disabled.to_string(), expected);
+}
+
+#[test]
+fn an_unknown_mechanism_is_named_with_its_place() {
+    let fault = error(&format!("{GOOD}disabled: [detour]\n"));
+    assert!(fault.contains("detour") && fault.contains("line"), "{fault}");
+}
--- a/cuminarch-routing/src/occupancy.rs
+++ b/cuminarch-routing/src/occupancy.rs
@@ -10,17 +10,18 @@
 
 use std::time::Duration;
 
-use cuminarch_types::MonoTime;
+use cuminarch_types::{Mechanism, MonoTime, RouteName};
 use rand::RngExt;
 use rand::seq::index::sample;
 use rand_chacha::ChaCha8Rng;
 
+use crate::detour::Detour;
 use crate::endpoint::Endpoint;
 use crate::service::Place;
 use crate::typical_occupancy::TypicalOccupancy;
 
 /// Occupancy of the own zone below which no call leaves it, in thousandths.
-const ROOM_MILLI: f64 = 650.0;
+const ROOM_MILLI: f64 = 750.0;
 /// Occupancy by which the own zone has to exceed the others before calls leave it, in
 /// thousandths: a call there costs time and traffic.
 const DISTANCE_MILLI: f64 = 100.0;
@@ -37,6 +38,9 @@
 /// Endpoints that are compared, random ones, so that nodes which see the same do not all
 /// choose the same (Mitzenmacher, 2001).
 const COMPARED: usize = 2;
+/// Endpoints that are compared for a call that makes a detour: what speaks for one is the
+/// room of its whole zone, which changes slowly.
+const COMPARED_ON_DETOUR: usize = 6;
 
 /// What is known of the occupancy of a service, in the own zone and in others, and
 /// which part of the calls leaves the zone.
@@ -73,60 +77,91 @@
         self.spilled = (self.spilled + step).clamp(0.0, Self::MOST_SPILLED);
     }
 
+    /// Part of the calls that leaves the zone, as that has no room.
+    pub const fn spilled(&self) -> f64 {
+        self.spilled
+    }
+
     /// The least full of a few random endpoints of the own zone, or of others for
-    /// calls that spill over.
+    /// calls that spill over or make a detour.
     pub fn choose<'a>(
         &self,
         endpoints: &[&'a Endpoint],
+        detour: Option<(&RouteName, &Detour)>,
         place: &Place,
         now: MonoTime,
         rng: &mut ChaCha8Rng,
     ) -> Option<&'a Endpoint> {
         let is_near = |endpoint: &&&Endpoint| place.distance(&endpoint.member) == 0;
         let (near, far): (Vec<&Endpoint>, Vec<&Endpoint>) = endpoints.iter().partition(is_near);
-        if near.is_empty() || (!far.is_empty() && rng.random_bool(self.spilled)) {
-            return self.least_full(&far, self.far, now, rng);
+        let spilled = if place.disabled.has(Mechanism::SpillOver) { 0.0 } else { self.spilled };
+        let drawn = rng.random_range(0.0..1.0);
+        let is_detour = detour.is_some_and(|(_, detour)| drawn < detour.part());
+        if !far.is_empty() && is_detour {
+            let compared = draw(&far, COMPARED_ON_DETOUR, rng);
+            return least_full(&compared, detour, self.far, place, now);
+        }
+        if near.is_empty() || (!far.is_empty() && drawn < spilled) {
+            return least_full(&draw(&far, COMPARED, rng), detour, self.far, place, now);
         }
-        let chosen = self.least_full(&near, self.near, now, rng)?;
-        let drawback_milli = drawback_milli(chosen, now);
+        let chosen = least_full(&draw(&near, COMPARED, rng), detour, self.near, place, now)?;
+        let drawback_milli = drawback_milli(chosen, place, now);
         if drawback_milli == 0 {
             return Some(chosen);
         }
-        let other = self.least_full(&far, self.far, now, rng);
-        other.filter(|other| drawback_milli > drawback_milli_of_far(other, now)).or(Some(chosen))
+        let other = least_full(&draw(&far, COMPARED, rng), detour, self.far, place, now);
+        other
+            .filter(|other| drawback_milli > drawback_milli_of_far(other, place, now))
+            .or(Some(chosen))
     }
+}
 
-    fn least_full<'a>(
-        &self,
-        endpoints: &[&'a Endpoint],
-        typical: TypicalOccupancy,
-        now: MonoTime,
-        rng: &mut ChaCha8Rng,
-    ) -> Option<&'a Endpoint> {
-        let typical_milli = (typical.milli(now).unwrap_or_default() * UNKNOWN_PART) as u32;
-        let compared = draw(endpoints, rng);
-        compared.into_iter().min_by_key(|endpoint| {
-            endpoint.occupancy_milli(typical_milli, now) + drawback_milli(endpoint, now)
-        })
-    }
+/// The least full of some endpoints, drawbacks counted in.
+fn least_full<'a>(
+    endpoints: &[&'a Endpoint],
+    detour: Option<(&RouteName, &Detour)>,
+    typical: TypicalOccupancy,
+    place: &Place,
+    now: MonoTime,
+) -> Option<&'a Endpoint> {
+    let typical_milli = (typical.milli(now).unwrap_or_default() * UNKNOWN_PART) as u32;
+    endpoints.iter().copied().min_by_key(|endpoint| {
+        let behind_milli = detour.map_or(0, |detour| behind_milli(endpoint, detour));
+        let occupancy_milli = if place.disabled.has(Mechanism::OccupancyReports) {
+            endpoint.own_occupancy_milli()
+        } else {
+            endpoint.occupancy_milli(typical_milli, now)
+        };
+        occupancy_milli + drawback_milli(endpoint, place, now) + behind_milli
+    })
 }
 
 /// What speaks against an endpoint beside its occupancy, in thousandths.
-fn drawback_milli(endpoint: &Endpoint, now: MonoTime) -> u32 {
-    let cold_milli = if endpoint.is_cold(now) { COLD_MILLI } else { 0 };
-    cold_milli + (endpoint.fault_part(now) * FAULTY_MILLI) as u32
+fn drawback_milli(endpoint: &Endpoint, place: &Place, now: MonoTime) -> u32 {
+    let is_cold = endpoint.is_cold(now) && !place.disabled.has(Mechanism::WarmUp);
+    let cold_milli = if is_cold { COLD_MILLI } else { 0 };
+    let has_cost = !place.disabled.has(Mechanism::FaultCost);
+    let fault_part = if has_cost { endpoint.fault_part(now) } else { 0.0 };
+    cold_milli + (fault_part * FAULTY_MILLI) as u32
+}
+
+/// What the calls behind an endpoint cost, in thousandths: as if the call itself went as
+/// many times to another zone.
+fn behind_milli(endpoint: &Endpoint, (route, detour): (&RouteName, &Detour)) -> u32 {
+    let call_bytes = detour.call_bytes().unwrap_or(f64::INFINITY).max(1.0);
+    (DISTANCE_MILLI * endpoint.bytes_behind(route) / call_bytes) as u32
 }
 
 /// The same for an endpoint of another zone.
-fn drawback_milli_of_far(endpoint: &Endpoint, now: MonoTime) -> u32 {
-    drawback_milli(endpoint, now) + DISTANCE_MILLI as u32
+fn drawback_milli_of_far(endpoint: &Endpoint, place: &Place, now: MonoTime) -> u32 {
+    drawback_milli(endpoint, place, now) + DISTANCE_MILLI as u32
 }
 
 /// A few random ones, in random order.
-fn draw<'a>(endpoints: &[&'a Endpoint], rng: &mut ChaCha8Rng) -> Vec<&'a Endpoint> {
+fn draw<'a>(endpoints: &[&'a Endpoint], count: usize, rng: &mut ChaCha8Rng) -> Vec<&'a Endpoint> {
     if endpoints.len() <= 1 {
         return endpoints.to_vec();
     }
-    let count = endpoints.len().min(COMPARED);
+    let count = endpoints.len().min(count);
     sample(rng, endpoints.len(), count).into_iter().map(|index| endpoints[index]).collect()
 }
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -1,11 +1,14 @@
 use std::collections::BTreeMap;
 
 use cuminarch_protocol::Member;
-use cuminarch_types::{EndpointId, MonoTime, RegionName, RuleNumber, ServiceName, ZoneName};
+use cuminarch_types::{
+    Disabled, EndpointId, MonoTime, RegionName, RouteName, RuleNumber, ServiceName, ZoneName,
+};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::service::{Place, Service};
+use crate::target::Choice;
 use crate::zone_sight::ZoneSights;
 use crate::{CallKind, CallSample, LearnedLevel, Target};
 
@@ -21,11 +24,19 @@
     /// A router of a node in the given zone.
     #[must_use]
     pub fn new(zone: ZoneName, region: RegionName, seed: u64) -> Self {
-        let place = Place { zone, region, sights: ZoneSights::default() };
+        let sights = ZoneSights::default();
+        let place = Place { zone, region, sights, disabled: Disabled::default() };
         let rng = ChaCha8Rng::seed_from_u64(seed);
         Self { place, rng, services: BTreeMap::new() }
     }
 
+    /// Switches mechanisms off.
+    #[must_use]
+    pub fn with_disabled(mut self, disabled: Disabled) -> Self {
+        self.place.disabled = disabled;
+        self
+    }
+
     /// Takes in what is known of a member; older statements are ignored.
     pub fn update(&mut self, member: Member, now: MonoTime) {
         let service = self.services.entry(member.service.clone()).or_default();
@@ -55,7 +66,53 @@
         now: MonoTime,
     ) -> Option<Target> {
         let service = self.services.get_mut(service)?;
-        service.pick(&self.place, kind, exclude, now, &mut self.rng)
+        let choice = Choice { kind, route: None, exclude };
+        service.pick(&self.place, &choice, now, &mut self.rng)
+    }
+
+    /// Chooses an endpoint that is not in `exclude` for a call on a route.
+    pub fn pick_routed(
+        &mut self,
+        service: &ServiceName,
+        route: &RouteName,
+        kind: CallKind,
+        exclude: &[EndpointId],
+        now: MonoTime,
+    ) -> Option<Target> {
+        let service = self.services.get_mut(service)?;
+        let choice = Choice { kind, route: Some(route), exclude };
+        service.pick(&self.place, &choice, now, &mut self.rng)
+    }
+
+    /// Notes the bytes of a call on a route and its answer.
+    pub fn note_call_bytes(&mut self, service: &ServiceName, route: &RouteName, bytes: u64) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.note_call_bytes(route, bytes);
+        }
+    }
+
+    /// Takes in the bytes between zones that a call on a route causes behind an endpoint.
+    pub fn note_bytes_behind(
+        &mut self,
+        service: &ServiceName,
+        endpoint: &EndpointId,
+        route: &RouteName,
+        bytes: u32,
+        now: MonoTime,
+    ) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.note_bytes_behind(&self.place, endpoint, route, bytes, now);
+        }
+    }
+
+    /// Bytes between zones that one more call on a route causes, the calls behind it
+    /// included. Of several services of a route the one heard of last counts.
+    #[must_use]
+    pub fn cost_bytes(&self, route: &RouteName) -> f64 {
+        let known =
+            self.services.values().filter_map(|service| service.cost_bytes(&self.place, route));
+        let latest = known.max_by_key(|(noted_at, _)| *noted_at);
+        latest.map_or(0.0, |(_, bytes)| bytes)
     }
 
     /// Notes that a call was sent.
--- a/cuminarch-routing/src/service.rs
+++ b/cuminarch-routing/src/service.rs
@@ -2,13 +2,17 @@
 use std::time::Duration;
 
 use cuminarch_protocol::Member;
-use cuminarch_types::{EndpointId, MonoTime, RegionName, RuleNumber, ZoneName};
+use cuminarch_types::{
+    Disabled, EndpointId, Mechanism, MonoTime, RegionName, RouteName, RuleNumber, ZoneName,
+};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
+use crate::detour::Detour;
 use crate::endpoint::Endpoint;
 use crate::occupancy::ServiceOccupancy;
 use crate::spill::Spill;
+use crate::target::Choice;
 use crate::zone_sight::ZoneSights;
 use crate::{CallKind, CallSample, LearnedLevel, Target};
 
@@ -19,16 +23,19 @@
     pub region: RegionName,
     /// Other zones as calls have shown them.
     pub sights: ZoneSights,
+    /// Mechanisms that are switched off.
+    pub disabled: Disabled,
 }
 
 impl Place {
     /// Whether calls to a zone have a chance to arrive.
     pub fn reaches(&self, zone: &ZoneName, now: MonoTime) -> bool {
-        *zone == self.zone || !self.sights.is_cut(zone, now)
+        let sees_cuts = !self.disabled.has(Mechanism::ZoneSights);
+        *zone == self.zone || !sees_cuts || !self.sights.is_cut(zone, now)
     }
 
     pub fn distance(&self, member: &Member) -> u8 {
-        if member.zone == self.zone {
+        if member.zone == self.zone || self.disabled.has(Mechanism::ZonePreference) {
             0
         } else if member.region == self.region {
             1
@@ -44,6 +51,7 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     spill: Spill,
     occupancy: ServiceOccupancy,
+    detours: BTreeMap<RouteName, Detour>,
     checked_at: MonoTime,
 }
 
@@ -106,11 +114,11 @@
     pub fn pick(
         &mut self,
         place: &Place,
-        kind: CallKind,
-        exclude: &[EndpointId],
+        choice: &Choice<'_>,
         now: MonoTime,
         rng: &mut ChaCha8Rng,
     ) -> Option<Target> {
+        let Choice { kind, route, exclude } = *choice;
         self.check(place, now);
         let usable: Vec<&Endpoint> = self
             .endpoints()
@@ -125,7 +133,10 @@
         }
         let healthy = narrow(usable, |endpoint| endpoint.is_healthy(now));
         if healthy.iter().any(|endpoint| endpoint.states_slots()) {
-            return self.occupancy.choose(&healthy, place, now, rng).map(Endpoint::target);
+            let route = route.filter(|_| !place.disabled.has(Mechanism::Detours));
+            let detour = route.and_then(|route| Some((route, self.detours.get(route)?)));
+            let chosen = self.occupancy.choose(&healthy, detour, place, now, rng);
+            return chosen.map(Endpoint::target);
         }
         let willing = narrow(healthy, |endpoint| endpoint.admits(kind, now));
         let nearest = self.nearest(place, &willing, rng);
@@ -175,6 +186,36 @@
         self.occupancy.note(place.distance(&found.member) == 0, milli, now);
     }
 
+    /// Notes the bytes of a call on a route and its answer.
+    pub fn note_call_bytes(&mut self, route: &RouteName, bytes: u64) {
+        self.detours.entry(route.clone()).or_default().note_call(bytes);
+    }
+
+    /// Takes in the bytes between zones that a call on a route causes behind an endpoint.
+    pub fn note_bytes_behind(
+        &mut self,
+        place: &Place,
+        endpoint: &EndpointId,
+        route: &RouteName,
+        bytes: u32,
+        now: MonoTime,
+    ) {
+        let Some(found) = self.endpoints.get_mut(endpoint) else { return };
+        found.note_bytes_behind(route, bytes);
+        let is_near = place.distance(&found.member) == 0;
+        self.detours.entry(route.clone()).or_default().note_behind(is_near, bytes, now);
+    }
+
+    /// Bytes between zones that one more call on a route causes, and since when that is
+    /// known.
+    pub fn cost_bytes(&self, place: &Place, route: &RouteName) -> Option<(MonoTime, f64)> {
+        let detour = self.detours.get(route)?;
+        let is_near = |endpoint: &Endpoint| place.distance(&endpoint.member) == 0;
+        let has_near = self.endpoints().any(|endpoint| is_near(endpoint) && endpoint.takes_work());
+        let spilled = if has_near { self.occupancy.spilled() } else { 1.0 };
+        Some((detour.noted_at(), detour.cost_bytes(spilled)))
+    }
+
     /// The endpoints of the nearest zone, or those further away for calls that
     /// spill over.
     fn nearest<'a>(
@@ -201,8 +242,12 @@
             return;
         }
         self.checked_at = now;
-        self.occupancy.adapt(elapsed.min(Self::MOST_ELAPSED), now);
-        self.eject_outliers(now);
+        let elapsed = elapsed.min(Self::MOST_ELAPSED);
+        self.occupancy.adapt(elapsed, now);
+        self.detours.values_mut().for_each(|detour| detour.adapt(elapsed));
+        if !place.disabled.has(Mechanism::Ejection) {
+            self.eject_outliers(now);
+        }
         let mean = |is_near: bool| {
             let side = self.endpoints().filter(|endpoint| endpoint.is_healthy(now));
             let side = side.filter(|endpoint| (place.distance(&endpoint.member) == 0) == is_near);
--- /dev/null
+++ b/cuminarch-routing/tests/disabled.rs
@@ -0,0 +1,178 @@
+//! Each mechanism that can be switched off changes where calls are sent.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cuminarch_protocol::{Member, MemberState, UpstreamRecord, UpstreamState};
+use cuminarch_routing::{CallKind, CallSample, Router};
+use cuminarch_types::{
+    Disabled, EndpointId, Incarnation, Mechanism, MonoTime, RouteName, ServiceName,
+};
+use rstest::rstest;
+
+const SLOTS: u32 = 40;
+const HOLDING: Duration = Duration::from_millis(20);
+
+fn service() -> ServiceName {
+    "katalog".parse().unwrap()
+}
+
+fn route() -> RouteName {
+    "browse".parse().unwrap()
+}
+
+/// Two endpoints in the own zone, and two in another.
+fn router(disabled: Option<Mechanism>, behaviour: Behaviour) -> Router {
+    let mut router = Router::new("near".parse().unwrap(), "ch-central".parse().unwrap(), 7)
+        .with_disabled(Disabled::new(disabled));
+    for (index, zone) in ["near", "near", "far", "far"].into_iter().enumerate() {
+        let address = ([10, 0, 0, index as u8], 7_000).into();
+        let upstream = UpstreamRecord {
+            slots: SLOTS,
+            state: UpstreamState::Ready,
+            warm_up_ms: if index == 0 && behaviour.is_cold { 60_000 } else { 0 },
+            ..UpstreamRecord::absent()
+        };
+        let member = Member {
+            endpoint: endpoint(index),
+            service: service(),
+            zone: zone.parse().unwrap(),
+            region: "ch-central".parse().unwrap(),
+            incarnation: Incarnation::new(1),
+            statement: 0,
+            data_address: address,
+            control_address: address,
+            state: MemberState::Active,
+            upstream: Some(upstream),
+        };
+        router.update(member, MonoTime::from_millis(1));
+    }
+    router
+}
+
+fn endpoint(index: usize) -> EndpointId {
+    format!("katalog-{index}").parse().unwrap()
+}
+
+/// How the endpoints of a play behave.
+#[derive(Clone, Copy, Debug, Default)]
+struct Behaviour {
+    /// Occupancy that the endpoints of the own zone report, in thousandths.
+    near_milli: u32,
+    /// Bytes between zones that a call causes behind them.
+    near_behind: u32,
+    /// Whether the first endpoint is slow after a start.
+    is_cold: bool,
+    /// Whether the second endpoint fails a fifth of its calls.
+    fails: bool,
+    /// Whether the other zone cannot be reached.
+    is_cut: bool,
+}
+
+/// Parts of the calls that went to each endpoint.
+fn play(disabled: Option<Mechanism>, behaviour: Behaviour) -> [f64; 4] {
+    let mut router = router(disabled, behaviour);
+    let mut counts: BTreeMap<EndpointId, u32> = BTreeMap::new();
+    for number in 0..2_000_u32 {
+        let now = MonoTime::from_millis(2_000 + u64::from(number) * 5);
+        let kind = CallKind::default();
+        let target = router.pick_routed(&service(), &route(), kind, &[], now).unwrap();
+        router.started(&service(), &target.endpoint, now);
+        *counts.entry(target.endpoint.clone()).or_default() += 1;
+        let is_near = target.endpoint < endpoint(2);
+        let is_failure = behaviour.fails && target.endpoint == endpoint(1) && number % 5 == 0;
+        let sample = match (is_near, is_failure) {
+            (false, _) if behaviour.is_cut => CallSample::Unreachable,
+            (_, true) => CallSample::Faulty,
+            _ => CallSample::Answered(HOLDING),
+        };
+        let milli = if is_near { behaviour.near_milli } else { 100 };
+        let behind = if is_near { behaviour.near_behind } else { 0 };
+        let end = now.after(Duration::from_millis(2));
+        router.note_occupancy(&service(), &target.endpoint, milli, end);
+        router.note_call_bytes(&service(), &route(), 1_000);
+        router.note_bytes_behind(&service(), &target.endpoint, &route(), behind, end);
+        router.finished(&service(), &target.endpoint, sample, end);
+    }
+    [0, 1, 2, 3]
+        .map(|index| f64::from(counts.get(&endpoint(index)).copied().unwrap_or_default()) / 2_000.0)
+}
+
+fn left_zone(parts: [f64; 4]) -> f64 {
+    parts[2] + parts[3]
+}
+
+#[rstest]
+#[case::spill_over(
+    Mechanism::SpillOver,
+    Behaviour { near_milli: 990, ..Behaviour::default() }
+)]
+#[case::detours(
+    Mechanism::Detours,
+    Behaviour { near_milli: 300, near_behind: 4_000, ..Behaviour::default() }
+)]
+fn calls_leave_the_zone_unless_it_is_off(
+    #[case] mechanism: Mechanism,
+    #[case] behaviour: Behaviour,
+) {
+    let on = left_zone(play(None, behaviour));
+    let off = left_zone(play(Some(mechanism), behaviour));
+    assert!(on > 0.3 && off < 0.05, "{on} and {off}");
+}
+
+#[test]
+fn without_zone_preference_calls_spread_over_all() {
+    let behaviour = Behaviour { near_milli: 100, ..Behaviour::default() };
+    let on = left_zone(play(None, behaviour));
+    let off = left_zone(play(Some(Mechanism::ZonePreference), behaviour));
+    assert!(on < 0.05 && off > 0.4, "{on} and {off}");
+}
+
+#[rstest]
+#[case::warm_up(
+    Mechanism::WarmUp,
+    0,
+    Behaviour { near_milli: 200, is_cold: true, ..Behaviour::default() }
+)]
+#[case::fault_cost(
+    Mechanism::FaultCost,
+    1,
+    Behaviour { near_milli: 200, fails: true, ..Behaviour::default() }
+)]
+fn a_weak_endpoint_gets_more_calls_if_it_is_off(
+    #[case] mechanism: Mechanism,
+    #[case] weak: usize,
+    #[case] behaviour: Behaviour,
+) {
+    let on = play(None, behaviour)[weak];
+    let off = play(Some(mechanism), behaviour)[weak];
+    assert!(off > on + 0.1, "{on} and {off}");
+}
+
+#[test]
+fn a_zone_that_is_cut_off_gets_more_calls_without_sights() {
+    let behaviour = Behaviour { near_milli: 990, is_cut: true, ..Behaviour::default() };
+    let on = left_zone(play(None, behaviour));
+    let off = left_zone(play(Some(Mechanism::ZoneSights), behaviour));
+    assert!(off > on, "{on} and {off}");
+}
+
+#[rstest]
+#[case::on(None, 1)]
+#[case::off(Some(Mechanism::Ejection), 0)]
+fn an_endpoint_that_fails_is_ejected(#[case] disabled: Option<Mechanism>, #[case] ejected: usize) {
+    let mut router = router(disabled, Behaviour::default());
+    for number in 0..40 {
+        let now = MonoTime::from_millis(2_000 + number * 60);
+        router.pick(&service(), CallKind::default(), &[], now);
+        for (index, sample) in
+            [CallSample::Failed, CallSample::Answered(HOLDING), CallSample::Answered(HOLDING)]
+                .into_iter()
+                .enumerate()
+        {
+            router.started(&service(), &endpoint(index), now);
+            router.finished(&service(), &endpoint(index), sample, now.after(HOLDING));
+        }
+    }
+    assert_eq!(router.ejected(&service()), ejected);
+}
