--- a/cuminarch-node/src/logging.rs
+++ b/cuminarch-node/src/logging.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
+use std::time::{Duration, Instant};
 
 use flume::{Receiver, Sender, TrySendError};
 
@@ -12,10 +13,18 @@
 /// is room again.
 #[derive(Clone, Debug)]
 pub struct LogRing {
-    lines: Sender<Vec<u8>>,
+    entries: Sender<Entry>,
     dropped: Arc<AtomicU64>,
 }
 
+/// What the writing thread is handed.
+#[derive(Debug)]
+enum Entry {
+    Line(Vec<u8>),
+    /// All lines before this have to be written out.
+    Flush(Sender<()>),
+}
+
 impl LogRing {
     /// Lines that wait at most; some hundred kilobytes.
     const LINES: usize = 1_024;
@@ -35,19 +44,29 @@
     ///
     /// Fails when no thread can be had.
     pub fn to_writer(output: impl Write + Send + 'static) -> io::Result<Self> {
-        let (lines, ring) = flume::bounded(Self::LINES);
+        let (entries, ring) = flume::bounded(Self::LINES);
         let dropped = Arc::new(AtomicU64::new(0));
         let counted = Arc::clone(&dropped);
         thread::Builder::new()
             .name("log".to_owned())
             .spawn(move || write_lines(&ring, output, &counted))?;
-        Ok(Self { lines, dropped })
+        Ok(Self { entries, dropped })
+    }
+
+    /// Waits until what was logged so far is written, for at most `limit`: the last lines
+    /// of a process would end with it otherwise. Returns whether it is.
+    #[must_use]
+    pub fn flush_within(&self, limit: Duration) -> bool {
+        let (written, told) = flume::bounded(1);
+        let until = Instant::now() + limit;
+        let is_sent = self.entries.send_deadline(Entry::Flush(written), until).is_ok();
+        is_sent && told.recv_deadline(until).is_ok()
     }
 }
 
 impl Write for LogRing {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        if let Err(TrySendError::Full(_)) = self.lines.try_send(one_line(bytes)) {
+        if let Err(TrySendError::Full(_)) = self.entries.try_send(Entry::Line(one_line(bytes))) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(bytes.len())
@@ -72,8 +91,16 @@
     line
 }
 
-fn write_lines(ring: &Receiver<Vec<u8>>, mut output: impl Write, dropped: &AtomicU64) {
-    while let Ok(line) = ring.recv() {
+fn write_lines(ring: &Receiver<Entry>, mut output: impl Write, dropped: &AtomicU64) {
+    while let Ok(entry) = ring.recv() {
+        let line = match entry {
+            Entry::Line(line) => line,
+            Entry::Flush(written) => {
+                // Who waited for it may have given up.
+                let _ = output.flush().map(|()| written.try_send(()));
+                continue;
+            }
+        };
         let count = dropped.swap(0, Ordering::Relaxed);
         let told = match count {
             0 => Ok(()),
--- a/cuminarch-node/tests/logging.rs
+++ b/cuminarch-node/tests/logging.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Write};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cuminarch_node::logging::LogRing;
 use rstest::rstest;
@@ -34,12 +34,29 @@
     let output = Output::default();
     let mut ring = LogRing::to_writer(output.clone()).unwrap();
     ring.write_all(record.as_bytes()).unwrap();
-    let read = || String::from_utf8(output.0.lock().unwrap().clone()).unwrap();
-    for _ in 0..500 {
-        if !read().is_empty() {
-            break;
-        }
-        std::thread::sleep(Duration::from_millis(10));
+    assert!(ring.flush_within(Duration::from_secs(5)));
+    assert_eq!(String::from_utf8(output.0.lock().unwrap().clone()).unwrap(), expected);
+}
+
+/// Output that takes nothing, as a pipe that nobody reads.
+struct Stuck;
+
+impl Write for Stuck {
+    fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+        std::thread::sleep(Duration::from_secs(60));
+        Ok(0)
     }
-    assert_eq!(read(), expected);
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_stop_does_not_wait_for_an_output_that_takes_nothing() {
+    let mut ring = LogRing::to_writer(Stuck).unwrap();
+    ring.write_all(b"CU1002 draining\n").unwrap();
+    let begun = Instant::now();
+    assert!(!ring.flush_within(Duration::from_millis(50)));
+    assert!(begun.elapsed() < Duration::from_secs(5));
 }
