feat(admission): what waits at a door starts by the time that it has left

Cause: callers' own requests stood behind every call of any run, whatever their objective. Change: the queue is ordered by the latest start for an answer of full use; callers' requests are put off by a quarter of that time for each class below calls of runs. Tests: surge.rs (order, no starvation), disabled.rs.

--- a/cuminarch-admission/src/control.rs
+++ b/cuminarch-admission/src/control.rs
@@ -12,6 +12,8 @@
     pub call: CallId,
     /// Place in the refusal order.
     pub rank: Rank,
+    /// Number of classes that are refused after its own.
+    pub more_urgent_classes: u8,
     /// When an answer is of no use any more.
     pub deadline: MonoTime,
     /// The route that it took, if it took one.
--- a/cuminarch-admission/src/senders.rs
+++ b/cuminarch-admission/src/senders.rs
@@ -26,7 +26,7 @@
     /// Factor by which the time grows when it proves too short.
     const GROWTH: u32 = 2;
     /// Time in which what it has grown is forgotten, as chains become faster again.
-    const MEMORY: Duration = Duration::from_secs(30);
+    const MEMORY: Duration = Duration::from_secs(20);
     /// Load from which an endpoint is full, in thousandths.
     const FULL_MILLI: u64 = 960;
     /// Load below which it idles, in thousandths.
@@ -66,14 +66,16 @@
         }
     }
 
-    /// An endpoint that goes from full to idle while requests stay away has asked for too
-    /// much, as it did not wait for what it asked before.
+    /// An endpoint that goes from full to idle although enough is wanted of it has asked for
+    /// too much, as it did not wait for what it asked before.
     fn learn(&mut self, load_milli: u64, reported_milli: f64, elapsed: Duration) {
         let grown = self.reaction.saturating_sub(Self::LEAST_REACTION);
         self.reaction = Self::LEAST_REACTION + grown.mul_f64(left_after(elapsed, Self::MEMORY));
+        let wanted_milli = load_milli * 1_000 / self.passed_milli().max(1);
+        let is_overdone = Self::is_idle(load_milli) && wanted_milli >= Self::FULL_MILLI;
         if load_milli >= Self::FULL_MILLI {
             self.was_full = true;
-        } else if self.was_full && Self::is_idle(load_milli) && reported_milli > Self::LEAST_MILLI {
+        } else if self.was_full && is_overdone && reported_milli > Self::LEAST_MILLI {
             self.was_full = false;
             self.reaction = (self.reaction * Self::GROWTH).min(Self::MOST_REACTION);
         }
--- a/cuminarch-admission/src/slot_admission.rs
+++ b/cuminarch-admission/src/slot_admission.rs
@@ -1,15 +1,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use cuminarch_types::{
-    CallId, ConcurrencyLimit, Disabled, Mechanism, MonoTime, Priority, Rank, RouteName,
-};
+use cuminarch_types::{CallId, ConcurrencyLimit, Disabled, Mechanism, MonoTime, Rank, RouteName};
 
 use crate::shortage::Shortage;
 use crate::{AdmissionControl, AdmissionRequest, Offer, OfferReply, QueueEvent};
 
 /// Place in the queue; the least is started first.
-type Place = (u8, MonoTime, CallId);
+type Place = (MonoTime, CallId);
 
 #[derive(Clone, Debug)]
 struct Running {
@@ -28,7 +26,10 @@
 ///
 /// Answers the load of a surge: the endpoint gets as many requests as it has
 /// slots, so that none queues within it, where no order of urgency holds.
-/// Others wait here, those of runs under way first, then the more urgent ones.
+/// Others wait here by the time at which they have to start for an answer of full use:
+/// a request with a short objective does not stand behind calls that can wait. That time
+/// is put off for callers' requests, and more for the less urgent classes, so that calls
+/// of runs under way come first where they have as little time.
 /// A request that would wait too long is refused at once, while its caller can
 /// still turn elsewhere.
 #[derive(Clone, Debug)]
@@ -56,6 +57,10 @@
     const HOLDING_WEIGHT: u32 = 16;
     /// Most requests that wait; bounds memory, long before it the wait is too long.
     const MAX_WAITING: usize = 2_048;
+    /// Each class below calls of runs under way is put off by this part of its slack. What
+    /// waits at all waits for less than that, so that classes with the same objective
+    /// start one after the other.
+    const CLASS_STEP_DIVISOR: u32 = 4;
     /// Part of its objective that a request which runs nowhere yet may wait. The
     /// rest is for its run and for a second try elsewhere.
     const WAIT_DIVISOR: u32 = 4;
@@ -112,6 +117,17 @@
         now.after(patience)
     }
 
+    /// Place of a request that arrives now.
+    fn place_of(&self, request: &AdmissionRequest, now: MonoTime) -> Place {
+        let holding = self.holding_of(request.route.as_ref());
+        let slack = request.objective.saturating_sub(holding);
+        let classes =
+            if self.disabled.has(Mechanism::ClassOrder) { 0 } else { request.more_urgent_classes };
+        let steps = if request.is_nested { 0 } else { 1 + u32::from(classes) };
+        let put_off = slack * steps / Self::CLASS_STEP_DIVISOR;
+        (now.after(slack + put_off), request.call)
+    }
+
     fn start(&mut self, call: CallId, route: Option<RouteName>, now: MonoTime) {
         self.running.insert(call, Running { route, since: now });
     }
@@ -160,10 +176,7 @@
             self.start(request.call, request.route.clone(), now);
             return OfferReply { decision: Offer::Run, evicted: None };
         }
-        let priority = request.rank.priority().get();
-        let has_order = !self.disabled.has(Mechanism::ClassOrder);
-        let urgency = if has_order { Priority::HIGHEST.get() - priority } else { 0 };
-        let place = (if request.is_nested { 0 } else { 1 + urgency }, now, request.call);
+        let place = self.place_of(request, now);
         let wait = self.predicted_wait(place);
         let latest_start = self.latest_start(request, now);
         if self.queue.len() >= Self::MAX_WAITING || now.after(wait) > latest_start {
@@ -217,7 +230,7 @@
             events.push(QueueEvent::Refuse(call));
         }
         while self.has_room() {
-            let Some((_, _, call)) = self.queue.first().copied() else { break };
+            let Some((_, call)) = self.queue.first().copied() else { break };
             let route = self.dequeue(call).and_then(|waiting| waiting.route);
             self.start(call, route, now);
             events.push(QueueEvent::Run(call));
--- a/cuminarch-admission/tests/disabled.rs
+++ b/cuminarch-admission/tests/disabled.rs
@@ -15,10 +15,14 @@
     door
 }
 
+/// The most urgent class of these tests.
+const TOP_PRIORITY: u8 = 9;
+
 fn request(call: u64, priority: u8, now: MonoTime) -> AdmissionRequest {
     AdmissionRequest {
         call: CallId::new(call),
         rank: Rank::of_request(Priority::new(priority), RequestId::new(u128::from(call))),
+        more_urgent_classes: TOP_PRIORITY.saturating_sub(priority),
         deadline: now.after(Duration::from_secs(1)),
         route: None,
         is_nested: false,
--- a/cuminarch-admission/tests/lagged_surge.rs
+++ b/cuminarch-admission/tests/lagged_surge.rs
@@ -122,6 +122,7 @@
             let request = AdmissionRequest {
                 call: CallId::new(number),
                 rank: Rank::MAX,
+                more_urgent_classes: 0,
                 deadline: now.after(Duration::from_millis(700)),
                 route: None,
                 is_nested: true,
--- a/cuminarch-admission/tests/surge.rs
+++ b/cuminarch-admission/tests/surge.rs
@@ -20,10 +20,14 @@
     name.parse().unwrap()
 }
 
+/// The most urgent class of these tests.
+const TOP_PRIORITY: u8 = 9;
+
 fn request(call: u64, priority: u8, is_nested: bool, now: MonoTime) -> AdmissionRequest {
     AdmissionRequest {
         call: CallId::new(call),
         rank: Rank::of_request(Priority::new(priority), RequestId::new(u128::from(call))),
+        more_urgent_classes: TOP_PRIORITY.saturating_sub(priority),
         deadline: now.after(Duration::from_millis(700)),
         route: Some(route("queue")),
         is_nested,
@@ -74,6 +78,60 @@
     assert_eq!(order, expected);
 }
 
+/// Calls of runs that can wait, and one caller whose objective is short.
+#[rstest]
+#[case::caller_has_less_time(150, 1)]
+#[case::caller_has_as_much_time(300, 11)]
+#[case::caller_has_more_time(1_200, 11)]
+fn a_request_waits_by_the_time_that_it_has(#[case] objective_ms: u64, #[case] place: usize) {
+    let mut door = door(1);
+    let now = MonoTime::from_millis(1);
+    // Learns that a call holds its slot for a moment only.
+    for call in 1_000..1_300 {
+        door.offer(&request(call, 2, true, now), now);
+        door.finish(CallId::new(call), Some(Duration::ZERO), now);
+    }
+    (0..11).for_each(|call| {
+        door.offer(&request(call, 2, true, now), now);
+    });
+    let objective = Duration::from_millis(objective_ms);
+    // The least urgent of three classes.
+    let caller = AdmissionRequest { objective, ..request(100, TOP_PRIORITY - 2, false, now) };
+    assert_eq!(door.offer(&caller, now).decision, Offer::Wait);
+    let mut order = Vec::new();
+    let mut running = CallId::new(0);
+    while let [QueueEvent::Run(next)] = door.finish(running, Some(Duration::ZERO), now)[..] {
+        order.push(QueueEvent::Run(next));
+        running = next;
+    }
+    let started = order.iter().position(|event| *event == QueueEvent::Run(CallId::new(100)));
+    assert_eq!(started.map(|index| index + 1), Some(place));
+}
+
+/// A steady stream of tight callers does not keep a call of a run waiting for long.
+#[test]
+fn calls_that_can_wait_are_not_starved() {
+    let mut door = door(1);
+    let tight = Duration::from_millis(150);
+    let mut now = MonoTime::from_millis(1_000);
+    door.offer(&request(0, 2, true, now), now);
+    door.offer(&request(1, 2, true, now), now);
+    let begun = now;
+    let mut running = CallId::new(0);
+    for call in 2..1_000 {
+        now = now.after(Duration::from_millis(1));
+        let caller = AdmissionRequest { objective: tight, ..request(call, 63, false, now) };
+        door.offer(&caller, now);
+        let events = door.finish(running, Some(Duration::from_millis(1)), now);
+        let Some(QueueEvent::Run(next)) = events.last() else { panic!("nothing waits") };
+        running = *next;
+        if running == CallId::new(1) {
+            break;
+        }
+    }
+    assert!(now.since(begun) <= Duration::from_millis(300), "{:?}", now.since(begun));
+}
+
 #[test]
 fn a_caller_that_would_wait_too_long_is_refused_at_once() {
     let mut door = door(1);
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -226,6 +226,7 @@
         let request = AdmissionRequest {
             call: id,
             rank: call.rank,
+            more_urgent_classes: self.more_urgent_classes(call.rank),
             deadline: call.deadline,
             route: call.routed.as_ref().map(|routed| routed.route.clone()),
             is_nested: call.routed.as_ref().is_some_and(|routed| routed.is_nested),
@@ -242,6 +243,10 @@
         }
     }
 
+    fn more_urgent_classes(&self, rank: Rank) -> u8 {
+        self.policy.top_priority().get().saturating_sub(rank.priority().get())
+    }
+
     fn run(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.stage = Stage::Running { since: now, head_at: None };
--- a/cuminarch-routing/tests/detour.rs
+++ b/cuminarch-routing/tests/detour.rs
@@ -4,14 +4,17 @@
 //! Each request calls the upper service once, which calls the lower one four times in
 //! turn. Nodes report occupancy and bytes behind with their answers, as the engine does.
 
+mod support;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
 
-use cuminarch_protocol::{Member, MemberState, UpstreamRecord, UpstreamState};
+use cuminarch_protocol::Member;
 use cuminarch_routing::{CallKind, CallSample, Router};
-use cuminarch_types::{EndpointId, Incarnation, MonoTime, RouteName, ServiceName};
+use cuminarch_types::{EndpointId, MonoTime, RouteName, ServiceName};
 use rstest::rstest;
+use support::ready_member;
 
 const ZONES: usize = 4;
 /// Nodes of callers in each zone.
@@ -41,21 +44,8 @@
 }
 
 fn member(name: &str, zone: usize, slots: u32) -> Member {
-    let address = ([10, 0, zone as u8, name.len() as u8], 7_000).into();
-    let upstream =
-        UpstreamRecord { slots, state: UpstreamState::Ready, ..UpstreamRecord::absent() };
-    Member {
-        endpoint: endpoint(name, zone),
-        service: service(name),
-        zone: format!("zone-{zone}").parse().unwrap(),
-        region: "ch-central".parse().unwrap(),
-        incarnation: Incarnation::new(1),
-        statement: 0,
-        data_address: address,
-        control_address: address,
-        state: MemberState::Active,
-        upstream: Some(upstream),
-    }
+    let address = [10, 0, zone as u8, name.len() as u8];
+    ready_member(endpoint(name, zone).as_str(), name, &format!("zone-{zone}"), slots, address)
 }
 
 fn router(zone: usize, seed: u64) -> Router {
--- a/cuminarch-routing/tests/disabled.rs
+++ b/cuminarch-routing/tests/disabled.rs
@@ -1,14 +1,14 @@
 //! Each mechanism that can be switched off changes where calls are sent.
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cuminarch_protocol::{Member, MemberState, UpstreamRecord, UpstreamState};
 use cuminarch_routing::{CallKind, CallSample, Router};
-use cuminarch_types::{
-    Disabled, EndpointId, Incarnation, Mechanism, MonoTime, RouteName, ServiceName,
-};
+use cuminarch_types::{Disabled, EndpointId, Mechanism, MonoTime, RouteName, ServiceName};
 use rstest::rstest;
+use support::ready_member;
 
 const SLOTS: u32 = 40;
 const HOLDING: Duration = Duration::from_millis(20);
@@ -26,25 +26,12 @@
     let mut router = Router::new("near".parse().unwrap(), "ch-central".parse().unwrap(), 7)
         .with_disabled(Disabled::new(disabled));
     for (index, zone) in ["near", "near", "far", "far"].into_iter().enumerate() {
-        let address = ([10, 0, 0, index as u8], 7_000).into();
-        let upstream = UpstreamRecord {
-            slots: SLOTS,
-            state: UpstreamState::Ready,
-            warm_up_ms: if index == 0 && behaviour.is_cold { 60_000 } else { 0 },
-            ..UpstreamRecord::absent()
-        };
-        let member = Member {
-            endpoint: endpoint(index),
-            service: service(),
-            zone: zone.parse().unwrap(),
-            region: "ch-central".parse().unwrap(),
-            incarnation: Incarnation::new(1),
-            statement: 0,
-            data_address: address,
-            control_address: address,
-            state: MemberState::Active,
-            upstream: Some(upstream),
-        };
+        let address = [10, 0, 0, index as u8];
+        let name = endpoint(index);
+        let mut member = ready_member(name.as_str(), service().as_str(), zone, SLOTS, address);
+        if let Some(upstream) = member.upstream.as_mut().filter(|_| index == 0) {
+            upstream.warm_up_ms = if behaviour.is_cold { 60_000 } else { 0 };
+        }
         router.update(member, MonoTime::from_millis(1));
     }
     router
--- a/cuminarch-routing/tests/placing.rs
+++ b/cuminarch-routing/tests/placing.rs
@@ -3,14 +3,17 @@
 //! Each scenario runs one router a node. Calls hold a slot of their endpoint for a
 //! while, and the answer says how full the endpoint is.
 
+mod support;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
-use cuminarch_protocol::{Member, MemberState, UpstreamRecord, UpstreamState};
+use cuminarch_protocol::Member;
 use cuminarch_routing::{CallKind, CallSample, Router};
-use cuminarch_types::{EndpointId, Incarnation, MonoTime, ServiceName};
+use cuminarch_types::{EndpointId, MonoTime, ServiceName};
 use rstest::rstest;
+use support::ready_member;
 
 const SLOTS: u32 = 40;
 const HOLDING: Duration = Duration::from_millis(200);
@@ -36,26 +39,9 @@
 }
 
 fn member(zone: usize, index: usize) -> Member {
-    let address = ([10, 0, zone as u8, index as u8], 7_000).into();
-    let upstream = UpstreamRecord {
-        instance: Some("i-1".parse().unwrap()),
-        started_at_ms: 1,
-        state: UpstreamState::Ready,
-        slots: SLOTS,
-        warm_up_ms: 0,
-    };
-    Member {
-        endpoint: endpoint(zone, index),
-        service: service(),
-        zone: zone_name(zone).parse().unwrap(),
-        region: "ch-central".parse().unwrap(),
-        incarnation: Incarnation::new(1),
-        statement: 0,
-        data_address: address,
-        control_address: address,
-        state: MemberState::Active,
-        upstream: Some(upstream),
-    }
+    let address = [10, 0, zone as u8, index as u8];
+    let endpoint = endpoint(zone, index);
+    ready_member(endpoint.as_str(), service().as_str(), &zone_name(zone), SLOTS, address)
 }
 
 /// A service in several zones, and the senders of its calls.
