--- a/cuminarch-protocol/src/limit.rs
+++ b/cuminarch-protocol/src/limit.rs
@@ -1,7 +1,7 @@
 use std::fmt;
 
 /// Version of the protocol on data and control links; links between versions are refused.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 
 /// Largest length of a frame in bytes.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
