--- a/cuminarch-node/tests/edges.rs
+++ b/cuminarch-node/tests/edges.rs
@@ -51,8 +51,8 @@
 }
 
 #[rstest]
-#[case::own("?fleet=tests&protocol=2", "HTTP/1.1 101")]
-#[case::other_fleet("?fleet=others&protocol=2", "HTTP/1.1 403")]
+#[case::own("?fleet=tests&protocol=3", "HTTP/1.1 101")]
+#[case::other_fleet("?fleet=others&protocol=3", "HTTP/1.1 403")]
 #[case::other_version("?fleet=tests&protocol=1", "HTTP/1.1 403")]
 #[case::none("", "HTTP/1.1 403")]
 #[case::rubbish("?fleet&protocol==&=", "HTTP/1.1 403")]
@@ -76,7 +76,7 @@
 fn rubbish_on_a_link_closes_it_and_harms_nothing(#[case] bytes: &[u8]) {
     let upstream = upstream();
     let chain = Chain::start(1, upstream.address());
-    let (mut stream, _) = open_link(data_address(&chain), "?fleet=tests&protocol=2");
+    let (mut stream, _) = open_link(data_address(&chain), "?fleet=tests&protocol=3");
     stream.write_all(bytes).unwrap();
     let mut rest = Vec::new();
     let _ = stream.read_to_end(&mut rest);
