revert(routing): no detours

Ruled out as the whole cause: the zone preference (unchanged). Supposed, not traced: in a shortage of the whole service every zone reports that further calls leave it, so that calls are moved without gain.

--- a/cuminarch-bench/src/decisions/layered.rs
+++ b/cuminarch-bench/src/decisions/layered.rs
@@ -424,7 +424,7 @@
                 let Some(state) = self.nodes[from].calls.get_mut(&call) else { return };
                 state.is_ok = is_ok;
                 self.post(world, from, Event::RemoteHead { call, attempt, is_failure: false });
-                let end = Event::RemoteEnd { call, attempt, receipt: Some(receipt), link_bytes: 0 };
+                let end = Event::RemoteEnd { call, attempt, receipt: Some(receipt) };
                 self.post(world, from, end);
             }
             NodeEvent::Refused { sent, mut refused } => {
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -119,8 +119,7 @@
             Event::RemoteHead { call, attempt, is_failure } => {
                 self.remote_head(call, attempt, is_failure, now, &mut actions);
             }
-            Event::RemoteEnd { call, attempt, receipt, link_bytes } => {
-                self.note_link_bytes(call, link_bytes);
+            Event::RemoteEnd { call, attempt, receipt } => {
                 self.remote_end(call, attempt, receipt, now, &mut actions);
             }
             Event::RemoteRefused(call, attempt, refusal) => {
--- a/cuminarch-engine/src/event.rs
+++ b/cuminarch-engine/src/event.rs
@@ -84,8 +84,6 @@
         attempt: AttemptId,
         /// What is left of the share; none if the link broke.
         receipt: Option<Receipt>,
-        /// Bytes of the call and its answer on the link.
-        link_bytes: u64,
     },
     /// Another node refused an attempt.
     RemoteRefused(CallId, AttemptId, Box<RemoteRefusal>),
--- a/cuminarch-engine/src/load.rs
+++ b/cuminarch-engine/src/load.rs
@@ -21,7 +21,6 @@
             occupancy_milli: u32::try_from(occupancy_milli).unwrap_or(u32::MAX),
             pressure: self.worst_pressure(route, now).map(|pressure| report_of(&pressure, now)),
             fan_out_milli: self.fan_out_milli(route),
-            bytes_behind: self.bytes_behind(route),
             is_internal: self.origins.is_internal(route),
         }
     }
@@ -54,12 +53,6 @@
         self.weights.of(route).map(of_child).max().unwrap_or(0)
     }
 
-    /// Bytes between zones that one more call of `route` causes behind the own upstream.
-    fn bytes_behind(&self, route: &RouteName) -> u32 {
-        let calls = self.weights.of(route);
-        calls.map(|(child, calls)| calls * self.router.cost_bytes(child)).sum::<f64>() as u32
-    }
-
     /// Takes in what an answer says of the load of its endpoint.
     pub(crate) fn note_load(
         &mut self,
@@ -71,7 +64,6 @@
     ) {
         let Some(load) = &receipt.load else { return };
         self.router.note_occupancy(service, endpoint, load.occupancy_milli, now);
-        self.router.note_bytes_behind(service, endpoint, route, load.bytes_behind, now);
         self.fan_outs.insert(route.clone(), load.fan_out_milli);
         if load.is_internal {
             self.internal.insert(route.clone());
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -98,14 +98,6 @@
         actions.push(Action::Close { call: id, receipt });
     }
 
-    /// Learns how many bytes a call on a route is.
-    pub(crate) fn note_link_bytes(&mut self, id: CallId, link_bytes: u64) {
-        let Some(call) = self.calls.get(&id) else { return };
-        if let (Some(routed), Stage::Sending(sending)) = (&call.routed, &call.stage) {
-            self.router.note_call_bytes(&sending.service, &routed.route, link_bytes);
-        }
-    }
-
     pub(crate) fn remote_refused(
         &mut self,
         id: CallId,
@@ -290,8 +282,8 @@
         let service = sending.service.clone();
         let tried = sending.tried.clone();
         let kind = call.kind();
-        if let Some(routed) = &call.routed {
-            return self.router.pick_routed(&service, &routed.route, kind, &tried, now);
+        if call.routed.is_some() {
+            return self.router.pick(&service, kind, &tried, now);
         }
         self.router
             .pick(&service, kind, &tried, now)
--- a/cuminarch-engine/tests/model/steps.rs
+++ b/cuminarch-engine/tests/model/steps.rs
@@ -36,12 +36,8 @@
             Step::LinkEnd(link, receipt) => {
                 let entry = self.links[link];
                 if !entry.is_cut {
-                    let event = Event::RemoteEnd {
-                        call: entry.call,
-                        attempt: entry.attempt,
-                        receipt,
-                        link_bytes: 0,
-                    };
+                    let event =
+                        Event::RemoteEnd { call: entry.call, attempt: entry.attempt, receipt };
                     self.feed(entry.from, event);
                 }
             }
@@ -196,7 +192,7 @@
         let (from, call, attempt) = (entry.from, entry.call, entry.attempt);
         let sent = scenario.sabotage != Sabotage::ResendAfterLoss;
         let event = if entry.has_head {
-            Event::RemoteEnd { call, attempt, receipt: None, link_bytes: 0 }
+            Event::RemoteEnd { call, attempt, receipt: None }
         } else {
             Event::RemoteLost { call, attempt, sent }
         };
--- a/cuminarch-engine/tests/routed.rs
+++ b/cuminarch-engine/tests/routed.rs
@@ -116,7 +116,7 @@
     fn answer(&mut self, call: CallId, attempt: AttemptId) {
         self.handle(Event::RemoteHead { call, attempt, is_failure: false });
         let receipt = Some(Receipt::default());
-        self.handle(Event::RemoteEnd { call, attempt, receipt, link_bytes: 0 });
+        self.handle(Event::RemoteEnd { call, attempt, receipt });
     }
 }
 
@@ -378,7 +378,7 @@
         };
         node.handle(Event::RemoteHead { call, attempt, is_failure: false });
         let receipt = Some(receipt.clone());
-        node.handle(Event::RemoteEnd { call, attempt, receipt, link_bytes: 900 });
+        node.handle(Event::RemoteEnd { call, attempt, receipt });
     }
     assert_eq!(refused > 0, is_shed, "{refused}");
 }
--- a/cuminarch-node/src/data/answer.rs
+++ b/cuminarch-node/src/data/answer.rs
@@ -266,18 +266,18 @@
                 Some(Ok(bytes))
             }
             Ok(AnswerFrame::BodyEnd(receipt)) => {
-                let link_bytes = source.link.release();
+                source.link.release();
                 source.node_time.record();
-                self.close_remote(attempt, Some(receipt), link_bytes, Outcome::Completed);
+                self.close_remote(attempt, Some(receipt), Outcome::Completed);
                 None
             }
             Ok(AnswerFrame::Broken(receipt)) => {
-                let link_bytes = source.link.release();
-                self.close_remote(attempt, Some(receipt), link_bytes, Outcome::Unknown);
+                source.link.release();
+                self.close_remote(attempt, Some(receipt), Outcome::Unknown);
                 Some(Err(BrokenBody))
             }
             Ok(_) | Err(_) => {
-                self.close_remote(attempt, None, source.link.passed_bytes(), Outcome::Unknown);
+                self.close_remote(attempt, None, Outcome::Unknown);
                 Some(Err(BrokenBody))
             }
         }
@@ -314,16 +314,9 @@
         self.close(outcome);
     }
 
-    fn close_remote(
-        &mut self,
-        attempt: AttemptId,
-        receipt: Option<Receipt>,
-        link_bytes: u64,
-        outcome: Outcome,
-    ) {
+    fn close_remote(&mut self, attempt: AttemptId, receipt: Option<Receipt>, outcome: Outcome) {
         let Some(guard) = self.guard.as_mut() else { return };
-        let call = guard.call();
-        guard.driver().post(Event::RemoteEnd { call, attempt, receipt, link_bytes });
+        guard.driver().post(Event::RemoteEnd { call: guard.call(), attempt, receipt });
         self.close(outcome);
     }
 
--- a/cuminarch-node/src/data/link_pool.rs
+++ b/cuminarch-node/src/data/link_pool.rs
@@ -72,8 +72,6 @@
     socket: Option<Socket>,
     address: SocketAddr,
     pool: LinkPool,
-    /// Bytes of the present call and its answer; of an upload only those of its head.
-    passed_bytes: u64,
 }
 
 enum Socket {
@@ -163,7 +161,7 @@
             return Err(LinkError::Connect);
         }
         peer.in_use += 1;
-        Ok(Link { socket: None, address, pool: self.clone(), passed_bytes: 0 })
+        Ok(Link { socket: None, address, pool: self.clone() })
     }
 
     fn put_back(&self, address: SocketAddr, socket: LinkSocket) {
@@ -206,14 +204,8 @@
 }
 
 impl Link {
-    /// Bytes of the present call and its answer so far.
-    pub const fn passed_bytes(&self) -> u64 {
-        self.passed_bytes
-    }
-
-    /// Gives the link back for other calls. Returns the bytes of the call that has ended.
-    pub fn release(mut self) -> u64 {
-        let passed_bytes = self.passed_bytes;
+    /// Gives the link back for other calls.
+    pub fn release(mut self) {
         match self.socket.take() {
             Some(Socket::Whole(socket)) => {
                 self.pool.put_back(self.address, *socket);
@@ -228,7 +220,6 @@
             }
             None => {}
         }
-        passed_bytes
     }
 
     /// The next frame of the answer, which comes within `timeout`. A peer that
@@ -257,7 +248,6 @@
             };
             match message {
                 Some(Ok(Message::Binary(bytes))) => {
-                    self.passed_bytes += bytes.len() as u64;
                     return Ok(AnswerFrame::decode(&bytes, FrameLimit::DATA)?);
                 }
                 Some(Ok(Message::Ping(_) | Message::Pong(_))) => is_asked = false,
@@ -305,7 +295,7 @@
         let Some(Socket::Whole(mut socket)) = self.socket.take() else {
             return Err(LinkError::Closed);
         };
-        self.passed_bytes += feed(&mut socket, &CallFrame::Head(Box::new(head))).await?;
+        feed(&mut socket, &CallFrame::Head(Box::new(head))).await?;
         let body = match body {
             RequestBody::Held(bytes) => RequestBody::Held(bytes.clone()),
             RequestBody::Passed(..) => std::mem::replace(body, RequestBody::Held(Bytes::new())),
@@ -313,7 +303,7 @@
         match body {
             RequestBody::Held(bytes) => {
                 for part in parts(bytes) {
-                    self.passed_bytes += feed(&mut socket, &CallFrame::Body(part)).await?;
+                    feed(&mut socket, &CallFrame::Body(part)).await?;
                 }
                 feed(&mut socket, &CallFrame::BodyEnd).await?;
                 socket.flush().await.map_err(Box::new)?;
@@ -328,10 +318,6 @@
     }
 }
 
-/// Puts a frame into the link's buffer. Returns its length in bytes.
-async fn feed(socket: &mut LinkSocket, frame: &CallFrame) -> Result<u64, LinkError> {
-    let bytes = frame.encode()?;
-    let len_bytes = bytes.len() as u64;
-    socket.feed(Message::Binary(bytes)).await.map_err(Box::new)?;
-    Ok(len_bytes)
+async fn feed(socket: &mut LinkSocket, frame: &CallFrame) -> Result<(), LinkError> {
+    socket.feed(Message::Binary(frame.encode()?)).await.map_err(|error| Box::new(error).into())
 }
--- a/cuminarch-node/tests/settings.rs
+++ b/cuminarch-node/tests/settings.rs
@@ -87,7 +87,7 @@
 
 #[rstest]
 #[case::none("", "")]
-#[case::two("disabled: [detours, shedding]\n", "detours,shedding")]
+#[case::two("disabled: [ejection, shedding]\n", "ejection,shedding")]
 fn mechanisms_are_switched_off_by_name(#[case] line: &str, #[case] expected: &str) {
     let settings = NodeSettings::parse(&format!("{GOOD}{line}")).unwrap();
     assert_eq!(settings.disabled.to_string(), expected);
@@ -95,6 +95,6 @@
 
 #[test]
 fn an_unknown_mechanism_is_named_with_its_place() {
-    let fault = error(&format!("{GOOD}disabled: [detour]\n"));
-    assert!(fault.contains("detour") && fault.contains("line"), "{fault}");
+    let fault = error(&format!("{GOOD}disabled: [eject]\n"));
+    assert!(fault.contains("eject") && fault.contains("line"), "{fault}");
 }
--- a/cuminarch-protocol/src/call.rs
+++ b/cuminarch-protocol/src/call.rs
@@ -116,9 +116,6 @@
     /// the endpoint, in thousandths.
     #[serde(default, rename = "f", skip_serializing_if = "is_zero")]
     pub fan_out_milli: u32,
-    /// Bytes between zones that one more call of this route causes behind the endpoint.
-    #[serde(default, rename = "b", skip_serializing_if = "is_zero")]
-    pub bytes_behind: u32,
     /// Whether only upstreams make calls on this route, as far as the endpoint knows.
     #[serde(default, rename = "i", skip_serializing_if = "std::ops::Not::not")]
     pub is_internal: bool,
--- a/cuminarch-routing/src/endpoint.rs
+++ b/cuminarch-routing/src/endpoint.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use cuminarch_protocol::{Member, MemberState};
-use cuminarch_types::{MonoTime, RouteName, RuleNumber};
+use cuminarch_types::{MonoTime, RuleNumber};
 
 use crate::{CallKind, CallSample, LearnedLevel, Target};
 
@@ -28,8 +28,6 @@
     ramp_from: Option<MonoTime>,
     levels: BTreeMap<RuleNumber, LearnedLevel>,
     occupancy: Option<Occupancy>,
-    /// Bytes between zones that one call causes behind it, by route.
-    bytes_behind: BTreeMap<RouteName, f64>,
     /// Part of its answers that were failures when the last one came.
     fault_part: f64,
     faulted_at: MonoTime,
@@ -70,8 +68,6 @@
     /// One sample moves the mean latency by this part of the difference.
     const LATENCY_WEIGHT: u32 = 8;
 
-    /// One report moves the mean of the bytes behind by this part of the difference.
-    const BYTES_WEIGHT: f64 = 0.125;
     /// One answer moves the part of failures by this part of the difference.
     const FAULT_WEIGHT: f64 = 0.06;
     /// An endpoint is ejected when its part of failures exceeds that of the
@@ -99,7 +95,6 @@
             ramp_from: None,
             levels: BTreeMap::new(),
             occupancy: None,
-            bytes_behind: BTreeMap::new(),
             fault_part: 0.0,
             faulted_at: MonoTime::ZERO,
             closed_until: MonoTime::ZERO,
@@ -216,22 +211,6 @@
         self.occupancy = Some(Occupancy { milli, noted_at: now, sent_since: 0 });
     }
 
-    /// Takes in the bytes between zones that one call on a route causes behind it.
-    pub fn note_bytes_behind(&mut self, route: &RouteName, bytes: u32) {
-        let bytes = f64::from(bytes);
-        match self.bytes_behind.get_mut(route) {
-            Some(mean) => *mean += (bytes - *mean) * Self::BYTES_WEIGHT,
-            None => {
-                self.bytes_behind.insert(route.clone(), bytes);
-            }
-        }
-    }
-
-    /// Bytes between zones that one call on a route causes behind it, as far as known.
-    pub fn bytes_behind(&self, route: &RouteName) -> f64 {
-        self.bytes_behind.get(route).copied().unwrap_or_default()
-    }
-
     /// Whether its node reports how many calls the upstream runs at once.
     pub const fn states_slots(&self) -> bool {
         self.member.upstream.is_some()
--- a/cuminarch-routing/src/lib.rs
+++ b/cuminarch-routing/src/lib.rs
@@ -4,8 +4,7 @@
 //! over to other zones while those answer sooner, or before the own ones are full
 //! where nodes report that. Among the candidates the better of a few random ones is
 //! taken by what the node itself sees. A zone of which several hosts are out of reach
-//! gets no calls but probes. A call whose own calls would leave the zone one by one is
-//! sent to where they would stay. Endpoints that fail or are slow are ejected, never most of a service, and return by a
+//! gets no calls but probes. Endpoints that fail or are slow are ejected, never most of a service, and return by a
 //! probe; new ones get their share gradually. Leaving endpoints are never
 //! chosen, and reports about health are only hints.
 //!
@@ -17,7 +16,6 @@
 //! # Ok::<(), cuminarch_types::ParseError>(())
 //! ```
 
-mod detour;
 mod endpoint;
 mod learned_level;
 mod occupancy;
--- a/cuminarch-routing/src/occupancy.rs
+++ b/cuminarch-routing/src/occupancy.rs
@@ -10,12 +10,11 @@
 
 use std::time::Duration;
 
-use cuminarch_types::{Mechanism, MonoTime, RouteName};
+use cuminarch_types::{Mechanism, MonoTime};
 use rand::RngExt;
 use rand::seq::index::sample;
 use rand_chacha::ChaCha8Rng;
 
-use crate::detour::Detour;
 use crate::endpoint::Endpoint;
 use crate::service::Place;
 use crate::typical_occupancy::TypicalOccupancy;
@@ -38,10 +37,6 @@
 /// Endpoints that are compared, random ones, so that nodes which see the same do not all
 /// choose the same (Mitzenmacher, 2001).
 const COMPARED: usize = 2;
-/// Endpoints that are compared for a call that makes a detour: what speaks for one is the
-/// room of its whole zone, which changes slowly.
-const COMPARED_ON_DETOUR: usize = 6;
-
 /// What is known of the occupancy of a service, in the own zone and in others, and
 /// which part of the calls leaves the zone.
 #[derive(Clone, Copy, Debug, Default)]
@@ -77,17 +72,11 @@
         self.spilled = (self.spilled + step).clamp(0.0, Self::MOST_SPILLED);
     }
 
-    /// Part of the calls that leaves the zone, as that has no room.
-    pub const fn spilled(&self) -> f64 {
-        self.spilled
-    }
-
     /// The least full of a few random endpoints of the own zone, or of others for
-    /// calls that spill over or make a detour.
+    /// calls that spill over.
     pub fn choose<'a>(
         &self,
         endpoints: &[&'a Endpoint],
-        detour: Option<(&RouteName, &Detour)>,
         place: &Place,
         now: MonoTime,
         rng: &mut ChaCha8Rng,
@@ -95,21 +84,15 @@
         let is_near = |endpoint: &&&Endpoint| place.distance(&endpoint.member) == 0;
         let (near, far): (Vec<&Endpoint>, Vec<&Endpoint>) = endpoints.iter().partition(is_near);
         let spilled = if place.disabled.has(Mechanism::SpillOver) { 0.0 } else { self.spilled };
-        let drawn = rng.random_range(0.0..1.0);
-        let is_detour = detour.is_some_and(|(_, detour)| drawn < detour.part());
-        if !far.is_empty() && is_detour {
-            let compared = draw(&far, COMPARED_ON_DETOUR, rng);
-            return least_full(&compared, detour, self.far, place, now);
+        if near.is_empty() || (!far.is_empty() && rng.random_bool(spilled)) {
+            return least_full(&draw(&far, rng), self.far, place, now);
         }
-        if near.is_empty() || (!far.is_empty() && drawn < spilled) {
-            return least_full(&draw(&far, COMPARED, rng), detour, self.far, place, now);
-        }
-        let chosen = least_full(&draw(&near, COMPARED, rng), detour, self.near, place, now)?;
+        let chosen = least_full(&draw(&near, rng), self.near, place, now)?;
         let drawback_milli = drawback_milli(chosen, place, now);
         if drawback_milli == 0 {
             return Some(chosen);
         }
-        let other = least_full(&draw(&far, COMPARED, rng), detour, self.far, place, now);
+        let other = least_full(&draw(&far, rng), self.far, place, now);
         other
             .filter(|other| drawback_milli > drawback_milli_of_far(other, place, now))
             .or(Some(chosen))
@@ -119,20 +102,18 @@
 /// The least full of some endpoints, drawbacks counted in.
 fn least_full<'a>(
     endpoints: &[&'a Endpoint],
-    detour: Option<(&RouteName, &Detour)>,
     typical: TypicalOccupancy,
     place: &Place,
     now: MonoTime,
 ) -> Option<&'a Endpoint> {
     let typical_milli = (typical.milli(now).unwrap_or_default() * UNKNOWN_PART) as u32;
     endpoints.iter().copied().min_by_key(|endpoint| {
-        let behind_milli = detour.map_or(0, |detour| behind_milli(endpoint, detour));
         let occupancy_milli = if place.disabled.has(Mechanism::OccupancyReports) {
             endpoint.own_occupancy_milli()
         } else {
             endpoint.occupancy_milli(typical_milli, now)
         };
-        occupancy_milli + drawback_milli(endpoint, place, now) + behind_milli
+        occupancy_milli + drawback_milli(endpoint, place, now)
     })
 }
 
@@ -145,23 +126,16 @@
     cold_milli + (fault_part * FAULTY_MILLI) as u32
 }
 
-/// What the calls behind an endpoint cost, in thousandths: as if the call itself went as
-/// many times to another zone.
-fn behind_milli(endpoint: &Endpoint, (route, detour): (&RouteName, &Detour)) -> u32 {
-    let call_bytes = detour.call_bytes().unwrap_or(f64::INFINITY).max(1.0);
-    (DISTANCE_MILLI * endpoint.bytes_behind(route) / call_bytes) as u32
-}
-
 /// The same for an endpoint of another zone.
 fn drawback_milli_of_far(endpoint: &Endpoint, place: &Place, now: MonoTime) -> u32 {
     drawback_milli(endpoint, place, now) + DISTANCE_MILLI as u32
 }
 
 /// A few random ones, in random order.
-fn draw<'a>(endpoints: &[&'a Endpoint], count: usize, rng: &mut ChaCha8Rng) -> Vec<&'a Endpoint> {
+fn draw<'a>(endpoints: &[&'a Endpoint], rng: &mut ChaCha8Rng) -> Vec<&'a Endpoint> {
     if endpoints.len() <= 1 {
         return endpoints.to_vec();
     }
-    let count = endpoints.len().min(count);
+    let count = endpoints.len().min(COMPARED);
     sample(rng, endpoints.len(), count).into_iter().map(|index| endpoints[index]).collect()
 }
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -2,13 +2,12 @@
 
 use cuminarch_protocol::Member;
 use cuminarch_types::{
-    Disabled, EndpointId, MonoTime, RegionName, RouteName, RuleNumber, ServiceName, ZoneName,
+    Disabled, EndpointId, MonoTime, RegionName, RuleNumber, ServiceName, ZoneName,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::service::{Place, Service};
-use crate::target::Choice;
 use crate::zone_sight::ZoneSights;
 use crate::{CallKind, CallSample, LearnedLevel, Target};
 
@@ -66,53 +65,7 @@
         now: MonoTime,
     ) -> Option<Target> {
         let service = self.services.get_mut(service)?;
-        let choice = Choice { kind, route: None, exclude };
-        service.pick(&self.place, &choice, now, &mut self.rng)
-    }
-
-    /// Chooses an endpoint that is not in `exclude` for a call on a route.
-    pub fn pick_routed(
-        &mut self,
-        service: &ServiceName,
-        route: &RouteName,
-        kind: CallKind,
-        exclude: &[EndpointId],
-        now: MonoTime,
-    ) -> Option<Target> {
-        let service = self.services.get_mut(service)?;
-        let choice = Choice { kind, route: Some(route), exclude };
-        service.pick(&self.place, &choice, now, &mut self.rng)
-    }
-
-    /// Notes the bytes of a call on a route and its answer.
-    pub fn note_call_bytes(&mut self, service: &ServiceName, route: &RouteName, bytes: u64) {
-        if let Some(service) = self.services.get_mut(service) {
-            service.note_call_bytes(route, bytes);
-        }
-    }
-
-    /// Takes in the bytes between zones that a call on a route causes behind an endpoint.
-    pub fn note_bytes_behind(
-        &mut self,
-        service: &ServiceName,
-        endpoint: &EndpointId,
-        route: &RouteName,
-        bytes: u32,
-        now: MonoTime,
-    ) {
-        if let Some(service) = self.services.get_mut(service) {
-            service.note_bytes_behind(&self.place, endpoint, route, bytes, now);
-        }
-    }
-
-    /// Bytes between zones that one more call on a route causes, the calls behind it
-    /// included. Of several services of a route the one heard of last counts.
-    #[must_use]
-    pub fn cost_bytes(&self, route: &RouteName) -> f64 {
-        let known =
-            self.services.values().filter_map(|service| service.cost_bytes(&self.place, route));
-        let latest = known.max_by_key(|(noted_at, _)| *noted_at);
-        latest.map_or(0.0, |(_, bytes)| bytes)
+        service.pick(&self.place, kind, exclude, now, &mut self.rng)
     }
 
     /// Notes that a call was sent.
--- a/cuminarch-routing/src/service.rs
+++ b/cuminarch-routing/src/service.rs
@@ -3,16 +3,14 @@
 
 use cuminarch_protocol::Member;
 use cuminarch_types::{
-    Disabled, EndpointId, Mechanism, MonoTime, RegionName, RouteName, RuleNumber, ZoneName,
+    Disabled, EndpointId, Mechanism, MonoTime, RegionName, RuleNumber, ZoneName,
 };
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use crate::detour::Detour;
 use crate::endpoint::Endpoint;
 use crate::occupancy::ServiceOccupancy;
 use crate::spill::Spill;
-use crate::target::Choice;
 use crate::zone_sight::ZoneSights;
 use crate::{CallKind, CallSample, LearnedLevel, Target};
 
@@ -51,7 +49,6 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     spill: Spill,
     occupancy: ServiceOccupancy,
-    detours: BTreeMap<RouteName, Detour>,
     checked_at: MonoTime,
 }
 
@@ -114,11 +111,11 @@
     pub fn pick(
         &mut self,
         place: &Place,
-        choice: &Choice<'_>,
+        kind: CallKind,
+        exclude: &[EndpointId],
         now: MonoTime,
         rng: &mut ChaCha8Rng,
     ) -> Option<Target> {
-        let Choice { kind, route, exclude } = *choice;
         self.check(place, now);
         let usable: Vec<&Endpoint> = self
             .endpoints()
@@ -133,10 +130,7 @@
         }
         let healthy = narrow(usable, |endpoint| endpoint.is_healthy(now));
         if healthy.iter().any(|endpoint| endpoint.states_slots()) {
-            let route = route.filter(|_| !place.disabled.has(Mechanism::Detours));
-            let detour = route.and_then(|route| Some((route, self.detours.get(route)?)));
-            let chosen = self.occupancy.choose(&healthy, detour, place, now, rng);
-            return chosen.map(Endpoint::target);
+            return self.occupancy.choose(&healthy, place, now, rng).map(Endpoint::target);
         }
         let willing = narrow(healthy, |endpoint| endpoint.admits(kind, now));
         let nearest = self.nearest(place, &willing, rng);
@@ -186,36 +180,6 @@
         self.occupancy.note(place.distance(&found.member) == 0, milli, now);
     }
 
-    /// Notes the bytes of a call on a route and its answer.
-    pub fn note_call_bytes(&mut self, route: &RouteName, bytes: u64) {
-        self.detours.entry(route.clone()).or_default().note_call(bytes);
-    }
-
-    /// Takes in the bytes between zones that a call on a route causes behind an endpoint.
-    pub fn note_bytes_behind(
-        &mut self,
-        place: &Place,
-        endpoint: &EndpointId,
-        route: &RouteName,
-        bytes: u32,
-        now: MonoTime,
-    ) {
-        let Some(found) = self.endpoints.get_mut(endpoint) else { return };
-        found.note_bytes_behind(route, bytes);
-        let is_near = place.distance(&found.member) == 0;
-        self.detours.entry(route.clone()).or_default().note_behind(is_near, bytes, now);
-    }
-
-    /// Bytes between zones that one more call on a route causes, and since when that is
-    /// known.
-    pub fn cost_bytes(&self, place: &Place, route: &RouteName) -> Option<(MonoTime, f64)> {
-        let detour = self.detours.get(route)?;
-        let is_near = |endpoint: &Endpoint| place.distance(&endpoint.member) == 0;
-        let has_near = self.endpoints().any(|endpoint| is_near(endpoint) && endpoint.takes_work());
-        let spilled = if has_near { self.occupancy.spilled() } else { 1.0 };
-        Some((detour.noted_at(), detour.cost_bytes(spilled)))
-    }
-
     /// The endpoints of the nearest zone, or those further away for calls that
     /// spill over.
     fn nearest<'a>(
@@ -242,9 +206,7 @@
             return;
         }
         self.checked_at = now;
-        let elapsed = elapsed.min(Self::MOST_ELAPSED);
-        self.occupancy.adapt(elapsed, now);
-        self.detours.values_mut().for_each(|detour| detour.adapt(elapsed));
+        self.occupancy.adapt(elapsed.min(Self::MOST_ELAPSED), now);
         if !place.disabled.has(Mechanism::Ejection) {
             self.eject_outliers(now);
         }
--- a/cuminarch-routing/src/target.rs
+++ b/cuminarch-routing/src/target.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cuminarch_types::{EndpointId, Incarnation, Rank, RouteName, RuleNumber};
+use cuminarch_types::{EndpointId, Incarnation, Rank, RuleNumber};
 
 /// Where a call is sent.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -26,17 +26,6 @@
     pub can_probe: bool,
 }
 
-/// The call that an endpoint is chosen for.
-#[derive(Clone, Copy, Debug)]
-pub struct Choice<'a> {
-    /// What matters of the call.
-    pub kind: CallKind,
-    /// The route that it took, if it took one.
-    pub route: Option<&'a RouteName>,
-    /// Endpoints that are not to be chosen.
-    pub exclude: &'a [EndpointId],
-}
-
 /// What one finished call shows about its endpoint.
 #[derive(Clone, Copy, Debug)]
 pub enum CallSample {
--- a/cuminarch-routing/tests/disabled.rs
+++ b/cuminarch-routing/tests/disabled.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cuminarch_routing::{CallKind, CallSample, Router};
-use cuminarch_types::{Disabled, EndpointId, Mechanism, MonoTime, RouteName, ServiceName};
+use cuminarch_types::{Disabled, EndpointId, Mechanism, MonoTime, ServiceName};
 use rstest::rstest;
 use support::ready_member;
 
@@ -17,10 +17,6 @@
     "katalog".parse().unwrap()
 }
 
-fn route() -> RouteName {
-    "browse".parse().unwrap()
-}
-
 /// Two endpoints in the own zone, and two in another.
 fn router(disabled: Option<Mechanism>, behaviour: Behaviour) -> Router {
     let mut router = Router::new("near".parse().unwrap(), "ch-central".parse().unwrap(), 7)
@@ -46,8 +42,6 @@
 struct Behaviour {
     /// Occupancy that the endpoints of the own zone report, in thousandths.
     near_milli: u32,
-    /// Bytes between zones that a call causes behind them.
-    near_behind: u32,
     /// Whether the first endpoint is slow after a start.
     is_cold: bool,
     /// Whether the second endpoint fails a fifth of its calls.
@@ -63,7 +57,7 @@
     for number in 0..2_000_u32 {
         let now = MonoTime::from_millis(2_000 + u64::from(number) * 5);
         let kind = CallKind::default();
-        let target = router.pick_routed(&service(), &route(), kind, &[], now).unwrap();
+        let target = router.pick(&service(), kind, &[], now).unwrap();
         router.started(&service(), &target.endpoint, now);
         *counts.entry(target.endpoint.clone()).or_default() += 1;
         let is_near = target.endpoint < endpoint(2);
@@ -74,11 +68,8 @@
             _ => CallSample::Answered(HOLDING),
         };
         let milli = if is_near { behaviour.near_milli } else { 100 };
-        let behind = if is_near { behaviour.near_behind } else { 0 };
         let end = now.after(Duration::from_millis(2));
         router.note_occupancy(&service(), &target.endpoint, milli, end);
-        router.note_call_bytes(&service(), &route(), 1_000);
-        router.note_bytes_behind(&service(), &target.endpoint, &route(), behind, end);
         router.finished(&service(), &target.endpoint, sample, end);
     }
     [0, 1, 2, 3]
@@ -89,21 +80,11 @@
     parts[2] + parts[3]
 }
 
-#[rstest]
-#[case::spill_over(
-    Mechanism::SpillOver,
-    Behaviour { near_milli: 990, ..Behaviour::default() }
-)]
-#[case::detours(
-    Mechanism::Detours,
-    Behaviour { near_milli: 300, near_behind: 4_000, ..Behaviour::default() }
-)]
-fn calls_leave_the_zone_unless_it_is_off(
-    #[case] mechanism: Mechanism,
-    #[case] behaviour: Behaviour,
-) {
+#[test]
+fn calls_leave_a_full_zone_unless_spill_over_is_off() {
+    let behaviour = Behaviour { near_milli: 990, ..Behaviour::default() };
     let on = left_zone(play(None, behaviour));
-    let off = left_zone(play(Some(mechanism), behaviour));
+    let off = left_zone(play(Some(Mechanism::SpillOver), behaviour));
     assert!(on > 0.3 && off < 0.05, "{on} and {off}");
 }
 
--- a/cuminarch-types/src/mechanism.rs
+++ b/cuminarch-types/src/mechanism.rs
@@ -15,8 +15,6 @@
 pub enum Mechanism {
     /// Order by class among the requests that wait at a door.
     ClassOrder,
-    /// Sending a call whose own calls would leave the zone to where they would stay.
-    Detours,
     /// Ejection of endpoints that fail or are slow.
     Ejection,
     /// Avoiding endpoints by the part of the calls that they fail.
@@ -47,9 +45,8 @@
 
 impl Mechanism {
     /// Every mechanism, in the order of names.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 14] = [
         Self::ClassOrder,
-        Self::Detours,
         Self::Ejection,
         Self::FaultCost,
         Self::OccupancyReports,
@@ -70,7 +67,6 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::ClassOrder => "class-order",
-            Self::Detours => "detours",
             Self::Ejection => "ejection",
             Self::FaultCost => "fault-cost",
             Self::OccupancyReports => "occupancy-reports",
@@ -108,10 +104,10 @@
 /// ```
 /// use cuminarch_types::{Disabled, Mechanism};
 ///
-/// let disabled = Disabled::new([Mechanism::Detours]);
-/// assert!(disabled.has(Mechanism::Detours) && !disabled.has(Mechanism::Shedding));
-/// assert_eq!(disabled.to_string(), "detours");
-/// assert_eq!("detours".parse::<Disabled>()?, disabled);
+/// let disabled = Disabled::new([Mechanism::Ejection]);
+/// assert!(disabled.has(Mechanism::Ejection) && !disabled.has(Mechanism::Shedding));
+/// assert_eq!(disabled.to_string(), "ejection");
+/// assert_eq!("ejection".parse::<Disabled>()?, disabled);
 /// # Ok::<(), cuminarch_types::ParseError>(())
 /// ```
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
