fix(membership): a return of the store costs a node one write

Cause: a node that heard of a new era from a peer wrote its object over its old version, took that for a write that may have met another one, and read all members: a whole listing by every node. Only writes for other members can meet one that matters. Names: note_store_era, note_peer_era.

--- a/cuminarch-admission/src/senders.rs
+++ b/cuminarch-admission/src/senders.rs
@@ -71,7 +71,7 @@
     fn learn(&mut self, load_milli: u64, reported_milli: f64, elapsed: Duration) {
         let grown = self.reaction.saturating_sub(Self::LEAST_REACTION);
         self.reaction = Self::LEAST_REACTION + grown.mul_f64(left_after(elapsed, Self::MEMORY));
-        let wanted_milli = load_milli * 1_000 / self.passed_milli().max(1);
+        let wanted_milli = load_milli.saturating_mul(1_000) / self.passed_milli().max(1);
         let is_overdone = Self::is_idle(load_milli) && wanted_milli >= Self::FULL_MILLI;
         if load_milli >= Self::FULL_MILLI {
             self.was_full = true;
--- a/cuminarch-membership/src/roster/era.rs
+++ b/cuminarch-membership/src/roster/era.rs
@@ -25,7 +25,7 @@
     }
 
     /// Takes in the era that an answer of the store named.
-    pub(super) fn era_named(&mut self, era: StoreEra, now: MonoTime) {
+    pub(super) fn note_store_era(&mut self, era: StoreEra, now: MonoTime) {
         match self.store.era {
             None => self.store.era = Some(era),
             Some(held) if held < era => {
@@ -39,7 +39,7 @@
 
     /// A peer has seen a later era. The store itself has to confirm it: the next write
     /// asks it, and its answer names the era.
-    pub(super) fn era_heard(&mut self, era: StoreEra, now: MonoTime) {
+    pub(super) fn note_peer_era(&mut self, era: StoreEra, now: MonoTime) {
         if self.store.era.is_none_or(|held| era <= held) || era <= self.store.heard_era {
             return;
         }
--- a/cuminarch-membership/src/roster/gossip.rs
+++ b/cuminarch-membership/src/roster/gossip.rs
@@ -149,7 +149,7 @@
 
     /// Compares what a peer knows with the own knowledge.
     fn learn(&mut self, from: &EndpointId, heartbeat: &Heartbeat, now: MonoTime) {
-        self.era_heard(heartbeat.store_era, now);
+        self.note_peer_era(heartbeat.store_era, now);
         if heartbeat.revision <= self.revision()
             && let Some(age_ms) = heartbeat.verified_age_ms
         {
--- a/cuminarch-membership/src/roster/mod.rs
+++ b/cuminarch-membership/src/roster/mod.rs
@@ -105,7 +105,7 @@
             FleetEvent::Received(from, message) => self.receive(&from, message, now),
             FleetEvent::LinkLost(_) => {}
             FleetEvent::Platform(call, reply) => self.store_replied(&call, reply, now),
-            FleetEvent::StoreEra(era) => self.era_named(era, now),
+            FleetEvent::StoreEra(era) => self.note_store_era(era, now),
             FleetEvent::Upstream(record) => self.upstream_changed(record, now),
             FleetEvent::Leave => self.state_own(MemberState::Leaving, now),
             FleetEvent::Stop => self.state_own(MemberState::Gone, now),
--- a/cuminarch-membership/src/roster/store.rs
+++ b/cuminarch-membership/src/roster/store.rs
@@ -213,11 +213,11 @@
         }
         match reply {
             PlatformReply::Members { version, zones } => {
-                self.era_named(version.era(), now);
+                self.note_store_era(version.era(), now);
                 self.members_listed(call, version, &zones, now);
             }
             PlatformReply::Config { version, document } => {
-                self.era_named(version.era(), now);
+                self.note_store_era(version.era(), now);
                 if let Some(document) = document {
                     self.offer_stored_config(document, now);
                 }
@@ -276,16 +276,16 @@
 
     fn member_written(&mut self, call: &PlatformCall, version: ObjectVersion, now: MonoTime) {
         let PlatformCall::PutMember(written, expected) = call else { return };
-        if expected.is_some_and(|expected| expected.era() != version.era()) {
-            // The number that was expected may stand for another write in this era.
-            self.store.must_read_members = true;
-            self.store.next_list_at = Some(now);
-        }
         if written.endpoint != self.own.endpoint {
             self.store.outdated.remove(&written.endpoint);
+            if expected.is_some_and(|expected| expected.era() != version.era()) {
+                // The number that was expected may stand for another write in this era.
+                self.store.must_read_members = true;
+                self.store.next_list_at = Some(now);
+            }
             return;
         }
-        self.era_named(version.era(), now);
+        self.note_store_era(version.era(), now);
         if !self.is_of_latest_era(version) {
             return;
         }
@@ -311,7 +311,7 @@
         }
         let version = object.map(|object| object.version);
         if let Some(version) = version {
-            self.era_named(version.era(), now);
+            self.note_store_era(version.era(), now);
         }
         self.store.own_version = version;
         if object.is_some_and(|object| self.is_said_by(object)) {
--- a/cuminarch-membership/tests/store_restored.rs
+++ b/cuminarch-membership/tests/store_restored.rs
@@ -141,6 +141,21 @@
     assert!((0..9).all(|index| world.is_stored(index, UpstreamState::Ready)));
 }
 
+/// A return costs each node one write; only the first of each zone reads all members.
+#[test]
+fn a_return_costs_a_node_hardly_more_than_a_write() {
+    let mut world = settled(60);
+    world.run(Duration::from_secs(3));
+    let price_before = world.price_tenths;
+    world.run(Duration::from_secs(4));
+    let price_at_rest = world.price_tenths - price_before;
+    world.restore_store(Duration::from_secs(1));
+    world.run(Duration::from_secs(4));
+    let price = world.price_tenths - price_before - 2 * price_at_rest;
+    println!("price of a return in tenths: {price} for 60 nodes");
+    assert!(price <= 60 * 10 * 5 / 4, "{price}");
+}
+
 /// Only the store says what era it is in: a wrong one from a peer costs one write.
 #[test]
 fn an_era_that_only_a_peer_tells_of_is_not_believed() {
