feat(cuminarch-node): rate limits and departures of upstreams are parsed and logged

The adapter parses both statements, the node beside the upstream logs each change of the limit as CU2106, with the requests that the upstream got in the last 4 s, and exposes it as the metric rate_limit. No decision uses it yet.

--- a/cuminarch-admission/src/admission.rs
+++ b/cuminarch-admission/src/admission.rs
@@ -3,7 +3,7 @@
 
 use cuminarch_types::{CallId, ConcurrencyLimit, MonoTime, Rank};
 
-use crate::{AdmissionSettings, LevelControl, Limiter};
+use crate::{AdmissionSettings, LevelControl, Limiter, StartPacer};
 
 /// Decision on an offered request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -53,6 +53,7 @@
     waiting: BTreeMap<CallId, Waiting>,
     queue: BTreeSet<(Rank, CallId)>,
     level: LevelControl,
+    pacer: StartPacer,
 }
 
 impl Admission {
@@ -69,6 +70,7 @@
             waiting: BTreeMap::new(),
             queue: BTreeSet::new(),
             level: LevelControl::new(settings.target_wait),
+            pacer: StartPacer::new(),
         }
     }
 
@@ -85,6 +87,17 @@
         self.limiter.limit()
     }
 
+    /// Returns the pacer of the starts.
+    #[must_use]
+    pub const fn pacer(&self) -> &StartPacer {
+        &self.pacer
+    }
+
+    /// Returns the pacer of the starts, to record what the upstream states.
+    pub const fn pacer_mut(&mut self) -> &mut StartPacer {
+        &mut self.pacer
+    }
+
     /// Returns the number of running requests.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -110,7 +123,7 @@
         self.level.record_offer(rank, has_room);
         if has_room {
             self.level.record_start(Duration::ZERO);
-            self.running.insert(call, now);
+            self.start(call, now);
             return OfferReply { decision: AdmissionDecision::Run, evicted: None };
         }
         let is_full = self.queue.len() >= self.settings.max_queue;
@@ -178,12 +191,17 @@
             let Some((_, call)) = self.queue.last().copied() else { break };
             let since = self.dequeue(call).map_or(now, |waiting| waiting.since);
             self.level.record_start(now.since(since));
-            self.running.insert(call, now);
+            self.start(call, now);
             events.push(QueueEvent::Run(call));
         }
         events
     }
 
+    fn start(&mut self, call: CallId, now: MonoTime) {
+        self.pacer.record_start(now);
+        self.running.insert(call, now);
+    }
+
     fn has_room(&self) -> bool {
         self.running.len() < self.limiter.limit().get() as usize
     }
--- a/cuminarch-admission/src/control.rs
+++ b/cuminarch-admission/src/control.rs
@@ -3,7 +3,7 @@
 
 use cuminarch_types::{CallId, ConcurrencyLimit, MonoTime, Rank, RouteName};
 
-use crate::{Admission, OfferReply, QueueEvent};
+use crate::{Admission, OfferReply, QueueEvent, StartPacer};
 
 /// A request offered to an endpoint.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -47,6 +47,12 @@
     /// Sets the number of concurrent requests that the endpoint states.
     fn set_capacity(&mut self, capacity: ConcurrencyLimit);
 
+    /// Returns the pacer of the starts.
+    fn pacer(&self) -> &StartPacer;
+
+    /// Returns the pacer of the starts, to record what the upstream states.
+    fn pacer_mut(&mut self) -> &mut StartPacer;
+
     /// Returns the admission level. Requests of a lower rank are refused immediately unless there
     /// is room.
     fn level(&self) -> Rank;
@@ -102,6 +108,14 @@
 
     fn set_capacity(&mut self, _capacity: ConcurrencyLimit) {}
 
+    fn pacer(&self) -> &StartPacer {
+        Self::pacer(self)
+    }
+
+    fn pacer_mut(&mut self) -> &mut StartPacer {
+        Self::pacer_mut(self)
+    }
+
     fn level(&self) -> Rank {
         Self::level(self)
     }
--- a/cuminarch-admission/src/lib.rs
+++ b/cuminarch-admission/src/lib.rs
@@ -26,11 +26,13 @@
 mod level;
 mod limiter;
 mod origin;
+mod recent_starts;
 mod sender_model;
 mod settings;
 mod shedder;
 mod shortage;
 mod slot_admission;
+mod start_pacer;
 
 pub use admission::{Admission, AdmissionDecision, OfferReply, QueueEvent};
 pub use control::{AdmissionControl, AdmissionRequest};
@@ -42,3 +44,4 @@
 pub use settings::AdmissionSettings;
 pub use shedder::{ServiceShortage, Shedder};
 pub use slot_admission::SlotAdmission;
+pub use start_pacer::{RateLimitChange, StartPacer};
--- a/cuminarch-admission/src/slot_admission.rs
+++ b/cuminarch-admission/src/slot_admission.rs
@@ -6,7 +6,9 @@
 };
 
 use crate::shortage::Shortage;
-use crate::{AdmissionControl, AdmissionDecision, AdmissionRequest, OfferReply, QueueEvent};
+use crate::{
+    AdmissionControl, AdmissionDecision, AdmissionRequest, OfferReply, QueueEvent, StartPacer,
+};
 
 /// Target start time and call; the smallest key starts first.
 type QueueKey = (MonoTime, CallId);
@@ -42,6 +44,7 @@
     /// `None` until the first run has ended.
     mean_holding_time: Option<Duration>,
     shortage: Shortage,
+    pacer: StartPacer,
     disabled: DisabledMechanisms,
 }
 
@@ -76,6 +79,7 @@
             holding_times: BTreeMap::new(),
             mean_holding_time: None,
             shortage: Shortage::new(),
+            pacer: StartPacer::new(),
             disabled: DisabledMechanisms::default(),
         }
     }
@@ -136,6 +140,7 @@
     }
 
     fn start(&mut self, call: CallId, route: Option<RouteName>, now: MonoTime) {
+        self.pacer.record_start(now);
         self.running.insert(call, Running { route, since: now });
     }
 
@@ -262,6 +267,14 @@
         }
     }
 
+    fn pacer(&self) -> &StartPacer {
+        &self.pacer
+    }
+
+    fn pacer_mut(&mut self) -> &mut StartPacer {
+        &mut self.pacer
+    }
+
     fn level(&self) -> Rank {
         Rank::MIN
     }
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -208,6 +208,7 @@
             running: self.admission.running(),
             waiting: self.admission.waiting(),
             limit: ConcurrencyLimit::new(self.admission.limit().get()),
+            rate_limit_per_s: self.admission.pacer().limit(),
             level: self.admission.level(),
             keys: self.keys.len(),
             members: self.router.members().count(),
--- a/cuminarch-engine/src/summary.rs
+++ b/cuminarch-engine/src/summary.rs
@@ -1,4 +1,4 @@
-use cuminarch_types::{ConcurrencyLimit, Rank, Revision};
+use cuminarch_types::{ConcurrencyLimit, RatePerSecond, Rank, Revision};
 use serde::Serialize;
 
 /// State of an engine for dumps and metrics.
@@ -12,6 +12,8 @@
     pub waiting: usize,
     /// Concurrency limit in force.
     pub limit: ConcurrencyLimit,
+    /// Requests per second that the local upstream accepts, if it states a limit.
+    pub rate_limit_per_s: Option<RatePerSecond>,
     /// Admission level in force.
     pub level: Rank,
     /// Idempotency keys in the table.
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -6,13 +6,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use cuminarch_admission::RateLimitChange;
 use cuminarch_attempts::RetryBudgetSettings;
 use cuminarch_config::Policy;
 use cuminarch_engine::Direction as CallDirection;
 use cuminarch_engine::{Action, Arrival, ClaimResult, Engine, EngineSummary, Event};
 use cuminarch_membership::{Registration, UpstreamTracker};
 use cuminarch_once::BoundKey;
-use cuminarch_protocol::{Member, UpstreamRecord};
+use cuminarch_protocol::{Member, UpstreamLifetime, UpstreamRecord, UpstreamSignals};
 use cuminarch_types::{CallId, ClientKey, MonoTime, Outcome, Revision, RouteName};
 use flume::{Receiver, Sender};
 use log::warn;
@@ -135,6 +136,18 @@
         Some(record)
     }
 
+    /// Returns the current lifetime of the local upstream, if it has registered.
+    pub fn upstream_lifetime(&self) -> Option<UpstreamLifetime> {
+        self.shared.upstream.borrow().record().lifetime()
+    }
+
+    /// Records what the local upstream states in an answer. Returns the change of its rate limit,
+    /// if any.
+    pub fn record_upstream_signals(&self, signals: &UpstreamSignals) -> Option<RateLimitChange> {
+        let now = self.shared.clock.now();
+        self.shared.state.borrow_mut().engine.record_upstream_signals(signals, now)
+    }
+
     /// Starts a call in the engine.
     pub fn begin(&self, arrival: Arrival) -> CallGuard {
         let (sender, mailbox) = mpsc::unbounded_channel();
--- a/cuminarch-node/src/data/local.rs
+++ b/cuminarch-node/src/data/local.rs
@@ -7,13 +7,14 @@
 use cuminarch_engine::Event;
 use cuminarch_http::{HeadLimits, ResponseHead, write_request_head};
 use cuminarch_once::StoredAnswer;
-use cuminarch_protocol::{AnswerHead, HeaderField};
+use cuminarch_protocol::{AnswerHead, HeaderField, UpstreamLifetime};
 use cuminarch_types::{CallId, InstanceId};
 use log::info;
 
 use super::answer::{AnswerSource, LocalSource, NodeTime};
 use super::body::RequestBody;
 use super::runner::{CallRequest, DataContext};
+use super::signals::record_upstream_signals;
 use super::upstream_connection::{SendError, UpstreamConnection};
 use super::upstream_pool::UpstreamPool;
 use crate::event::NodeEvent;
@@ -51,9 +52,9 @@
     body: RequestBody,
 ) -> Option<(AnswerHead, AnswerSource)> {
     let call = run.call;
-    let (head_bytes, fields) = request_head(context, &run, request, &body);
+    let head = request_head(context, &run, request, &body);
     let time_to_send = request.received_at.elapsed();
-    let outcome = exchange(context, request, &head_bytes, &fields, body).await;
+    let outcome = exchange(context, request, &head, body).await;
     let (head, connection) = match outcome {
         Ok(answered) => answered,
         Err(UpstreamFailure::TurnedAway) => {
@@ -103,8 +104,7 @@
 async fn exchange(
     context: &DataContext,
     request: &CallRequest,
-    head_bytes: &Bytes,
-    fields: &[HeaderField],
+    head: &RequestHead,
     body: RequestBody,
 ) -> Result<(ResponseHead, UpstreamConnection), UpstreamFailure> {
     let pool = &context.upstream;
@@ -117,15 +117,15 @@
     let is_chunked = request.body_len_bytes.is_none();
     let mut body = body;
     if let Some(mut connection) = pool.take_idle(idle_time) {
-        match connection.send(head_bytes, body, is_chunked).await {
-            Ok(()) => return read_answer(context, connection, fields, is_head).await,
+        match connection.send(&head.bytes, body, is_chunked).await {
+            Ok(()) => return read_answer(context, connection, head, is_head).await,
             Err(SendError::NotSent(unsent)) => body = unsent,
             Err(SendError::MaybeSent) => return Err(UpstreamFailure::Lost),
         }
     }
     let mut connection = pool.open().await.ok_or(UpstreamFailure::NotSent)?;
-    match connection.send(head_bytes, body, is_chunked).await {
-        Ok(()) => read_answer(context, connection, fields, is_head).await,
+    match connection.send(&head.bytes, body, is_chunked).await {
+        Ok(()) => read_answer(context, connection, head, is_head).await,
         Err(SendError::NotSent(_)) => Err(UpstreamFailure::NotSent),
         Err(SendError::MaybeSent) => Err(UpstreamFailure::Lost),
     }
@@ -135,14 +135,18 @@
 async fn read_answer(
     context: &DataContext,
     mut connection: UpstreamConnection,
-    fields: &[HeaderField],
+    request: &RequestHead,
     is_head: bool,
 ) -> Result<(ResponseHead, UpstreamConnection), UpstreamFailure> {
     let limits = HeadLimits::new();
     loop {
         let head =
             connection.read_head(&limits, is_head).await.map_err(|_| UpstreamFailure::Lost)?;
-        match context.interface.classify_answer(fields, &head) {
+        let class = context.interface.classify_answer(&request.fields, &head);
+        if matches!(class, AnswerClass::Current { .. } | AnswerClass::NotRun) {
+            record_upstream_signals(context, request.lifetime.as_ref(), &head.fields);
+        }
+        match class {
             AnswerClass::Current { .. } => return Ok((head, connection)),
             AnswerClass::Stale => {
                 connection
@@ -161,13 +165,20 @@
     }
 }
 
-/// Returns the serialized head of the request and its fields.
+/// Head of a request as it is sent to the local upstream.
+struct RequestHead {
+    bytes: Bytes,
+    fields: Vec<HeaderField>,
+    /// Lifetime of the upstream at the time of sending, if it has registered.
+    lifetime: Option<UpstreamLifetime>,
+}
+
 fn request_head(
     context: &DataContext,
     run: &LocalRun,
     request: &CallRequest,
     body: &RequestBody,
-) -> (Bytes, Vec<HeaderField>) {
+) -> RequestHead {
     let mut fields: Vec<HeaderField> = request.headers.to_vec();
     if !fields.iter().any(|field| field.name == "host") {
         fields.insert(0, HeaderField::new("host", context.upstream.address().to_string()));
@@ -190,5 +201,5 @@
     context.interface.add_upstream_fields(&call, &mut fields);
     let mut bytes = BytesMut::with_capacity(1_024);
     write_request_head(&mut bytes, &request.method, &request.target, &fields);
-    (bytes.freeze(), fields)
+    RequestHead { bytes: bytes.freeze(), fields, lifetime: context.driver.upstream_lifetime() }
 }
--- a/cuminarch-node/src/data/mod.rs
+++ b/cuminarch-node/src/data/mod.rs
@@ -22,6 +22,7 @@
 mod local;
 mod registration;
 mod runner;
+mod signals;
 mod tasks;
 mod thread;
 mod upload;
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -63,11 +63,15 @@
     DoorRefused,
     /// An answer ended early while it was forwarded.
     AnswerBroken,
+    /// The own upstream states another rate limit.
+    RateLimitChanged,
+    /// An answer contains a malformed statement of its upstream.
+    SignalUnreadable,
 }
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 30] = [
+    pub const ALL: [Self; 32] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -98,6 +102,8 @@
         Self::UpstreamFault,
         Self::DoorRefused,
         Self::AnswerBroken,
+        Self::RateLimitChanged,
+        Self::SignalUnreadable,
     ];
 
     /// Returns the number of the event; numbers are never reused.
@@ -134,6 +140,8 @@
             Self::UpstreamFault => 2103,
             Self::DoorRefused => 2104,
             Self::AnswerBroken => 2105,
+            Self::RateLimitChanged => 2106,
+            Self::SignalUnreadable => 2107,
         }
     }
 
@@ -171,6 +179,8 @@
             Self::UpstreamFault => "upstream-fault",
             Self::DoorRefused => "door-refused",
             Self::AnswerBroken => "answer-broken",
+            Self::RateLimitChanged => "rate-limit-changed",
+            Self::SignalUnreadable => "signal-unreadable",
         }
     }
 }
--- a/cuminarch-node/src/headers.rs
+++ b/cuminarch-node/src/headers.rs
@@ -5,8 +5,8 @@
 use cuminarch_engine::RequestKey;
 use cuminarch_http::find_field;
 use cuminarch_once::BoundKey;
-use cuminarch_protocol::HeaderField;
-use cuminarch_types::{CallId, RequestId, ResendNumber, ServiceName};
+use cuminarch_protocol::{HeaderField, UpstreamSignals};
+use cuminarch_types::{CallId, ParseError, RequestId, ResendNumber, ServiceName};
 
 /// Service that is called.
 pub const SERVICE: &str = "cuminarch-service";
@@ -25,6 +25,11 @@
 /// Process to which the request's key is bound.
 pub const BOUND_KEY: &str = "cuminarch-bound-key";
 
+/// On an answer of an upstream: requests per second that it accepts from all nodes together.
+pub const RATE_LIMIT: &str = "cuminarch-rate-limit";
+/// On an answer of an upstream: it is shutting down and expects no new requests.
+pub const LEAVING: &str = "cuminarch-leaving";
+
 /// Value that the node adds to the `Via` field of requests.
 pub const VIA_VALUE: &str = "1.1 cuminarch";
 
@@ -151,3 +156,20 @@
 
 #[cfg(test)]
 mod tests;
+
+/// Parses the signals of an answer from the field with the rate limit and the one that is `1` while
+/// the upstream is leaving.
+///
+/// # Errors
+///
+/// Returns an error if the limit is not a number.
+pub fn parse_upstream_signals(
+    fields: &[HeaderField],
+    rate_limit: &str,
+    leaving: &str,
+) -> Result<UpstreamSignals, ParseError> {
+    let text = |value: &[u8]| String::from_utf8_lossy(value).trim().to_owned();
+    let rate_limit = find_field(fields, rate_limit).map(|value| text(value).parse()).transpose()?;
+    let is_leaving = find_field(fields, leaving).is_some_and(|value| text(value) == "1");
+    Ok(UpstreamSignals { rate_limit, is_leaving })
+}
--- a/cuminarch-node/src/interface/mod.rs
+++ b/cuminarch-node/src/interface/mod.rs
@@ -11,12 +11,12 @@
 use compact_str::CompactString;
 use cuminarch_engine::Refusal;
 use cuminarch_http::{RequestHead, ResponseHead};
-use cuminarch_protocol::{HeaderField, RoutedCall};
-use cuminarch_types::{CallId, InstanceId, Outcome, RequestId};
+use cuminarch_protocol::{HeaderField, RoutedCall, UpstreamSignals};
+use cuminarch_types::{CallId, InstanceId, Outcome, ParseError, RequestId};
 
 use crate::headers;
 
-pub use crate::headers::end_to_end_fields;
+pub use crate::headers::{end_to_end_fields, parse_upstream_signals};
 pub use answer::LocalAnswer;
 pub use native::{NativeInterface, random_request_id};
 pub use plan::{CallPlan, IncomingRequest, ParsedRequest, Side};
@@ -69,6 +69,13 @@
     /// Classifies an answer of the own upstream to a request with these fields.
     fn classify_answer(&self, request: &[HeaderField], answer: &ResponseHead) -> AnswerClass;
 
+    /// Returns what an upstream states about itself in the fields of an answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a value is malformed.
+    fn upstream_signals(&self, fields: &[HeaderField]) -> Result<UpstreamSignals, ParseError>;
+
     /// Returns the fields of an answer that are forwarded.
     fn answer_fields(&self, answer: &ResponseHead) -> Vec<HeaderField> {
         headers::end_to_end_fields(&answer.fields)
--- a/cuminarch-node/src/interface/native.rs
+++ b/cuminarch-node/src/interface/native.rs
@@ -3,8 +3,8 @@
 
 use cuminarch_engine::{Arrival, Refusal, RefusalReason};
 use cuminarch_http::{RequestHead, ResponseHead};
-use cuminarch_protocol::HeaderField;
-use cuminarch_types::{Outcome, RequestId};
+use cuminarch_protocol::{HeaderField, UpstreamSignals};
+use cuminarch_types::{Outcome, ParseError, RequestId};
 
 use super::{
     AnswerClass, CallPlan, CallerInterface, IncomingRequest, LocalAnswer, ParsedRequest,
@@ -76,6 +76,10 @@
         fields
     }
 
+    fn upstream_signals(&self, fields: &[HeaderField]) -> Result<UpstreamSignals, ParseError> {
+        headers::parse_upstream_signals(fields, headers::RATE_LIMIT, headers::LEAVING)
+    }
+
     fn add_answer_fields(&self, outcome: Outcome, root: RequestId, fields: &mut Vec<HeaderField>) {
         fields.push(HeaderField::new(headers::OUTCOME, outcome.as_str()));
         fields.push(HeaderField::new(headers::REQUEST, root.to_string()));
--- a/cuminarch-node/src/metrics.rs
+++ b/cuminarch-node/src/metrics.rs
@@ -1,9 +1,10 @@
 //! Metrics of a node in the Prometheus text format.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use cuminarch_engine::EngineSummary;
-use cuminarch_types::{Outcome, StoreEra};
+use cuminarch_types::{Outcome, RatePerSecond, StoreEra};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -58,6 +59,7 @@
     running: Gauge,
     waiting: Gauge,
     limit: Gauge,
+    rate_limit: Gauge<f64, AtomicU64>,
     level: Gauge,
     keys: Gauge,
     members: Gauge,
@@ -209,6 +211,8 @@
         for (name, help, gauge) in entries {
             registry.register(name, help, gauge.clone());
         }
+        let help = "Requests per second that the own upstream accepts; +Inf without a limit";
+        registry.register("rate_limit", help, gauges.rate_limit.clone());
         gauges
     }
 
@@ -218,6 +222,7 @@
         self.running.set(count(summary.running));
         self.waiting.set(count(summary.waiting));
         self.limit.set(i64::from(summary.limit.get()));
+        self.rate_limit.set(summary.rate_limit_per_s.map_or(f64::INFINITY, RatePerSecond::get));
         self.level.set(i64::from(summary.level.get()));
         self.keys.set(count(summary.keys));
         self.members.set(count(summary.members));
--- a/cuminarch-protocol/src/lib.rs
+++ b/cuminarch-protocol/src/lib.rs
@@ -22,6 +22,7 @@
 mod limit;
 mod member;
 mod send_kind;
+mod upstream_signals;
 
 pub use call::{
     AnswerFrame, AnswerHead, CallFrame, CallHead, HeaderField, LoadReport, PressureReport, Receipt,
@@ -34,3 +35,4 @@
 pub use limit::{FrameLimit, PROTOCOL_VERSION};
 pub use member::{Member, MemberState, UpstreamRecord, UpstreamState};
 pub use send_kind::SendKind;
+pub use upstream_signals::{UpstreamLifetime, UpstreamSignals};
--- a/cuminarch-protocol/src/member.rs
+++ b/cuminarch-protocol/src/member.rs
@@ -3,6 +3,8 @@
 use cuminarch_types::{EndpointId, Incarnation, InstanceId, RegionName, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use crate::UpstreamLifetime;
+
 /// State attributed to a member; within a statement, later variants take precedence.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -52,6 +54,13 @@
         let state = UpstreamState::Absent;
         Self { instance: None, started_at_ms: 0, state, slots: 0, warm_up_ms: 0 }
     }
+
+    /// Returns the lifetime that the record describes; `None` before the first registration.
+    #[must_use]
+    pub fn lifetime(&self) -> Option<UpstreamLifetime> {
+        let instance = self.instance.clone()?;
+        Some(UpstreamLifetime { instance, started_at_ms: self.started_at_ms })
+    }
 }
 
 /// An endpoint of the fleet, as it announces itself.
--- a/cuminarch-types/src/count.rs
+++ b/cuminarch-types/src/count.rs
@@ -49,9 +49,12 @@
 
 /// A rate of events in events per second; finite and not negative.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, PartialOrd, Serialize)]
-#[serde(transparent)]
+#[serde(from = "f64", into = "f64")]
 pub struct RatePerSecond(f64);
 
+// The value is never NaN.
+impl Eq for RatePerSecond {}
+
 impl RatePerSecond {
     /// Creates a rate; negative and non-finite values become zero.
     #[must_use]
@@ -66,6 +69,18 @@
     }
 }
 
+impl From<f64> for RatePerSecond {
+    fn from(value: f64) -> Self {
+        Self::new(value)
+    }
+}
+
+impl From<RatePerSecond> for f64 {
+    fn from(rate: RatePerSecond) -> Self {
+        rate.0
+    }
+}
+
 impl fmt::Display for RatePerSecond {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}/s", self.0)
