--- a/cuminarch-engine/src/summary.rs
+++ b/cuminarch-engine/src/summary.rs
@@ -1,4 +1,4 @@
-use cuminarch_types::{ConcurrencyLimit, RatePerSecond, Rank, Revision};
+use cuminarch_types::{ConcurrencyLimit, Rank, RatePerSecond, Revision};
 use serde::Serialize;
 
 /// State of an engine for dumps and metrics.
