fix(cuminarch-admission): requests start no faster than the rate limit that the upstream states

Cause: no part of the node read the statement; the node beside the upstream admitted by concurrency only.

The node beside the upstream starts all of its requests, so it enforces the limit for all nodes together without agreement: a pacer delays starts, the queue keeps its order by urgency, and a request that would wait too long is refused as before. Occupancy and shortage count the slots that are usable at the limit. The requests that the upstream got before its statement count against the settling time.

--- a/cuminarch-admission/src/admission.rs
+++ b/cuminarch-admission/src/admission.rs
@@ -119,7 +119,7 @@
         now: MonoTime,
     ) -> OfferReply {
         self.level.advance(now);
-        let has_room = self.has_room() && self.queue.is_empty();
+        let has_room = self.has_room(now) && self.queue.is_empty();
         self.level.record_offer(rank, has_room);
         if has_room {
             self.level.record_start(Duration::ZERO);
@@ -187,7 +187,7 @@
             self.level.record_refusal();
             events.push(QueueEvent::Refuse(call));
         }
-        while self.has_room() {
+        while self.has_room(now) {
             let Some((_, call)) = self.queue.last().copied() else { break };
             let since = self.dequeue(call).map_or(now, |waiting| waiting.since);
             self.level.record_start(now.since(since));
@@ -202,8 +202,8 @@
         self.running.insert(call, now);
     }
 
-    fn has_room(&self) -> bool {
-        self.running.len() < self.limiter.limit().get() as usize
+    fn has_room(&self, now: MonoTime) -> bool {
+        self.running.len() < self.limiter.limit().get() as usize && self.pacer.may_start(now)
     }
 
     fn enqueue(&mut self, call: CallId, waiting: Waiting) {
--- a/cuminarch-admission/src/control.rs
+++ b/cuminarch-admission/src/control.rs
@@ -71,6 +71,14 @@
         self.finish(call, None, now)
     }
 
+    /// Returns running and queued requests relative to those that may run concurrently, in
+    /// thousandths.
+    fn occupancy_milli(&self) -> u32 {
+        let calls = (self.running() + self.waiting()) as u64;
+        let milli = calls * 1_000 / u64::from(self.limit().get().max(1));
+        u32::try_from(milli).unwrap_or(u32::MAX)
+    }
+
     /// Returns the fraction of the offered load that exceeds the capacity, in thousandths.
     fn shortage_milli(&self) -> u16;
 
--- a/cuminarch-admission/src/shortage.rs
+++ b/cuminarch-admission/src/shortage.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use cuminarch_types::{ConcurrencyLimit, DisabledMechanisms, Mechanism, MonoTime};
+use cuminarch_types::{DisabledMechanisms, Mechanism, MonoTime};
 
 use crate::sender_model::{SenderModel, decay_factor};
 
@@ -109,14 +109,14 @@
         self.turned_away = 0;
     }
 
-    /// Adapts the value if the window is over.
-    pub fn advance(&mut self, capacity: ConcurrencyLimit, backlog: Duration, now: MonoTime) {
+    /// Adapts the value if the window is over. `slots_milli` is the number of usable slots in
+    /// thousandths.
+    pub fn advance(&mut self, slots_milli: u32, backlog: Duration, now: MonoTime) {
         let age = now.since(self.window_started_at);
         if age < Self::WINDOW {
             return;
         }
-        let slots = u128::from(capacity.get().max(1));
-        let capacity_us = (age.as_micros() * slots).max(1);
+        let capacity_us = (age.as_micros() * u128::from(slots_milli) / 1_000).max(1);
         // A backlog grows until the senders react, and is drained in the same time.
         let drained_us =
             backlog.as_micros() * age.as_micros() / self.senders.reaction_time().as_micros();
--- a/cuminarch-admission/src/slot_admission.rs
+++ b/cuminarch-admission/src/slot_admission.rs
@@ -92,8 +92,14 @@
         self
     }
 
-    fn has_room(&self) -> bool {
-        self.running.len() < self.capacity.get() as usize
+    fn has_room(&self, now: MonoTime) -> bool {
+        self.running.len() < self.capacity.get() as usize && self.pacer.may_start(now)
+    }
+
+    /// Returns the number of slots that can be occupied within the rate limit, in thousandths.
+    fn usable_slots_milli(&self) -> u32 {
+        let slots = self.pacer.usable_slots(self.capacity.get(), self.mean_holding_time());
+        ((slots * 1_000.0) as u32).max(1)
     }
 
     fn mean_holding_time(&self) -> Duration {
@@ -106,10 +112,11 @@
     }
 
     /// Predicts the time until the request with this key starts.
-    fn predicted_wait(&self, queue_key: QueueKey) -> Duration {
+    fn predicted_wait(&self, queue_key: QueueKey, now: MonoTime) -> Duration {
         let ahead = self.queue.range(..queue_key).count() + 1;
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        self.mean_holding_time() * ahead / self.capacity.get().max(1)
+        let wait_for_slot = self.mean_holding_time() * ahead / self.capacity.get().max(1);
+        wait_for_slot.max(self.pacer.wait(ahead, now))
     }
 
     fn latest_start(&self, request: &AdmissionRequest, now: MonoTime) -> MonoTime {
@@ -170,7 +177,7 @@
     fn record_offered_work(&mut self, request: &AdmissionRequest, now: MonoTime) {
         let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         let backlog = self.mean_holding_time.unwrap_or_default() * waiting;
-        self.shortage.advance(self.capacity, backlog, now);
+        self.shortage.advance(self.usable_slots_milli(), backlog, now);
         if self.mean_holding_time.is_some() {
             self.shortage.record_offer(self.expected_holding_time(request.route.as_ref()));
         }
@@ -186,12 +193,12 @@
 impl AdmissionControl for SlotAdmission {
     fn offer(&mut self, request: &AdmissionRequest, now: MonoTime) -> OfferReply {
         self.record_offered_work(request, now);
-        if self.has_room() && self.queue.is_empty() {
+        if self.has_room(now) && self.queue.is_empty() {
             self.start(request.call, request.route.clone(), now);
             return OfferReply { decision: AdmissionDecision::Run, evicted: None };
         }
         let queue_key = self.queue_key_of(request, now);
-        let wait = self.predicted_wait(queue_key);
+        let wait = self.predicted_wait(queue_key, now);
         let latest_start = self.latest_start(request, now);
         if self.queue.len() >= Self::MAX_WAITING || now.after(wait) > latest_start {
             let decision = AdmissionDecision::Refuse { retry_after: wait };
@@ -243,7 +250,7 @@
             self.dequeue(call);
             events.push(QueueEvent::Refuse(call));
         }
-        while self.has_room() {
+        while self.has_room(now) {
             let Some((_, call)) = self.queue.first().copied() else { break };
             let route = self.dequeue(call).and_then(|waiting| waiting.route);
             self.start(call, route, now);
@@ -291,6 +298,12 @@
         self.waiting.len()
     }
 
+    fn occupancy_milli(&self) -> u32 {
+        let calls = (self.running.len() + self.waiting.len()) as u64;
+        let milli = calls * 1_000_000 / u64::from(self.usable_slots_milli());
+        u32::try_from(milli).unwrap_or(u32::MAX)
+    }
+
     fn shortage_milli(&self) -> u16 {
         self.shortage.value_milli()
     }
--- a/cuminarch-admission/src/start_pacer.rs
+++ b/cuminarch-admission/src/start_pacer.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use cuminarch_types::{MonoTime, RatePerSecond};
 
 use crate::recent_starts::RecentStarts;
@@ -13,42 +15,149 @@
     pub recent_starts: u32,
 }
 
-/// Tracks the rate limit that an upstream states and the requests that it gets.
+/// Paces the starts of requests at the rate limit that the upstream states, if it states one.
+///
+/// The limit holds for all callers together. The node beside the upstream starts all of its
+/// requests and so enforces the limit without agreement between nodes.
+///
+/// A limit that is below the current rate comes into force with a debt: the upstream judges the
+/// requests of the last [`Self::WINDOW`], some of which it got before it stated the limit. The rate
+/// stays below the limit for [`Self::SETTLING_TIME`] where that is needed to make up for them.
+///
+/// ```
+/// use std::time::Duration;
+/// use cuminarch_admission::StartPacer;
+/// use cuminarch_types::{MonoTime, RatePerSecond};
+///
+/// let mut pacer = StartPacer::new();
+/// let now = MonoTime::from_millis(1);
+/// assert!(pacer.may_start(now));
+/// pacer.record_limit(Some(RatePerSecond::new(2.0)), now);
+/// assert!(!pacer.may_start(now));
+/// assert!(pacer.may_start(now.after(Duration::from_millis(500))));
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct StartPacer {
-    limit: Option<RatePerSecond>,
+    limit: Option<Limit>,
     starts: RecentStarts,
+    /// Time at which the next request is due; requests may start [`Self::BURST`] earlier.
+    next_start_at: MonoTime,
+}
+
+/// A rate limit in force.
+#[derive(Clone, Copy, Debug)]
+struct Limit {
+    rate: RatePerSecond,
+    stated_at: MonoTime,
+    settling_rate: RatePerSecond,
+    settled_at: MonoTime,
 }
 
 impl StartPacer {
+    /// Time over which an upstream measures its load.
+    const WINDOW: Duration = RecentStarts::MAX_AGE;
+    /// Time within which the load has to comply with a new limit.
+    const SETTLING_TIME: Duration = Duration::from_secs(3);
+    /// Requests in a window relative to the limit, at the end of the settling time.
+    const MAX_SETTLING_LOAD_RATIO: f64 = 1.25;
+    /// Requests that are due within this time may start together.
+    const BURST: Duration = Duration::from_millis(250);
+    /// Requests are started at this rate even if the limit is lower: only answers show its end.
+    const MIN_RATE_PER_S: f64 = 0.5;
+    /// Time after which an answer without a limit ends the last one that was stated. Answers on
+    /// different connections may be read out of order.
+    const LIFT_DELAY: Duration = Duration::from_millis(500);
+
     /// Creates a pacer without a limit.
     #[must_use]
     pub const fn new() -> Self {
-        Self { limit: None, starts: RecentStarts::new() }
+        Self { limit: None, starts: RecentStarts::new(), next_start_at: MonoTime::ZERO }
     }
 
     /// Returns the limit in force.
     #[must_use]
-    pub const fn limit(&self) -> Option<RatePerSecond> {
-        self.limit
+    pub fn limit(&self) -> Option<RatePerSecond> {
+        self.limit.map(|limit| limit.rate)
+    }
+
+    /// Returns `true` if a request may start now.
+    #[must_use]
+    pub fn may_start(&self, now: MonoTime) -> bool {
+        self.wait(1, now).is_zero()
+    }
+
+    /// Returns the time until the request with this number, counted from 1, may start.
+    #[must_use]
+    pub fn wait(&self, number: u32, now: MonoTime) -> Duration {
+        let Some(limit) = &self.limit else { return Duration::ZERO };
+        let due_at = self.next_start_at.after(limit.interval(now) * number.saturating_sub(1));
+        due_at.since(now.after(Self::BURST))
+    }
+
+    /// Returns the number of slots that requests occupy at the limit, given their holding time.
+    #[must_use]
+    pub fn usable_slots(&self, slots: u32, holding_time: Duration) -> f64 {
+        let slots = f64::from(slots);
+        let Some(limit) = &self.limit else { return slots };
+        slots.min(limit.rate.get() * holding_time.as_secs_f64())
     }
 
     /// Records the start of a request.
     pub fn record_start(&mut self, now: MonoTime) {
         self.starts.record(now);
+        if let Some(limit) = &self.limit {
+            self.next_start_at = self.next_start_at.max(now).after(limit.interval(now));
+        }
     }
 
     /// Records the limit of an answer, `None` if it states none. Returns the change, if any.
     pub fn record_limit(
         &mut self,
-        limit: Option<RatePerSecond>,
+        rate: Option<RatePerSecond>,
         now: MonoTime,
     ) -> Option<RateLimitChange> {
-        if limit == self.limit {
-            return None;
+        let previous = self.limit();
+        match (rate, &mut self.limit) {
+            (Some(rate), Some(limit)) if limit.rate == rate => limit.stated_at = now,
+            (Some(rate), _) => self.begin(rate, now),
+            (None, Some(limit)) if now.since(limit.stated_at) >= Self::LIFT_DELAY => {
+                self.limit = None;
+            }
+            (None, _) => {}
         }
-        let recent_starts = self.starts.within(RecentStarts::MAX_AGE, now);
-        let previous = std::mem::replace(&mut self.limit, limit);
-        Some(RateLimitChange { previous, current: limit, recent_starts })
+        let current = self.limit();
+        let recent_starts = self.starts.within(Self::WINDOW, now);
+        (previous != current).then_some(RateLimitChange { previous, current, recent_starts })
+    }
+
+    /// Forgets the limit of an upstream that has ended.
+    pub fn clear_limit(&mut self) {
+        self.limit = None;
+    }
+
+    fn begin(&mut self, rate: RatePerSecond, now: MonoTime) {
+        let settling_rate = self.settling_rate(rate, now);
+        let settled_at = now.after(Self::SETTLING_TIME);
+        let limit = Limit { rate, stated_at: now, settling_rate, settled_at };
+        self.next_start_at = now.after(limit.interval(now));
+        self.limit = Some(limit);
+    }
+
+    /// Returns the rate at which the load of the window complies at the end of the settling time,
+    /// including the requests that were started before.
+    fn settling_rate(&self, rate: RatePerSecond, now: MonoTime) -> RatePerSecond {
+        let remembered_time = Self::WINDOW.saturating_sub(Self::SETTLING_TIME);
+        let earlier_starts = f64::from(self.starts.within(remembered_time, now));
+        let window_starts = rate.get() * Self::WINDOW.as_secs_f64() * Self::MAX_SETTLING_LOAD_RATIO;
+        let settling_per_s = (window_starts - earlier_starts) / Self::SETTLING_TIME.as_secs_f64();
+        RatePerSecond::new(settling_per_s.min(rate.get()))
+    }
+}
+
+impl Limit {
+    /// Returns the time between two starts.
+    fn interval(&self, now: MonoTime) -> Duration {
+        let rate = if now < self.settled_at { self.settling_rate } else { self.rate };
+        Duration::from_secs_f64(1.0 / rate.get().max(StartPacer::MIN_RATE_PER_S))
     }
 }
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -312,6 +312,10 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
+        let previous = self.upstream.as_ref().and_then(UpstreamRecord::lifetime);
+        if previous.is_some() && previous != record.lifetime() {
+            self.admission.pacer_mut().clear_limit();
+        }
         self.admission.set_capacity(ConcurrencyLimit::new(record.slots));
         self.upstream = Some(record);
         let events = match self.closed_reason() {
--- a/cuminarch-engine/src/load.rs
+++ b/cuminarch-engine/src/load.rs
@@ -14,11 +14,8 @@
 
     /// Returns the load of this node and downstream, for the answer to a call on `route`.
     pub(crate) fn load_report(&self, route: &RouteName, now: MonoTime) -> LoadReport {
-        let calls = self.admission.running() + self.admission.waiting();
-        let limit = self.admission.limit().get().max(1);
-        let occupancy_milli = calls as u64 * 1_000 / u64::from(limit);
         LoadReport {
-            occupancy_milli: u32::try_from(occupancy_milli).unwrap_or(u32::MAX),
+            occupancy_milli: self.admission.occupancy_milli(),
             pressure: self
                 .worst_pressure(route, now)
                 .map(|shortage| to_pressure_report(&shortage, now)),
