fix(cuminarch-admission): a queued nested call is refused before its deadline, not at it

What callers saw: a 502 or 504 ("may have run") for a request that had only waited in the queue of its serving node.

Cause: a nested call may wait until its deadline less the expected holding time. With short runs that is the deadline itself, when the entry node ends the call too and, without the refusal, has to assume that it may have run. Ruled out: a request that reached the upstream (none beyond the limit did).

The queue now leaves time for the refusal to arrive: one poll interval and the way back.

--- a/cuminarch-admission/src/slot_admission.rs
+++ b/cuminarch-admission/src/slot_admission.rs
@@ -67,6 +67,9 @@
     /// A caller's request may wait for its objective divided by this. The rest is for its run and
     /// for a retry elsewhere.
     const WAIT_DIVISOR: u32 = 4;
+    /// Time until the refusal of a queued request reaches its entry node: the longest time between
+    /// two polls and the way back. Later, the entry node has to assume that the request has run.
+    const REFUSAL_TIME: Duration = Duration::from_millis(30);
 
     /// Creates the admission control of an endpoint whose slots are not yet known.
     #[must_use]
@@ -121,7 +124,7 @@
 
     fn latest_start(&self, request: &AdmissionRequest, now: MonoTime) -> MonoTime {
         let holding = self.expected_holding_time(request.route.as_ref());
-        let time_left = request.deadline.since(now).saturating_sub(holding);
+        let time_left = request.deadline.since(now).saturating_sub(holding + Self::REFUSAL_TIME);
         let may_wait_until_deadline =
             request.is_nested || self.disabled.contains(Mechanism::WaitRefusal);
         let max_wait = if may_wait_until_deadline {
--- a/cuminarch-admission/tests/surge.rs
+++ b/cuminarch-admission/tests/surge.rs
@@ -149,6 +149,27 @@
     );
 }
 
+/// The refusal has to reach the entry node before that node ends the call as possibly run.
+#[test]
+fn a_nested_call_that_does_not_start_is_refused_before_its_deadline() {
+    let mut admission = admission(1);
+    let now = MonoTime::from_millis(1_000);
+    // Teaches the admission that calls occupy their slot very briefly.
+    for call in 1_000..1_300 {
+        admission.offer(&request(call, 2, true, now), now);
+        admission.finish(CallId::new(call), Some(Duration::ZERO), now);
+    }
+    admission.offer(&request(0, 2, true, now), now);
+    let waiting = request(1, 2, true, now);
+    assert_eq!(admission.offer(&waiting, now).decision, AdmissionDecision::Wait);
+    let mut poll_at = now;
+    while admission.poll(poll_at).is_empty() {
+        poll_at = poll_at.after(Duration::from_millis(20));
+    }
+    let time_left = waiting.deadline.since(poll_at);
+    assert!(time_left >= Duration::from_millis(10), "{time_left:?}");
+}
+
 /// A serving node whose 39 used slots run calls of 20 ms each.
 struct SimulatedNode {
     admission: SlotAdmission,
