fix(cuminarch-node): a restarted node learns the rate limit of its upstream from its callers

Cause: the limit lived only in the node beside the upstream, which may start again while the upstream continues; until its first answer it knew of none. Ruled out: waiting for one answer after each start, which costs every restart of all nodes a round of capacity for a case that is rare.

An entry node remembers what each lifetime of an upstream stated, also across incarnations of its node, and names the limit in the URL that opens a data link. After a restart all links are new, so the first call brings it. The upstream's own answers replace it. Nodes of the previous build ignore the query parameter. Entry nodes log what they learn as CU2108.

--- a/cuminarch-admission/src/start_pacer.rs
+++ b/cuminarch-admission/src/start_pacer.rs
@@ -39,6 +39,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct StartPacer {
     limit: Option<Limit>,
+    /// Whether the upstream has answered in its current lifetime.
+    has_answered: bool,
     starts: RecentStarts,
     /// Time at which the next request is due; requests may start [`Self::BURST`] earlier.
     next_start_at: MonoTime,
@@ -48,7 +50,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Limit {
     rate: RatePerSecond,
-    stated_at: MonoTime,
+    /// Time of the last answer that stated it; `None` if only another node knows of it.
+    stated_at: Option<MonoTime>,
     settling_rate: RatePerSecond,
     settled_at: MonoTime,
 }
@@ -71,7 +74,12 @@
     /// Creates a pacer without a limit.
     #[must_use]
     pub const fn new() -> Self {
-        Self { limit: None, starts: RecentStarts::new(), next_start_at: MonoTime::ZERO }
+        Self {
+            limit: None,
+            has_answered: false,
+            starts: RecentStarts::new(),
+            next_start_at: MonoTime::ZERO,
+        }
     }
 
     /// Returns the limit in force.
@@ -116,15 +124,32 @@
         rate: Option<RatePerSecond>,
         now: MonoTime,
     ) -> Option<RateLimitChange> {
+        self.has_answered = true;
         let previous = self.limit();
         match (rate, &mut self.limit) {
-            (Some(rate), Some(limit)) if limit.rate == rate => limit.stated_at = now,
-            (Some(rate), _) => self.begin(rate, now),
-            (None, Some(limit)) if now.since(limit.stated_at) >= Self::LIFT_DELAY => {
-                self.limit = None;
-            }
+            (Some(rate), Some(limit)) if limit.rate == rate => limit.stated_at = Some(now),
+            (Some(rate), _) => self.begin(rate, Some(now), now),
+            (None, Some(limit)) if limit.may_end(now) => self.limit = None,
             (None, _) => {}
         }
+        self.change_since(previous, now)
+    }
+
+    /// Applies the limit that another node knows of, until the upstream answers. Returns the
+    /// change, if any.
+    pub fn adopt_limit(&mut self, rate: RatePerSecond, now: MonoTime) -> Option<RateLimitChange> {
+        if self.has_answered || self.limit.is_some() {
+            return None;
+        }
+        self.begin(rate, None, now);
+        self.change_since(None, now)
+    }
+
+    fn change_since(
+        &self,
+        previous: Option<RatePerSecond>,
+        now: MonoTime,
+    ) -> Option<RateLimitChange> {
         let current = self.limit();
         let recent_starts = self.starts.within(Self::WINDOW, now);
         (previous != current).then_some(RateLimitChange { previous, current, recent_starts })
@@ -132,13 +157,14 @@
 
     /// Forgets the limit of an upstream that has ended.
     pub fn clear_limit(&mut self) {
+        self.has_answered = false;
         self.limit = None;
     }
 
-    fn begin(&mut self, rate: RatePerSecond, now: MonoTime) {
+    fn begin(&mut self, rate: RatePerSecond, stated_at: Option<MonoTime>, now: MonoTime) {
         let settling_rate = self.settling_rate(rate, now);
         let settled_at = now.after(Self::SETTLING_TIME);
-        let limit = Limit { rate, stated_at: now, settling_rate, settled_at };
+        let limit = Limit { rate, stated_at, settling_rate, settled_at };
         self.next_start_at = now.after(limit.interval(now));
         self.limit = Some(limit);
     }
@@ -155,6 +181,11 @@
 }
 
 impl Limit {
+    /// Returns `true` if an answer without a limit ends it.
+    fn may_end(&self, now: MonoTime) -> bool {
+        self.stated_at.is_none_or(|stated_at| now.since(stated_at) >= StartPacer::LIFT_DELAY)
+    }
+
     /// Returns the time between two starts.
     fn interval(&self, now: MonoTime) -> Duration {
         let rate = if now < self.settled_at { self.settling_rate } else { self.rate };
--- a/cuminarch-admission/tests/stated_limit.rs
+++ b/cuminarch-admission/tests/stated_limit.rs
@@ -174,3 +174,17 @@
     pacer.record_limit(None, now.after(Duration::from_millis(gap_ms)));
     assert_eq!(pacer.limit().is_some(), holds);
 }
+
+/// What another node knows counts only until the upstream itself has answered.
+#[test]
+fn limit_of_a_peer_is_replaced_by_the_first_answer() {
+    let mut pacer = StartPacer::new();
+    let now = MonoTime::from_millis(1_000);
+    let limit = RatePerSecond::new(2.0);
+    assert!(pacer.adopt_limit(limit, now).is_some());
+    assert!(!pacer.may_start(now));
+    assert!(pacer.record_limit(None, now).is_some());
+    assert_eq!(pacer.limit(), None);
+    assert!(pacer.adopt_limit(limit, now).is_none());
+    assert!(pacer.may_start(now));
+}
--- a/cuminarch-engine/src/signals.rs
+++ b/cuminarch-engine/src/signals.rs
@@ -2,7 +2,8 @@
 
 use cuminarch_admission::RateLimitChange;
 use cuminarch_protocol::UpstreamSignals;
-use cuminarch_types::MonoTime;
+use cuminarch_routing::Target;
+use cuminarch_types::{MonoTime, RatePerSecond, ServiceName};
 
 use crate::Engine;
 
@@ -16,4 +17,25 @@
     ) -> Option<RateLimitChange> {
         self.admission.pacer_mut().record_limit(signals.rate_limit, now)
     }
+
+    /// Applies the rate limit of the local upstream that another node knows of, unless the upstream
+    /// has answered since this node started. Returns the change, if any.
+    pub fn adopt_rate_limit(
+        &mut self,
+        rate_limit: RatePerSecond,
+        now: MonoTime,
+    ) -> Option<RateLimitChange> {
+        self.admission.pacer_mut().adopt_limit(rate_limit, now)
+    }
+
+    /// Records what the upstream of another endpoint states in an answer. Returns `true` if that
+    /// changed.
+    pub fn record_endpoint_signals(
+        &mut self,
+        service: &ServiceName,
+        target: &Target,
+        signals: &UpstreamSignals,
+    ) -> bool {
+        self.router.record_signals(service, target, signals)
+    }
 }
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -14,7 +14,10 @@
 use cuminarch_membership::{Registration, UpstreamTracker};
 use cuminarch_once::BoundKey;
 use cuminarch_protocol::{Member, UpstreamLifetime, UpstreamRecord, UpstreamSignals};
-use cuminarch_types::{CallId, ClientKey, MonoTime, Outcome, Revision, RouteName};
+use cuminarch_routing::Target;
+use cuminarch_types::{
+    CallId, ClientKey, MonoTime, Outcome, RatePerSecond, Revision, RouteName, ServiceName,
+};
 use flume::{Receiver, Sender};
 use log::warn;
 use tokio::sync::Notify;
@@ -148,6 +151,24 @@
         self.shared.state.borrow_mut().engine.record_upstream_signals(signals, now)
     }
 
+    /// Applies the rate limit of the local upstream that another node knows of. Returns the change,
+    /// if any.
+    pub fn adopt_rate_limit(&self, rate_limit: RatePerSecond) -> Option<RateLimitChange> {
+        let now = self.shared.clock.now();
+        self.shared.state.borrow_mut().engine.adopt_rate_limit(rate_limit, now)
+    }
+
+    /// Records what the upstream of another endpoint states in an answer. Returns `true` if that
+    /// changed.
+    pub fn record_endpoint_signals(
+        &self,
+        service: &ServiceName,
+        target: &Target,
+        signals: &UpstreamSignals,
+    ) -> bool {
+        self.shared.state.borrow_mut().engine.record_endpoint_signals(service, target, signals)
+    }
+
     /// Starts a call in the engine.
     pub fn begin(&self, arrival: Arrival) -> CallGuard {
         let (sender, mailbox) = mpsc::unbounded_channel();
--- a/cuminarch-node/src/data/link_client.rs
+++ b/cuminarch-node/src/data/link_client.rs
@@ -12,6 +12,7 @@
 use super::answer::{AnswerSource, NodeTime, RemoteSource};
 use super::link_pool::LinkError;
 use super::runner::{CallRequest, DataContext};
+use super::signals::record_endpoint_signals;
 use crate::event::NodeEvent;
 use crate::metrics::Direction;
 
@@ -26,7 +27,8 @@
 ) -> Option<(AnswerHead, AnswerSource)> {
     let driver = &context.driver;
     let address = forward.target.data_address;
-    let Ok(mut link) = context.links.take(address, forward.idempotent).await else {
+    let rate_limit = forward.target.rate_limit;
+    let Ok(mut link) = context.links.take(address, forward.idempotent, rate_limit).await else {
         log_attempt(context, request, forward, "no link");
         driver.post(Event::RemoteLost { call, attempt, sent: false });
         return None;
@@ -43,6 +45,7 @@
     let time_to_send = request.received_at.elapsed();
     match link.receive(forward.remaining, forward.idempotent).await {
         Ok(AnswerFrame::Head(head)) => {
+            record_endpoint_signals(context, &request.service, &forward.target, &head.headers);
             let is_failure = head.status >= 500;
             driver.post(Event::RemoteHead { call, attempt, is_failure });
             let (metrics, direction) = (Arc::clone(&context.metrics), Direction::Outbound);
--- a/cuminarch-node/src/data/link_hello.rs
+++ b/cuminarch-node/src/data/link_hello.rs
@@ -4,17 +4,24 @@
 
 use compact_str::CompactString;
 use cuminarch_protocol::{FrameLimit, PROTOCOL_VERSION};
+use cuminarch_types::RatePerSecond;
 use http::{Response, StatusCode, Uri};
+use log::debug;
 use tokio_tungstenite::tungstenite::handshake::server::{
     Callback, ErrorResponse, Request as OpenRequest, Response as OpenResponse,
 };
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
 
+use crate::event::NodeEvent;
+
 /// Close code of a node that has answered every call it started on the link. A peer that still
 /// waits for an answer knows that its call has not run.
 pub const CLOSED_BETWEEN_CALLS: CloseCode = CloseCode::Away;
 
+/// Query parameter with the rate limit of the peer's upstream; ignored by nodes that do not know it.
+const RATE_LIMIT_PARAMETER: &str = "rate_limit";
+
 /// Fleet and protocol version of a data link, which must match at both ends.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LinkHello {
@@ -27,21 +34,32 @@
         Self { fleet }
     }
 
-    /// Returns the URL that opens a link.
-    pub fn url(&self, address: SocketAddr) -> String {
-        format!("ws://{address}/data?fleet={}&protocol={PROTOCOL_VERSION}", self.fleet)
+    /// Returns the URL that opens a link to the node at `address`. A node that has just started
+    /// learns from it the rate limit that its upstream stated before.
+    pub fn url(&self, address: SocketAddr, rate_limit: Option<RatePerSecond>) -> String {
+        let fleet = &self.fleet;
+        let rate_limit = rate_limit.map(|limit| format!("&{RATE_LIMIT_PARAMETER}={}", limit.get()));
+        let rate_limit = rate_limit.unwrap_or_default();
+        format!("ws://{address}/data?fleet={fleet}&protocol={PROTOCOL_VERSION}{rate_limit}")
     }
 
     fn matches(&self, uri: &Uri) -> bool {
-        let query = uri.query().unwrap_or_default();
-        let find = |name: &str| {
-            query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
-        };
-        let version = find("protocol").and_then(|text| text.parse().ok());
-        find("fleet") == Some(&*self.fleet) && version == Some(PROTOCOL_VERSION)
+        let version = query_value(uri, "protocol").and_then(|text| text.parse().ok());
+        query_value(uri, "fleet") == Some(&*self.fleet) && version == Some(PROTOCOL_VERSION)
     }
 }
 
+/// Returns the rate limit of the local upstream that the peer knows of, if any.
+pub fn known_rate_limit(uri: &Uri) -> Option<RatePerSecond> {
+    let parsed = query_value(uri, RATE_LIMIT_PARAMETER)?.parse();
+    parsed.inspect_err(|error| debug!("{} data link: {error}", NodeEvent::ConnectionFault)).ok()
+}
+
+fn query_value<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
+    let mut pairs = uri.query().unwrap_or_default().split('&');
+    pairs.find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+}
+
 impl Callback for LinkHello {
     #[allow(clippy::result_large_err, reason = "the library wants this type")]
     fn on_request(
--- a/cuminarch-node/src/data/link_pool.rs
+++ b/cuminarch-node/src/data/link_pool.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use cuminarch_protocol::{AnswerFrame, CallFrame, CallHead, FrameLimit, ProtocolError};
+use cuminarch_types::RatePerSecond;
 use futures_util::{SinkExt, StreamExt};
 use thiserror::Error;
 use tokio::net::TcpStream;
@@ -101,8 +102,14 @@
     }
 
     /// Returns an idle link to a node, or a new one. If the call can't be retried, a link that has
-    /// been idle for a while is probed first: a call lost on a silently dead link may have run.
-    pub async fn take(&self, address: SocketAddr, can_retry: bool) -> Result<Link, LinkError> {
+    /// been idle for a while is probed first: a call lost on a silently dead link may have run. A
+    /// new link tells the node the known rate limit of its upstream.
+    pub async fn take(
+        &self,
+        address: SocketAddr,
+        can_retry: bool,
+        rate_limit: Option<RatePerSecond>,
+    ) -> Result<Link, LinkError> {
         let mut link = self.reserve(address)?;
         while let Some(idle) = self.pop_idle(address) {
             if !is_open(&idle.socket) {
@@ -115,15 +122,19 @@
             }
             self.close_idle_to(address);
         }
-        link.state = Some(LinkState::Unsplit(Box::new(self.open(address).await?)));
+        link.state = Some(LinkState::Unsplit(Box::new(self.open(address, rate_limit).await?)));
         Ok(link)
     }
 
-    async fn open(&self, address: SocketAddr) -> Result<LinkSocket, LinkError> {
+    async fn open(
+        &self,
+        address: SocketAddr,
+        rate_limit: Option<RatePerSecond>,
+    ) -> Result<LinkSocket, LinkError> {
         let open = async {
             let stream = TcpStream::connect(address).await.ok()?;
             stream.set_nodelay(true).ok()?;
-            let url = self.hello.url(address);
+            let url = self.hello.url(address, rate_limit);
             let config = Some(link_config());
             let (socket, _) =
                 tokio_tungstenite::client_async_with_config(url, stream, config).await.ok()?;
--- a/cuminarch-node/src/data/link_server.rs
+++ b/cuminarch-node/src/data/link_server.rs
@@ -14,6 +14,9 @@
 use log::debug;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio_tungstenite::tungstenite::handshake::server::{
+    Callback, Request as OpenRequest, Response as OpenResponse,
+};
 use tokio_tungstenite::tungstenite::protocol::CloseFrame;
 use tokio_tungstenite::tungstenite::{Message, Utf8Bytes};
 
@@ -21,9 +24,10 @@
 use super::body::{BodyItem, BodyReader, RequestBody, frame_chunks};
 use super::connections::Connection;
 use super::detached::execute_call;
-use super::link_hello::{CLOSED_BETWEEN_CALLS, link_config};
+use super::link_hello::{CLOSED_BETWEEN_CALLS, known_rate_limit, link_config};
 use super::link_pool::LinkSocket;
 use super::runner::{CallRequest, DataContext, Reply};
+use super::signals::adopt_rate_limit;
 use crate::event::NodeEvent;
 use crate::headers;
 
@@ -41,11 +45,20 @@
 pub async fn serve_link(context: DataContext, stream: TcpStream, mut connection: Connection) {
     let hello = context.hello.clone();
     let config = Some(link_config());
-    let open = tokio_tungstenite::accept_hdr_async_with_config(stream, hello, config);
+    let rate_limit = Cell::new(None);
+    #[allow(clippy::result_large_err, reason = "the library wants this type")]
+    let on_request = |request: &OpenRequest, response: OpenResponse| {
+        rate_limit.set(known_rate_limit(request.uri()));
+        hello.on_request(request, response)
+    };
+    let open = tokio_tungstenite::accept_hdr_async_with_config(stream, on_request, config);
     let Ok(Ok(socket)) = tokio::time::timeout(OPEN_TIMEOUT, open).await else {
         debug!("{} data link handshake failed or timed out", NodeEvent::ConnectionFault);
         return;
     };
+    if let Some(rate_limit) = rate_limit.get() {
+        adopt_rate_limit(&context, rate_limit);
+    }
     let (mut sink, mut stream) = socket.split();
     loop {
         let head = tokio::select! {
--- a/cuminarch-node/src/data/signals.rs
+++ b/cuminarch-node/src/data/signals.rs
@@ -2,7 +2,8 @@
 
 use cuminarch_admission::RateLimitChange;
 use cuminarch_protocol::{HeaderField, UpstreamLifetime, UpstreamSignals};
-use cuminarch_types::RatePerSecond;
+use cuminarch_routing::Target;
+use cuminarch_types::{RatePerSecond, ServiceName};
 use log::info;
 
 use super::runner::DataContext;
@@ -24,6 +25,26 @@
     }
 }
 
+/// Applies the rate limit of the local upstream that another node knows of.
+pub fn adopt_rate_limit(context: &DataContext, rate_limit: RatePerSecond) {
+    if let Some(change) = context.driver.adopt_rate_limit(rate_limit) {
+        log_rate_limit(context, &change, "peer");
+    }
+}
+
+/// Records what the answer of another endpoint states about its upstream.
+pub fn record_endpoint_signals(
+    context: &DataContext,
+    service: &ServiceName,
+    target: &Target,
+    fields: &[HeaderField],
+) {
+    let Some(signals) = parse(context, fields) else { return };
+    if context.driver.record_endpoint_signals(service, target, &signals) {
+        log_endpoint(context, service, target, &signals);
+    }
+}
+
 fn parse(context: &DataContext, fields: &[HeaderField]) -> Option<UpstreamSignals> {
     let parsed = context.interface.upstream_signals(fields);
     parsed.inspect_err(|error| log_unreadable(context, &error.to_string())).ok()
@@ -32,12 +53,9 @@
 fn log_rate_limit(context: &DataContext, change: &RateLimitChange, source: &str) {
     let event = NodeEvent::RateLimitChanged;
     let Some(left_out) = context.decisions.admit(event) else { return };
-    let text = |limit: Option<RatePerSecond>| {
-        limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string())
-    };
     info!(
-        previous:% = text(change.previous),
-        limit:% = text(change.current),
+        previous:% = limit_text(change.previous),
+        limit:% = limit_text(change.current),
         recent = change.recent_starts,
         source = source,
         left_out = left_out;
@@ -45,6 +63,29 @@
     );
 }
 
+fn log_endpoint(
+    context: &DataContext,
+    service: &ServiceName,
+    target: &Target,
+    signals: &UpstreamSignals,
+) {
+    let event = NodeEvent::EndpointSignals;
+    let Some(left_out) = context.decisions.admit(event) else { return };
+    info!(
+        service:% = service,
+        endpoint:% = target.endpoint,
+        instance = target.lifetime.as_ref().map_or("-", |lifetime| lifetime.instance.as_str()),
+        limit:% = limit_text(signals.rate_limit),
+        leaving = signals.is_leaving,
+        left_out = left_out;
+        "{event}"
+    );
+}
+
+fn limit_text(limit: Option<RatePerSecond>) -> String {
+    limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string())
+}
+
 fn log_unreadable(context: &DataContext, error: &str) {
     let event = NodeEvent::SignalUnreadable;
     let Some(left_out) = context.decisions.admit(event) else { return };
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -65,13 +65,15 @@
     AnswerBroken,
     /// The own upstream states another rate limit.
     RateLimitChanged,
+    /// The upstream of another endpoint states other signals.
+    EndpointSignals,
     /// An answer contains a malformed statement of its upstream.
     SignalUnreadable,
 }
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 32] = [
+    pub const ALL: [Self; 33] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -104,6 +106,7 @@
         Self::AnswerBroken,
         Self::RateLimitChanged,
         Self::SignalUnreadable,
+        Self::EndpointSignals,
     ];
 
     /// Returns the number of the event; numbers are never reused.
@@ -142,6 +145,7 @@
             Self::AnswerBroken => 2105,
             Self::RateLimitChanged => 2106,
             Self::SignalUnreadable => 2107,
+            Self::EndpointSignals => 2108,
         }
     }
 
@@ -181,6 +185,7 @@
             Self::AnswerBroken => "answer-broken",
             Self::RateLimitChanged => "rate-limit-changed",
             Self::SignalUnreadable => "signal-unreadable",
+            Self::EndpointSignals => "endpoint-signals",
         }
     }
 }
--- a/cuminarch-routing/src/endpoint.rs
+++ b/cuminarch-routing/src/endpoint.rs
@@ -1,9 +1,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cuminarch_protocol::{Member, MemberState};
+use cuminarch_protocol::{Member, MemberState, UpstreamLifetime, UpstreamRecord};
 use cuminarch_types::{MonoTime, RuleNumber};
 
+use crate::endpoint_signals::EndpointSignals;
 use crate::{CallAttributes, CallResult, LearnedLevel, Target};
 
 /// Exclusion of an endpoint from ordinary calls until its next probe.
@@ -37,6 +38,8 @@
     connect_failures: u32,
     /// End of the warm-up of its upstream.
     warm_up_until: MonoTime,
+    /// What its upstream stated in its answers.
+    pub signals: EndpointSignals,
 }
 
 /// Last occupancy that the endpoint reported.
@@ -81,7 +84,7 @@
     pub const OCCUPANCY_TTL: Duration = Duration::from_secs(2);
 
     /// Creates an endpoint without any history.
-    pub const fn new(member: Member) -> Self {
+    pub fn new(member: Member) -> Self {
         Self {
             member,
             first_seen: MonoTime::ZERO,
@@ -99,6 +102,7 @@
             backoff_until: MonoTime::ZERO,
             connect_failures: 0,
             warm_up_until: MonoTime::ZERO,
+            signals: EndpointSignals::default(),
         }
     }
 
@@ -110,14 +114,28 @@
         self
     }
 
+    /// Keeps what an earlier process of the endpoint is known to have answered.
+    pub fn with_signals(mut self, signals: EndpointSignals) -> Self {
+        self.signals = signals;
+        self
+    }
+
     pub fn target(&self) -> Target {
+        let lifetime = self.lifetime();
         Target {
             endpoint: self.member.endpoint.clone(),
             incarnation: self.member.incarnation,
             data_address: self.member.data_address,
+            rate_limit: self.signals.rate_limit(lifetime.as_ref()),
+            lifetime,
         }
     }
 
+    /// Returns the current lifetime of its upstream, if it has registered.
+    pub fn lifetime(&self) -> Option<UpstreamLifetime> {
+        self.member.upstream.as_ref().and_then(UpstreamRecord::lifetime)
+    }
+
     /// Returns `true` if it left or was declared gone.
     pub const fn is_gone(&self) -> bool {
         matches!(self.member.state, MemberState::Gone)
--- a/cuminarch-routing/src/lib.rs
+++ b/cuminarch-routing/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 mod endpoint;
+mod endpoint_signals;
 mod learned_level;
 mod mean_occupancy;
 mod occupancy;
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use cuminarch_protocol::Member;
+use cuminarch_protocol::{Member, UpstreamSignals};
 use cuminarch_types::{
     DisabledMechanisms, EndpointId, MonoTime, RegionName, RuleNumber, ServiceName, ZoneName,
 };
@@ -124,6 +124,19 @@
         }
     }
 
+    /// Records what the answer of a target states about its upstream. Returns `true` if that
+    /// changed.
+    pub fn record_signals(
+        &mut self,
+        service: &ServiceName,
+        target: &Target,
+        signals: &UpstreamSignals,
+    ) -> bool {
+        let service = self.services.get_mut(service);
+        let found = service.and_then(|service| service.get_mut(&target.endpoint));
+        found.is_some_and(|found| found.signals.record(target.lifetime.as_ref(), signals))
+    }
+
     /// Returns the level below which most endpoints of the service are known to refuse calls under
     /// `rule`.
     #[must_use]
--- a/cuminarch-routing/src/service.rs
+++ b/cuminarch-routing/src/service.rs
@@ -64,8 +64,9 @@
             Some(known) if known.member.incarnation == member.incarnation => {
                 known.update_member(member, now);
             }
-            _ => {
-                let endpoint = Endpoint::new(member).with_first_seen(now);
+            known => {
+                let signals = known.map(|known| known.signals.clone()).unwrap_or_default();
+                let endpoint = Endpoint::new(member).with_first_seen(now).with_signals(signals);
                 self.endpoints.insert(endpoint.member.endpoint.clone(), endpoint);
             }
         }
--- a/cuminarch-routing/src/target.rs
+++ b/cuminarch-routing/src/target.rs
@@ -1,7 +1,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cuminarch_types::{EndpointId, Incarnation, Rank, RuleNumber};
+use cuminarch_protocol::UpstreamLifetime;
+use cuminarch_types::{EndpointId, Incarnation, Rank, RatePerSecond, RuleNumber};
 
 /// Destination of a call.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -12,6 +13,10 @@
     pub incarnation: Incarnation,
     /// Address at which its node accepts data links.
     pub data_address: SocketAddr,
+    /// Lifetime of its upstream, if upstreams register with their nodes.
+    pub lifetime: Option<UpstreamLifetime>,
+    /// Rate limit that its upstream stated last, if any.
+    pub rate_limit: Option<RatePerSecond>,
 }
 
 /// Attributes of a call that affect the choice of its endpoint.
