fix(cuminarch-node): an upstream that states its departure in an answer gets no new requests

In the tests with sockets an upstream that stated its departure and still checked in as ready got all requests that followed, from the same node and after a restart of its node.

Departures were read from check-ins and from the platform only, not from answers.

Both hops act on the statement. The node beside the upstream treats it as a draining registration of that lifetime, announces it to the fleet and refuses new calls as not run. An entry node excludes the endpoint for as long as that lifetime lasts, also if its node has started again and heard only the check-ins. A departure is final within a lifetime; a new lifetime under the same id gets requests at once.

--- a/cuminarch-membership/src/registration.rs
+++ b/cuminarch-membership/src/registration.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use cuminarch_protocol::{UpstreamRecord, UpstreamState};
+use cuminarch_protocol::{UpstreamLifetime, UpstreamRecord, UpstreamState};
 use cuminarch_types::InstanceId;
 
 /// A registration that an upstream sends to the node beside it.
@@ -77,6 +77,17 @@
         self.advance(registration)
     }
 
+    /// Records that an answer of this lifetime of the upstream announced its departure. Returns the
+    /// record if it changed.
+    pub fn begin_draining(&mut self, lifetime: &UpstreamLifetime) -> Option<&UpstreamRecord> {
+        let is_current = self.record.lifetime().as_ref() == Some(lifetime);
+        if !is_current || self.record.state != UpstreamState::Ready {
+            return None;
+        }
+        self.record.state = UpstreamState::Draining;
+        Some(&self.record)
+    }
+
     fn begin(
         &mut self,
         registration: &Registration,
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -144,6 +144,14 @@
         self.shared.upstream.borrow().record().lifetime()
     }
 
+    /// Applies the departure of this lifetime of the local upstream. Returns the record if it
+    /// changed.
+    pub fn begin_draining(&self, lifetime: &UpstreamLifetime) -> Option<UpstreamRecord> {
+        let record = self.shared.upstream.borrow_mut().begin_draining(lifetime)?.clone();
+        self.post(Event::Upstream(Box::new(record.clone())));
+        Some(record)
+    }
+
     /// Records what the local upstream states in an answer. Returns the change of its rate limit,
     /// if any.
     pub fn record_upstream_signals(&self, signals: &UpstreamSignals) -> Option<RateLimitChange> {
--- a/cuminarch-node/src/data/signals.rs
+++ b/cuminarch-node/src/data/signals.rs
@@ -23,6 +23,12 @@
     if let Some(change) = context.driver.record_upstream_signals(&signals) {
         log_rate_limit(context, &change, "answer");
     }
+    if signals.is_leaving
+        && let Some(record) = lifetime.and_then(|left| context.driver.begin_draining(left))
+    {
+        info!("{} upstream={record:?}", NodeEvent::UpstreamChanged);
+        context.publish_upstream(record);
+    }
 }
 
 /// Applies the rate limit of the local upstream that another node knows of.
--- a/cuminarch-routing/src/endpoint.rs
+++ b/cuminarch-routing/src/endpoint.rs
@@ -143,7 +143,7 @@
 
     /// Returns `true` if it may be sent new work at all.
     pub fn takes_work(&self) -> bool {
-        self.member.takes_work()
+        self.member.takes_work() && !self.signals.is_leaving(self.member.upstream.as_ref())
     }
 
     /// Returns `true` if it gets ordinary calls. A report that it is suspect only counts while this
--- a/cuminarch-routing/src/endpoint_signals.rs
+++ b/cuminarch-routing/src/endpoint_signals.rs
@@ -1,4 +1,4 @@
-use cuminarch_protocol::{UpstreamLifetime, UpstreamSignals};
+use cuminarch_protocol::{UpstreamLifetime, UpstreamRecord, UpstreamSignals};
 use cuminarch_types::RatePerSecond;
 
 /// What the answers of an endpoint stated about one lifetime of its upstream.
@@ -22,9 +22,17 @@
         if self.lifetime.as_ref() != lifetime {
             *self = Self { lifetime: lifetime.cloned(), signals: UpstreamSignals::default() };
         }
-        let has_changed = self.signals != *signals;
-        self.signals = *signals;
-        has_changed
+        // Answers may be read out of order, and a departure is final.
+        let is_leaving = self.signals.is_leaving || signals.is_leaving;
+        let signals = UpstreamSignals { is_leaving, ..*signals };
+        std::mem::replace(&mut self.signals, signals) != signals
+    }
+
+    /// Returns `true` if this lifetime is shutting down. An upstream that does not register has no
+    /// known lifetimes, so its departure says nothing about the one that follows.
+    pub fn is_leaving(&self, upstream: Option<&UpstreamRecord>) -> bool {
+        let lifetime = || upstream.and_then(UpstreamRecord::lifetime);
+        self.signals.is_leaving && self.lifetime.is_some() && self.lifetime == lifetime()
     }
 
     /// Returns the rate limit that this lifetime states, if any.
