fix(cuminarch-engine): the excess of a limited endpoint moves elsewhere before any of it is shed

Cause: an endpoint reports its own shortage, and entry nodes shed by it as if all endpoints of the service were as full. With slots that holds, since calls are placed by occupancy. A limit sets one endpoint apart. Ruled out: reporting no shortage at a limit, because then nothing is shed when every endpoint has one.

An entry node ignores the shortage of an endpoint that states a limit while another one has room. It also counts the slots usable at the limit when it places calls, so that a few calls in flight make a limited endpoint look as full as it is.

--- a/cuminarch-engine/src/load.rs
+++ b/cuminarch-engine/src/load.rs
@@ -71,7 +71,13 @@
         } else {
             self.internal_routes.remove(route);
         }
-        let shortage = load.pressure.as_ref().map(|report| from_pressure_report(report, now));
+        // The excess of an endpoint with a rate limit goes elsewhere before any of it is shed.
+        let moves_elsewhere = |report: &&PressureReport| {
+            report.service == *service
+                && self.router.has_room_beside_limited(service, endpoint, now)
+        };
+        let pressure = load.pressure.as_ref().filter(|report| !moves_elsewhere(report));
+        let shortage = pressure.map(|report| from_pressure_report(report, now));
         self.shedder.record_report(route, shortage, now);
     }
 }
--- a/cuminarch-engine/tests/signals.rs
+++ b/cuminarch-engine/tests/signals.rs
@@ -8,7 +8,7 @@
 use cuminarch_config::Policy;
 use cuminarch_engine::{Action, Arrival, Engine, EngineSettings, Event, Forward};
 use cuminarch_protocol::{
-    LoadReport, Member, MemberState, Receipt, RoutedCall, SendKind, UpstreamRecord,
+    LoadReport, Member, MemberState, PressureReport, Receipt, RoutedCall, SendKind, UpstreamRecord,
     UpstreamSignals, UpstreamState,
 };
 use cuminarch_types::{AttemptId, CallId, Incarnation, MonoTime, RatePerSecond, RequestId};
@@ -99,6 +99,46 @@
     }
 }
 
+fn full_report() -> LoadReport {
+    let pressure = PressureReport {
+        service: "katalog".parse().unwrap(),
+        shed_milli: 600,
+        age_ms: 0,
+        load_us: 20_000,
+    };
+    LoadReport { occupancy_milli: 1_500, pressure: Some(pressure), ..LoadReport::default() }
+}
+
+/// The endpoint of the own zone states a limit and reports a shortage. Requests are shed at the entry node
+/// only if the other endpoint is full too.
+#[rstest]
+#[case::other_endpoint_has_room(LoadReport { occupancy_milli: 300, ..LoadReport::default() }, false)]
+#[case::other_endpoint_is_full(full_report(), true)]
+fn excess_of_a_limited_endpoint_is_shed_only_if_no_other_has_room(
+    #[case] other: LoadReport,
+    #[case] is_shed: bool,
+) {
+    let mut node = EntryNode::new();
+    node.add_member("katalog-1", "zrh-a", 1, 1);
+    node.add_member("katalog-2", "zrh-b", 1, 1);
+    let limited = UpstreamSignals { rate_limit: Some(LIMIT), is_leaving: false };
+    let mut refused = 0;
+    for number in 0..400 {
+        node.now = node.now.after(Duration::from_millis(5));
+        let (call, forwarded) = node.call(number << 64);
+        let Some((attempt, forward)) = forwarded else {
+            refused += 1;
+            continue;
+        };
+        if forward.target.endpoint.as_str() == "katalog-1" {
+            node.answer(call, attempt, &forward, &limited, full_report());
+        } else {
+            node.answer(call, attempt, &forward, &UpstreamSignals::default(), other.clone());
+        }
+    }
+    assert_eq!(refused > 10, is_shed, "{refused}");
+}
+
 /// The endpoint's node starts again while its upstream continues; `started_at_ms` changes if the
 /// upstream starts again too.
 #[rstest]
--- a/cuminarch-routing/src/endpoint.rs
+++ b/cuminarch-routing/src/endpoint.rs
@@ -1,8 +1,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cuminarch_protocol::{Member, MemberState, UpstreamLifetime, UpstreamRecord};
-use cuminarch_types::{MonoTime, RuleNumber};
+use cuminarch_protocol::{Member, MemberState, UpstreamRecord};
+use cuminarch_types::{MonoTime, RatePerSecond, RuleNumber};
 
 use crate::endpoint_signals::EndpointSignals;
 use crate::{CallAttributes, CallResult, LearnedLevel, Target};
@@ -80,6 +80,10 @@
     const ERROR_DECAY: Duration = Self::MAX_EJECTION;
     /// Delay before a node that accepted no work gets calls again.
     const NOT_ACCEPTING_BACKOFF: Duration = Duration::from_millis(700);
+    /// Smallest number of slots assumed for an endpoint with a rate limit.
+    const MIN_USABLE_SLOTS: f64 = 0.1;
+    /// Occupancy below which it has room for more calls, in thousandths.
+    const ROOM_THRESHOLD_MILLI: u32 = 900;
     /// Time after which a reported occupancy is ignored.
     pub const OCCUPANCY_TTL: Duration = Duration::from_secs(2);
 
@@ -121,19 +125,24 @@
     }
 
     pub fn target(&self) -> Target {
-        let lifetime = self.lifetime();
         Target {
             endpoint: self.member.endpoint.clone(),
             incarnation: self.member.incarnation,
             data_address: self.member.data_address,
-            rate_limit: self.signals.rate_limit(lifetime.as_ref()),
-            lifetime,
+            lifetime: self.member.upstream.as_ref().and_then(UpstreamRecord::lifetime),
+            rate_limit: self.rate_limit(),
         }
     }
 
-    /// Returns the current lifetime of its upstream, if it has registered.
-    pub fn lifetime(&self) -> Option<UpstreamLifetime> {
-        self.member.upstream.as_ref().and_then(UpstreamRecord::lifetime)
+    /// Returns the rate limit that its upstream states, if any.
+    pub fn rate_limit(&self) -> Option<RatePerSecond> {
+        self.signals.rate_limit(self.member.upstream.as_ref())
+    }
+
+    /// Returns `true` if it gets ordinary calls and has free slots, as far as is known.
+    pub fn has_room(&self, now: MonoTime) -> bool {
+        let is_usable = self.takes_work() && self.is_healthy(now);
+        is_usable && self.occupancy_milli(0, now) < Self::ROOM_THRESHOLD_MILLI
     }
 
     /// Returns `true` if it left or was declared gone.
@@ -237,11 +246,25 @@
 
     /// Returns the occupancy caused by calls of this node alone, in thousandths of its slots.
     pub fn in_flight_occupancy_milli(&self) -> u32 {
-        self.in_flight * 1_000 / self.slots()
+        self.occupancy_of(self.in_flight)
+    }
+
+    /// Returns the occupancy that this number of calls causes, in thousandths.
+    fn occupancy_of(&self, calls: u32) -> u32 {
+        (f64::from(calls) * 1_000.0 / self.usable_slots()) as u32
     }
 
-    fn slots(&self) -> u32 {
-        self.member.upstream.as_ref().map_or(0, |upstream| upstream.slots).max(1)
+    /// Returns the slots that calls can occupy: with a rate limit, as many as run concurrently at
+    /// that rate.
+    fn usable_slots(&self) -> f64 {
+        let slots = self.member.upstream.as_ref().map_or(0, |upstream| upstream.slots);
+        let slots = f64::from(slots.max(1));
+        match (self.rate_limit(), self.latency) {
+            (Some(rate), Some(latency)) => {
+                slots.min(rate.get() * latency.as_secs_f64()).max(Self::MIN_USABLE_SLOTS)
+            }
+            _ => slots,
+        }
     }
 
     /// Estimates how many of its slots are taken now, in thousandths; `typical_milli` is assumed
@@ -256,7 +279,7 @@
         }
         // The report decays, so that nodes that avoided the endpoint return one by one instead of
         // all together when it expires.
-        let reported_milli = occupancy.milli + occupancy.sent_since * 1_000 / self.slots();
+        let reported_milli = occupancy.milli + self.occupancy_of(occupancy.sent_since);
         ((f64::from(reported_milli) * weight) as u32).max(in_flight_milli)
     }
 
--- a/cuminarch-routing/src/endpoint_signals.rs
+++ b/cuminarch-routing/src/endpoint_signals.rs
@@ -35,8 +35,9 @@
         self.signals.is_leaving && self.lifetime.is_some() && self.lifetime == lifetime()
     }
 
-    /// Returns the rate limit that this lifetime states, if any.
-    pub fn rate_limit(&self, lifetime: Option<&UpstreamLifetime>) -> Option<RatePerSecond> {
-        self.signals.rate_limit.filter(|_| self.lifetime.as_ref() == lifetime)
+    /// Returns the rate limit that the upstream states in its current lifetime, if any.
+    pub fn rate_limit(&self, upstream: Option<&UpstreamRecord>) -> Option<RatePerSecond> {
+        let lifetime = || upstream.and_then(UpstreamRecord::lifetime);
+        self.signals.rate_limit.filter(|_| self.lifetime == lifetime())
     }
 }
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -137,6 +137,19 @@
         found.is_some_and(|found| found.signals.record(target.lifetime.as_ref(), signals))
     }
 
+    /// Returns `true` if the upstream of the endpoint states a rate limit and another endpoint of
+    /// the service has room for its excess calls.
+    #[must_use]
+    pub fn has_room_beside_limited(
+        &self,
+        service: &ServiceName,
+        endpoint: &EndpointId,
+        now: MonoTime,
+    ) -> bool {
+        let service = self.services.get(service);
+        service.is_some_and(|service| service.has_room_beside_limited(endpoint, now))
+    }
+
     /// Returns the level below which most endpoints of the service are known to refuse calls under
     /// `rule`.
     #[must_use]
--- a/cuminarch-routing/src/service.rs
+++ b/cuminarch-routing/src/service.rs
@@ -113,6 +113,14 @@
             .any(|endpoint| endpoint.admits(attributes, now))
     }
 
+    /// Returns `true` if the upstream of the endpoint states a rate limit and another endpoint has
+    /// room for its excess calls.
+    pub fn has_room_beside_limited(&self, endpoint: &EndpointId, now: MonoTime) -> bool {
+        let is_limited = self.get(endpoint).is_some_and(|found| found.rate_limit().is_some());
+        let is_other = |other: &&Endpoint| other.member.endpoint != *endpoint;
+        is_limited && self.endpoints().filter(is_other).any(|other| other.has_room(now))
+    }
+
     pub fn pick(
         &mut self,
         context: &RoutingContext,
