--- a/cuminarch-membership/tests/registration.rs
+++ b/cuminarch-membership/tests/registration.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cuminarch_membership::{Registration, UpstreamTracker};
+use cuminarch_protocol::UpstreamLifetime;
 use cuminarch_protocol::UpstreamState::{self, Absent, Draining, Ready};
 use rstest::rstest;
 
@@ -44,3 +45,25 @@
     let again = Registration { started_at_ms: Some(7), ..registration(1, Some(1), Ready) };
     assert_eq!(tracker.apply(&again).map(|record| record.state), Some(Ready));
 }
+
+/// An answer of the upstream announces its departure; registrations of that lifetime do not take it
+/// back.
+#[rstest]
+#[case::current_lifetime(1, &[(1, Some(2), Ready)], Draining)]
+#[case::then_deregistered(1, &[(1, None, Absent)], Absent)]
+#[case::then_next_lifetime(1, &[(2, Some(1), Ready)], Ready)]
+#[case::earlier_lifetime(0, &[], Ready)]
+fn departure_in_an_answer_holds_for_its_lifetime(
+    #[case] started_at_ms: u64,
+    #[case] later: &[(u64, Option<u64>, UpstreamState)],
+    #[case] state: UpstreamState,
+) {
+    let mut tracker = UpstreamTracker::new();
+    tracker.apply(&registration(1, Some(1), Ready));
+    let instance = format!("i-{started_at_ms}").parse().unwrap();
+    tracker.begin_draining(&UpstreamLifetime { instance, started_at_ms });
+    for (start, sequence, state) in later {
+        tracker.apply(&registration(*start, *sequence, *state));
+    }
+    assert_eq!(tracker.record().state, state);
+}
