--- a/cuminarch-node/src/headers.rs
+++ b/cuminarch-node/src/headers.rs
@@ -131,6 +131,11 @@
     name.starts_with("cuminarch-")
 }
 
+/// Returns `true` if an upstream states something about itself in the field.
+pub fn is_upstream_signal(name: &str) -> bool {
+    [RATE_LIMIT, LEAVING].contains(&name)
+}
+
 /// Returns the fields to forward: all but hop-by-hop fields, those that `Connection` names, and
 /// `content-length`, which is set again.
 #[must_use]
--- a/cuminarch-node/src/interface/native.rs
+++ b/cuminarch-node/src/interface/native.rs
@@ -72,7 +72,10 @@
 
     fn answer_fields(&self, answer: &ResponseHead) -> Vec<HeaderField> {
         let mut fields = headers::end_to_end_fields(&answer.fields);
-        fields.retain(|field| !headers::is_interface_field(&field.name));
+        // Entry nodes read the signals, too.
+        fields.retain(|field| {
+            !headers::is_interface_field(&field.name) || headers::is_upstream_signal(&field.name)
+        });
         fields
     }
 
