fix(cuminarch-admission): a limit that varies with each answer does not postpone the next start

What callers saw: nothing; found by reading. An upstream that adapts its limit states another one with each answer, and each change set the next start anew, one interval later.

A change now keeps the time of the next start. The test failed before. Besides, the recent starts are counted only when the limit changes, and an entry node skips answers that state nothing of an endpoint without a limit.

--- a/cuminarch-admission/src/start_pacer.rs
+++ b/cuminarch-admission/src/start_pacer.rs
@@ -151,8 +151,11 @@
         now: MonoTime,
     ) -> Option<RateLimitChange> {
         let current = self.limit();
-        let recent_starts = self.starts.within(Self::WINDOW, now);
-        (previous != current).then_some(RateLimitChange { previous, current, recent_starts })
+        (previous != current).then(|| RateLimitChange {
+            previous,
+            current,
+            recent_starts: self.starts.within(Self::WINDOW, now),
+        })
     }
 
     /// Forgets the limit of an upstream that has ended.
@@ -165,7 +168,9 @@
         let settling_rate = self.settling_rate(rate, now);
         let settled_at = now.after(Self::SETTLING_TIME);
         let limit = Limit { rate, stated_at, settling_rate, settled_at };
-        self.next_start_at = now.after(limit.interval(now));
+        if self.limit.is_none() {
+            self.next_start_at = now.after(limit.interval(now));
+        }
         self.limit = Some(limit);
     }
 
--- a/cuminarch-admission/tests/stated_limit.rs
+++ b/cuminarch-admission/tests/stated_limit.rs
@@ -175,6 +175,18 @@
     assert_eq!(pacer.limit().is_some(), holds);
 }
 
+/// The limit of an upstream that adapts it varies with each answer.
+#[test]
+fn a_limit_that_varies_does_not_postpone_the_next_start() {
+    let mut pacer = StartPacer::new();
+    let now = MonoTime::from_millis(1_000);
+    for step in 0..8 {
+        let limit = RatePerSecond::new(1.0 + 0.01 * f64::from(step));
+        pacer.record_limit(Some(limit), now.after(Duration::from_millis(100) * step));
+    }
+    assert!(pacer.may_start(now.after(Duration::from_millis(800))));
+}
+
 /// What another node knows counts only until the upstream itself has answered.
 #[test]
 fn limit_of_a_peer_is_replaced_by_the_first_answer() {
--- a/cuminarch-node/src/data/signals.rs
+++ b/cuminarch-node/src/data/signals.rs
@@ -46,6 +46,9 @@
     fields: &[HeaderField],
 ) {
     let Some(signals) = parse(context, fields) else { return };
+    if signals == UpstreamSignals::default() && target.rate_limit.is_none() {
+        return;
+    }
     if context.driver.record_endpoint_signals(service, target, &signals) {
         log_endpoint(context, service, target, &signals);
     }
