fix(cuminarch-routing): a late answer of an earlier lifetime does not hide a later departure

What callers saw: nothing; found by reading. An answer of an upstream that has ended may be read after one of its successor under the same endpoint, and replaced what the successor had stated.

Statements of an earlier lifetime are ignored once a later one has answered. The test failed before.

--- a/cuminarch-engine/tests/signals.rs
+++ b/cuminarch-engine/tests/signals.rs
@@ -169,3 +169,20 @@
     node.add_member("katalog-1", "zrh-a", 4, started_at_ms + 1);
     assert!(node.call(4).1.is_some());
 }
+
+#[test]
+fn late_answer_of_an_earlier_lifetime_does_not_hide_a_departure() {
+    let mut node = EntryNode::new();
+    node.add_member("katalog-1", "zrh-a", 1, 1);
+    let (_, forwarded) = node.call(1);
+    let (_, earlier) = forwarded.unwrap();
+    node.add_member("katalog-1", "zrh-a", 1, 2);
+    let (call, forwarded) = node.call(2);
+    let (attempt, forward) = forwarded.unwrap();
+    let leaving = UpstreamSignals { rate_limit: None, is_leaving: true };
+    node.answer(call, attempt, &forward, &leaving, LoadReport::default());
+    let limited = UpstreamSignals { rate_limit: Some(LIMIT), is_leaving: false };
+    let service = "katalog".parse().unwrap();
+    node.engine.record_endpoint_signals(&service, &earlier.target, &limited);
+    assert!(node.call(3).1.is_none());
+}
--- a/cuminarch-routing/src/endpoint_signals.rs
+++ b/cuminarch-routing/src/endpoint_signals.rs
@@ -13,12 +13,18 @@
 }
 
 impl EndpointSignals {
-    /// Records the signals of an answer by this lifetime. Returns `true` if they changed.
+    /// Records the signals of an answer by this lifetime, unless a later lifetime has answered.
+    /// Returns `true` if they changed.
     pub fn record(
         &mut self,
         lifetime: Option<&UpstreamLifetime>,
         signals: &UpstreamSignals,
     ) -> bool {
+        let started_at_ms =
+            |lifetime: Option<&UpstreamLifetime>| lifetime.map(|lifetime| lifetime.started_at_ms);
+        if started_at_ms(lifetime) < started_at_ms(self.lifetime.as_ref()) {
+            return false;
+        }
         if self.lifetime.as_ref() != lifetime {
             *self = Self { lifetime: lifetime.cloned(), signals: UpstreamSignals::default() };
         }
