--- a/cuminarch-admission/src/start_pacer.rs
+++ b/cuminarch-admission/src/start_pacer.rs
@@ -20,9 +20,9 @@
 /// The limit holds for all callers together. The node beside the upstream starts all of its
 /// requests and so enforces the limit without agreement between nodes.
 ///
-/// A limit that is below the current rate comes into force with a debt: the upstream judges the
-/// requests of the last [`Self::WINDOW`], some of which it got before it stated the limit. The rate
-/// stays below the limit for [`Self::SETTLING_TIME`] where that is needed to make up for them.
+/// An upstream measures its load over some seconds, and after a new limit that time includes
+/// requests from before. The rate stays below the limit for a settling time where that is needed to
+/// make up for them.
 ///
 /// ```
 /// use std::time::Duration;
