--- a/cuminarch-config/src/policy.rs
+++ b/cuminarch-config/src/policy.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use cuminarch_types::{Attempts, ClassName, Priority, Revision, RuleNumber, ServiceName};
+use cuminarch_types::{
+    AccountName, Allotment, Attempts, ClassName, Priority, Revision, RuleNumber, ServiceName,
+};
 
 use crate::check::check;
 use crate::index::RuleIndex;
@@ -61,6 +63,7 @@
     routes: RouteTable,
     caller_limits: Option<CallerLimits>,
     top_priority: Priority,
+    allotments: BTreeMap<AccountName, Allotment>,
 }
 
 impl Policy {
@@ -140,9 +143,16 @@
             fallback,
             routes: RouteTable::default(),
             caller_limits: None,
+            allotments: BTreeMap::new(),
         }
     }
 
+    /// Returns the allotments of the accounts that have one.
+    #[must_use]
+    pub const fn allotments(&self) -> &BTreeMap<AccountName, Allotment> {
+        &self.allotments
+    }
+
     /// Returns the routes by host and path.
     #[must_use]
     pub const fn routes(&self) -> &RouteTable {
--- a/cuminarch-engine/src/arrival.rs
+++ b/cuminarch-engine/src/arrival.rs
@@ -3,7 +3,9 @@
 use cuminarch_config::Rule;
 use cuminarch_once::{BoundKey, RequestFingerprint};
 use cuminarch_protocol::RoutedCall;
-use cuminarch_types::{Attempts, CallId, ClientKey, Rank, RequestId, ResendNumber, ServiceName};
+use cuminarch_types::{
+    AccountName, Attempts, CallId, ClientKey, Rank, RequestId, ResendNumber, ServiceName,
+};
 
 /// Direction of a call.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -59,6 +61,8 @@
     pub routed: Option<RoutedCall>,
     /// The route's rule, at the entry node; without one, the policy decides.
     pub rule: Option<Rule>,
+    /// The client account that sent it, at the entry node; nested calls have none.
+    pub account: Option<AccountName>,
 }
 
 impl Arrival {
@@ -82,6 +86,7 @@
             body_digest: None,
             routed: None,
             rule: None,
+            account: None,
         }
     }
 
@@ -163,6 +168,13 @@
         self
     }
 
+    /// Sets the client account.
+    #[must_use]
+    pub fn with_account(mut self, account: Option<AccountName>) -> Self {
+        self.account = account;
+        self
+    }
+
     /// Sets the idempotency key.
     #[must_use]
     pub fn with_key(mut self, key: Option<RequestKey>) -> Self {
--- a/cuminarch-engine/src/settings.rs
+++ b/cuminarch-engine/src/settings.rs
@@ -4,7 +4,7 @@
 use cuminarch_attempts::RetryBudgetSettings;
 use cuminarch_once::KeyTableSettings;
 use cuminarch_types::{
-    DisabledMechanisms, EndpointId, Incarnation, RegionName, ServiceName, ZoneName,
+    CapacityMode, DisabledMechanisms, EndpointId, Incarnation, RegionName, ServiceName, ZoneName,
 };
 
 /// How requests are admitted to the local upstream.
@@ -48,6 +48,8 @@
     pub keys: KeyTableSettings,
     /// Mechanisms that are switched off.
     pub disabled: DisabledMechanisms,
+    /// Where the capacity of endpoints comes from.
+    pub capacity: CapacityMode,
 }
 
 impl EngineSettings {
@@ -74,9 +76,17 @@
             retry_budget: Self::DEFAULT_RETRY_BUDGET,
             keys: KeyTableSettings::new(),
             disabled: DisabledMechanisms::default(),
+            capacity: CapacityMode::default(),
         }
     }
 
+    /// Sets where the capacity of endpoints comes from.
+    #[must_use]
+    pub const fn with_capacity(mut self, capacity: CapacityMode) -> Self {
+        self.capacity = capacity;
+        self
+    }
+
     /// Switches mechanisms off.
     #[must_use]
     pub fn with_disabled(mut self, disabled: DisabledMechanisms) -> Self {
--- a/cuminarch-node/src/node.rs
+++ b/cuminarch-node/src/node.rs
@@ -373,6 +373,7 @@
     .with_seed(incarnation.get())
     .with_keys(KeyTableSettings::new().with_first_serial(random_first_serial()))
     .with_retry_budget(retry_budget)
+    .with_capacity(settings.endpoint_capacity)
     .with_disabled(settings.disabled.clone());
     let settings = if registers { settings.with_slot_admission() } else { settings };
     Engine::new(settings, Arc::new(Policy::safe_default()))
--- a/cuminarch-node/src/settings.rs
+++ b/cuminarch-node/src/settings.rs
@@ -3,7 +3,9 @@
 
 use compact_str::CompactString;
 use cuminarch_attempts::RetryBudgetSettings;
-use cuminarch_types::{DisabledMechanisms, EndpointId, RegionName, ServiceName, ZoneName};
+use cuminarch_types::{
+    CapacityMode, DisabledMechanisms, EndpointId, RegionName, ServiceName, ZoneName,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::NodeError;
@@ -84,6 +86,13 @@
     /// Maximum number of connections from callers and peers, and separately from the own upstream.
     #[serde(default = "default_max_connections")]
     pub max_connections: usize,
+    /// All availability zones of the deployment, in which the allotments of client accounts are
+    /// divided equally. Without them, each allotment is held by one node.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub zones: Vec<ZoneName>,
+    /// Where the capacity of endpoints comes from.
+    #[serde(default)]
+    pub endpoint_capacity: CapacityMode,
     /// Names of disabled mechanisms.
     #[serde(default, skip_serializing_if = "DisabledMechanisms::is_empty")]
     pub disabled: DisabledMechanisms,
--- a/cuminarch-protocol/src/lib.rs
+++ b/cuminarch-protocol/src/lib.rs
@@ -14,6 +14,7 @@
 //! # Ok::<(), cuminarch_protocol::ProtocolError>(())
 //! ```
 
+mod allotment;
 mod byte_string;
 mod call;
 mod codec;
@@ -24,6 +25,7 @@
 mod send_kind;
 mod upstream_signals;
 
+pub use allotment::{AllotmentAsk, AllotmentDatagram, AllotmentGrant, AllotmentMessage};
 pub use call::{
     AnswerFrame, AnswerHead, CallFrame, CallHead, HeaderField, LoadReport, PressureReport, Receipt,
     RefusalHead, RoutedCall,
--- a/cuminarch-types/src/lib.rs
+++ b/cuminarch-types/src/lib.rs
@@ -16,6 +16,8 @@
 //! # Ok::<(), cuminarch_types::ParseError>(())
 //! ```
 
+mod allotment;
+mod capacity_mode;
 mod count;
 mod error;
 mod id;
@@ -27,6 +29,8 @@
 mod outcome;
 mod rank;
 
+pub use allotment::Allotment;
+pub use capacity_mode::CapacityMode;
 pub use count::{Attempts, ByteCount, ConcurrencyLimit, RatePerSecond};
 pub use error::ParseError;
 pub use id::{
@@ -35,8 +39,8 @@
 pub use mechanism::{DisabledMechanisms, Mechanism};
 pub use mono_time::MonoTime;
 pub use name::{
-    ChangeId, ClassName, ClientKey, EndpointId, InstanceId, RegionName, RouteName, ServiceName,
-    ZoneName,
+    AccountName, ChangeId, ClassName, ClientKey, EndpointId, InstanceId, RegionName, RouteName,
+    ServiceName, ZoneName,
 };
 pub use object_version::ObjectVersion;
 pub use outcome::Outcome;
--- a/cuminarch-types/src/name.rs
+++ b/cuminarch-types/src/name.rs
@@ -88,6 +88,10 @@
     };
 }
 
+name_type!(
+    /// Name of a client account, on whose behalf requests are sent.
+    AccountName
+);
 name_type!(
     /// Identifies a change of the configuration; chosen by its submitter.
     ChangeId
