test(cuminarch-membership): a process whose host's clock was set back is heard without the store

Holds on the code as it is (11 passed). With the branch for higher incarnations in Roster::own_statement_received switched off by hand, the run did not end: two nodes answered each other without end, it grew to 27 GB and was ended by the kernel, so it showed a difference but no clean failure.

--- a/cuminarch-membership/tests/roster.rs
+++ b/cuminarch-membership/tests/roster.rs
@@ -9,7 +9,7 @@
     FleetAction, FleetEvent, FleetSettings, ObjectVersion, PlatformCall, PlatformReply, Roster,
 };
 use cuminarch_protocol::{MemberState, UpstreamState};
-use cuminarch_types::MonoTime;
+use cuminarch_types::{Incarnation, MonoTime};
 use roster_world::{member, name, record, settled};
 
 #[test]
@@ -55,6 +55,29 @@
     );
 }
 
+/// The clock of a host was set back, so its new process has a lower incarnation than the one that its
+/// peers know. The store, which holds the earlier incarnation too, is away. The upstream is replaced
+/// meanwhile: what the new process says of it has to win everywhere.
+#[test]
+fn a_node_that_starts_again_with_its_clock_set_back_is_heard_while_the_store_is_away() {
+    let mut world = settled(16);
+    world.nodes.remove(&name(5));
+    world.run(Duration::from_millis(500));
+    world.start(5, 7);
+    world.feed(&name(5), FleetEvent::Upstream(record(UpstreamState::Ready)));
+    world.run(Duration::from_secs(3));
+    world.cut = (0..16).map(name).collect();
+    world.nodes.remove(&name(5));
+    world.run(Duration::from_secs(1));
+    world.start(5, 3);
+    world.feed(&name(5), FleetEvent::Upstream(record(UpstreamState::Draining)));
+    world.run(Duration::from_secs(2));
+    assert!(world.all_know(UpstreamState::Draining, 5));
+    let known = &world.views[&(name(0), name(5))];
+    assert!(known.incarnation > Incarnation::new(7), "{known:?}");
+    assert!(world.all_have(1));
+}
+
 #[test]
 fn an_earlier_configuration_never_comes_back() {
     let mut world = settled(8);
