feat(config): client accounts, public routes and an index of keys

The sheet had no accounts. They are checked like its other entries; diagnostics and Debug output name a key by its path only. The policy holds digests, keyed by the seed of the process, and finds the holder of a key by binary search.

--- /dev/null
+++ b/cuminarch-config/src/accounts.rs
@@ -0,0 +1,112 @@
+//! Client accounts by their keys.
+
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+
+use cuminarch_types::{AccountName, Allotment, ClassName};
+
+use crate::{AccountEntry, CredentialDigest, Rule};
+
+/// A client account.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Account {
+    /// Name of the account.
+    pub name: AccountName,
+    /// Class of its requests, instead of the route's.
+    pub class: Option<Rule>,
+}
+
+/// A key that an account holds.
+#[derive(Clone, Copy, Debug)]
+pub struct HeldKey<'a> {
+    /// The account.
+    pub account: &'a Account,
+    /// Digest of the key.
+    pub digest: CredentialDigest,
+}
+
+/// The accounts of a policy and an index of their keys, which holds digests only.
+#[derive(Clone, Debug, Default)]
+pub struct AccountIndex {
+    digest_seed: u64,
+    accounts: Vec<Account>,
+    /// Sorted by digest; the number is a position in `accounts`.
+    holders: Vec<(CredentialDigest, usize)>,
+}
+
+impl Account {
+    /// Returns the rule of the account's requests on a route with this rule.
+    #[must_use]
+    pub fn rule(&self, route: &Rule) -> Rule {
+        match &self.class {
+            Some(class) => class.clone().with_route_limits(route),
+            None => route.clone(),
+        }
+    }
+}
+
+impl AccountIndex {
+    pub(crate) fn new(
+        entries: &[AccountEntry],
+        classes: &BTreeMap<&ClassName, Rule>,
+        digest_seed: u64,
+    ) -> Self {
+        let to_account = |entry: &AccountEntry| Account {
+            name: entry.name.clone(),
+            class: entry.class.as_ref().and_then(|class| classes.get(class)).cloned(),
+        };
+        let accounts = entries.iter().map(to_account).collect();
+        let mut holders: Vec<_> = entries
+            .iter()
+            .enumerate()
+            .flat_map(|(position, entry)| entry.keys.iter().map(move |key| (key, position)))
+            .map(|(key, position)| (CredentialDigest::new(key.as_bytes(), digest_seed), position))
+            .collect();
+        holders.sort_unstable();
+        Self { digest_seed, accounts, holders }
+    }
+
+    /// Returns `true` if there are no accounts, so that requests need no key.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    /// Returns the number of accounts.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Returns the account that holds a key.
+    #[must_use]
+    pub fn find(&self, key: &[u8]) -> Option<HeldKey<'_>> {
+        let digest = CredentialDigest::new(key, self.digest_seed);
+        self.holder(digest).map(|account| HeldKey { account, digest })
+    }
+
+    /// Returns the account that holds the key with this digest.
+    #[must_use]
+    pub fn holder(&self, digest: CredentialDigest) -> Option<&Account> {
+        let position = self.position(|found| found.cmp(&digest))?;
+        self.accounts.get(position)
+    }
+
+    fn position(&self, mut compare: impl FnMut(&CredentialDigest) -> Ordering) -> Option<usize> {
+        let found = self.holders.binary_search_by(|(digest, _)| compare(digest)).ok()?;
+        self.holders.get(found).map(|(_, position)| *position)
+    }
+}
+
+/// Returns the allotments of the accounts that have one.
+pub(crate) fn allotments(entries: &[AccountEntry]) -> BTreeMap<AccountName, Allotment> {
+    let limited = entries.iter().filter(|entry| entry.rate_per_s.get() > 0.0);
+    let allotment = |entry: &AccountEntry| Allotment {
+        rate: entry.rate_per_s,
+        burst_requests: entry.burst_requests,
+    };
+    limited.map(|entry| (entry.name.clone(), allotment(entry))).collect()
+}
+
+#[cfg(test)]
+mod tests;
--- a/cuminarch-config/src/check.rs
+++ b/cuminarch-config/src/check.rs
@@ -19,13 +19,14 @@
         checker.check_rule(index, rule);
     }
     checker.check_routes();
+    checker.check_accounts();
     checker.check_class_uses();
     checker.check_overlaps();
     checker.diagnostics
 }
 
-struct Checker<'a> {
-    sheet: &'a Sheet,
+pub(crate) struct Checker<'a> {
+    pub sheet: &'a Sheet,
     diagnostics: Vec<Diagnostic>,
 }
 
@@ -55,7 +56,7 @@
     /// Maximum number of retries per hundred first attempts in the class of a non-idempotent rule.
     const MAX_NON_IDEMPOTENT_RETRY_PERCENT: u32 = 50;
 
-    fn report(&mut self, path: impl Into<String>, kind: DiagnosticKind) {
+    pub(crate) fn report(&mut self, path: impl Into<String>, kind: DiagnosticKind) {
         self.diagnostics.push(Diagnostic::new(path, kind));
     }
 
@@ -230,6 +231,7 @@
         }
         let mut used: BTreeSet<&ClassName> = sheet.rules.iter().map(|rule| &rule.class).collect();
         used.extend(sheet.routes.iter().map(|route| &route.class));
+        used.extend(sheet.accounts.iter().filter_map(|account| account.class.as_ref()));
         used.insert(default);
         for (index, entry) in sheet.classes.iter().enumerate() {
             if !used.contains(&entry.name) {
--- a/cuminarch-config/src/decode.rs
+++ b/cuminarch-config/src/decode.rs
@@ -4,14 +4,16 @@
 use std::str::FromStr;
 
 use compact_str::CompactString;
-use cuminarch_types::{Attempts, ClassName};
+use cuminarch_types::{Attempts, ClassName, RatePerSecond};
 
 use crate::sheet::{ClassEntry, RuleEntry, Sheet, default_retry_percent};
 use crate::tree::{Entry, Node, Value};
-use crate::{CallerLimits, DestinationEntry, Diagnostic, DiagnosticKind, Position, RouteEntry};
+use crate::{
+    AccountEntry, CallerLimits, DestinationEntry, Diagnostic, DiagnosticKind, Position, RouteEntry,
+};
 
 const SHEET_KEYS: &[&str] =
-    &["services", "classes", "rules", "default_class", "routes", "caller_limits"];
+    &["services", "classes", "rules", "default_class", "routes", "caller_limits", "accounts"];
 const CLASS_KEYS: &[&str] =
     &["name", "grant_attempts", "deadline_ms", "retry_percent", "protected"];
 const RULE_KEYS: &[&str] = &["class", "services", "methods", "path", "idempotent"];
@@ -25,7 +27,9 @@
     "deadline_ms",
     "objective_ms",
     "max_endpoints",
+    "public",
 ];
+const ACCOUNT_KEYS: &[&str] = &["name", "keys", "class", "rate_per_s", "burst_requests"];
 const DESTINATION_KEYS: &[&str] = &["service", "weight"];
 const LIMIT_KEYS: &[&str] =
     &["max_head_bytes", "max_body_bytes", "head_timeout_ms", "idle_timeout_ms"];
@@ -120,7 +124,8 @@
         let routes = self.list(&fields, "routes", Self::route);
         let limits = self.optional(&fields, "caller_limits");
         let caller_limits = limits.and_then(|(path, node)| self.caller_limits(&path, node));
-        Sheet { services, classes, rules, default_class, routes, caller_limits }
+        let accounts = self.list(&fields, "accounts", Self::account);
+        Sheet { services, classes, rules, default_class, routes, caller_limits, accounts }
     }
 
     fn route(&mut self, path: &str, node: &Node) -> Option<RouteEntry> {
@@ -138,6 +143,10 @@
         let objective_ms = self.required_integer(&fields, "objective_ms");
         let max_endpoints = self.required(&fields, "max_endpoints");
         let max_endpoints = max_endpoints.and_then(|(path, node)| self.count(&path, node));
+        let public = match self.optional(&fields, "public") {
+            Some((path, node)) => self.boolean(&path, node),
+            None => Some(false),
+        };
         Some(RouteEntry {
             name: name?,
             host: host?,
@@ -148,6 +157,33 @@
             deadline_ms: deadline_ms?,
             objective_ms: objective_ms?,
             max_endpoints: max_endpoints?,
+            public: public?,
+        })
+    }
+
+    fn account(&mut self, path: &str, node: &Node) -> Option<AccountEntry> {
+        let fields = self.fields(path, node, ACCOUNT_KEYS)?;
+        let name = self.required_name(&fields, "name");
+        let keys = self.required(&fields, "keys");
+        let keys = keys.map(|(path, node)| self.items(&path, node, Self::name));
+        let class = match self.optional(&fields, "class") {
+            Some((path, node)) => self.name(&path, node).map(Some),
+            None => Some(None),
+        };
+        let rate_per_s = match self.optional(&fields, "rate_per_s") {
+            Some((path, node)) => self.rate(&path, node),
+            None => Some(RatePerSecond::default()),
+        };
+        let burst_requests = match self.optional(&fields, "burst_requests") {
+            Some((path, node)) => self.count(&path, node),
+            None => Some(0),
+        };
+        Some(AccountEntry {
+            name: name?,
+            keys: keys?,
+            class: class?,
+            rate_per_s: rate_per_s?,
+            burst_requests: burst_requests?,
         })
     }
 
@@ -305,6 +341,21 @@
         }
     }
 
+    fn rate(&mut self, path: &str, node: &Node) -> Option<RatePerSecond> {
+        #[allow(clippy::cast_precision_loss, reason = "rates are far below 2^53")]
+        let value = match node.value {
+            Value::Integer(value) => Some(value as f64),
+            Value::Fraction(value) => {
+                Some(value).filter(|value| value.is_finite() && *value >= 0.0)
+            }
+            _ => None,
+        };
+        if value.is_none() {
+            self.report_wrong_type(path, node, "a number that is not negative");
+        }
+        value.map(RatePerSecond::new)
+    }
+
     fn count(&mut self, path: &str, node: &Node) -> Option<u32> {
         let value = self.integer(path, node)?;
         let count = u32::try_from(value).ok();
--- a/cuminarch-config/src/diagnostic.rs
+++ b/cuminarch-config/src/diagnostic.rs
@@ -1,7 +1,7 @@
 use std::fmt;
 
 use compact_str::CompactString;
-use cuminarch_types::{ClassName, ServiceName};
+use cuminarch_types::{AccountName, ClassName, ServiceName};
 use serde::Serialize;
 use thiserror::Error;
 
@@ -119,7 +119,7 @@
         /// The class.
         class: ClassName,
     },
-    /// A class that is not the default and that no rule or route uses.
+    /// A class that is not the default and that no rule, route or account uses.
     #[error("class {class} is used by no rule")]
     UnusedClass {
         /// The class.
@@ -196,6 +196,26 @@
         /// The class.
         class: ClassName,
     },
+    /// An account that an earlier entry already defines.
+    #[error("account {account} is already defined by accounts[{first}]")]
+    DuplicateAccount {
+        /// The account.
+        account: AccountName,
+        /// Index of the earlier entry.
+        first: usize,
+    },
+    /// A key that is listed before, for this account or another one. The key itself is not shown.
+    #[error("the key is already listed as {first}")]
+    DuplicateKey {
+        /// Path of the earlier entry.
+        first: String,
+    },
+    /// An account without keys, which nobody can use.
+    #[error("account {account} has no keys")]
+    AccountWithoutKeys {
+        /// The account.
+        account: AccountName,
+    },
     /// The rules overlap in too many ways to determine which of them can match.
     #[error("the path patterns overlap in too many ways to be compared")]
     TooComplex,
@@ -214,7 +234,8 @@
             Self::GrantTooSmall { .. }
             | Self::ShadowsNonIdempotent { .. }
             | Self::NonIdempotentUnprotected { .. }
-            | Self::UnusedClass { .. } => Severity::Warning,
+            | Self::UnusedClass { .. }
+            | Self::AccountWithoutKeys { .. } => Severity::Warning,
             _ => Severity::Error,
         }
     }
--- a/cuminarch-config/src/document.rs
+++ b/cuminarch-config/src/document.rs
@@ -1,8 +1,10 @@
+use std::fmt;
+
 use cuminarch_types::{ChangeId, EndpointId, Revision, ZoneName};
 use serde::{Deserialize, Serialize};
 
 /// An accepted change of the configuration.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigDocument {
     /// Revision; higher than that of the document it replaced.
@@ -13,6 +15,18 @@
     pub sheet: String,
 }
 
+/// Without the sheet, which may hold keys of client accounts.
+impl fmt::Debug for ConfigDocument {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("ConfigDocument")
+            .field("revision", &self.revision)
+            .field("change", &self.change)
+            .field("sheet_len_bytes", &self.sheet.len())
+            .finish()
+    }
+}
+
 impl ConfigDocument {
     /// Maximum size of a document in bytes; the platform's limit for a value.
     pub const MAX_BYTES: usize = 1024 * 1024;
--- a/cuminarch-config/src/gate.rs
+++ b/cuminarch-config/src/gate.rs
@@ -8,6 +8,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConfigGate {
     in_force: Option<ConfigDocument>,
+    digest_seed: u64,
 }
 
 /// Result of offering a document.
@@ -25,7 +26,14 @@
     /// Creates a gate with no document in force.
     #[must_use]
     pub const fn new() -> Self {
-        Self { in_force: None }
+        Self { in_force: None, digest_seed: 0 }
+    }
+
+    /// Sets the seed of the digests of the accounts' keys.
+    #[must_use]
+    pub const fn with_digest_seed(mut self, digest_seed: u64) -> Self {
+        self.digest_seed = digest_seed;
+        self
     }
 
     /// Returns the revision in force, or 0 for the safe defaults.
@@ -45,8 +53,9 @@
         if document.revision <= self.revision() {
             return GateDecision::NotNewer;
         }
-        let policy = Sheet::parse(&document.sheet)
-            .and_then(|sheet| Policy::from_sheet(document.revision, &sheet));
+        let policy = Sheet::parse(&document.sheet).and_then(|sheet| {
+            Policy::from_sheet_with_digests(document.revision, &sheet, self.digest_seed)
+        });
         match policy {
             Ok(policy) => {
                 self.in_force = Some(document.clone());
--- a/cuminarch-config/src/lib.rs
+++ b/cuminarch-config/src/lib.rs
@@ -31,7 +31,11 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod account_entry;
+mod accounts;
 mod check;
+mod check_accounts;
+mod credential;
 mod decode;
 mod diagnostic;
 mod document;
@@ -48,6 +52,9 @@
 mod tree;
 mod weakening;
 
+pub use account_entry::AccountEntry;
+pub use accounts::{Account, AccountIndex, HeldKey};
+pub use credential::CredentialDigest;
 pub use diagnostic::{Diagnostic, DiagnosticKind, Position, Severity};
 pub use document::{ConfigDocument, ZoneStatus};
 pub use error::SheetError;
--- a/cuminarch-config/src/policy.rs
+++ b/cuminarch-config/src/policy.rs
@@ -9,13 +9,14 @@
     AccountName, Allotment, Attempts, ClassName, Priority, Revision, RuleNumber, ServiceName,
 };
 
+use crate::accounts::allotments;
 use crate::check::check;
 use crate::index::RuleIndex;
 use crate::pattern::{PathPattern, remove_dot_segments};
 use crate::space::SAFE_METHODS;
 use crate::{
-    CallerLimits, ClassEntry, DestinationEntry, Route, RouteEntry, RouteTable, RuleEntry, Severity,
-    Sheet, SheetError,
+    AccountIndex, CallerLimits, ClassEntry, DestinationEntry, Route, RouteEntry, RouteTable,
+    RuleEntry, Severity, Sheet, SheetError,
 };
 
 /// The rule that applies to a request.
@@ -63,6 +64,7 @@
     routes: RouteTable,
     caller_limits: Option<CallerLimits>,
     top_priority: Priority,
+    accounts: AccountIndex,
     allotments: BTreeMap<AccountName, Allotment>,
 }
 
@@ -79,6 +81,20 @@
     ///
     /// Fails with a diagnostic for each invalid or inconsistent entry of the sheet.
     pub fn from_sheet(revision: Revision, sheet: &Sheet) -> Result<Self, SheetError> {
+        Self::from_sheet_with_digests(revision, sheet, 0)
+    }
+
+    /// Checks and compiles a sheet like [`Policy::from_sheet`]; the seed goes into the digests of the
+    /// accounts' keys.
+    ///
+    /// # Errors
+    ///
+    /// Fails with a diagnostic for each invalid or inconsistent entry of the sheet.
+    pub fn from_sheet_with_digests(
+        revision: Revision,
+        sheet: &Sheet,
+        digest_seed: u64,
+    ) -> Result<Self, SheetError> {
         let errors: Vec<_> = check(sheet)
             .into_iter()
             .filter(|diagnostic| diagnostic.severity() == Severity::Error)
@@ -107,6 +123,8 @@
             }
         }
         policy.caller_limits = sheet.caller_limits;
+        policy.accounts = AccountIndex::new(&sheet.accounts, &classes, digest_seed);
+        policy.allotments = allotments(&sheet.accounts);
         policy.top_priority = classes.values().map(|rule| rule.priority).max().unwrap_or_default();
         Ok(policy)
     }
@@ -143,10 +161,17 @@
             fallback,
             routes: RouteTable::default(),
             caller_limits: None,
+            accounts: AccountIndex::default(),
             allotments: BTreeMap::new(),
         }
     }
 
+    /// Returns the client accounts.
+    #[must_use]
+    pub const fn accounts(&self) -> &AccountIndex {
+        &self.accounts
+    }
+
     /// Returns the allotments of the accounts that have one.
     #[must_use]
     pub const fn allotments(&self) -> &BTreeMap<AccountName, Allotment> {
@@ -232,6 +257,19 @@
 }
 
 impl Rule {
+    /// Takes over what a route sets for its requests whatever their class is.
+    #[must_use]
+    pub(crate) fn with_route_limits(self, route: &Self) -> Self {
+        Self {
+            number: route.number,
+            deadline: route.deadline,
+            objective: route.objective,
+            idempotent: route.idempotent,
+            max_endpoints: route.max_endpoints,
+            ..self
+        }
+    }
+
     pub(crate) fn from_class(entry: &ClassEntry, position: usize) -> Self {
         Self {
             number: RuleNumber::default(),
@@ -259,7 +297,7 @@
         };
         let is_used = |destination: &&DestinationEntry| destination.weight > 0;
         let destinations = entry.destinations.iter().filter(is_used).cloned().collect();
-        Self { name: entry.name.clone(), rule, destinations }
+        Self { name: entry.name.clone(), rule, destinations, is_public: entry.public }
     }
 }
 
--- a/cuminarch-config/src/route.rs
+++ b/cuminarch-config/src/route.rs
@@ -15,6 +15,8 @@
     pub rule: Rule,
     /// Services that receive the requests, with a weight above zero; never empty.
     pub destinations: Vec<DestinationEntry>,
+    /// Whether requests need no key of a client account.
+    pub is_public: bool,
 }
 
 impl Route {
--- a/cuminarch-config/src/route_entry.rs
+++ b/cuminarch-config/src/route_entry.rs
@@ -34,6 +34,9 @@
     pub objective_ms: u64,
     /// Maximum number of endpoints that one request may be sent to.
     pub max_endpoints: u32,
+    /// Whether requests need no key of a client account.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
 }
 
 /// Limits on the size and duration of callers' requests.
--- a/cuminarch-config/src/sheet.rs
+++ b/cuminarch-config/src/sheet.rs
@@ -6,7 +6,7 @@
 
 use crate::decode::decode;
 use crate::tree::Node;
-use crate::{CallerLimits, Diagnostic, DiagnosticKind, RouteEntry, SheetError};
+use crate::{AccountEntry, CallerLimits, Diagnostic, DiagnosticKind, RouteEntry, SheetError};
 
 /// A class of requests. Classes are refused in the order of the sheet, the first one first.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -64,6 +64,9 @@
     /// Limits on callers' requests; if absent, those of the node's settings apply.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub caller_limits: Option<CallerLimits>,
+    /// Client accounts; if there are none, requests need no key.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub accounts: Vec<AccountEntry>,
 }
 
 pub(crate) const fn default_retry_percent() -> u32 {
@@ -95,6 +98,7 @@
             default_class: default_class(),
             routes: Vec::new(),
             caller_limits: None,
+            accounts: Vec::new(),
         }
     }
 }
--- a/cuminarch-config/src/tree.rs
+++ b/cuminarch-config/src/tree.rs
@@ -20,6 +20,7 @@
     Null,
     Bool(bool),
     Integer(u64),
+    Fraction(f64),
     Other(&'static str),
     Text(String),
     List(Vec<Node>),
@@ -64,6 +65,7 @@
             Self::Null => "nothing",
             Self::Bool(_) => "true or false",
             Self::Integer(_) => "a whole number",
+            Self::Fraction(_) => "a fraction",
             Self::Other(name) => name,
             Self::Text(_) => "text",
             Self::List(_) => "a list",
@@ -130,8 +132,8 @@
         Ok(Value::Other("a number beyond 64 bits"))
     }
 
-    fn visit_f64<E>(self, _: f64) -> Result<Value, E> {
-        Ok(Value::Other("a fraction"))
+    fn visit_f64<E>(self, value: f64) -> Result<Value, E> {
+        Ok(Value::Fraction(value))
     }
 
     fn visit_str<E>(self, value: &str) -> Result<Value, E> {
--- a/cuminarch-config/tests/common/mod.rs
+++ b/cuminarch-config/tests/common/mod.rs
@@ -68,6 +68,7 @@
     proptest::collection::vec(rule(), 0..7).prop_map(|rules| Sheet {
         routes: Vec::new(),
         caller_limits: None,
+        accounts: Vec::new(),
         services: Vec::new(),
         classes: vec![class("low", false), class("high", true)],
         rules,
--- a/cuminarch-membership/src/configuration.rs
+++ b/cuminarch-membership/src/configuration.rs
@@ -31,6 +31,11 @@
 }
 
 impl ConfigState {
+    /// Creates the state of a node without configuration.
+    pub fn new(seed: u64) -> Self {
+        Self { gate: ConfigGate::new().with_digest_seed(seed), ..Self::default() }
+    }
+
     /// Returns the message that updates a member from revision `held`.
     pub fn message_for(&self, held: Revision) -> Option<ControlMessage> {
         match &self.patch {
--- a/cuminarch-membership/src/fleet.rs
+++ b/cuminarch-membership/src/fleet.rs
@@ -103,7 +103,7 @@
             views: BTreeMap::new(),
             zone_last_seen: BTreeMap::new(),
             cut_zones: BTreeMap::new(),
-            config: ConfigState::default(),
+            config: ConfigState::new(settings.seed),
             platform,
             rng,
             started_at: now,
--- a/cuminarch-membership/src/roster/mod.rs
+++ b/cuminarch-membership/src/roster/mod.rs
@@ -84,7 +84,7 @@
             settings,
             own,
             table,
-            config: ConfigState::default(),
+            config: ConfigState::new(settings.seed),
             pending_config: None,
             peers: BTreeMap::new(),
             pending_statements: BTreeSet::new(),
--- a/cuminarch-protocol/src/control.rs
+++ b/cuminarch-protocol/src/control.rs
@@ -1,5 +1,6 @@
 //! Messages of a control link.
 
+use std::fmt;
 use std::sync::Arc;
 
 use compact_str::CompactString;
@@ -92,7 +93,7 @@
 }
 
 /// A complete configuration.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigSnapshot {
     /// Its revision.
@@ -103,11 +104,19 @@
     pub sheet: String,
 }
 
+/// Without the sheet, which may hold keys of client accounts.
+impl fmt::Debug for ConfigSnapshot {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { revision, change, sheet } = self;
+        write!(formatter, "ConfigSnapshot({revision}, {change}, {} bytes)", sheet.len())
+    }
+}
+
 /// A configuration as a patch to an earlier one.
 ///
 /// The new sheet is the first `prefix_len_bytes` of the base, then `middle`,
 /// then the last `suffix_len_bytes` of the base.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigPatch {
     /// Revision that the patch applies to.
@@ -126,6 +135,14 @@
     pub checksum: u64,
 }
 
+/// Without the text, which may hold keys of client accounts.
+impl fmt::Debug for ConfigPatch {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { base, revision, change, middle, .. } = self;
+        write!(formatter, "ConfigPatch({base} to {revision}, {change}, {} bytes)", middle.len())
+    }
+}
+
 /// A message of a control link.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/cuminarch-types/src/lib.rs
+++ b/cuminarch-types/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 mod allotment;
+mod api_key;
 mod capacity_mode;
 mod count;
 mod error;
@@ -30,6 +31,7 @@
 mod rank;
 
 pub use allotment::Allotment;
+pub use api_key::ApiKey;
 pub use capacity_mode::CapacityMode;
 pub use count::{Attempts, ByteCount, ConcurrencyLimit, RatePerSecond};
 pub use error::ParseError;
