feat: an entry node asks for the key of a client account

Requests were not judged by their key, and the key reached the upstream. The entry node now finds the account by the policy in force for each request, answers 401 without a valid key, removes the key and a caller's own account field, and sets the account. The class of the account goes before the route's. Before each send the engine checks that the account still holds the key.

--- a/cuminarch-engine/src/arrival.rs
+++ b/cuminarch-engine/src/arrival.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use cuminarch_config::Rule;
+use cuminarch_config::{CredentialDigest, Rule};
 use cuminarch_once::{BoundKey, RequestFingerprint};
 use cuminarch_protocol::RoutedCall;
 use cuminarch_types::{
@@ -63,6 +63,8 @@
     pub rule: Option<Rule>,
     /// The client account that sent it, at the entry node; nested calls have none.
     pub account: Option<AccountName>,
+    /// Digest of the account's key without which the request must not run, at the entry node.
+    pub credential: Option<CredentialDigest>,
 }
 
 impl Arrival {
@@ -87,6 +89,7 @@
             routed: None,
             rule: None,
             account: None,
+            credential: None,
         }
     }
 
@@ -175,6 +178,13 @@
         self
     }
 
+    /// Sets the digest of the key without which the request must not run.
+    #[must_use]
+    pub const fn with_credential(mut self, credential: Option<CredentialDigest>) -> Self {
+        self.credential = credential;
+        self
+    }
+
     /// Sets the idempotency key.
     #[must_use]
     pub fn with_key(mut self, key: Option<RequestKey>) -> Self {
--- a/cuminarch-engine/src/call.rs
+++ b/cuminarch-engine/src/call.rs
@@ -10,6 +10,8 @@
     AttemptId, Attempts, CallId, ClientKey, EndpointId, MonoTime, Rank, RequestId, ServiceName,
 };
 
+use crate::credential::Credential;
+
 /// A call in progress.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -41,6 +43,8 @@
     pub replayable: bool,
     /// Whether an earlier attempt may have run.
     pub may_have_run: bool,
+    /// Key of the client account, at the entry node.
+    pub credential: Option<Credential>,
     /// Properties of the route, if the call took one.
     pub routed: Option<RoutedCall>,
     pub stage: Stage,
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -13,6 +13,7 @@
 use cuminarch_types::{Attempts, CallId, MonoTime, Outcome, Rank};
 
 use crate::call::{Call, DownstreamTime, Stage};
+use crate::credential::Credential;
 use crate::{Action, Arrival, Engine, LocalEnd, Refusal, RefusalReason};
 
 impl Engine {
@@ -93,6 +94,7 @@
             client_key: None,
             replayable: arrival.replayable,
             may_have_run: false,
+            credential: Credential::of(arrival),
             routed: arrival.routed.clone(),
             stage: Stage::Waiting,
             rule,
--- a/cuminarch-engine/src/lib.rs
+++ b/cuminarch-engine/src/lib.rs
@@ -25,6 +25,7 @@
 mod arrival;
 mod budget;
 mod call;
+mod credential;
 mod engine;
 mod event;
 mod inbound;
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -174,6 +174,9 @@
     /// Sends the next attempt of a call.
     pub(crate) fn send(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
         self.cancel_planned_retry(id);
+        if self.refuse_withdrawn(id, now, actions) {
+            return;
+        }
         let Some(target) = self.choose_target(id, now) else {
             let bound = self.calls.get(&id).is_some_and(|call| call.key.is_some());
             let refusal = if bound {
--- a/cuminarch-engine/src/refusal.rs
+++ b/cuminarch-engine/src/refusal.rs
@@ -43,6 +43,8 @@
     ClaimUnavailable,
     /// The key is bound to another endpoint.
     KeyBoundElsewhere,
+    /// The client account no longer holds the key that the request came with.
+    CredentialWithdrawn,
 }
 
 impl RefusalReason {
@@ -74,11 +76,12 @@
             Self::KeysExhausted => "keys-exhausted",
             Self::ClaimUnavailable => "claim-unavailable",
             Self::KeyBoundElsewhere => "key-bound-elsewhere",
+            Self::CredentialWithdrawn => "credential-withdrawn",
         }
     }
 
     /// Every reason.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Draining,
         Self::Overloaded,
         Self::OverloadedBehind,
@@ -97,6 +100,7 @@
         Self::KeysExhausted,
         Self::ClaimUnavailable,
         Self::KeyBoundElsewhere,
+        Self::CredentialWithdrawn,
     ];
 
     /// Returns the reason for which [`RefusalReason::as_str`] returns `text`.
--- a/cuminarch-node/src/data/handler.rs
+++ b/cuminarch-node/src/data/handler.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 
 use super::body::RequestBody;
+use super::credentials::record_credential_fault;
 use super::detached::execute_call;
 use super::front::{ConnectionState, Purpose, refuse_head};
 use super::http_reply::{HttpReply, http_reply_from_answer};
@@ -100,6 +101,10 @@
         ParsedRequest::Call(plan) => *plan,
         ParsedRequest::MintKey(root) => return mint_key(context, root),
         ParsedRequest::Answer(answer) => return answer.into(),
+        ParsedRequest::Unauthorized { answer, route, fault } => {
+            record_credential_fault(context, &request.head, &route, fault);
+            return answer.into();
+        }
     };
     if !plan.may_run_concurrently {
         request.position.shared.wait_for_earlier_answers(request.position.number).await;
@@ -149,7 +154,7 @@
     if let Some(route) = route {
         service = context.choose_service(&route);
         arrival.direction = Direction::Outbound(service.clone());
-        arrival.rule = Some(route.rule.clone());
+        arrival.rule.get_or_insert_with(|| route.rule.clone());
     }
     let arrival = arrival.with_body_digest(body.digest()).with_replayable(body.is_buffered());
     let call = CallRequest {
@@ -166,6 +171,7 @@
             .filter(|_| request.head.field("content-length").is_some()),
         routed: arrival.routed.clone(),
         is_inbound: arrival.direction == Direction::Inbound,
+        account: arrival.account.clone(),
         idempotent: arrival.rule.as_ref().is_none_or(|rule| rule.idempotent),
         received_at: request.received_at,
     };
--- a/cuminarch-node/src/data/link_client.rs
+++ b/cuminarch-node/src/data/link_client.rs
@@ -81,6 +81,7 @@
     info!(
         request:% = request.label(context),
         route = request.route(),
+        account = request.account(),
         service:% = request.service,
         endpoint:% = forward.target.endpoint,
         reason = reason,
--- a/cuminarch-node/src/data/link_server.rs
+++ b/cuminarch-node/src/data/link_server.rs
@@ -151,6 +151,7 @@
         target: head.target,
         headers: Arc::new(head.headers),
         routed: head.routed,
+        account: None,
         idempotent: head.idempotent,
         is_inbound: true,
         body,
--- a/cuminarch-node/src/data/mod.rs
+++ b/cuminarch-node/src/data/mod.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod body;
 mod connections;
+mod credentials;
 mod detached;
 mod driver;
 mod front;
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -13,7 +13,7 @@
 use cuminarch_once::StoredAnswer;
 use cuminarch_protocol::{AnswerHead, HeaderField, Receipt, RoutedCall, UpstreamRecord};
 use cuminarch_routing::Splitter;
-use cuminarch_types::{Outcome, RequestId, ServiceName, ZoneName};
+use cuminarch_types::{AccountName, Outcome, RequestId, ServiceName, ZoneName};
 use flume::Sender;
 use log::{info, warn};
 
@@ -30,7 +30,7 @@
 use super::upstream_pool::UpstreamPool;
 use crate::decisions::LogRateLimiter;
 use crate::event::NodeEvent;
-use crate::interface::CallerInterface;
+use crate::interface::{CallerInterface, CredentialFault};
 use crate::metrics::Metrics;
 
 /// State shared by the tasks of the data thread.
@@ -90,6 +90,8 @@
     pub body: RequestBody,
     pub body_len_bytes: Option<u64>,
     pub routed: Option<RoutedCall>,
+    /// The client account, at the entry node.
+    pub account: Option<AccountName>,
     pub idempotent: bool,
     /// Set if the request came from another node or is for the local upstream.
     pub is_inbound: bool,
@@ -108,6 +110,11 @@
         self.routed.as_ref().map_or("-", |routed| routed.route.as_str())
     }
 
+    /// Returns the name of the client account for logs.
+    pub fn account(&self) -> &str {
+        self.account.as_ref().map_or("-", AccountName::as_str)
+    }
+
     /// Returns `true` if the request may run more than once.
     pub const fn is_idempotent(&self) -> bool {
         self.idempotent
@@ -207,11 +214,15 @@
 /// Logs why the node refused a call: as an entry node for its caller, or as a serving node for
 /// another node.
 fn log_refusal(context: &DataContext, request: &CallRequest, refusal: &Refusal) {
+    if refusal.reason == RefusalReason::CredentialWithdrawn {
+        context.metrics.record_credential_fault(CredentialFault::Withdrawn);
+    }
     let event = if request.is_inbound { NodeEvent::DoorRefused } else { NodeEvent::CallRefused };
     let Some(left_out) = context.decisions.admit(event) else { return };
     info!(
         request:% = request.label(context),
         route = request.route(),
+        account = request.account(),
         service:% = request.service,
         outcome:% = refusal.outcome,
         reason = refusal.reason.as_str(),
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -67,13 +67,15 @@
     RateLimitChanged,
     /// The upstream of another endpoint states other signals.
     EndpointSignals,
+    /// A request had no valid key of a client account.
+    CredentialRefused,
     /// An answer contains a malformed statement of its upstream.
     SignalUnreadable,
 }
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 33] = [
+    pub const ALL: [Self; 34] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -107,6 +109,7 @@
         Self::RateLimitChanged,
         Self::SignalUnreadable,
         Self::EndpointSignals,
+        Self::CredentialRefused,
     ];
 
     /// Returns the number of the event; numbers are never reused.
@@ -146,6 +149,7 @@
             Self::RateLimitChanged => 2106,
             Self::SignalUnreadable => 2107,
             Self::EndpointSignals => 2108,
+            Self::CredentialRefused => 2109,
         }
     }
 
@@ -186,6 +190,7 @@
             Self::RateLimitChanged => "rate-limit-changed",
             Self::SignalUnreadable => "signal-unreadable",
             Self::EndpointSignals => "endpoint-signals",
+            Self::CredentialRefused => "credential-refused",
         }
     }
 }
--- /dev/null
+++ b/cuminarch-node/src/interface/credential_fault.rs
@@ -0,0 +1,40 @@
+use std::fmt;
+
+/// Why a request has no valid key of a client account.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum CredentialFault {
+    /// There is no key.
+    Missing,
+    /// The field with the key is malformed.
+    Malformed,
+    /// There is more than one field with a key.
+    Repeated,
+    /// No account holds the key.
+    Unknown,
+    /// The account lost the key while the request waited.
+    Withdrawn,
+}
+
+impl CredentialFault {
+    /// Every fault.
+    pub const ALL: [Self; 5] =
+        [Self::Missing, Self::Malformed, Self::Repeated, Self::Unknown, Self::Withdrawn];
+
+    /// Returns the text for logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Missing => "missing",
+            Self::Malformed => "malformed",
+            Self::Repeated => "repeated",
+            Self::Unknown => "unknown",
+            Self::Withdrawn => "withdrawn",
+        }
+    }
+}
+
+impl fmt::Display for CredentialFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
--- a/cuminarch-node/src/interface/mod.rs
+++ b/cuminarch-node/src/interface/mod.rs
@@ -4,6 +4,7 @@
 //! outcome of a call. [`NativeInterface`] is cuminarch's own.
 
 mod answer;
+mod credential_fault;
 mod native;
 mod plan;
 mod registration;
@@ -18,6 +19,7 @@
 
 pub use crate::headers::{end_to_end_fields, parse_upstream_signals};
 pub use answer::LocalAnswer;
+pub use credential_fault::CredentialFault;
 pub use native::{NativeInterface, random_request_id};
 pub use plan::{CallPlan, IncomingRequest, ParsedRequest, Side};
 pub use registration::{RegistrationError, RegistrationResult};
--- a/cuminarch-node/src/interface/plan.rs
+++ b/cuminarch-node/src/interface/plan.rs
@@ -5,9 +5,9 @@
 use cuminarch_engine::Arrival;
 use cuminarch_http::RequestHead;
 use cuminarch_protocol::HeaderField;
-use cuminarch_types::{RequestId, ServiceName, ZoneName};
+use cuminarch_types::{RequestId, RouteName, ServiceName, ZoneName};
 
-use super::LocalAnswer;
+use super::{CredentialFault, LocalAnswer};
 
 /// Origin of a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -44,6 +44,15 @@
     MintKey(RequestId),
     /// It is answered immediately.
     Answer(LocalAnswer),
+    /// It has no valid key of a client account.
+    Unauthorized {
+        /// The answer.
+        answer: LocalAnswer,
+        /// Name of its route.
+        route: RouteName,
+        /// What is wrong with its key.
+        fault: CredentialFault,
+    },
 }
 
 /// How a call is forwarded.
--- a/cuminarch-node/src/metrics.rs
+++ b/cuminarch-node/src/metrics.rs
@@ -13,6 +13,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::interface::CredentialFault;
+
 /// Direction of a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Direction {
@@ -42,6 +44,11 @@
     direction: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ReasonLabels {
+    reason: &'static str,
+}
+
 /// Metrics of the calls in one direction.
 #[derive(Clone, Debug)]
 struct CallMetrics {
@@ -74,6 +81,7 @@
     inbound: CallMetrics,
     outbound: CallMetrics,
     attempts: Counter,
+    credential_faults: Family<ReasonLabels, Counter>,
     connections_refused: Counter,
     ring_full: Counter,
     gauges: Gauges,
@@ -124,6 +132,7 @@
         let (inbound, outbound) = (of(Direction::Inbound), of(Direction::Outbound));
         let attempts = Counter::default();
         registry.register("attempts", "Attempts sent to other nodes", attempts.clone());
+        let credential_faults = register_credential_faults(&mut registry);
         let connections_refused = Counter::default();
         let help = "Connections closed at once as there were too many";
         registry.register("connections_refused", help, connections_refused.clone());
@@ -134,7 +143,16 @@
             ring_full.clone(),
         );
         let gauges = Gauges::register(&mut registry);
-        Self { inbound, outbound, attempts, connections_refused, ring_full, gauges, registry }
+        Self {
+            inbound,
+            outbound,
+            attempts,
+            credential_faults,
+            connections_refused,
+            ring_full,
+            gauges,
+            registry,
+        }
     }
 
     fn histogram() -> Histogram {
@@ -161,6 +179,11 @@
         self.attempts.inc();
     }
 
+    /// Records a request without a valid key.
+    pub fn record_credential_fault(&self, fault: CredentialFault) {
+        self.credential_faults.get_or_create(&ReasonLabels { reason: fault.as_str() }).inc();
+    }
+
     /// Records the time that a call spent in the node itself.
     pub fn record_node_time(&self, direction: Direction, time: Duration) {
         self.of(direction).node_time.observe(time.as_secs_f64());
@@ -230,3 +253,14 @@
         self.draining.set(i64::from(summary.draining));
     }
 }
+
+/// Registers the counter of requests without a valid key, with one label for each fault.
+fn register_credential_faults(registry: &mut Registry) -> Family<ReasonLabels, Counter> {
+    let faults = Family::<ReasonLabels, Counter>::default();
+    for fault in CredentialFault::ALL {
+        drop(faults.get_or_create(&ReasonLabels { reason: fault.as_str() }));
+    }
+    let help = "Requests without a valid key of a client account, by reason";
+    registry.register("credentials_refused", help, faults.clone());
+    faults
+}
