--- a/cuminarch-bench/src/decisions/system.rs
+++ b/cuminarch-bench/src/decisions/system.rs
@@ -184,12 +184,10 @@
             idempotent: !kind.is_protected,
         });
         let sheet = Sheet {
-            routes: Vec::new(),
-            caller_limits: None,
-            services: Vec::new(),
             classes: classes.collect(),
             rules: rules.collect(),
             default_class: class(&self.kinds[0]),
+            ..Sheet::default()
         };
         Policy::from_sheet(Revision::new(1), &sheet).expect("valid sheet")
     }
