--- a/cuminarch-cli/src/diff.rs
+++ b/cuminarch-cli/src/diff.rs
@@ -3,7 +3,9 @@
 use serde::Serialize;
 use similar::TextDiff;
 
-/// Line-by-line differences between two sheets.
+use crate::redaction::Redaction;
+
+/// Line-by-line differences between two sheets, without the keys of client accounts.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct SheetDiff {
     /// The differences in unified diff format; empty if there are none.
@@ -16,7 +18,8 @@
     pub fn between(old: &str, new: &str, old_name: &str, new_name: &str) -> Self {
         let diff = TextDiff::from_lines(old, new);
         let mut unified = diff.unified_diff();
-        Self { unified: unified.header(old_name, new_name).to_string() }
+        let unified = unified.header(old_name, new_name).to_string();
+        Self { unified: Redaction::of_sheets([old, new]).apply(&unified) }
     }
 
     /// Returns `true` if the texts are equal.
--- a/cuminarch-cli/src/lib.rs
+++ b/cuminarch-cli/src/lib.rs
@@ -27,6 +27,7 @@
 mod members;
 mod output;
 pub mod paths;
+mod redaction;
 mod wait_state_machine;
 
 pub use apply_state_machine::{
--- a/cuminarch-cli/tests/commands.rs
+++ b/cuminarch-cli/tests/commands.rs
@@ -204,6 +204,24 @@
     insta::assert_snapshot!(harness.run("config diff b.yaml --platform @").out);
 }
 
+#[test]
+fn diff_and_apply_show_a_replaced_key_without_its_text() {
+    let harness = Harness::new();
+    let account = |keys: &str| format!("{SHEET}accounts:\n- {{name: quilts, keys: {keys}}}\n");
+    harness.write("a.yaml", &account("[secret-a, 'secret,b', \"secret-c\"]"));
+    assert_eq!(harness.apply("a.yaml", "monday").status, ExitStatus::Success);
+    harness.write("b.yaml", &account("[secret-a, 'secret,b', secret-d]"));
+    let diff = harness.run("config diff b.yaml --platform @").out;
+    assert!(!diff.contains("secret"), "{diff}");
+    insta::assert_snapshot!(diff);
+    let applied = harness.apply("b.yaml", "tuesday");
+    assert!(!format!("{}{}", applied.out, applied.errors).contains("secret"), "{}", applied.out);
+    let both = account("[secret-a]") + "- {name: looms, keys: [secret-a]}\n";
+    harness.write("c.yaml", &both);
+    let checked = harness.run("config check c.yaml");
+    assert!(!format!("{}{}", checked.out, checked.errors).contains("secret"), "{}", checked.out);
+}
+
 #[test]
 fn oversized_sheet_is_refused_before_any_call() {
     let harness = Harness::new();
--- a/cuminarch-node/tests/operations_page.rs
+++ b/cuminarch-node/tests/operations_page.rs
@@ -44,6 +44,7 @@
     for key in [
         "request",
         "route",
+        "account",
         "service",
         "outcome",
         "reason",
