--- a/cuminarch-bench/src/decisions/system.rs
+++ b/cuminarch-bench/src/decisions/system.rs
@@ -186,6 +186,7 @@
         let sheet = Sheet {
             routes: Vec::new(),
             caller_limits: None,
+            accounts: Vec::new(),
             services: Vec::new(),
             classes: classes.collect(),
             rules: rules.collect(),
