feat(node): client accounts at the native interface

A daemon without the adapter ignored the accounts of its sheet and served every request. It now asks for a bearer key as the adapter does, with one shared reader of the field.

--- a/cuminarch-engine/src/arrival.rs
+++ b/cuminarch-engine/src/arrival.rs
@@ -59,7 +59,8 @@
     pub body_digest: Option<u64>,
     /// Properties of the route, if the call took one.
     pub routed: Option<RoutedCall>,
-    /// The route's rule, at the entry node; without one, the policy decides.
+    /// The rule of the route or of the client account, at the entry node; without one, the policy
+    /// decides.
     pub rule: Option<Rule>,
     /// The client account that sent it, at the entry node; nested calls have none.
     pub account: Option<AccountName>,
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -25,7 +25,10 @@
         actions: &mut Vec<Action>,
     ) {
         let service = &self.settings.service;
-        let rule = self.policy.rule(service, &arrival.method, &arrival.target).clone();
+        let rule = match &arrival.rule {
+            Some(rule) => rule.clone(),
+            None => self.policy.rule(service, &arrival.method, &arrival.target).clone(),
+        };
         let call = self.new_call(arrival, rule, now);
         let rank = call.rank;
         let rule = call.rule.number;
--- a/cuminarch-node/src/data/credentials.rs
+++ b/cuminarch-node/src/data/credentials.rs
@@ -12,7 +12,7 @@
 pub fn record_credential_fault(
     context: &DataContext,
     head: &RequestHead,
-    route: &RouteName,
+    route: Option<&RouteName>,
     fault: CredentialFault,
 ) {
     context.metrics.record_credential_fault(fault);
@@ -21,7 +21,7 @@
     let label = context.interface.request_label(&head.fields);
     info!(
         request = label.as_deref().unwrap_or("-"),
-        route:% = route,
+        route = route.map_or("-", RouteName::as_str),
         reason:% = fault,
         revision = context.driver.policy().revision().get(),
         left_out = left_out;
--- a/cuminarch-node/src/data/handler.rs
+++ b/cuminarch-node/src/data/handler.rs
@@ -102,7 +102,7 @@
         ParsedRequest::MintKey(root) => return mint_key(context, root),
         ParsedRequest::Answer(answer) => return answer.into(),
         ParsedRequest::Unauthorized { answer, route, fault } => {
-            record_credential_fault(context, &request.head, &route, fault);
+            record_credential_fault(context, &request.head, route.as_ref(), fault);
             return answer.into();
         }
     };
--- a/cuminarch-node/src/headers.rs
+++ b/cuminarch-node/src/headers.rs
@@ -30,6 +30,13 @@
 /// On an answer of an upstream: it is shutting down and expects no new requests.
 pub const LEAVING: &str = "cuminarch-leaving";
 
+/// Client account that sent a request; set by the entry node.
+pub const ACCOUNT: &str = "cuminarch-account";
+/// Key of the client account, after [`KEY_SCHEME`].
+pub const AUTHORIZATION: &str = "authorization";
+/// Scheme of the field with the key.
+pub const KEY_SCHEME: &str = "Bearer";
+
 /// Value that the node adds to the `Via` field of requests.
 pub const VIA_VALUE: &str = "1.1 cuminarch";
 
--- a/cuminarch-node/src/interface/mod.rs
+++ b/cuminarch-node/src/interface/mod.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod credential_fault;
+mod key_field;
 mod native;
 mod plan;
 mod registration;
@@ -20,6 +21,7 @@
 pub use crate::headers::{end_to_end_fields, parse_upstream_signals};
 pub use answer::LocalAnswer;
 pub use credential_fault::CredentialFault;
+pub use key_field::{KeyField, with_account};
 pub use native::{NativeInterface, random_request_id};
 pub use plan::{CallPlan, IncomingRequest, ParsedRequest, Side};
 pub use registration::{RegistrationError, RegistrationResult};
--- a/cuminarch-node/src/interface/native.rs
+++ b/cuminarch-node/src/interface/native.rs
@@ -7,13 +7,15 @@
 use cuminarch_types::{Outcome, ParseError, RequestId};
 
 use super::{
-    AnswerClass, CallPlan, CallerInterface, IncomingRequest, LocalAnswer, ParsedRequest,
-    RegistrationError, RegistrationResult, Side, UpstreamCall,
+    AnswerClass, CallPlan, CallerInterface, IncomingRequest, KeyField, LocalAnswer, ParsedRequest,
+    RegistrationError, RegistrationResult, Side, UpstreamCall, with_account,
 };
 use crate::headers::{self, CallerHeaders};
 
 /// Path at which callers get idempotency keys.
 const KEYS_PATH: &str = "/.cuminarch/keys";
+/// Field with the key of a client account.
+const KEY_FIELD: KeyField = KeyField { name: headers::AUTHORIZATION, scheme: headers::KEY_SCHEME };
 /// Default delay after which a caller may retry.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -31,6 +33,16 @@
             }
         };
         let root = caller.root.unwrap_or_else(random_request_id);
+        let accounts = request.policy.accounts();
+        // Calls of the own upstream carry no key.
+        let is_public = request.side == Side::Upstream;
+        let held = match KEY_FIELD.identify(accounts, is_public, &request.head.fields) {
+            Ok(held) => held,
+            Err(fault) => {
+                let answer = unauthorized_answer(fault.as_str());
+                return ParsedRequest::Unauthorized { answer, route: None, fault };
+            }
+        };
         if request.head.method == "POST" && request.head.path() == KEYS_PATH {
             return ParsedRequest::MintKey(root);
         }
@@ -47,8 +59,21 @@
             .with_send(caller.resend)
             .with_remaining(caller.remaining)
             .with_key(caller.key);
+        let arrival = match &held {
+            Some(held) => {
+                let rule = request.policy.rule(&service, method, target);
+                with_account(arrival, held, is_public).with_rule(held.account.rule(rule))
+            }
+            None => arrival,
+        };
         let mut fields = headers::end_to_end_fields(&request.head.fields);
+        if !accounts.is_empty() {
+            fields.retain(|field| field.name != headers::AUTHORIZATION);
+        }
         fields.retain(|field| field.name != "expect" && !headers::is_interface_field(&field.name));
+        if let Some(held) = &held {
+            fields.push(HeaderField::new(headers::ACCOUNT, held.account.name.as_str()));
+        }
         ParsedRequest::Call(Box::new(CallPlan {
             arrival,
             service,
@@ -126,12 +151,21 @@
     }
 }
 
+/// Returns the answer to a request without a valid key.
+fn unauthorized_answer(reason: &str) -> LocalAnswer {
+    LocalAnswer::new(401)
+        .with_body(format!("{}: the key is {reason}\n", Outcome::NotRun))
+        .with_field(headers::OUTCOME, Outcome::NotRun.as_str())
+        .with_field("www-authenticate", headers::KEY_SCHEME)
+}
+
 const fn status_of(refusal: &Refusal) -> u16 {
     match (refusal.outcome, refusal.reason) {
         (_, RefusalReason::KeyConflict) => 422,
         (Outcome::Completed, _) | (_, RefusalReason::KeyInProgress) => 409,
         (Outcome::Unknown, RefusalReason::DeadlineExceeded) => 504,
         (Outcome::Unknown, _) => 502,
+        (Outcome::NotRun, RefusalReason::CredentialWithdrawn) => 401,
         (Outcome::NotRun, RefusalReason::BudgetExhausted) => 429,
         (Outcome::NotRun, _) => 503,
     }
@@ -140,6 +174,9 @@
 /// Returns the delay in seconds, rounded up, after which a retry makes sense; `None` if a retry
 /// cannot change the outcome.
 fn retry_after_s(refusal: &Refusal) -> Option<u64> {
+    if refusal.reason == RefusalReason::CredentialWithdrawn {
+        return None;
+    }
     let default = (refusal.outcome == Outcome::NotRun).then_some(DEFAULT_RETRY_AFTER);
     let time = refusal.retry_after.or(default)?;
     Some(time.as_secs() + u64::from(time.subsec_nanos() > 0)).map(|seconds| seconds.max(1))
--- a/cuminarch-node/src/interface/plan.rs
+++ b/cuminarch-node/src/interface/plan.rs
@@ -48,8 +48,8 @@
     Unauthorized {
         /// The answer.
         answer: LocalAnswer,
-        /// Name of its route.
-        route: RouteName,
+        /// Name of its route, if the policy has routes.
+        route: Option<RouteName>,
         /// What is wrong with its key.
         fault: CredentialFault,
     },
