feat(allotment): parts by zone, holders, asks and grants

Tokens are divided by zone and shard, handed out with a lifetime that is counted from the ask, and count against the burst of their part until then.

--- a/cuminarch-allotment/src/lib.rs
+++ b/cuminarch-allotment/src/lib.rs
@@ -19,8 +19,19 @@
 //! # Ok::<(), cuminarch_types::ParseError>(())
 //! ```
 
+mod account;
+mod account_entry;
+mod account_holder;
+mod bounds;
+mod bucket;
+mod entry;
+mod held_part;
+mod hold;
+mod meter;
 mod output;
 mod settings;
+mod share;
+mod shared;
 mod table;
 mod usage;
 
--- a/cuminarch-allotment/src/settings.rs
+++ b/cuminarch-allotment/src/settings.rs
@@ -12,7 +12,8 @@
     /// All zones of the deployment. Each gets an equal part of every allotment, whether or not any
     /// of its nodes can be reached; if empty, the allotments are not divided.
     pub zones: BTreeSet<ZoneName>,
-    /// Seed of the ids of asks.
+    /// Seed of the ids of asks. It must differ between the processes of an endpoint: a process
+    /// must not take a grant for its predecessor as the answer to an ask of its own.
     pub seed: u64,
 }
 
--- a/cuminarch-protocol/src/allotment.rs
+++ b/cuminarch-protocol/src/allotment.rs
@@ -13,6 +13,14 @@
 const TAG_ASK: u8 = 1;
 const TAG_GRANT: u8 = 2;
 
+fn is_zero_u8(value: &u8) -> bool {
+    *value == 0
+}
+
+fn is_zero_u32(value: &u32) -> bool {
+    *value == 0
+}
+
 /// Asks the node that holds a part of an account's allotment for tokens.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AllotmentAsk {
@@ -22,15 +30,24 @@
     /// The account.
     #[serde(rename = "a")]
     pub account: AccountName,
-    /// Tokens wanted, in thousandths of a request.
+    /// Number of the part within the zone of the receiver.
+    #[serde(default, rename = "s", skip_serializing_if = "is_zero_u8")]
+    pub shard: u8,
+    /// Tokens wanted now, in thousandths of a request.
     #[serde(rename = "w")]
     pub wanted_milli: u32,
+    /// Tokens beyond these that the sender expects to use soon, in thousandths of a request.
+    #[serde(default, rename = "e", skip_serializing_if = "is_zero_u32")]
+    pub extra_milli: u32,
     /// Requests that arrived at the sender since its last ask for this account.
     #[serde(rename = "n")]
     pub arrived_requests: u32,
     /// Whether the sender holds a part of the same allotment, in another zone.
     #[serde(default, rename = "h", skip_serializing_if = "std::ops::Not::not")]
     pub is_from_holder: bool,
+    /// Usage of the sender's part, in thousandths of its rate, if the sender holds one.
+    #[serde(default, rename = "u", skip_serializing_if = "is_zero_u32")]
+    pub usage_milli: u32,
 }
 
 /// Answers an ask.
@@ -45,10 +62,14 @@
     /// Tokens handed over, in thousandths of a request. They expire if they are not used.
     #[serde(rename = "g")]
     pub granted_milli: u32,
+    /// Lifetime of the tokens in milliseconds, counted from when the ask was sent.
+    #[serde(default, rename = "l", skip_serializing_if = "is_zero_u32")]
+    pub lifetime_ms: u32,
     /// Time until the missing tokens are free, in milliseconds; 0 if none is missing.
     #[serde(rename = "r")]
     pub retry_after_ms: u32,
-    /// Requests of the account over all nodes relative to its allotted rate, in thousandths.
+    /// Arriving requests relative to the allotted rate, in thousandths: over all parts in an
+    /// answer to an entry node, over the part of the sender in an answer to another holder.
     #[serde(rename = "u")]
     pub usage_milli: u32,
     /// Whether the sender does not hold a part of this allotment.
