perf(allotment): asks go to the parts of a zone by turns; little is collected when all are used up

Entry nodes were bound to one part of the zone, so a quarter of the parts of a large account had no entry node.

--- a/cuminarch-allotment/src/account.rs
+++ b/cuminarch-allotment/src/account.rs
@@ -3,11 +3,11 @@
 use cuminarch_types::{AccountName, Allotment, EndpointId, MonoTime, ZoneName};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::AllotmentSettings;
 use crate::bounds::{MAX_LIFETIME, QUARANTINE, USAGE_AGE};
 use crate::entry::Entry;
 use crate::held_part::HeldPart;
 use crate::share::Share;
+use crate::{AccountSummary, AllotmentSettings};
 
 /// Members of the fleet by zone.
 pub(crate) type Members = BTreeMap<ZoneName, BTreeSet<EndpointId>>;
@@ -26,7 +26,7 @@
     /// Holder of each part; parts of a zone are adjacent.
     holders: Vec<Holder>,
     /// Parts in the order in which this node turns to them.
-    pub order: Vec<usize>,
+    order: Vec<usize>,
     own_zone: Option<usize>,
     /// Parts that this node holds, by their number in the own zone.
     pub held: BTreeMap<u8, HeldPart>,
@@ -122,6 +122,16 @@
         self.holders.get(part)?.as_ref().map(|(_, endpoint)| endpoint)
     }
 
+    /// Returns the parts in order of preference; each turn begins at another part of a zone, so that
+    /// all are asked alike.
+    pub(crate) fn turn(&self, turn: usize) -> impl Iterator<Item = usize> {
+        let shards = usize::from(self.share.shards);
+        (0..self.order.len()).filter_map(move |place| {
+            let first = place / shards * shards;
+            self.order.get(first + (place + turn) % shards).copied()
+        })
+    }
+
     /// Returns the number of a part within its zone.
     pub(crate) fn shard_of(&self, part: usize) -> u8 {
         u8::try_from(part % usize::from(self.share.shards)).unwrap_or(0)
@@ -180,6 +190,24 @@
         self.empty_until.clear();
     }
 
+    /// Describes the account.
+    pub(crate) fn summary(&self, now: MonoTime) -> AccountSummary {
+        let entry = self.entry.as_ref();
+        AccountSummary {
+            account: self.name.clone(),
+            parts: self.share.parts(),
+            held: self
+                .held
+                .iter()
+                .map(|(shard, part)| part.bucket.summary(*shard, part.queue.len(), now))
+                .collect(),
+            tokens_milli: entry.map_or(0, |entry| entry.hold.level_micro() / 1_000),
+            waiting_requests: entry.map_or(0, |entry| entry.waiters.len()),
+            last_request_age: entry.map(|entry| now.since(entry.last_arrival_at)),
+            usage: entry.and_then(|entry| entry.usage(now)),
+        }
+    }
+
     fn divide(&mut self, settings: &AllotmentSettings, members: &Members) {
         self.zones = chosen_zones(&self.name, settings, self.share.zones);
         self.own_zone = self.zones.iter().position(|zone| *zone == settings.zone);
--- a/cuminarch-allotment/src/account_entry.rs
+++ b/cuminarch-allotment/src/account_entry.rs
@@ -179,6 +179,7 @@
         let Some(to) = self.holder(part).cloned() else { return };
         let lifetime = self.share.lifetime;
         let entry = self.entry.get_or_insert_default();
+        entry.turn = entry.turn.wrapping_add(1);
         entry.hold.purge(now);
         let requests = entry.waiters.len();
         let wanted = requests as u64 * TOKEN_MICRO;
@@ -231,7 +232,8 @@
                     }
                 })
         };
-        let usable = || self.order.iter().copied().filter(is_usable);
+        let turn = self.entry.as_ref().map_or(0, |entry| entry.turn);
+        let usable = || self.turn(turn).filter(is_usable);
         usable().find(|part| Some(self.zone_of(*part)) != failed_zone).or_else(|| usable().next())
     }
 
--- a/cuminarch-allotment/src/account_holder.rs
+++ b/cuminarch-allotment/src/account_holder.rs
@@ -7,7 +7,7 @@
 
 use crate::account::Account;
 use crate::bounds::{
-    GATHER_LIMIT, LENDER_TIMEOUT, MAX_EMPTY, MAX_LENDERS, MAX_QUEUED_ASKS, MIN_EMPTY,
+    GATHER_LIMIT, LENDER_TIMEOUT, MAX_EMPTY, MAX_LENDERS, MAX_QUEUED_ASKS, MIN_EMPTY, USAGE_AGE,
 };
 use crate::held_part::{Asker, QueuedAsk, Served, TOKEN_MICRO};
 use crate::shared::{Purpose, SentAsk, Shared};
@@ -16,6 +16,11 @@
 /// joins its bucket.
 const GATHER_AHEAD: Duration = Duration::from_millis(250);
 
+/// Usage of a part whose tokens are all used by the requests that come to it.
+const FULL_USAGE_MILLI: u32 = 1_000;
+/// Time between two asks of a holder while all parts are used up where they are.
+const SATURATED_PAUSE: Duration = Duration::from_millis(200);
+
 impl Account {
     /// Handles an ask of another node.
     pub(crate) fn on_ask(
@@ -176,13 +181,34 @@
             is_late: false,
         };
         part.gather.started_at.get_or_insert(now);
+        part.gather.last_ask_at = Some(now);
+        part.gather.turn = part.gather.turn.wrapping_add(1);
         part.gather.asked.push(lender);
         part.gather.ask = Some(shared.ask(ask, sent, LENDER_TIMEOUT));
         true
     }
 
-    fn next_lender(&self, shard: u8, now: MonoTime, shared: &Shared) -> Option<usize> {
+    /// Returns whether all parts of a much divided allotment are known to be used up where they
+    /// are; then there is little to collect.
+    fn is_saturated(&mut self, shard: u8, now: MonoTime) -> bool {
+        let limit = u64::from(FULL_USAGE_MILLI) * 3 / 2;
+        if self.share.shards == 1 || u64::from(self.own_usage_milli(shard, now)) < limit {
+            return false;
+        }
+        let recent = self.part_usage.values().filter(|(_, at)| now.since(*at) <= USAGE_AGE);
+        let known: Vec<u64> = recent.map(|(usage, _)| u64::from(*usage)).collect();
+        known.len() >= 4 && known.iter().sum::<u64>() >= limit * known.len() as u64
+    }
+
+    fn next_lender(&mut self, shard: u8, now: MonoTime, shared: &Shared) -> Option<usize> {
+        let is_saturated = self.is_saturated(shard, now);
         let gather = &self.held.get(&shard)?.gather;
+        if is_saturated {
+            let is_due = gather.last_ask_at.is_none_or(|at| now.since(at) >= SATURATED_PAUSE);
+            if !gather.asked.is_empty() || !is_due {
+                return None;
+            }
+        }
         let is_over = gather.started_at.is_some_and(|at| now.since(at) >= GATHER_LIMIT);
         if is_over || gather.asked.len() >= MAX_LENDERS {
             return None;
@@ -190,7 +216,7 @@
         if now < gather.paused_until {
             return None;
         }
-        let lenders = self.order.iter().copied().filter(|part| {
+        let lenders = self.turn(gather.turn).filter(|part| {
             !gather.asked.contains(part)
                 && self.held_shard(*part) != Some(shard)
                 && self.empty_until.get(part).is_none_or(|until| *until <= now)
@@ -200,7 +226,7 @@
         });
         // The first of those with the least known usage; nothing is to be had from a full one.
         let usage = |part: &usize| self.part_usage.get(part).map_or(0, |(usage, _)| *usage);
-        lenders.min_by_key(|part| usage(part).min(1_000) / 250)
+        lenders.min_by_key(|part| usage(part).min(FULL_USAGE_MILLI) / 250)
     }
 
     /// Returns what arrives beyond the refill of a part in the next moment.
--- a/cuminarch-allotment/src/bounds.rs
+++ b/cuminarch-allotment/src/bounds.rs
@@ -49,8 +49,8 @@
 /// Greatest time that a refused caller is told to wait.
 pub(crate) const MAX_RETRY: Duration = Duration::from_secs(30);
 /// Rate of a part in requests a second from which on the account has more parts in each zone, so
-/// that no holder answers more than some 10 asks a second for an account in usual use.
-pub(crate) const SHARD_RATE_PER_S: f64 = 16.0;
+/// that no holder answers more than some 25 asks a second for an account in usual use.
+pub(crate) const SHARD_RATE_PER_S: f64 = 40.0;
 /// Parts of an account in a zone.
 pub(crate) const MAX_SHARDS: u8 = 16;
 /// Tokens that an entry node asks for in advance.
--- a/cuminarch-allotment/src/bucket.rs
+++ b/cuminarch-allotment/src/bucket.rs
@@ -3,6 +3,7 @@
 
 use cuminarch_types::MonoTime;
 
+use crate::PartSummary;
 use crate::share::Share;
 
 /// Token bucket of a part. Tokens in it and tokens that were handed out and may still be used
@@ -99,6 +100,20 @@
         self.filled_at.since(now) + share.refill_time(missing)
     }
 
+    /// Describes the bucket as it was last used.
+    pub(crate) fn summary(&self, shard: u8, waiting_asks: usize, now: MonoTime) -> PartSummary {
+        PartSummary {
+            shard,
+            level_milli: self.level_micro / 1_000,
+            outstanding_milli: self.outstanding_micro / 1_000,
+            burst_milli: self.burst_micro / 1_000,
+            rate_milli_per_s: self.rate_micro_per_s / 1_000,
+            waiting_asks,
+            quarantine: self.filled_at.since(now),
+            age: now.since(self.filled_at),
+        }
+    }
+
     const fn room_micro(&self) -> u64 {
         self.burst_micro.saturating_sub(self.outstanding_micro)
     }
--- a/cuminarch-allotment/src/entry.rs
+++ b/cuminarch-allotment/src/entry.rs
@@ -38,6 +38,8 @@
     pub waiters: VecDeque<CallId>,
     pub pending: Option<Pending>,
     pub arrived_requests: u32,
+    /// Number of asks.
+    pub turn: usize,
     pub meter: Meter,
     pub last_arrival_at: MonoTime,
     pub last_ask_at: MonoTime,
--- a/cuminarch-allotment/src/held_part.rs
+++ b/cuminarch-allotment/src/held_part.rs
@@ -46,7 +46,10 @@
 pub(crate) struct Gather {
     pub ask: Option<u64>,
     pub asked: Vec<usize>,
+    /// Number of asks so far.
+    pub turn: usize,
     pub started_at: Option<MonoTime>,
+    pub last_ask_at: Option<MonoTime>,
     /// Until when no tokens are collected, after others had too few.
     pub paused_until: MonoTime,
     pub pause: Duration,
--- a/cuminarch-allotment/src/lib.rs
+++ b/cuminarch-allotment/src/lib.rs
@@ -32,10 +32,12 @@
 mod settings;
 mod share;
 mod shared;
+mod summary;
 mod table;
 mod usage;
 
 pub use output::{AllotmentOutput, TokenDecision};
 pub use settings::AllotmentSettings;
+pub use summary::{AccountSummary, PartSummary};
 pub use table::AllotmentTable;
 pub use usage::AccountUsage;
--- a/cuminarch-allotment/src/table.rs
+++ b/cuminarch-allotment/src/table.rs
@@ -7,7 +7,7 @@
 use crate::account_holder::not_holder;
 use crate::bounds::{IDLE_AGE, QUARANTINE, STALL};
 use crate::shared::{Purpose, Shared};
-use crate::{AccountUsage, AllotmentOutput, AllotmentSettings, TokenDecision};
+use crate::{AccountSummary, AccountUsage, AllotmentOutput, AllotmentSettings, TokenDecision};
 
 /// Allotments as one node sees them: parts that it holds, and tokens that it was handed.
 #[derive(Clone, Debug)]
@@ -180,6 +180,13 @@
         self.accounts.get(account)?.entry.as_ref()?.usage(now)
     }
 
+    /// Describes the accounts of which this node holds a part or has seen a request lately.
+    #[must_use]
+    pub fn summary(&self, now: MonoTime) -> Vec<AccountSummary> {
+        let known = |account: &&Account| !account.held.is_empty() || account.entry.is_some();
+        self.accounts.values().filter(known).map(|account| account.summary(now)).collect()
+    }
+
     /// Returns the settings.
     #[must_use]
     pub const fn settings(&self) -> &AllotmentSettings {
--- a/cuminarch-allotment/tests/load.rs
+++ b/cuminarch-allotment/tests/load.rs
@@ -23,6 +23,10 @@
         "sent per node and second: bytes mean {mean_bytes:.0}, highest {highest_bytes:.0}; \
          messages mean {mean_messages:.1}, highest {highest_messages:.1}"
     );
+    let [entry_asks, holder_asks, grants] = load.kinds(span);
+    println!(
+        "of these asks of entries {entry_asks:.1}, of holders {holder_asks:.1}, grants {grants:.1}"
+    );
     highest_bytes
 }
 
--- a/cuminarch-allotment/tests/support/fleet.rs
+++ b/cuminarch-allotment/tests/support/fleet.rs
@@ -24,6 +24,8 @@
     pub sent_messages: u64,
     pub sent_bytes: u64,
     pub received_bytes: u64,
+    /// Asks of entry nodes, asks of holders, and grants.
+    pub sent_by_kind: [u64; 3],
     processes: u64,
     wake_at: Option<MonoTime>,
 }
@@ -60,6 +62,7 @@
                 sent_messages: 0,
                 sent_bytes: 0,
                 received_bytes: 0,
+                sent_by_kind: [0; 3],
                 processes: 0,
                 wake_at: None,
             })
@@ -98,6 +101,7 @@
         }
         table.set_accounts(self.accounts.clone(), self.now);
         self.nodes[node].table = Some(table);
+        self.flush(node);
     }
 
     pub fn stop(&mut self, node: usize) {
@@ -179,6 +183,11 @@
             message,
         };
         let len = datagram.encode().unwrap().len() as u64;
+        let kind = match &datagram.message {
+            AllotmentMessage::Ask(ask) => usize::from(ask.is_from_holder),
+            AllotmentMessage::Grant(_) => 2,
+        };
+        self.nodes[from].sent_by_kind[kind] += 1;
         self.nodes[from].sent_messages += 1;
         self.nodes[from].sent_bytes += len;
         let (near, far) = (&self.nodes[from].zone, &self.nodes[to].zone);
--- a/cuminarch-allotment/tests/support/load.rs
+++ b/cuminarch-allotment/tests/support/load.rs
@@ -113,6 +113,7 @@
         }
         for node in &mut self.fleet.nodes {
             (node.sent_messages, node.sent_bytes, node.received_bytes) = (0, 0, 0);
+            node.sent_by_kind = [0; 3];
         }
         self.waits_us.clear();
     }
@@ -169,6 +170,16 @@
             .unwrap()
     }
 
+    /// Returns the mean number of asks of entry nodes, asks of holders and grants per node and
+    /// second.
+    pub fn kinds(&self, span: Duration) -> [f64; 3] {
+        let per_node = self.fleet.nodes.len() as f64 * span.as_secs_f64();
+        [0, 1, 2].map(|kind| {
+            let sent = self.fleet.nodes.iter().map(|node| node.sent_by_kind[kind]);
+            sent.sum::<u64>() as f64 / per_node
+        })
+    }
+
     fn arrive(&mut self, at: usize) {
         let now = self.fleet.now;
         let demand = &mut self.demands[at];
