--- a/cuminarch-allotment/src/account.rs
+++ b/cuminarch-allotment/src/account.rs
@@ -21,6 +21,8 @@
     pub name: AccountName,
     pub share: Share,
     limit: Allotment,
+    /// The largest part of limits that other nodes may still apply, and until when.
+    peak: (Share, MonoTime),
     /// Zones with a part.
     zones: Vec<ZoneName>,
     /// Holder of each part; parts of a zone are adjacent.
@@ -46,10 +48,12 @@
         members: &Members,
         refills_from: MonoTime,
     ) -> Self {
+        let share = Share::new(limit, settings.zones.len());
         let mut account = Self {
             name,
-            share: Share::new(limit, settings.zones.len()),
+            share,
             limit,
+            peak: (share, MonoTime::ZERO),
             zones: Vec::new(),
             holders: Vec::new(),
             order: Vec::new(),
@@ -76,6 +80,8 @@
             return;
         }
         let before = self.share;
+        let peak = if now < self.peak.1 { self.peak.0.larger(&before) } else { before };
+        self.peak = (peak, now.after(QUARANTINE));
         self.limit = limit;
         self.share = Share::new(limit, settings.zones.len());
         for part in self.held.values_mut() {
@@ -85,7 +91,10 @@
             self.empty_until.clear();
             self.part_usage.clear();
             self.divide(settings, members);
-            self.sync_held(settings, now.after(QUARANTINE));
+            let is_covered = before.zones == self.share.zones && self.share.covers(&self.peak.0);
+            // Where no part shrinks, the sum is kept beside nodes that apply the limit later.
+            let pause = if is_covered { MAX_LIFETIME } else { QUARANTINE };
+            self.sync_held(settings, now.after(pause));
         }
     }
 
--- a/cuminarch-allotment/src/account_entry.rs
+++ b/cuminarch-allotment/src/account_entry.rs
@@ -7,7 +7,7 @@
 
 use crate::account::Account;
 use crate::account_holder::milli_up;
-use crate::bounds::{ASK_TIMEOUT, MAX_ATTEMPTS, MAX_RETRY, REPORT_INTERVAL, UNAVAILABLE_RETRY};
+use crate::bounds::{ASK_TIMEOUT, MAX_ATTEMPTS, REFUSAL_PAUSE, REPORT_INTERVAL, UNAVAILABLE_RETRY};
 use crate::entry::{Entry, Pending};
 use crate::held_part::{Asker, QueuedAsk, Served, TOKEN_MICRO};
 use crate::shared::{Purpose, SentAsk, Shared};
@@ -21,16 +21,16 @@
         now: MonoTime,
         shared: &mut Shared,
     ) -> TokenDecision {
+        let token_time = self.share.token_time();
         let entry = self.entry.get_or_insert_default();
         entry.arrived(now);
         if entry.waiters.is_empty() && entry.spend(call, now) {
             return TokenDecision::Granted;
         }
-        if entry.pending.is_none()
-            && let Some(remaining) = entry.refusal(now)
-        {
-            let spread = shared.part_of(remaining.max(Duration::from_millis(100)) / 2);
-            return TokenDecision::Exceeded { retry_after: (remaining + spread).min(MAX_RETRY) };
+        if entry.pending.is_none() && entry.is_refusing(now) {
+            let retry_after = entry.next_retry(token_time, now);
+            let retry_after = retry_after + shared.part_of(token_time.min(REFUSAL_PAUSE));
+            return TokenDecision::Exceeded { retry_after };
         }
         if !entry.wait(call) {
             return unavailable();
@@ -133,8 +133,7 @@
         now: MonoTime,
         shared: &mut Shared,
     ) {
-        let token_time =
-            self.share.refill_time(TOKEN_MICRO) / u32::try_from(self.share.parts()).unwrap_or(1);
+        let token_time = self.share.token_time();
         let Some(entry) = &mut self.entry else { return };
         while let Some(call) = entry.waiters.front().copied()
             && entry.spend(call, now)
@@ -148,11 +147,10 @@
         entry.pending = None;
         if !retry_after.is_zero() {
             entry.refused(retry_after, now);
-            let mut turn = retry_after;
+            let mut retry_after = retry_after;
             while let Some(call) = entry.waiters.pop_front() {
-                let retry_after = turn.min(MAX_RETRY);
                 decide(call, TokenDecision::Exceeded { retry_after }, shared);
-                turn += token_time;
+                retry_after = entry.next_retry(token_time, now);
             }
         } else if !entry.waiters.is_empty() {
             self.ask(None, now, shared);
--- a/cuminarch-allotment/src/account_holder.rs
+++ b/cuminarch-allotment/src/account_holder.rs
@@ -9,7 +9,7 @@
 use crate::bounds::{
     GATHER_LIMIT, LENDER_TIMEOUT, MAX_EMPTY, MAX_LENDERS, MAX_QUEUED_ASKS, MIN_EMPTY, USAGE_AGE,
 };
-use crate::held_part::{Asker, QueuedAsk, Served, TOKEN_MICRO};
+use crate::held_part::{Asker, HeldPart, QueuedAsk, Served, TOKEN_MICRO};
 use crate::shared::{Purpose, SentAsk, Shared};
 
 /// Time ahead for which a holder asks whose requests exceed its refill. What is not used at once
@@ -76,6 +76,11 @@
                 part.end_gather();
                 return;
             };
+            if part.available_micro() < front.wanted_micro {
+                self.collect_here(shard, now);
+            }
+            let Some(part) = self.held.get_mut(&shard) else { return };
+            let Some(front) = part.queue.front() else { return };
             let is_covered = part.available_micro() >= front.wanted_micro;
             let is_gathering = part.gather.ask.is_some();
             if !is_covered && (is_gathering || self.ask_lender(shard, now, shared)) {
@@ -153,6 +158,20 @@
         shared.send(from, AllotmentMessage::Grant(grant(ask.id, served, usage_milli)));
     }
 
+    /// Takes what is missing from other parts that this node holds.
+    fn collect_here(&mut self, shard: u8, now: MonoTime) {
+        let others: Vec<u8> = self.held.keys().copied().filter(|other| *other != shard).collect();
+        for other in others {
+            let missing = self.held.get(&shard).map_or(0, HeldPart::missing_micro);
+            let Some(part) = self.held.get_mut(&other).filter(|_| missing > 0) else { return };
+            part.refresh(now);
+            let served = part.lend((missing, 0), FULL_USAGE_MILLI, &self.share, now);
+            if let Some(part) = self.held.get_mut(&shard) {
+                part.pot.add(now.after(served.lifetime), served.micro);
+            }
+        }
+    }
+
     fn ask_lender(&mut self, shard: u8, now: MonoTime, shared: &mut Shared) -> bool {
         let Some(lender) = self.next_lender(shard, now, shared) else { return false };
         let Some(to) = self.holder(lender).cloned() else { return false };
--- a/cuminarch-allotment/src/bounds.rs
+++ b/cuminarch-allotment/src/bounds.rs
@@ -66,7 +66,7 @@
 /// Time for which a reported usage counts.
 pub(crate) const USAGE_AGE: Duration = Duration::from_secs(2);
 /// Time between two reports of requests that were refused without an ask.
-pub(crate) const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+pub(crate) const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without a request after which an entry node forgets what it knows of an account.
 pub(crate) const IDLE_AGE: Duration = Duration::from_secs(10);
 /// Time for which refused callers are counted on to return; a usual time limit of a request.
--- a/cuminarch-allotment/src/entry.rs
+++ b/cuminarch-allotment/src/entry.rs
@@ -4,7 +4,9 @@
 use cuminarch_types::{CallId, MonoTime};
 
 use crate::AccountUsage;
-use crate::bounds::{MAX_EXTRA_REQUESTS, MAX_SPENT, MAX_WAITERS, REFUSAL_PAUSE, USAGE_AGE};
+use crate::bounds::{
+    MAX_AHEAD, MAX_EXTRA_REQUESTS, MAX_SPENT, MAX_WAITERS, REFUSAL_PAUSE, USAGE_AGE,
+};
 use crate::held_part::TOKEN_MICRO;
 use crate::hold::Hold;
 use crate::meter::Meter;
@@ -102,9 +104,15 @@
         self.refused_until = now.after(retry_after.min(REFUSAL_PAUSE));
     }
 
-    /// Returns the remaining time of the last refusal, if requests are refused without an ask.
-    pub(crate) fn refusal(&self, now: MonoTime) -> Option<Duration> {
-        (now < self.refused_until).then(|| self.retry_at.since(now))
+    /// Returns whether requests are refused without an ask.
+    pub(crate) fn is_refusing(&self, now: MonoTime) -> bool {
+        now < self.refused_until
+    }
+
+    /// Returns when the next refused caller finds a token, after those told before.
+    pub(crate) fn next_retry(&mut self, token_time: Duration, now: MonoTime) -> Duration {
+        self.retry_at = self.retry_at.after(token_time).min(now.after(MAX_AHEAD));
+        self.retry_at.since(now)
     }
 
     /// Returns how many tokens to ask for in advance.
--- a/cuminarch-allotment/src/share.rs
+++ b/cuminarch-allotment/src/share.rs
@@ -3,6 +3,7 @@
 use cuminarch_types::Allotment;
 
 use crate::bounds::{MAX_LIFETIME, MAX_SHARDS, MIN_LIFETIME, SHARD_RATE_PER_S};
+use crate::held_part::TOKEN_MICRO;
 
 const MICRO: f64 = 1_000_000.0;
 
@@ -46,6 +47,25 @@
         }
     }
 
+    /// Returns whether a part is at least as large as one of `other`.
+    pub(crate) const fn covers(&self, other: &Self) -> bool {
+        self.rate_micro_per_s >= other.rate_micro_per_s && self.burst_micro >= other.burst_micro
+    }
+
+    /// Returns the larger rate and burst of two parts.
+    pub(crate) fn larger(&self, other: &Self) -> Self {
+        Self {
+            rate_micro_per_s: self.rate_micro_per_s.max(other.rate_micro_per_s),
+            burst_micro: self.burst_micro.max(other.burst_micro),
+            ..*self
+        }
+    }
+
+    /// Returns the time in which the whole allotment refills by one request.
+    pub(crate) fn token_time(&self) -> Duration {
+        self.refill_time(TOKEN_MICRO) / u32::try_from(self.parts()).unwrap_or(1)
+    }
+
     /// Returns the number of parts.
     pub(crate) fn parts(&self) -> usize {
         self.zones * usize::from(self.shards)
