--- a/cuminarch-allotment/tests/behaviour.rs
+++ b/cuminarch-allotment/tests/behaviour.rs
@@ -190,6 +190,30 @@
     assert_eq!(table.request(&account(), call(3), now), TokenDecision::Waiting);
 }
 
+#[test]
+fn a_loan_is_used_while_its_tokens_live_and_not_after() {
+    for (late_ms, lent_milli) in [(5, 1_000), (99, 1_000), (101, 0)] {
+        let settings = AllotmentSettings::new(endpoint("e-1"), zone("a"));
+        let mut table =
+            AllotmentTable::new(settings.with_zones([zone("a"), zone("b")].into_iter().collect()));
+        let mut now = MonoTime::ZERO;
+        // Without a refill only the loan fills the bucket.
+        table.set_accounts(limit(0.0, 8), now);
+        table.set_member(&endpoint("e-1"), &zone("a"), true, now);
+        table.set_member(&endpoint("h-b"), &zone("b"), true, now);
+        run(&mut table, &mut now, 10 * SECOND);
+        table.request(&account(), call(1), now);
+        let (to, ask) = asks(&mut table).remove(0);
+        assert!(ask.is_from_holder);
+        table.cancel(call(1));
+        run(&mut table, &mut now, Duration::from_millis(late_ms));
+        table.receive(&to, grant(ask.id, 1_000, 0), now);
+        let summary = table.summary(now);
+        let level = summary[0].held[0].level_milli + summary[0].tokens_milli;
+        assert_eq!(level, lent_milli, "{late_ms} ms late");
+    }
+}
+
 #[test]
 fn a_late_grant_is_used_while_its_tokens_live_and_not_after() {
     for (late_ms, decided) in [(35, true), (99, true), (101, false)] {
--- a/cuminarch-allotment/tests/support/bound.rs
+++ b/cuminarch-allotment/tests/support/bound.rs
@@ -17,6 +17,14 @@
         Self { rate_per_s: limit.rate.get(), burst, level: burst, at: MonoTime::ZERO }
     }
 
+    /// Returns one of `count` equal parts. A part of less than a token could grant nothing, so each
+    /// has one, although their sum then exceeds the burst.
+    pub fn part(limit: Allotment, count: usize) -> Self {
+        let burst = (f64::from(limit.burst_requests) / count as f64).max(1.0);
+        let rate_per_s = limit.rate.get() / count as f64;
+        Self { rate_per_s, burst, level: burst, at: MonoTime::ZERO }
+    }
+
     /// Returns the level after a refill.
     pub fn level(&mut self, now: MonoTime) -> f64 {
         let gained = now.since(self.at).as_secs_f64() * self.rate_per_s;
