--- a/cuminarch-allotment/src/lib.rs
+++ b/cuminarch-allotment/src/lib.rs
@@ -19,12 +19,25 @@
 //! # Ok::<(), cuminarch_types::ParseError>(())
 //! ```
 
+mod account;
+mod account_entry;
+mod account_holder;
+mod bounds;
+mod bucket;
+mod entry;
+mod held_part;
+mod hold;
+mod meter;
 mod output;
 mod settings;
+mod share;
+mod shared;
+mod summary;
 mod table;
 mod usage;
 
 pub use output::{AllotmentOutput, TokenDecision};
 pub use settings::AllotmentSettings;
+pub use summary::{AccountSummary, PartSummary};
 pub use table::AllotmentTable;
 pub use usage::AccountUsage;
