feat(engine,node): requests of accounts with an allotment ask for a token

A call that enters the mesh for an account with an allotment is sent once the table of allotments grants a token; it is refused as not run if the allotment is used up (429) or no holder can be reached (503). Every attempt that may run takes a token; one that provably did not run returns it. Nodes exchange datagrams at their control addresses; none is sent if no account has an allotment. The settings list the zones that share allotments.

--- a/cuminarch-bench/src/decisions/engine_mesh.rs
+++ b/cuminarch-bench/src/decisions/engine_mesh.rs
@@ -191,7 +191,7 @@
     }
 
     fn execute_action(&mut self, world: &mut NodeWorld, endpoint: usize, action: Action) {
-        let call = action.call();
+        let Some(call) = action.call() else { return };
         let Some(state) = self.nodes[endpoint].calls.get(&call).copied() else { return };
         match action {
             Action::RunLocal { .. } => {
@@ -223,7 +223,11 @@
                     );
                 }
             }
-            Action::Claim { .. } | Action::Deliver { .. } | Action::Replay { .. } => {}
+            Action::Claim { .. }
+            | Action::Deliver { .. }
+            | Action::Replay { .. }
+            | Action::SendAllotment { .. }
+            | Action::Report(_) => {}
         }
     }
 
--- a/cuminarch-engine/src/action.rs
+++ b/cuminarch-engine/src/action.rs
@@ -1,11 +1,12 @@
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cuminarch_once::{BoundKey, StoredAnswer};
-use cuminarch_protocol::{Receipt, RoutedCall};
+use cuminarch_protocol::{AllotmentDatagram, Receipt, RoutedCall};
 use cuminarch_routing::Target;
 use cuminarch_types::{AttemptId, Attempts, CallId, ClientKey, InstanceId, Rank};
 
-use crate::{Refusal, RequestKey};
+use crate::{AllotmentNotice, Refusal, RequestKey};
 
 /// One attempt sent to another node.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -102,12 +103,21 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// Send a datagram about allotments to another node; it may get lost.
+    SendAllotment {
+        /// Control address of the node.
+        to: SocketAddr,
+        /// The datagram.
+        datagram: Box<AllotmentDatagram>,
+    },
+    /// Log a change that concerns allotments.
+    Report(AllotmentNotice),
 }
 
 impl Action {
-    /// Returns the call that the action belongs to.
+    /// Returns the call that the action belongs to, if it belongs to one.
     #[must_use]
-    pub const fn call(&self) -> CallId {
+    pub const fn call(&self) -> Option<CallId> {
         match self {
             Self::RunLocal { call, .. }
             | Self::Claim { call, .. }
@@ -117,7 +127,8 @@
             | Self::Replay { call, .. }
             | Self::Close { call, .. }
             | Self::CancelLocal { call }
-            | Self::CancelRemote { call, .. } => *call,
+            | Self::CancelRemote { call, .. } => Some(*call),
+            Self::SendAllotment { .. } | Self::Report(_) => None,
         }
     }
 }
--- /dev/null
+++ b/cuminarch-engine/src/allotments.rs
@@ -0,0 +1,140 @@
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use cuminarch_allotment::{AllotmentOutput, AllotmentSettings, AllotmentTable, TokenDecision};
+use cuminarch_protocol::{AllotmentDatagram, Member};
+use cuminarch_types::{AccountName, Allotment, CallId, EndpointId, MonoTime};
+
+use crate::allotment_peers::AllotmentPeers;
+use crate::{AllotmentNotice, AllotmentSummary, EngineSettings};
+
+/// The allotments of client accounts as this node knows them, and the nodes that share them.
+#[derive(Debug)]
+pub struct Allotments {
+    pub table: AllotmentTable,
+    pub peers: AllotmentPeers,
+    /// Outputs of the table that have not been applied yet.
+    pub outputs: VecDeque<AllotmentOutput>,
+    /// Whether a policy came into force whose allotments have not been applied yet.
+    pub is_policy_changed: bool,
+    /// Allotments in force.
+    accounts: BTreeMap<AccountName, Allotment>,
+    pub summary: AllotmentSummary,
+}
+
+impl Allotments {
+    pub fn new(settings: &EngineSettings) -> Self {
+        let allotment_settings =
+            AllotmentSettings::new(settings.endpoint.clone(), settings.zone.clone())
+                .with_zones(settings.zones.clone())
+                .with_seed(settings.seed);
+        let mut table = AllotmentTable::new(allotment_settings);
+        table.set_member(&settings.endpoint, &settings.zone, true, MonoTime::ZERO);
+        Self {
+            table,
+            peers: AllotmentPeers::default(),
+            outputs: VecDeque::new(),
+            is_policy_changed: true,
+            accounts: BTreeMap::new(),
+            summary: AllotmentSummary::default(),
+        }
+    }
+
+    /// Applies a statement about a member. The own endpoint stays a member.
+    pub fn record_member(&mut self, member: &Member, now: MonoTime) {
+        let endpoint = &member.endpoint;
+        if *endpoint == self.table.settings().endpoint {
+            return;
+        }
+        let Some((previous, peer)) = self.peers.apply(member) else { return };
+        let previous = previous.filter(|previous| previous.is_member);
+        if let Some(previous) = &previous
+            && (previous.zone != peer.zone || !peer.is_member)
+        {
+            self.table.set_member(endpoint, &previous.zone, false, now);
+        }
+        if peer.is_member && previous.is_none_or(|previous| previous.zone != peer.zone) {
+            self.table.set_member(endpoint, &peer.zone, true, now);
+        }
+    }
+
+    /// Handles a datagram. One that was not sent from the control address of the member that it
+    /// names, or by an earlier process of it, is dropped.
+    pub fn receive(&mut self, source: SocketAddr, datagram: AllotmentDatagram, now: MonoTime) {
+        if self.accounts.is_empty() {
+            return;
+        }
+        let is_from_member = self.peers.get(&datagram.from).is_some_and(|peer| {
+            peer.is_member
+                && peer.control_address == source
+                && peer.incarnation <= datagram.incarnation
+        });
+        if is_from_member {
+            self.table.receive(&datagram.from, datagram.message, now);
+        } else {
+            self.summary.ignored_datagrams += 1;
+        }
+    }
+
+    /// Returns a notice for each account whose allotment gets lower.
+    pub fn lowered(&self, to: &BTreeMap<AccountName, Allotment>) -> Vec<AllotmentNotice> {
+        let lowered = self.accounts.iter().filter_map(|(account, from)| {
+            let to = *to.get(account)?;
+            let is_lower = to.rate < from.rate || to.burst_requests < from.burst_requests;
+            let (account, from) = (account.clone(), *from);
+            is_lower.then_some(AllotmentNotice::Lowered { account, from, to })
+        });
+        lowered.collect()
+    }
+
+    /// Puts the allotments of a policy into force.
+    pub fn set_accounts(&mut self, accounts: BTreeMap<AccountName, Allotment>, now: MonoTime) {
+        self.accounts.clone_from(&accounts);
+        self.summary.allotted_accounts = accounts.len();
+        self.table.set_accounts(accounts, now);
+    }
+
+    /// Returns the address for datagrams to a member.
+    pub fn address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
+        let peer = self.peers.get(endpoint).filter(|peer| peer.is_member)?;
+        Some(peer.control_address)
+    }
+
+    /// Asks for a token.
+    pub fn request(&mut self, account: &AccountName, id: CallId, now: MonoTime) -> TokenDecision {
+        let decision = self.table.request(account, id, now);
+        self.summary.record(account, decision);
+        decision
+    }
+
+    /// Returns a token that was not used.
+    pub fn give_back(&mut self, account: &AccountName, now: MonoTime) {
+        self.summary.counts_mut(account).given_back += 1;
+        self.table.give_back(account, now);
+    }
+
+    /// Withdraws the waiting request of a call that ends. If its token has been granted in the
+    /// meantime, it is given back.
+    pub fn withdraw(&mut self, account: &AccountName, id: CallId, now: MonoTime) {
+        self.collect_outputs();
+        let is_decision = |output: &AllotmentOutput| matches!(output, AllotmentOutput::Decided(of, _) if *of == id);
+        let Some(index) = self.outputs.iter().position(is_decision) else {
+            return self.table.cancel(id);
+        };
+        if let Some(AllotmentOutput::Decided(_, TokenDecision::Granted)) =
+            self.outputs.remove(index)
+        {
+            self.table.give_back(account, now);
+        }
+    }
+
+    /// Returns the next output of the table.
+    pub fn next_output(&mut self) -> Option<AllotmentOutput> {
+        self.collect_outputs();
+        self.outputs.pop_front()
+    }
+
+    fn collect_outputs(&mut self) {
+        self.outputs.extend(self.table.take_outputs());
+    }
+}
--- /dev/null
+++ b/cuminarch-engine/src/allotted.rs
@@ -0,0 +1,177 @@
+//! Calls that count against the allotment of their client account.
+//!
+//! Each attempt that may run takes one token. An attempt that provably did not run returns its
+//! token to the call; the next attempt uses it, or it is given back when the call ends. An attempt
+//! after one that may have run takes another token if one is at hand, and is not made otherwise.
+
+use compact_str::{CompactString, format_compact};
+use cuminarch_allotment::{AllotmentOutput, TokenDecision};
+use cuminarch_protocol::AllotmentDatagram;
+use cuminarch_types::{AccountName, CallId, MonoTime};
+
+use crate::call::Call;
+use crate::token::TokenState;
+use crate::{Action, AllotmentSummary, Arrival, Direction, Engine, Refusal, RefusalReason};
+
+impl Engine {
+    /// Returns the account whose allotment a call counts against. Only calls that enter the mesh
+    /// here count.
+    pub(crate) fn allotted_account(&self, arrival: &Arrival) -> Option<AccountName> {
+        let is_entry = matches!(arrival.direction, Direction::Outbound(_))
+            && arrival.parent.is_none()
+            && arrival.share.is_none();
+        let account = arrival.account.as_ref().filter(|_| is_entry)?;
+        self.policy.allotments().contains_key(account).then(|| account.clone())
+    }
+
+    /// Sends a call for the first time, once it has a token if it needs one.
+    pub(crate) fn send_allotted(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
+        let account = self.calls.get(&id).and_then(|call| call.allotted_account.clone());
+        let Some(account) = account else { return self.send(id, now, actions) };
+        let decision = self.allotments.request(&account, id, now);
+        self.apply_token_decision(id, &account, decision, now, actions);
+    }
+
+    fn apply_token_decision(
+        &mut self,
+        id: CallId,
+        account: &AccountName,
+        decision: TokenDecision,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        let (state, refused) = match decision {
+            TokenDecision::Granted => (TokenState::Held, None),
+            TokenDecision::Waiting => (TokenState::Waiting, None),
+            TokenDecision::Exceeded { retry_after } => {
+                (TokenState::Settled, Some((RefusalReason::AllotmentExceeded, retry_after)))
+            }
+            TokenDecision::Unavailable { retry_after } => {
+                (TokenState::Settled, Some((RefusalReason::AllotmentUnavailable, retry_after)))
+            }
+        };
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.token = state;
+        }
+        if let Some((reason, retry_after)) = refused {
+            let detail = self.allotment_detail(account, now);
+            let refusal = Refusal::not_run(reason).with_retry_after(retry_after);
+            return self.refuse(id, refusal.with_detail(detail), now, actions);
+        }
+        if state == TokenState::Held {
+            self.send(id, now, actions);
+        }
+    }
+
+    /// Returns the log detail of a request that got no token: what this node believes about the
+    /// account, and how old that is.
+    fn allotment_detail(&self, account: &AccountName, now: MonoTime) -> CompactString {
+        let allotment = self.policy.allotments().get(account).copied().unwrap_or_default();
+        let limit = format_compact!(
+            "account={account} rate_per_s={} burst_requests={}",
+            allotment.rate,
+            allotment.burst_requests,
+        );
+        match self.allotments.table.usage(account, now) {
+            Some(usage) => format_compact!(
+                "{limit} usage_milli={} source=holder belief_age_ms={}",
+                usage.usage_milli,
+                now.since(usage.reported_at).as_millis(),
+            ),
+            None => format_compact!("{limit} source=none"),
+        }
+    }
+
+    /// Returns the token of an attempt that provably did not run to its call.
+    pub(crate) fn return_token(&mut self, id: CallId) {
+        if let Some(call) = self.calls.get_mut(&id)
+            && call.allotted_account.is_some()
+        {
+            call.token = TokenState::Held;
+        }
+    }
+
+    /// Makes sure that a call has a token for another attempt. Returns `false` if it would have to
+    /// wait for one.
+    pub(crate) fn take_token_for_repeat(&mut self, id: CallId, now: MonoTime) -> bool {
+        let Some(call) = self.calls.get(&id) else { return false };
+        let Some(account) = call.allotted_account.clone() else { return true };
+        if call.token == TokenState::Held {
+            return true;
+        }
+        match self.allotments.request(&account, id, now) {
+            TokenDecision::Granted => {
+                if let Some(call) = self.calls.get_mut(&id) {
+                    call.token = TokenState::Held;
+                }
+                true
+            }
+            TokenDecision::Waiting => {
+                self.allotments.withdraw(&account, id, now);
+                false
+            }
+            TokenDecision::Exceeded { .. } | TokenDecision::Unavailable { .. } => false,
+        }
+    }
+
+    /// Returns the state of the allotments for dumps and metrics.
+    pub(crate) fn allotment_summary(&self) -> AllotmentSummary {
+        let waiting = self.calls.values().filter(|call| call.token == TokenState::Waiting).count();
+        AllotmentSummary { waiting, ..self.allotments.summary.clone() }
+    }
+
+    /// Settles the token of a call that has ended.
+    pub(crate) fn settle_token(&mut self, id: CallId, call: &Call, now: MonoTime) {
+        let Some(account) = &call.allotted_account else { return };
+        match call.token {
+            TokenState::NotRequested => self.allotments.table.record_refused(account, now),
+            TokenState::Waiting => self.allotments.withdraw(account, id, now),
+            TokenState::Held => self.allotments.give_back(account, now),
+            TokenState::Settled => {}
+        }
+    }
+
+    /// Applies the allotments of a policy that came into force.
+    pub(crate) fn apply_changed_allotments(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
+        if !std::mem::take(&mut self.allotments.is_policy_changed) {
+            return;
+        }
+        let allotments = self.policy.allotments().clone();
+        let notices = self.allotments.lowered(&allotments);
+        actions.extend(notices.into_iter().map(Action::Report));
+        self.allotments.set_accounts(allotments, now);
+    }
+
+    /// Applies what the table of allotments has decided and wants to send.
+    pub(crate) fn apply_allotment_outputs(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
+        while let Some(output) = self.allotments.next_output() {
+            match output {
+                AllotmentOutput::Decided(id, decision) => {
+                    self.token_decided(id, decision, now, actions);
+                }
+                AllotmentOutput::Send(endpoint, message) => {
+                    let Some(to) = self.allotments.address(&endpoint) else { continue };
+                    let from = self.settings.endpoint.clone();
+                    let incarnation = self.settings.incarnation;
+                    let datagram = Box::new(AllotmentDatagram { from, incarnation, message });
+                    actions.push(Action::SendAllotment { to, datagram });
+                }
+            }
+        }
+    }
+
+    fn token_decided(
+        &mut self,
+        id: CallId,
+        decision: TokenDecision,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let Some(account) = call.allotted_account.clone() else { return };
+        if call.token == TokenState::Waiting {
+            self.allotments.summary.record(&account, decision);
+            self.apply_token_decision(id, &account, decision, now, actions);
+        }
+    }
+}
--- a/cuminarch-engine/src/call.rs
+++ b/cuminarch-engine/src/call.rs
@@ -7,9 +7,12 @@
 use cuminarch_protocol::RoutedCall;
 use cuminarch_routing::{CallAttributes, LearnedLevel};
 use cuminarch_types::{
-    AttemptId, Attempts, CallId, ClientKey, EndpointId, MonoTime, Rank, RequestId, ServiceName,
+    AccountName, AttemptId, Attempts, CallId, ClientKey, EndpointId, MonoTime, Rank, RequestId,
+    ServiceName,
 };
 
+use crate::token::TokenState;
+
 /// A call in progress.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -43,6 +46,9 @@
     pub may_have_run: bool,
     /// Properties of the route, if the call took one.
     pub routed: Option<RoutedCall>,
+    /// The account whose allotment the call counts against, if it has one.
+    pub allotted_account: Option<AccountName>,
+    pub token: TokenState,
     pub stage: Stage,
 }
 
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -18,6 +18,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::allotments::Allotments;
 use crate::call::{Call, Sending, Stage};
 use crate::{Action, Direction, EngineSettings, EngineSummary, Event, Refusal, RefusalReason};
 
@@ -55,6 +56,7 @@
     pub(crate) retries_denied_until: BTreeMap<ServiceName, MonoTime>,
     /// Position of the local endpoint in its service.
     pub(crate) own_position: EndpointPosition,
+    pub(crate) allotments: Allotments,
     next_call: CallId,
     next_attempt: AttemptId,
 }
@@ -91,6 +93,7 @@
             retry_budget: RetryBudget::new(),
             retries_denied_until: BTreeMap::new(),
             own_position: EndpointPosition { endpoint_count: 1, index: 0 },
+            allotments: Allotments::new(&settings),
             next_call: CallId::new(1),
             next_attempt: AttemptId::new(1),
             settings,
@@ -107,6 +110,7 @@
     /// Handles one event and returns the actions that the driver has to execute, in order.
     pub fn handle(&mut self, event: Event, now: MonoTime) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.apply_changed_allotments(now, &mut actions);
         match event {
             Event::Arrive(call, arrival) => match arrival.direction.clone() {
                 Direction::Inbound => self.arrive_inbound(call, &arrival, now, &mut actions),
@@ -133,7 +137,9 @@
             Event::Cancel(call) => self.cancel(call, now, &mut actions),
             Event::LocalTurnedAway(call) => self.local_turned_away(call, now, &mut actions),
             Event::Upstream(record) => self.upstream_registered(*record, now, &mut actions),
+            Event::Allotment(source, datagram) => self.allotments.receive(source, *datagram, now),
             Event::Member(member) => {
+                self.allotments.record_member(&member, now);
                 self.router.update(*member, now);
                 self.count_members();
             }
@@ -141,6 +147,7 @@
             Event::Drain => self.draining = true,
         }
         self.resume_waiting_for_share(now, &mut actions);
+        self.apply_allotment_outputs(now, &mut actions);
         actions
     }
 
@@ -165,6 +172,7 @@
     pub fn set_policy(&mut self, policy: Arc<Policy>) -> bool {
         let is_newer = policy.revision() > self.policy.revision();
         if is_newer {
+            self.allotments.is_policy_changed = true;
             self.policy = policy;
             self.router.forget_levels();
             self.downstream_levels.clear();
@@ -215,6 +223,7 @@
             shortage_milli: self.admission.shortage_milli(),
             revision: self.policy.revision(),
             draining: self.draining,
+            allotments: self.allotment_summary(),
         }
     }
 
@@ -247,6 +256,7 @@
         actions: &mut Vec<Action>,
     ) -> Option<Receipt> {
         let call = self.calls.remove(&id)?;
+        self.settle_token(id, &call, now);
         self.deadlines.remove(&(call.deadline, id));
         if call.parent.is_none() && call.made_outbound_call {
             self.downstream_levels.insert(call.rule.number, call.highest_level);
--- a/cuminarch-engine/src/event.rs
+++ b/cuminarch-engine/src/event.rs
@@ -1,5 +1,7 @@
+use std::net::SocketAddr;
+
 use cuminarch_once::{BoundKey, ClaimOutcome, StoredAnswer};
-use cuminarch_protocol::{Member, Receipt, UpstreamRecord};
+use cuminarch_protocol::{AllotmentDatagram, Member, Receipt, UpstreamRecord};
 use cuminarch_types::{AttemptId, CallId};
 
 use crate::{Arrival, Refusal};
@@ -100,6 +102,8 @@
     Cancel(CallId),
     /// A statement about a member was received.
     Member(Box<Member>),
+    /// A datagram about allotments was received from this address.
+    Allotment(SocketAddr, Box<AllotmentDatagram>),
     /// Deadlines, retries and waiting calls may be due.
     Tick,
     /// Stop accepting new calls.
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -13,6 +13,7 @@
 use cuminarch_types::{Attempts, CallId, MonoTime, Outcome, Rank};
 
 use crate::call::{Call, DownstreamTime, Stage};
+use crate::token::TokenState;
 use crate::{Action, Arrival, Engine, LocalEnd, Refusal, RefusalReason};
 
 impl Engine {
@@ -94,6 +95,8 @@
             replayable: arrival.replayable,
             may_have_run: false,
             routed: arrival.routed.clone(),
+            allotted_account: self.allotted_account(arrival),
+            token: TokenState::NotRequested,
             stage: Stage::Waiting,
             rule,
         }
--- a/cuminarch-engine/src/lib.rs
+++ b/cuminarch-engine/src/lib.rs
@@ -22,6 +22,11 @@
 //! ```
 
 mod action;
+mod allotment_counts;
+mod allotment_notice;
+mod allotment_peers;
+mod allotments;
+mod allotted;
 mod arrival;
 mod budget;
 mod call;
@@ -37,8 +42,11 @@
 mod signals;
 mod summary;
 mod time;
+mod token;
 
 pub use action::{Action, Forward};
+pub use allotment_counts::{AllotmentCounts, AllotmentSummary};
+pub use allotment_notice::AllotmentNotice;
 pub use arrival::{Arrival, Direction, RequestKey};
 pub use engine::Engine;
 pub use event::{ClaimResult, Event, LocalEnd, RemoteRefusal};
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -6,6 +6,7 @@
 use rand::RngExt;
 
 use crate::call::{Call, InFlightAttempt, Sending, Stage};
+use crate::token::TokenState;
 use crate::{Action, Arrival, Engine, Forward, Refusal, RefusalReason, RemoteRefusal, RequestKey};
 
 impl Engine {
@@ -52,7 +53,7 @@
             return self.arrive_routed(id, routed, now, actions);
         }
         self.retry_limiters.entry(service).or_default().record_first_attempt(retry_percent);
-        self.send(id, now, actions);
+        self.send_allotted(id, now, actions);
     }
 
     pub(crate) fn remote_head(
@@ -117,6 +118,9 @@
         self.record_call_result(id, &endpoint, result_of_refusal(&refused), now);
         self.settle(id, attempt, Some(&refused.receipt), now);
         let RemoteRefusal { refusal, reached_upstream, .. } = refused;
+        if refusal.outcome == Outcome::NotRun {
+            self.return_token(id);
+        }
         if self.calls.get(&id).is_some_and(|call| call.routed.is_some()) {
             return self.routed_refused(id, refusal, reached_upstream, now, actions);
         }
@@ -157,6 +161,9 @@
         self.record_call_result(id, &endpoint, result, now);
         let receipt = (!sent).then_some(Receipt { unspent: share, ..Receipt::default() });
         self.settle(id, attempt, receipt.as_ref(), now);
+        if !sent {
+            self.return_token(id);
+        }
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.may_have_run |= sent;
         let is_retry_safe = call.idempotent || call.has_key;
@@ -196,6 +203,7 @@
         };
         let key = self.request_key(id);
         let Some(call) = self.calls.get_mut(&id) else { return };
+        call.token = TokenState::Settled;
         let Stage::Sending(sending) = &mut call.stage else { return };
         let endpoint = target.endpoint.clone();
         sending.tried.push(endpoint.clone());
@@ -349,7 +357,10 @@
         let service = sending.service.clone();
         let retry_at = now.after(self.backoff.delay(sending.retries, random));
         let may_retry = may_retry && call.replayable && retry_at < call.deadline;
-        if may_retry && self.retry_limiters.entry(service).or_default().try_retry() {
+        if may_retry
+            && self.retry_limiters.entry(service).or_default().try_retry()
+            && self.take_token_for_repeat(id, now)
+        {
             if let Some(sending) = self.sending_mut(id) {
                 sending.retries += 1;
                 sending.retry_at = Some(retry_at);
--- a/cuminarch-engine/src/refusal.rs
+++ b/cuminarch-engine/src/refusal.rs
@@ -43,13 +43,20 @@
     ClaimUnavailable,
     /// The key is bound to another endpoint.
     KeyBoundElsewhere,
+    /// The client account has used up its allotment.
+    AllotmentExceeded,
+    /// No holder of the client account's allotment can be reached.
+    AllotmentUnavailable,
 }
 
 impl RefusalReason {
     /// Returns `true` if another attempt may soon succeed.
     #[must_use]
     pub const fn may_retry(self) -> bool {
-        !matches!(self, Self::ClaimUnavailable)
+        !matches!(
+            self,
+            Self::ClaimUnavailable | Self::AllotmentExceeded | Self::AllotmentUnavailable
+        )
     }
 
     /// Returns the text for logs and callers.
@@ -74,11 +81,13 @@
             Self::KeysExhausted => "keys-exhausted",
             Self::ClaimUnavailable => "claim-unavailable",
             Self::KeyBoundElsewhere => "key-bound-elsewhere",
+            Self::AllotmentExceeded => "allotment-exceeded",
+            Self::AllotmentUnavailable => "allotment-unavailable",
         }
     }
 
     /// Every reason.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 20] = [
         Self::Draining,
         Self::Overloaded,
         Self::OverloadedBehind,
@@ -97,6 +106,8 @@
         Self::KeysExhausted,
         Self::ClaimUnavailable,
         Self::KeyBoundElsewhere,
+        Self::AllotmentExceeded,
+        Self::AllotmentUnavailable,
     ];
 
     /// Returns the reason for which [`RefusalReason::as_str`] returns `text`.
--- a/cuminarch-engine/src/routed.rs
+++ b/cuminarch-engine/src/routed.rs
@@ -50,7 +50,7 @@
             let refusal = Refusal::not_run(RefusalReason::OverloadedBehind).with_detail(detail);
             return self.refuse_routed(id, refusal, now, actions);
         }
-        self.send(id, now, actions);
+        self.send_allotted(id, now, actions);
     }
 
     /// Returns the log detail of a request that is shed at its entry node.
@@ -194,7 +194,7 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
-        if may_retry && self.can_retry(id, now) {
+        if may_retry && self.can_retry(id, now) && self.take_token_for_repeat(id, now) {
             return self.send(id, now, actions);
         }
         self.refuse_routed(id, refusal, now, actions);
--- a/cuminarch-engine/src/settings.rs
+++ b/cuminarch-engine/src/settings.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use cuminarch_admission::{Admission, AdmissionControl, AdmissionSettings, SlotAdmission};
@@ -50,6 +51,8 @@
     pub disabled: DisabledMechanisms,
     /// Where the capacity of endpoints comes from.
     pub capacity: CapacityMode,
+    /// All availability zones of the deployment, in which allotments are divided.
+    pub zones: BTreeSet<ZoneName>,
 }
 
 impl EngineSettings {
@@ -77,6 +80,7 @@
             keys: KeyTableSettings::new(),
             disabled: DisabledMechanisms::default(),
             capacity: CapacityMode::default(),
+            zones: BTreeSet::new(),
         }
     }
 
@@ -87,6 +91,13 @@
         self
     }
 
+    /// Sets the zones in which allotments are divided.
+    #[must_use]
+    pub fn with_zones(mut self, zones: BTreeSet<ZoneName>) -> Self {
+        self.zones = zones;
+        self
+    }
+
     /// Switches mechanisms off.
     #[must_use]
     pub fn with_disabled(mut self, disabled: DisabledMechanisms) -> Self {
--- a/cuminarch-engine/src/summary.rs
+++ b/cuminarch-engine/src/summary.rs
@@ -1,6 +1,8 @@
 use cuminarch_types::{ConcurrencyLimit, Rank, RatePerSecond, Revision};
 use serde::Serialize;
 
+use crate::AllotmentSummary;
+
 /// State of an engine for dumps and metrics.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct EngineSummary {
@@ -26,4 +28,6 @@
     pub revision: Revision,
     /// Whether new calls are refused.
     pub draining: bool,
+    /// Allotments of client accounts.
+    pub allotments: AllotmentSummary,
 }
--- a/cuminarch-engine/src/time.rs
+++ b/cuminarch-engine/src/time.rs
@@ -13,10 +13,7 @@
     pub fn next_wake(&self) -> Option<MonoTime> {
         let retry = self.retries.first().map(|(at, _)| *at);
         let deadline = self.deadlines.first().map(|(at, _)| *at);
-        match (retry, deadline) {
-            (Some(retry), Some(deadline)) => Some(retry.min(deadline)),
-            (retry, deadline) => retry.or(deadline),
-        }
+        [retry, deadline, self.allotments.table.next_wake()].into_iter().flatten().min()
     }
 
     pub(crate) fn tick(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
@@ -36,6 +33,7 @@
         }
         let events = self.admission.poll(now);
         self.apply_queue_events(events, now, actions);
+        self.allotments.table.tick(now);
     }
 
     /// Ends a call that its caller cancelled.
--- a/cuminarch-engine/tests/model/world.rs
+++ b/cuminarch-engine/tests/model/world.rs
@@ -192,6 +192,9 @@
                 }
             }
             Action::CancelRemote { call, attempt } => self.cancel_remote(process, call, attempt),
+            Action::SendAllotment { .. } | Action::Report(_) => {
+                unreachable!("no account has an allotment")
+            }
         }
     }
 
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -10,7 +10,9 @@
 use cuminarch_attempts::RetryBudgetSettings;
 use cuminarch_config::Policy;
 use cuminarch_engine::Direction as CallDirection;
-use cuminarch_engine::{Action, Arrival, ClaimResult, Engine, EngineSummary, Event};
+use cuminarch_engine::{
+    Action, AllotmentNotice, Arrival, ClaimResult, Engine, EngineSummary, Event,
+};
 use cuminarch_membership::{Registration, UpstreamTracker};
 use cuminarch_once::BoundKey;
 use cuminarch_protocol::{Member, UpstreamLifetime, UpstreamRecord, UpstreamSignals};
@@ -19,10 +21,11 @@
     CallId, ClientKey, MonoTime, Outcome, RatePerSecond, Revision, RouteName, ServiceName,
 };
 use flume::{Receiver, Sender};
-use log::warn;
+use log::{info, warn};
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
+use super::datagrams::DatagramSender;
 use crate::clock::Clock;
 use crate::event::NodeEvent;
 use crate::metrics::{Direction, Metrics};
@@ -68,6 +71,7 @@
     state: RefCell<State>,
     clock: Clock,
     claims: Sender<ClaimRequest>,
+    datagrams: DatagramSender,
     timer_changed: Notify,
     /// Time of the next tick of the engine.
     next_tick_at: Cell<MonoTime>,
@@ -90,6 +94,7 @@
         engine: Engine,
         clock: Clock,
         claims: Sender<ClaimRequest>,
+        datagrams: DatagramSender,
         metrics: Arc<Metrics>,
     ) -> Self {
         let state = RefCell::new(State { engine, mailboxes: BTreeMap::new() });
@@ -100,6 +105,7 @@
             state,
             clock,
             claims,
+            datagrams,
             timer_changed,
             next_tick_at,
             upstream,
@@ -201,10 +207,16 @@
         let mut state = self.shared.state.borrow_mut();
         let state = &mut *state;
         for action in state.engine.handle(event, now) {
-            if let Action::Claim { call, key, bound } = action {
-                self.claim(call, key, bound);
-            } else if let Some(mailbox) = state.mailboxes.get(&action.call()) {
-                let _ = mailbox.send(action);
+            match action {
+                Action::Claim { call, key, bound } => self.claim(call, key, bound),
+                Action::SendAllotment { to, datagram } => self.shared.datagrams.send(to, &datagram),
+                Action::Report(notice) => report(&notice),
+                action => {
+                    if let Some(mailbox) = action.call().and_then(|call| state.mailboxes.get(&call))
+                    {
+                        let _ = mailbox.send(action);
+                    }
+                }
             }
         }
         let wakes_earlier =
@@ -238,30 +250,40 @@
         const MAX_IDLE_TICKS: u32 = 50;
         let mut idle_ticks = 0;
         loop {
-            if idle_ticks >= MAX_IDLE_TICKS {
+            let is_idle = idle_ticks >= MAX_IDLE_TICKS;
+            let wake = self.shared.state.borrow().engine.next_wake();
+            if is_idle && wake.is_none() {
                 self.shared.next_tick_at.set(Self::NEVER);
                 self.shared.timer_changed.notified().await;
                 idle_ticks = 0;
+                continue;
             }
             let now = self.shared.clock.now();
-            let latest = now.after(TICK_INTERVAL);
-            let wake = self.shared.state.borrow().engine.next_wake();
+            let latest = if is_idle { Self::NEVER } else { now.after(TICK_INTERVAL) };
             let wake = wake.map_or(latest, |wake| wake.min(latest));
             self.shared.next_tick_at.set(wake);
             let sleep = tokio::time::sleep_until(self.shared.clock.to_instant(wake).into());
             tokio::select! {
                 () = sleep => {}
-                () = self.shared.timer_changed.notified() => continue,
+                () = self.shared.timer_changed.notified() => {
+                    idle_ticks = 0;
+                    continue;
+                }
             }
-            if self.calls() > 0 {
+            let is_due = self.is_tick_due();
+            if self.calls() > 0 || is_due {
                 self.post(Event::Tick);
-                idle_ticks = 0;
-            } else {
-                idle_ticks += 1;
             }
+            idle_ticks = if self.calls() > 0 { 0 } else { idle_ticks.saturating_add(1) };
         }
     }
 
+    /// Returns `true` if the engine has work that is due, also if no call is in progress.
+    fn is_tick_due(&self) -> bool {
+        let wake = self.shared.state.borrow().engine.next_wake();
+        wake.is_some_and(|wake| wake <= self.shared.clock.now())
+    }
+
     /// Executes commands of other threads until [`DataCommand::Stop`]. Returns the timeout for
     /// calls in progress, or `None` if all senders are gone.
     pub async fn run_commands(&self, commands: &Receiver<DataCommand>) -> Option<Duration> {
@@ -269,6 +291,8 @@
             match command {
                 DataCommand::Policy(policy) => {
                     self.shared.state.borrow_mut().engine.set_policy(policy);
+                    // Applies the allotments of the policy.
+                    self.post(Event::Tick);
                 }
                 DataCommand::Member(member) => self.post(Event::Member(member)),
                 DataCommand::Claimed(call, result) => self.post(Event::Claimed(call, result)),
@@ -310,6 +334,14 @@
     }
 }
 
+/// Logs a change that concerns allotments.
+fn report(notice: &AllotmentNotice) {
+    let event = match notice {
+        AllotmentNotice::Lowered { .. } => NodeEvent::AllotmentLowered,
+    };
+    info!("{event} {notice}");
+}
+
 /// A call in progress. Dropping the guard before the call ends cancels the call.
 pub struct CallGuard {
     driver: Driver,
--- a/cuminarch-node/src/data/listener.rs
+++ b/cuminarch-node/src/data/listener.rs
@@ -1,4 +1,4 @@
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::time::Duration;
 
 use socket2::{Domain, Protocol, Socket, Type};
@@ -6,6 +6,8 @@
 use crate::NodeError;
 
 const BACKLOG: i32 = 1_024;
+/// Attempts to find a port that is free for both protocols.
+const MAX_FREE_PORT_ATTEMPTS: u32 = 16;
 /// Time after which a connection is closed if the peer accepts no bytes.
 const STALLED_PEER_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -24,3 +26,25 @@
     };
     open().map_err(|source| NodeError::Listen { address, purpose, source })
 }
+
+/// Listens on `address` and receives datagrams at the same port.
+pub fn bind_with_datagrams(
+    address: SocketAddr,
+    purpose: &'static str,
+) -> Result<(TcpListener, UdpSocket), NodeError> {
+    let mut attempts_left = if address.port() == 0 { MAX_FREE_PORT_ATTEMPTS } else { 1 };
+    loop {
+        attempts_left -= 1;
+        let listener = bind(address, purpose)?;
+        let open = || {
+            let datagrams = UdpSocket::bind(listener.local_addr()?)?;
+            datagrams.set_nonblocking(true)?;
+            Ok(datagrams)
+        };
+        match open() {
+            Ok(datagrams) => return Ok((listener, datagrams)),
+            Err(_) if attempts_left > 0 => {}
+            Err(source) => return Err(NodeError::Listen { address, purpose, source }),
+        }
+    }
+}
--- a/cuminarch-node/src/data/mod.rs
+++ b/cuminarch-node/src/data/mod.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod body;
 mod connections;
+mod datagrams;
 mod detached;
 mod driver;
 mod front;
@@ -30,5 +31,5 @@
 mod upstream_pool;
 
 pub use driver::{ClaimRequest, DataCommand};
-pub use listener::bind;
+pub use listener::{bind, bind_with_datagrams};
 pub use thread::{DataListeners, DataThread};
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -1,5 +1,5 @@
 use std::future::Future;
-use std::net::TcpListener;
+use std::net::{TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use super::connections::{Connection, Connections};
+use super::datagrams::{DatagramReceiver, DatagramSender};
 use super::driver::{ClaimRequest, DataCommand, Driver};
 use super::front::{Purpose, serve_connection};
 use super::limits::DataLimits;
@@ -43,6 +44,8 @@
     pub links: TcpListener,
     pub registration: Option<TcpListener>,
     pub readiness: Option<TcpListener>,
+    /// Datagrams of other nodes.
+    pub datagrams: UdpSocket,
 }
 
 /// Initial state of the data thread.
@@ -83,7 +86,10 @@
 
     async fn serve(self) {
         let (tasks, mut panics) = Tasks::new();
-        let driver = Driver::new(self.engine, self.clock, self.claims, self.metrics.clone());
+        let datagrams = self.listeners.datagrams.try_clone().expect("cannot duplicate a socket");
+        let sender = DatagramSender::new(datagrams, self.metrics.clone());
+        let driver =
+            Driver::new(self.engine, self.clock, self.claims, sender, self.metrics.clone());
         let hello = LinkHello::new(self.settings.fleet.clone());
         let context = DataContext {
             driver: driver.clone(),
@@ -140,6 +146,11 @@
     let callers = http(Purpose::Calls(Side::Caller));
     let link_context = context.clone();
     let link = move |stream, connection| serve_link(link_context.clone(), stream, connection);
+    let (driver, metrics) = (context.driver.clone(), context.metrics.clone());
+    let decisions = Rc::clone(&context.decisions);
+    let datagrams = DatagramReceiver::new(listeners.datagrams, driver, metrics, decisions);
+    let datagrams = datagrams.expect("cannot register the socket with the event loop");
+    context.spawn(datagrams.run());
     let external = &served.external;
     context.spawn(accept(context.clone(), listeners.callers, external.clone(), callers));
     context.spawn(accept(context.clone(), listeners.links, external.clone(), link));
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -69,11 +69,15 @@
     EndpointSignals,
     /// An answer contains a malformed statement of its upstream.
     SignalUnreadable,
+    /// A configuration lowered the allotment of a client account.
+    AllotmentLowered,
+    /// A datagram about allotments could not be read.
+    DatagramUnreadable,
 }
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 33] = [
+    pub const ALL: [Self; 35] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -107,6 +111,8 @@
         Self::RateLimitChanged,
         Self::SignalUnreadable,
         Self::EndpointSignals,
+        Self::AllotmentLowered,
+        Self::DatagramUnreadable,
     ];
 
     /// Returns the number of the event; numbers are never reused.
@@ -146,6 +152,8 @@
             Self::RateLimitChanged => 2106,
             Self::SignalUnreadable => 2107,
             Self::EndpointSignals => 2108,
+            Self::AllotmentLowered => 2112,
+            Self::DatagramUnreadable => 2113,
         }
     }
 
@@ -186,6 +194,8 @@
             Self::RateLimitChanged => "rate-limit-changed",
             Self::SignalUnreadable => "signal-unreadable",
             Self::EndpointSignals => "endpoint-signals",
+            Self::AllotmentLowered => "allotment-lowered",
+            Self::DatagramUnreadable => "datagram-unreadable",
         }
     }
 }
--- a/cuminarch-node/src/interface/native.rs
+++ b/cuminarch-node/src/interface/native.rs
@@ -132,7 +132,7 @@
         (Outcome::Completed, _) | (_, RefusalReason::KeyInProgress) => 409,
         (Outcome::Unknown, RefusalReason::DeadlineExceeded) => 504,
         (Outcome::Unknown, _) => 502,
-        (Outcome::NotRun, RefusalReason::BudgetExhausted) => 429,
+        (Outcome::NotRun, RefusalReason::BudgetExhausted | RefusalReason::AllotmentExceeded) => 429,
         (Outcome::NotRun, _) => 503,
     }
 }
--- a/cuminarch-node/src/metrics.rs
+++ b/cuminarch-node/src/metrics.rs
@@ -1,9 +1,9 @@
 //! Metrics of a node in the Prometheus text format.
 
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use cuminarch_engine::EngineSummary;
+use cuminarch_engine::{AllotmentCounts, AllotmentSummary, EngineSummary};
 use cuminarch_types::{Outcome, RatePerSecond, StoreEra};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -42,6 +42,80 @@
     direction: &'static str,
 }
 
+/// What became of a datagram about allotments.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DatagramResult {
+    /// Received and readable.
+    Received,
+    /// Received and dropped.
+    Unreadable,
+    /// Sent.
+    Sent,
+    /// Not sent.
+    Unsent,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ResultLabels {
+    result: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct AccountLabels {
+    account: String,
+    result: &'static str,
+}
+
+/// Metrics of the allotments of client accounts.
+#[derive(Clone, Debug, Default)]
+struct AllotmentMetrics {
+    datagrams: Family<ResultLabels, Counter>,
+    tokens: Family<AccountLabels, Counter>,
+    waiting: Gauge,
+}
+
+impl AllotmentMetrics {
+    /// Account label of the accounts that are not counted one by one; no account has this name.
+    const OTHER_ACCOUNTS: &'static str = "(other)";
+
+    fn register(registry: &mut Registry) -> Self {
+        let metrics = Self::default();
+        let help = "Datagrams about allotments, by what became of them";
+        registry.register("allotment_datagrams", help, metrics.datagrams.clone());
+        let help = "Decisions on requests for tokens by account, for a bounded number of accounts";
+        registry.register("allotment_tokens", help, metrics.tokens.clone());
+        let help = "Requests that wait for the holder of an allotment";
+        registry.register("allotment_waiting", help, metrics.waiting.clone());
+        metrics
+    }
+
+    fn set(&self, summary: &AllotmentSummary) {
+        for (account, counts) in &summary.accounts {
+            self.set_account(account.as_str(), counts);
+        }
+        if summary.others != AllotmentCounts::default() {
+            self.set_account(Self::OTHER_ACCOUNTS, &summary.others);
+        }
+        let ignored = ResultLabels { result: "ignored" };
+        let ignored = self.datagrams.get_or_create(&ignored);
+        ignored.inner().store(summary.ignored_datagrams, Ordering::Relaxed);
+        self.waiting.set(i64::try_from(summary.waiting).unwrap_or(i64::MAX));
+    }
+
+    fn set_account(&self, account: &str, counts: &AllotmentCounts) {
+        let results = [
+            ("granted", counts.granted),
+            ("exceeded", counts.exceeded),
+            ("unavailable", counts.unavailable),
+            ("given-back", counts.given_back),
+        ];
+        for (result, count) in results {
+            let labels = AccountLabels { account: account.to_owned(), result };
+            self.tokens.get_or_create(&labels).inner().store(count, Ordering::Relaxed);
+        }
+    }
+}
+
 /// Metrics of the calls in one direction.
 #[derive(Clone, Debug)]
 struct CallMetrics {
@@ -77,6 +151,7 @@
     connections_refused: Counter,
     ring_full: Counter,
     gauges: Gauges,
+    allotments: AllotmentMetrics,
     registry: Registry,
 }
 
@@ -134,7 +209,17 @@
             ring_full.clone(),
         );
         let gauges = Gauges::register(&mut registry);
-        Self { inbound, outbound, attempts, connections_refused, ring_full, gauges, registry }
+        let allotments = AllotmentMetrics::register(&mut registry);
+        Self {
+            inbound,
+            outbound,
+            attempts,
+            connections_refused,
+            ring_full,
+            gauges,
+            allotments,
+            registry,
+        }
     }
 
     fn histogram() -> Histogram {
@@ -183,9 +268,21 @@
         self.ring_full.inc();
     }
 
+    /// Records a datagram about allotments.
+    pub fn record_datagram(&self, result: DatagramResult) {
+        let result = match result {
+            DatagramResult::Received => "received",
+            DatagramResult::Unreadable => "unreadable",
+            DatagramResult::Sent => "sent",
+            DatagramResult::Unsent => "unsent",
+        };
+        self.allotments.datagrams.get_or_create(&ResultLabels { result }).inc();
+    }
+
     /// Encodes all metrics as text.
     pub fn encode_text(&self, summary: &EngineSummary, store_era: StoreEra) -> String {
         self.gauges.set(summary);
+        self.allotments.set(&summary.allotments);
         self.gauges.store_era.set(i64::try_from(store_era.get()).unwrap_or(i64::MAX));
         let mut text = String::new();
         let _ = encode(&mut text, &self.registry);
--- a/cuminarch-node/src/node.rs
+++ b/cuminarch-node/src/node.rs
@@ -17,7 +17,9 @@
 use crate::admin::{AdminHandle, AdminThread};
 use crate::clock::Clock;
 use crate::control::{ClaimThread, ControlThread, FleetQuery, PlatformThreads, read_members};
-use crate::data::{ClaimRequest, DataCommand, DataListeners, DataThread, bind};
+use crate::data::{
+    ClaimRequest, DataCommand, DataListeners, DataThread, bind, bind_with_datagrams,
+};
 use crate::duty::{Duties, DutyError};
 use crate::event::NodeEvent;
 use crate::metrics::Metrics;
@@ -34,37 +36,34 @@
 
 /// Sockets that a node listens on.
 struct Listeners {
-    callers: TcpListener,
-    egress: Option<TcpListener>,
-    links: TcpListener,
-    registration: Option<TcpListener>,
-    readiness: Option<TcpListener>,
+    data: DataListeners,
     control: TcpListener,
     admin: TcpListener,
 }
 
 impl Listeners {
     fn bind(settings: &NodeSettings) -> Result<Self, NodeError> {
-        Ok(Self {
+        let (control, datagrams) = bind_with_datagrams(settings.control_address, "control links")?;
+        let data = DataListeners {
             callers: bind(settings.caller_address, "callers")?,
             egress: bind_if_set(settings.egress_address, "egress")?,
             links: bind(settings.data_address, "data links")?,
             registration: bind_if_set(settings.registration_address, "registrations")?,
             readiness: bind_if_set(settings.readiness_address, "readiness")?,
-            control: bind(settings.control_address, "control links")?,
-            admin: bind(settings.admin_address, "operators")?,
-        })
+            datagrams,
+        };
+        Ok(Self { data, control, admin: bind(settings.admin_address, "operators")? })
     }
 }
 
 impl Listeners {
     fn link_addresses(&self) -> Result<(SocketAddr, SocketAddr), NodeError> {
-        Ok((local_address(&self.links)?, local_address(&self.control)?))
+        Ok((local_address(&self.data.links)?, local_address(&self.control)?))
     }
 
     fn addresses(&self) -> Result<Addresses, NodeError> {
-        let egress = self.egress.as_ref().map(local_address).transpose()?;
-        Ok(Addresses { caller: local_address(&self.callers)?, egress })
+        let egress = self.data.egress.as_ref().map(local_address).transpose()?;
+        Ok(Addresses { caller: local_address(&self.data.callers)?, egress })
     }
 }
 
@@ -172,12 +171,10 @@
         let Rings { commands, claims, leave, stop, queries, upstreams } = Rings::new();
         let (duties, duty_errors) = Duties::new();
         let metrics = Arc::new(Metrics::new());
-        let Listeners { callers, egress, links, registration, readiness, control, admin } =
-            listeners;
         let data = DataThread {
             engine: new_engine(&settings, incarnation),
             clock,
-            listeners: DataListeners { callers, egress, links, registration, readiness },
+            listeners: listeners.data,
             settings: settings.clone(),
             commands: commands.1,
             claims: claims.0,
@@ -190,7 +187,7 @@
             plane,
             fleet: settings.fleet.clone(),
             clock,
-            listener: control,
+            listener: listeners.control,
             platform: PlatformThreads::spawn(&store, watch_timeout, &duties)?,
             initial_members,
             ticks: start_timer(&duties)?.subscribe(Fleet::TICK),
@@ -209,7 +206,7 @@
         let (sender, health) = (commands.0.clone(), duties.clone());
         let thread =
             AdminThread { settings, commands: sender, duties: health, metrics, queries: queries.0 };
-        let admin = thread.spawn(admin)?;
+        let admin = thread.spawn(listeners.admin)?;
         Ok(Self {
             addresses,
             admin,
@@ -374,6 +371,7 @@
     .with_keys(KeyTableSettings::new().with_first_serial(random_first_serial()))
     .with_retry_budget(retry_budget)
     .with_capacity(settings.endpoint_capacity)
+    .with_zones(settings.zones.iter().cloned().collect())
     .with_disabled(settings.disabled.clone());
     let settings = if registers { settings.with_slot_admission() } else { settings };
     Engine::new(settings, Arc::new(Policy::safe_default()))
--- a/cuminarch-node/src/settings.rs
+++ b/cuminarch-node/src/settings.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -231,6 +232,7 @@
             let reason = format!("must be 0 to {}", Self::MAX_GRACE_S);
             errors.push(FieldError::new("termination_grace_s", reason));
         }
+        errors.extend(self.zones_error());
         let (shortest_ms, longest_ms) = Self::ALLOWED_BOUNDS_MS;
         let bounds = [
             ("config_apply_ms", self.config_apply_ms, 1.0),
@@ -266,6 +268,18 @@
         errors
     }
 
+    fn zones_error(&self) -> Option<FieldError> {
+        let mut seen = BTreeSet::new();
+        let repeated = self.zones.iter().find(|zone| !seen.insert(*zone));
+        let is_own_missing = !seen.is_empty() && !seen.contains(&self.zone);
+        let reason = match repeated {
+            Some(zone) => format!("{zone} is listed twice"),
+            None if is_own_missing => format!("the own zone {} is missing", self.zone),
+            None => return None,
+        };
+        Some(FieldError::new("zones", reason))
+    }
+
     fn address_errors(&self) -> Vec<FieldError> {
         let mut errors = Vec::new();
         if let Some(address) = self.egress_address.filter(|address| !address.ip().is_loopback()) {
