--- a/cuminarch-node/tests/settings.rs
+++ b/cuminarch-node/tests/settings.rs
@@ -98,3 +98,16 @@
     let message = error(&format!("{GOOD}disabled: [eject]\n"));
     assert!(message.contains("eject") && message.contains("line"), "{message}");
 }
+
+#[test]
+fn zones_of_a_deployment_contain_the_own_one() {
+    let settings = NodeSettings::parse(&format!("{GOOD}zones: [zrh-a, gva-a]\n")).unwrap();
+    assert_eq!(settings.zones.len(), 2);
+}
+
+#[rstest]
+#[case::repeated("zones_repeated", "zones: [zrh-a, gva-a, gva-a]\n")]
+#[case::without_own("zones_without_own", "zones: [gva-a]\n")]
+fn wrong_zones_are_reported_with_their_line(#[case] name: &str, #[case] line: &str) {
+    insta::assert_snapshot!(name, error(&format!("{GOOD}{line}")));
+}
