feat(engine): each attempt takes a token, returned if it did not run

An attempt that provably did not run returns its token at once; the next attempt takes one again, so that no token is used long after the part that it came from has refilled. An attempt after one that may have run takes another token without waiting, or is not made.

--- a/cuminarch-engine/src/allotments.rs
+++ b/cuminarch-engine/src/allotments.rs
@@ -108,9 +108,9 @@
     }
 
     /// Returns a token that was not used.
-    pub fn give_back(&mut self, account: &AccountName, now: MonoTime) {
+    pub fn give_back(&mut self, account: &AccountName, id: CallId, now: MonoTime) {
         self.summary.counts_mut(account).given_back += 1;
-        self.table.give_back(account, now);
+        self.table.give_back_call(account, id, now);
     }
 
     /// Withdraws the waiting request of a call that ends. If its token has been granted in the
@@ -124,7 +124,7 @@
         if let Some(AllotmentOutput::Decided(_, TokenDecision::Granted)) =
             self.outputs.remove(index)
         {
-            self.table.give_back(account, now);
+            self.give_back(account, id, now);
         }
     }
 
--- a/cuminarch-engine/src/allotted.rs
+++ b/cuminarch-engine/src/allotted.rs
@@ -1,8 +1,8 @@
 //! Calls that count against the allotment of their client account.
 //!
-//! Each attempt that may run takes one token. An attempt that provably did not run returns its
-//! token to the call; the next attempt uses it, or it is given back when the call ends. An attempt
-//! after one that may have run takes another token if one is at hand, and is not made otherwise.
+//! Each attempt takes a token, so that the number of runs stays within the allotment, and returns it
+//! if it provably did not run. An attempt after one that may have run takes another token if one is
+//! at hand, and is not made otherwise.
 
 use compact_str::{CompactString, format_compact};
 use cuminarch_allotment::{AllotmentOutput, TokenDecision};
@@ -24,14 +24,34 @@
         self.policy.allotments().contains_key(account).then(|| account.clone())
     }
 
-    /// Sends a call for the first time, once it has a token if it needs one.
-    pub(crate) fn send_allotted(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
-        let account = self.calls.get(&id).and_then(|call| call.allotted_account.clone());
-        let Some(account) = account else { return self.send(id, now, actions) };
+    /// Returns `true` if a call needs no token or has one for its next attempt. Otherwise it was
+    /// refused, or it waits and is sent once it gets one.
+    pub(crate) fn has_token(
+        &mut self,
+        id: CallId,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(call) = self.calls.get(&id) else { return false };
+        let Some(account) = call.allotted_account.clone() else { return true };
+        match call.token {
+            TokenState::Held => return true,
+            TokenState::Waiting => return false,
+            TokenState::Spent => {
+                let has_token = self.take_token_for_repeat(id, now);
+                if !has_token {
+                    let refusal = Refusal::unknown(RefusalReason::UpstreamFailed);
+                    self.refuse(id, refusal, now, actions);
+                }
+                return has_token;
+            }
+            TokenState::NotRequested | TokenState::Returned => {}
+        }
         let decision = self.allotments.request(&account, id, now);
-        self.apply_token_decision(id, &account, decision, now, actions);
+        self.apply_token_decision(id, &account, decision, now, actions)
     }
 
+    /// Returns `true` if the call may be sent.
     fn apply_token_decision(
         &mut self,
         id: CallId,
@@ -39,27 +59,33 @@
         decision: TokenDecision,
         now: MonoTime,
         actions: &mut Vec<Action>,
-    ) {
-        let (state, refused) = match decision {
-            TokenDecision::Granted => (TokenState::Held, None),
-            TokenDecision::Waiting => (TokenState::Waiting, None),
+    ) -> bool {
+        let (reason, retry_after) = match decision {
+            TokenDecision::Granted => {
+                self.set_token(id, TokenState::Held);
+                return true;
+            }
+            TokenDecision::Waiting => {
+                self.set_token(id, TokenState::Waiting);
+                return false;
+            }
             TokenDecision::Exceeded { retry_after } => {
-                (TokenState::Settled, Some((RefusalReason::AllotmentExceeded, retry_after)))
+                (RefusalReason::AllotmentExceeded, retry_after)
             }
             TokenDecision::Unavailable { retry_after } => {
-                (TokenState::Settled, Some((RefusalReason::AllotmentUnavailable, retry_after)))
+                (RefusalReason::AllotmentUnavailable, retry_after)
             }
         };
+        self.set_token(id, TokenState::Returned);
+        let detail = self.allotment_detail(account, now);
+        let refusal = Refusal::not_run(reason).with_retry_after(retry_after).with_detail(detail);
+        self.refuse(id, refusal, now, actions);
+        false
+    }
+
+    fn set_token(&mut self, id: CallId, token: TokenState) {
         if let Some(call) = self.calls.get_mut(&id) {
-            call.token = state;
-        }
-        if let Some((reason, retry_after)) = refused {
-            let detail = self.allotment_detail(account, now);
-            let refusal = Refusal::not_run(reason).with_retry_after(retry_after);
-            return self.refuse(id, refusal.with_detail(detail), now, actions);
-        }
-        if state == TokenState::Held {
-            self.send(id, now, actions);
+            call.token = token;
         }
     }
 
@@ -82,28 +108,29 @@
         }
     }
 
-    /// Returns the token of an attempt that provably did not run to its call.
-    pub(crate) fn return_token(&mut self, id: CallId) {
+    /// Returns the token of an attempt that provably did not run, so that others can use it while
+    /// the call is on its way to the next endpoint.
+    pub(crate) fn return_token(&mut self, id: CallId, now: MonoTime) {
         if let Some(call) = self.calls.get_mut(&id)
-            && call.allotted_account.is_some()
+            && let Some(account) = &call.allotted_account
+            && call.token == TokenState::Spent
         {
-            call.token = TokenState::Held;
+            call.token = TokenState::Returned;
+            self.allotments.give_back(account, id, now);
         }
     }
 
-    /// Makes sure that a call has a token for another attempt. Returns `false` if it would have to
-    /// wait for one.
+    /// Makes sure that a call has a token for an attempt after one that may have run. Returns
+    /// `false` if it would have to wait for it.
     pub(crate) fn take_token_for_repeat(&mut self, id: CallId, now: MonoTime) -> bool {
         let Some(call) = self.calls.get(&id) else { return false };
         let Some(account) = call.allotted_account.clone() else { return true };
-        if call.token == TokenState::Held {
+        if call.token != TokenState::Spent {
             return true;
         }
         match self.allotments.request(&account, id, now) {
             TokenDecision::Granted => {
-                if let Some(call) = self.calls.get_mut(&id) {
-                    call.token = TokenState::Held;
-                }
+                self.set_token(id, TokenState::Held);
                 true
             }
             TokenDecision::Waiting => {
@@ -126,8 +153,8 @@
         match call.token {
             TokenState::NotRequested => self.allotments.table.record_refused(account, now),
             TokenState::Waiting => self.allotments.withdraw(account, id, now),
-            TokenState::Held => self.allotments.give_back(account, now),
-            TokenState::Settled => {}
+            TokenState::Held => self.allotments.give_back(account, id, now),
+            TokenState::Spent | TokenState::Returned => {}
         }
     }
 
@@ -171,7 +198,9 @@
         let Some(account) = call.allotted_account.clone() else { return };
         if call.token == TokenState::Waiting {
             self.allotments.summary.record(&account, decision);
-            self.apply_token_decision(id, &account, decision, now, actions);
+            if self.apply_token_decision(id, &account, decision, now, actions) {
+                self.send(id, now, actions);
+            }
         }
     }
 }
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -53,7 +53,7 @@
             return self.arrive_routed(id, routed, now, actions);
         }
         self.retry_limiters.entry(service).or_default().record_first_attempt(retry_percent);
-        self.send_allotted(id, now, actions);
+        self.send(id, now, actions);
     }
 
     pub(crate) fn remote_head(
@@ -119,7 +119,7 @@
         self.settle(id, attempt, Some(&refused.receipt), now);
         let RemoteRefusal { refusal, reached_upstream, .. } = refused;
         if refusal.outcome == Outcome::NotRun {
-            self.return_token(id);
+            self.return_token(id, now);
         }
         if self.calls.get(&id).is_some_and(|call| call.routed.is_some()) {
             return self.routed_refused(id, refusal, reached_upstream, now, actions);
@@ -162,7 +162,7 @@
         let receipt = (!sent).then_some(Receipt { unspent: share, ..Receipt::default() });
         self.settle(id, attempt, receipt.as_ref(), now);
         if !sent {
-            self.return_token(id);
+            self.return_token(id, now);
         }
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.may_have_run |= sent;
@@ -181,6 +181,9 @@
     /// Sends the next attempt of a call.
     pub(crate) fn send(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
         self.cancel_planned_retry(id);
+        if !self.has_token(id, now, actions) {
+            return;
+        }
         let Some(target) = self.choose_target(id, now) else {
             let bound = self.calls.get(&id).is_some_and(|call| call.key.is_some());
             let refusal = if bound {
@@ -203,7 +206,7 @@
         };
         let key = self.request_key(id);
         let Some(call) = self.calls.get_mut(&id) else { return };
-        call.token = TokenState::Settled;
+        call.token = TokenState::Spent;
         let Stage::Sending(sending) = &mut call.stage else { return };
         let endpoint = target.endpoint.clone();
         sending.tried.push(endpoint.clone());
@@ -357,10 +360,7 @@
         let service = sending.service.clone();
         let retry_at = now.after(self.backoff.delay(sending.retries, random));
         let may_retry = may_retry && call.replayable && retry_at < call.deadline;
-        if may_retry
-            && self.retry_limiters.entry(service).or_default().try_retry()
-            && self.take_token_for_repeat(id, now)
-        {
+        if may_retry && self.retry_limiters.entry(service).or_default().try_retry() {
             if let Some(sending) = self.sending_mut(id) {
                 sending.retries += 1;
                 sending.retry_at = Some(retry_at);
--- a/cuminarch-engine/src/routed.rs
+++ b/cuminarch-engine/src/routed.rs
@@ -50,7 +50,7 @@
             let refusal = Refusal::not_run(RefusalReason::OverloadedBehind).with_detail(detail);
             return self.refuse_routed(id, refusal, now, actions);
         }
-        self.send_allotted(id, now, actions);
+        self.send(id, now, actions);
     }
 
     /// Returns the log detail of a request that is shed at its entry node.
--- a/cuminarch-engine/src/token.rs
+++ b/cuminarch-engine/src/token.rs
@@ -1,4 +1,4 @@
-/// Token of a call that counts against an allotment. Every attempt that may run takes one.
+/// Token of a call that counts against an allotment. Every attempt takes one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TokenState {
     /// None has been requested.
@@ -7,6 +7,8 @@
     Waiting,
     /// Held for the next attempt.
     Held,
-    /// Spent on the latest attempt, or refused.
-    Settled,
+    /// Spent on the latest attempt, which is in flight or may have run.
+    Spent,
+    /// Not held: it was refused, or the latest attempt did not run.
+    Returned,
 }
--- a/cuminarch-membership/src/fleet.rs
+++ b/cuminarch-membership/src/fleet.rs
@@ -90,6 +90,7 @@
         let own = Arc::new(own);
         let mut table = MemberTable::new();
         table.merge(&own, now);
+        let config = ConfigState::new(settings.seed);
         let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
         let platform = PlatformState::new(&mut rng, now);
         Self {
@@ -103,7 +104,7 @@
             views: BTreeMap::new(),
             zone_last_seen: BTreeMap::new(),
             cut_zones: BTreeMap::new(),
-            config: ConfigState::new(settings.seed),
+            config,
             platform,
             rng,
             started_at: now,
--- a/cuminarch-membership/src/roster/mod.rs
+++ b/cuminarch-membership/src/roster/mod.rs
@@ -78,13 +78,14 @@
         let own = Arc::new(own);
         let mut table = MemberTable::new();
         table.merge(&own, now);
+        let config = ConfigState::new(settings.seed);
         let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
         let store = StoreState::new(&mut rng, now);
         Self {
             settings,
             own,
             table,
-            config: ConfigState::new(settings.seed),
+            config,
             pending_config: None,
             peers: BTreeMap::new(),
             pending_statements: BTreeSet::new(),
