--- a/cuminarch-engine/src/call.rs
+++ b/cuminarch-engine/src/call.rs
@@ -11,6 +11,7 @@
     ServiceName,
 };
 
+use crate::credential::Credential;
 use crate::token::TokenState;
 
 /// A call in progress.
@@ -44,6 +45,8 @@
     pub replayable: bool,
     /// Whether an earlier attempt may have run.
     pub may_have_run: bool,
+    /// Key of the client account, at the entry node.
+    pub credential: Option<Credential>,
     /// Properties of the route, if the call took one.
     pub routed: Option<RoutedCall>,
     /// The account whose allotment the call counts against, if it has one.
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -13,6 +13,7 @@
 use cuminarch_types::{Attempts, CallId, MonoTime, Outcome, Rank};
 
 use crate::call::{Call, DownstreamTime, Stage};
+use crate::credential::Credential;
 use crate::token::TokenState;
 use crate::{Action, Arrival, Engine, LocalEnd, Refusal, RefusalReason};
 
@@ -94,6 +95,7 @@
             client_key: None,
             replayable: arrival.replayable,
             may_have_run: false,
+            credential: Credential::of(arrival),
             routed: arrival.routed.clone(),
             allotted_account: self.allotted_account(arrival),
             token: TokenState::NotRequested,
--- a/cuminarch-engine/src/lib.rs
+++ b/cuminarch-engine/src/lib.rs
@@ -30,6 +30,7 @@
 mod arrival;
 mod budget;
 mod call;
+mod credential;
 mod engine;
 mod event;
 mod inbound;
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -181,6 +181,9 @@
     /// Sends the next attempt of a call.
     pub(crate) fn send(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
         self.cancel_planned_retry(id);
+        if self.refuse_withdrawn(id, now, actions) {
+            return;
+        }
         if !self.has_token(id, now, actions) {
             return;
         }
--- a/cuminarch-engine/src/refusal.rs
+++ b/cuminarch-engine/src/refusal.rs
@@ -43,6 +43,8 @@
     ClaimUnavailable,
     /// The key is bound to another endpoint.
     KeyBoundElsewhere,
+    /// The client account no longer holds the key that the request came with.
+    CredentialWithdrawn,
     /// The client account has used up its allotment.
     AllotmentExceeded,
     /// No holder of the client account's allotment can be reached.
@@ -81,13 +83,14 @@
             Self::KeysExhausted => "keys-exhausted",
             Self::ClaimUnavailable => "claim-unavailable",
             Self::KeyBoundElsewhere => "key-bound-elsewhere",
+            Self::CredentialWithdrawn => "credential-withdrawn",
             Self::AllotmentExceeded => "allotment-exceeded",
             Self::AllotmentUnavailable => "allotment-unavailable",
         }
     }
 
     /// Every reason.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::Draining,
         Self::Overloaded,
         Self::OverloadedBehind,
@@ -106,6 +109,7 @@
         Self::KeysExhausted,
         Self::ClaimUnavailable,
         Self::KeyBoundElsewhere,
+        Self::CredentialWithdrawn,
         Self::AllotmentExceeded,
         Self::AllotmentUnavailable,
     ];
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -67,6 +67,8 @@
     RateLimitChanged,
     /// The upstream of another endpoint states other signals.
     EndpointSignals,
+    /// A request had no valid key of a client account.
+    CredentialRefused,
     /// An answer contains a malformed statement of its upstream.
     SignalUnreadable,
     /// A configuration lowered the allotment of a client account.
@@ -77,7 +79,7 @@
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 35] = [
+    pub const ALL: [Self; 36] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -111,6 +113,7 @@
         Self::RateLimitChanged,
         Self::SignalUnreadable,
         Self::EndpointSignals,
+        Self::CredentialRefused,
         Self::AllotmentLowered,
         Self::DatagramUnreadable,
     ];
@@ -152,6 +155,7 @@
             Self::RateLimitChanged => 2106,
             Self::SignalUnreadable => 2107,
             Self::EndpointSignals => 2108,
+            Self::CredentialRefused => 2109,
             Self::AllotmentLowered => 2112,
             Self::DatagramUnreadable => 2113,
         }
@@ -194,6 +198,7 @@
             Self::RateLimitChanged => "rate-limit-changed",
             Self::SignalUnreadable => "signal-unreadable",
             Self::EndpointSignals => "endpoint-signals",
+            Self::CredentialRefused => "credential-refused",
             Self::AllotmentLowered => "allotment-lowered",
             Self::DatagramUnreadable => "datagram-unreadable",
         }
