--- a/cuminarch-allotment/src/shared.rs
+++ b/cuminarch-allotment/src/shared.rs
@@ -47,6 +47,8 @@
     timers: BTreeSet<(MonoTime, u64)>,
     next_id: u64,
     silent_until: BTreeMap<EndpointId, MonoTime>,
+    /// Nodes that have not answered an ask since they were last heard.
+    pub newly_silent: Vec<EndpointId>,
     /// Asks without an answer since any node was heard.
     unanswered: u32,
     alone_until: MonoTime,
@@ -66,6 +68,7 @@
             timers: BTreeSet::new(),
             next_id: random.random(),
             silent_until: BTreeMap::new(),
+            newly_silent: Vec::new(),
             unanswered: 0,
             alone_until: MonoTime::ZERO,
             seen: BTreeSet::new(),
@@ -113,7 +116,9 @@
             ask.is_late = true;
             let ask = ask.clone();
             self.timers.insert((expires_at.max(now), id));
-            self.silent_until.insert(ask.to.clone(), now.after(SILENCE));
+            if self.silent_until.insert(ask.to.clone(), now.after(SILENCE)).is_none() {
+                self.newly_silent.push(ask.to.clone());
+            }
             self.unanswered += 1;
             if self.unanswered >= ALONE_ASKS {
                 self.alone_until = now.after(SILENCE);
--- a/cuminarch-allotment/src/table.rs
+++ b/cuminarch-allotment/src/table.rs
@@ -174,6 +174,11 @@
         std::mem::take(&mut self.shared.outputs)
     }
 
+    /// Returns the nodes that have become silent: each once until it is heard again.
+    pub fn take_silent(&mut self) -> Vec<EndpointId> {
+        std::mem::take(&mut self.shared.newly_silent)
+    }
+
     /// Returns the usage of an account, if a holder has reported it recently.
     #[must_use]
     pub fn usage(&self, account: &AccountName, now: MonoTime) -> Option<AccountUsage> {
--- a/cuminarch-engine/src/allotment_counts.rs
+++ b/cuminarch-engine/src/allotment_counts.rs
@@ -17,6 +17,23 @@
     pub given_back: u64,
 }
 
+/// What a node knows of the allotment of an account.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct AllotmentState {
+    /// Number of parts of the allotment.
+    pub parts: usize,
+    /// Parts that this node holds.
+    pub held_parts: usize,
+    /// Tokens in these parts when they were last used, in thousandths of a request.
+    pub held_tokens_milli: u64,
+    /// Tokens that this node was handed and has not used, in thousandths of a request.
+    pub own_tokens_milli: u64,
+    /// Arriving requests relative to the allotted rate in thousandths, as a holder reported them.
+    pub usage_milli: Option<u32>,
+    /// Age of that report in milliseconds.
+    pub usage_age_ms: Option<u64>,
+}
+
 /// State of the allotments for dumps and metrics.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct AllotmentSummary {
@@ -25,6 +42,9 @@
     pub accounts: BTreeMap<AccountName, AllotmentCounts>,
     /// Decisions about all other accounts.
     pub others: AllotmentCounts,
+    /// What this node knows of accounts that it holds a part of or gets requests of, at most
+    /// [`AllotmentSummary::MAX_ACCOUNTS`].
+    pub states: BTreeMap<AccountName, AllotmentState>,
     /// Accounts that have an allotment.
     pub allotted_accounts: usize,
     /// Requests that wait for an answer of a holder.
--- a/cuminarch-engine/src/allotments.rs
+++ b/cuminarch-engine/src/allotments.rs
@@ -1,10 +1,11 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use cuminarch_allotment::{AllotmentOutput, AllotmentSettings, AllotmentTable, TokenDecision};
 use cuminarch_protocol::{AllotmentDatagram, Member};
 use cuminarch_types::{AccountName, Allotment, CallId, EndpointId, MonoTime};
 
+use crate::allotment_counts::AllotmentState;
 use crate::allotment_peers::AllotmentPeers;
 use crate::{AllotmentNotice, AllotmentSummary, EngineSettings};
 
@@ -20,6 +21,11 @@
     /// Allotments in force.
     accounts: BTreeMap<AccountName, Allotment>,
     pub summary: AllotmentSummary,
+    /// Number of parts held here by account.
+    held_parts: BTreeMap<AccountName, usize>,
+    pub notices: Vec<AllotmentNotice>,
+    /// Time of the latest event.
+    pub now: MonoTime,
 }
 
 impl Allotments {
@@ -37,6 +43,9 @@
             is_policy_changed: true,
             accounts: BTreeMap::new(),
             summary: AllotmentSummary::default(),
+            held_parts: BTreeMap::new(),
+            notices: Vec::new(),
+            now: MonoTime::ZERO,
         }
     }
 
@@ -47,15 +56,42 @@
             return;
         }
         let Some((previous, peer)) = self.peers.apply(member) else { return };
-        let previous = previous.filter(|previous| previous.is_member);
-        if let Some(previous) = &previous
-            && (previous.zone != peer.zone || !peer.is_member)
-        {
-            self.table.set_member(endpoint, &previous.zone, false, now);
+        let previous = previous.filter(|previous| previous.is_member).map(|peer| peer.zone);
+        let current = peer.is_member.then_some(peer.zone);
+        if previous == current {
+            return;
+        }
+        if let Some(zone) = previous {
+            self.table.set_member(endpoint, &zone, false, now);
         }
-        if peer.is_member && previous.is_none_or(|previous| previous.zone != peer.zone) {
-            self.table.set_member(endpoint, &peer.zone, true, now);
+        if let Some(zone) = current {
+            self.table.set_member(endpoint, &zone, true, now);
+        }
+        self.note_held_parts();
+    }
+
+    /// Notes which parts this node has come to hold, or no longer holds.
+    fn note_held_parts(&mut self) {
+        let known = self.table.summary(self.now).into_iter();
+        let held = known.map(|known| (known.account, known.held.len()));
+        let held: BTreeMap<AccountName, usize> = held.filter(|(_, parts)| *parts > 0).collect();
+        let accounts: BTreeSet<&AccountName> = held.keys().chain(self.held_parts.keys()).collect();
+        for account in accounts {
+            let parts =
+                |held: &BTreeMap<AccountName, usize>| held.get(account).copied().unwrap_or(0);
+            let (from_parts, to_parts) = (parts(&self.held_parts), parts(&held));
+            if from_parts != to_parts {
+                let account = account.clone();
+                self.notices.push(AllotmentNotice::Held { account, from_parts, to_parts });
+            }
         }
+        self.held_parts = held;
+    }
+
+    /// Handles what is due.
+    pub fn tick(&mut self, now: MonoTime) {
+        self.table.tick(now);
+        self.notices.extend(self.table.take_silent().into_iter().map(AllotmentNotice::Silent));
     }
 
     /// Handles a datagram. One that was not sent from the control address of the member that it
@@ -76,22 +112,24 @@
         }
     }
 
-    /// Returns a notice for each account whose allotment gets lower.
-    pub fn lowered(&self, to: &BTreeMap<AccountName, Allotment>) -> Vec<AllotmentNotice> {
+    /// Notes each account whose allotment gets lower.
+    fn note_lowered(&mut self, to: &BTreeMap<AccountName, Allotment>) {
         let lowered = self.accounts.iter().filter_map(|(account, from)| {
             let to = *to.get(account)?;
             let is_lower = to.rate < from.rate || to.burst_requests < from.burst_requests;
             let (account, from) = (account.clone(), *from);
             is_lower.then_some(AllotmentNotice::Lowered { account, from, to })
         });
-        lowered.collect()
+        self.notices.extend(lowered);
     }
 
     /// Puts the allotments of a policy into force.
     pub fn set_accounts(&mut self, accounts: BTreeMap<AccountName, Allotment>, now: MonoTime) {
+        self.note_lowered(&accounts);
         self.accounts.clone_from(&accounts);
         self.summary.allotted_accounts = accounts.len();
         self.table.set_accounts(accounts, now);
+        self.note_held_parts();
     }
 
     /// Returns the address for datagrams to a member.
@@ -128,6 +166,24 @@
         }
     }
 
+    /// Returns the state for dumps and metrics.
+    pub fn summary(&self, waiting: usize) -> AllotmentSummary {
+        let known = self.table.summary(self.now).into_iter().take(AllotmentSummary::MAX_ACCOUNTS);
+        let states = known.map(|known| {
+            let usage_age = |at| u64::try_from(self.now.since(at).as_millis()).unwrap_or(u64::MAX);
+            let state = AllotmentState {
+                parts: known.parts,
+                held_parts: known.held.len(),
+                held_tokens_milli: known.held.iter().map(|part| part.level_milli).sum(),
+                own_tokens_milli: known.tokens_milli,
+                usage_milli: known.usage.map(|usage| usage.usage_milli),
+                usage_age_ms: known.usage.map(|usage| usage_age(usage.reported_at)),
+            };
+            (known.account, state)
+        });
+        AllotmentSummary { waiting, states: states.collect(), ..self.summary.clone() }
+    }
+
     /// Returns the next output of the table.
     pub fn next_output(&mut self) -> Option<AllotmentOutput> {
         self.collect_outputs();
--- a/cuminarch-engine/src/allotted.rs
+++ b/cuminarch-engine/src/allotted.rs
@@ -94,7 +94,7 @@
     fn allotment_detail(&self, account: &AccountName, now: MonoTime) -> CompactString {
         let allotment = self.policy.allotments().get(account).copied().unwrap_or_default();
         let limit = format_compact!(
-            "account={account} rate_per_s={} burst_requests={}",
+            "account={account} rate={} burst_requests={}",
             allotment.rate,
             allotment.burst_requests,
         );
@@ -144,7 +144,7 @@
     /// Returns the state of the allotments for dumps and metrics.
     pub(crate) fn allotment_summary(&self) -> AllotmentSummary {
         let waiting = self.calls.values().filter(|call| call.token == TokenState::Waiting).count();
-        AllotmentSummary { waiting, ..self.allotments.summary.clone() }
+        self.allotments.summary(waiting)
     }
 
     /// Settles the token of a call that has ended.
@@ -159,18 +159,16 @@
     }
 
     /// Applies the allotments of a policy that came into force.
-    pub(crate) fn apply_changed_allotments(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
-        if !std::mem::take(&mut self.allotments.is_policy_changed) {
-            return;
+    pub(crate) fn apply_changed_allotments(&mut self, now: MonoTime) {
+        self.allotments.now = now;
+        if std::mem::take(&mut self.allotments.is_policy_changed) {
+            self.allotments.set_accounts(self.policy.allotments().clone(), now);
         }
-        let allotments = self.policy.allotments().clone();
-        let notices = self.allotments.lowered(&allotments);
-        actions.extend(notices.into_iter().map(Action::Report));
-        self.allotments.set_accounts(allotments, now);
     }
 
     /// Applies what the table of allotments has decided and wants to send.
     pub(crate) fn apply_allotment_outputs(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
+        actions.extend(self.allotments.notices.drain(..).map(Action::Report));
         while let Some(output) = self.allotments.next_output() {
             match output {
                 AllotmentOutput::Decided(id, decision) => {
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -110,7 +110,7 @@
     /// Handles one event and returns the actions that the driver has to execute, in order.
     pub fn handle(&mut self, event: Event, now: MonoTime) -> Vec<Action> {
         let mut actions = Vec::new();
-        self.apply_changed_allotments(now, &mut actions);
+        self.apply_changed_allotments(now);
         match event {
             Event::Arrive(call, arrival) => match arrival.direction.clone() {
                 Direction::Inbound => self.arrive_inbound(call, &arrival, now, &mut actions),
--- a/cuminarch-engine/src/lib.rs
+++ b/cuminarch-engine/src/lib.rs
@@ -46,7 +46,7 @@
 mod token;
 
 pub use action::{Action, Forward};
-pub use allotment_counts::{AllotmentCounts, AllotmentSummary};
+pub use allotment_counts::{AllotmentCounts, AllotmentState, AllotmentSummary};
 pub use allotment_notice::AllotmentNotice;
 pub use arrival::{Arrival, Direction, RequestKey};
 pub use engine::Engine;
--- a/cuminarch-engine/src/time.rs
+++ b/cuminarch-engine/src/time.rs
@@ -33,7 +33,7 @@
         }
         let events = self.admission.poll(now);
         self.apply_queue_events(events, now, actions);
-        self.allotments.table.tick(now);
+        self.allotments.tick(now);
     }
 
     /// Ends a call that its caller cancelled.
--- a/cuminarch-engine/tests/allotment_mesh/mod.rs
+++ b/cuminarch-engine/tests/allotment_mesh/mod.rs
@@ -6,7 +6,8 @@
 
 use cuminarch_config::{Policy, Sheet};
 use cuminarch_engine::{
-    Action, Arrival, Engine, EngineSettings, Event, Refusal, RefusalReason, RemoteRefusal,
+    Action, AllotmentNotice, Arrival, Engine, EngineSettings, Event, Refusal, RefusalReason,
+    RemoteRefusal,
 };
 use cuminarch_protocol::{
     AllotmentDatagram, Member, MemberState, Receipt, RoutedCall, SendKind, UpstreamRecord,
@@ -48,6 +49,7 @@
     /// Nodes that neither send nor receive datagrams.
     pub cut: BTreeSet<usize>,
     pub datagrams: usize,
+    pub notices: Vec<(usize, AllotmentNotice)>,
     in_transit: Vec<(MonoTime, usize, usize, AllotmentDatagram)>,
     next_request: u128,
 }
@@ -74,6 +76,7 @@
             refused: BTreeMap::new(),
             cut: BTreeSet::new(),
             datagrams: 0,
+            notices: Vec::new(),
             in_transit: Vec::new(),
             next_request: 1,
         };
@@ -184,6 +187,7 @@
                     let to = usize::from(to.port()) - usize::from(FIRST_PORT);
                     self.in_transit.push((self.now.after(Self::DELAY), node, to, *datagram));
                 }
+                Action::Report(notice) => self.notices.push((node, notice)),
                 _ => {}
             }
         }
--- a/cuminarch-engine/tests/allotments.rs
+++ b/cuminarch-engine/tests/allotments.rs
@@ -7,9 +7,9 @@
 
 use std::time::Duration;
 
-use allotment_mesh::{Mesh, Serving, address};
-use cuminarch_engine::{Event, RefusalReason};
-use cuminarch_protocol::{AllotmentDatagram, AllotmentGrant, AllotmentMessage};
+use allotment_mesh::{Mesh, Serving, address, member};
+use cuminarch_engine::{AllotmentNotice, Event, RefusalReason};
+use cuminarch_protocol::{AllotmentDatagram, AllotmentGrant, AllotmentMessage, MemberState};
 use cuminarch_types::Incarnation;
 use rstest::rstest;
 
@@ -42,7 +42,7 @@
     assert!(mesh.refusals(RefusalReason::AllotmentExceeded) > 1_000);
     let refused = mesh.refused.values().next().unwrap();
     assert!(refused.retry_after.is_some_and(|after| !after.is_zero()));
-    assert!(refused.detail.contains("account=quilts rate_per_s=20"), "{}", refused.detail);
+    assert!(refused.detail.contains("account=quilts rate=20/s"), "{}", refused.detail);
 }
 
 /// Two nodes of a zone are cut off from the others while the account is hot at all nodes.
@@ -238,3 +238,48 @@
     mesh.handle(2, Event::Allotment(source, Box::new(datagram)));
     assert_eq!(mesh.engines[2].summary().allotments.ignored_datagrams, 1);
 }
+
+/// Returns the number of parts that each node holds.
+fn held_parts(mesh: &Mesh) -> Vec<usize> {
+    let states = mesh.engines.iter().map(|engine| engine.summary().allotments.states);
+    states.map(|states| states.values().map(|state| state.held_parts).sum()).collect()
+}
+
+#[rstest]
+#[case::suspect(MemberState::Suspect, false)]
+#[case::leaving(MemberState::Leaving, false)]
+#[case::gone(MemberState::Gone, true)]
+fn a_part_changes_its_holder_only_if_the_holder_is_gone(
+    #[case] state: MemberState,
+    #[case] is_moved: bool,
+) {
+    let mut mesh = filled(2);
+    let before = held_parts(&mesh);
+    assert_eq!(before.iter().sum::<usize>(), 3, "one part in each zone");
+    let holder = before.iter().position(|parts| *parts > 0).unwrap();
+    let zone = holder / 2;
+    let name = format!("{}-{}", allotment_mesh::ZONES[zone], holder % 2);
+    let statement = member(holder, &name, allotment_mesh::ZONES[zone]).with_state(state);
+    let other = zone * 2 + 1 - holder % 2;
+    mesh.notices.clear();
+    mesh.handle(other, Event::Member(Box::new(statement)));
+    assert_eq!(held_parts(&mesh)[other], usize::from(is_moved));
+    let notice =
+        AllotmentNotice::Held { account: "quilts".parse().unwrap(), from_parts: 0, to_parts: 1 };
+    assert_eq!(mesh.notices.contains(&(other, notice)), is_moved);
+}
+
+#[test]
+fn a_silent_holder_and_a_lower_limit_are_reported() {
+    let mut mesh = filled(2);
+    mesh.cut.extend(0..6);
+    let (node, _) = waiting_request(&mut mesh, Duration::from_secs(1));
+    mesh.run_for(Duration::from_millis(200));
+    let silent = |notice: &AllotmentNotice| matches!(notice, AllotmentNotice::Silent(_));
+    assert!(mesh.notices.iter().any(|(at, notice)| *at == node && silent(notice)));
+    mesh.notices.clear();
+    mesh.set_limit(2, RATE, 5);
+    let lowered = mesh.notices.iter().map(|(_, notice)| notice.to_string());
+    let expected = "account=quilts rate=20/s was_rate=20/s burst_requests=5 was_burst_requests=20";
+    assert_eq!(lowered.filter(|text| text == expected).count(), 6);
+}
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -27,6 +27,7 @@
 
 use super::datagrams::DatagramSender;
 use crate::clock::Clock;
+use crate::decisions::LogRateLimiter;
 use crate::event::NodeEvent;
 use crate::metrics::{Direction, Metrics};
 
@@ -72,6 +73,7 @@
     clock: Clock,
     claims: Sender<ClaimRequest>,
     datagrams: DatagramSender,
+    decisions: Rc<LogRateLimiter>,
     timer_changed: Notify,
     /// Time of the next tick of the engine.
     next_tick_at: Cell<MonoTime>,
@@ -81,6 +83,20 @@
     metrics: Arc<Metrics>,
 }
 
+impl Shared {
+    /// Logs a change that concerns allotments.
+    fn report(&self, notice: &AllotmentNotice) {
+        let event = match notice {
+            AllotmentNotice::Lowered { .. } => NodeEvent::AllotmentLowered,
+            AllotmentNotice::Held { .. } => NodeEvent::AllotmentHeld,
+            AllotmentNotice::Silent(_) => NodeEvent::AllotmentHolderSilent,
+        };
+        if let Some(left_out) = self.decisions.admit(event) {
+            info!("{event} {notice} left_out={left_out}");
+        }
+    }
+}
+
 /// Handle to the engine for the tasks of the data thread.
 #[derive(Clone)]
 pub struct Driver {
@@ -95,6 +111,7 @@
         clock: Clock,
         claims: Sender<ClaimRequest>,
         datagrams: DatagramSender,
+        decisions: Rc<LogRateLimiter>,
         metrics: Arc<Metrics>,
     ) -> Self {
         let state = RefCell::new(State { engine, mailboxes: BTreeMap::new() });
@@ -106,6 +123,7 @@
             clock,
             claims,
             datagrams,
+            decisions,
             timer_changed,
             next_tick_at,
             upstream,
@@ -210,7 +228,7 @@
             match action {
                 Action::Claim { call, key, bound } => self.claim(call, key, bound),
                 Action::SendAllotment { to, datagram } => self.shared.datagrams.send(to, &datagram),
-                Action::Report(notice) => report(&notice),
+                Action::Report(notice) => self.shared.report(&notice),
                 action => {
                     if let Some(mailbox) = action.call().and_then(|call| state.mailboxes.get(&call))
                     {
@@ -334,14 +352,6 @@
     }
 }
 
-/// Logs a change that concerns allotments.
-fn report(notice: &AllotmentNotice) {
-    let event = match notice {
-        AllotmentNotice::Lowered { .. } => NodeEvent::AllotmentLowered,
-    };
-    info!("{event} {notice}");
-}
-
 /// A call in progress. Dropping the guard before the call ends cancels the call.
 pub struct CallGuard {
     driver: Driver,
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -88,8 +88,16 @@
         let (tasks, mut panics) = Tasks::new();
         let datagrams = self.listeners.datagrams.try_clone().expect("cannot duplicate a socket");
         let sender = DatagramSender::new(datagrams, self.metrics.clone());
-        let driver =
-            Driver::new(self.engine, self.clock, self.claims, sender, self.metrics.clone());
+        let decisions = Rc::new(LogRateLimiter::new());
+        let limiter = Rc::clone(&decisions);
+        let driver = Driver::new(
+            self.engine,
+            self.clock,
+            self.claims,
+            sender,
+            limiter,
+            self.metrics.clone(),
+        );
         let hello = LinkHello::new(self.settings.fleet.clone());
         let context = DataContext {
             driver: driver.clone(),
@@ -102,7 +110,7 @@
             tasks,
             interface: self.interface,
             settings_limits: DataLimits::new(&self.settings),
-            decisions: Rc::new(LogRateLimiter::new()),
+            decisions,
             splitter: Rc::default(),
             upstream_changes: self.upstream_changes,
         };
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -71,6 +71,10 @@
     CredentialRefused,
     /// An answer contains a malformed statement of its upstream.
     SignalUnreadable,
+    /// The node holds other parts of a client account's allotment than before.
+    AllotmentHeld,
+    /// The holder of a part of an allotment did not answer.
+    AllotmentHolderSilent,
     /// A configuration lowered the allotment of a client account.
     AllotmentLowered,
     /// A datagram about allotments could not be read.
@@ -79,7 +83,7 @@
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 36] = [
+    pub const ALL: [Self; 38] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -114,6 +118,8 @@
         Self::SignalUnreadable,
         Self::EndpointSignals,
         Self::CredentialRefused,
+        Self::AllotmentHeld,
+        Self::AllotmentHolderSilent,
         Self::AllotmentLowered,
         Self::DatagramUnreadable,
     ];
@@ -156,6 +162,8 @@
             Self::SignalUnreadable => 2107,
             Self::EndpointSignals => 2108,
             Self::CredentialRefused => 2109,
+            Self::AllotmentHeld => 2110,
+            Self::AllotmentHolderSilent => 2111,
             Self::AllotmentLowered => 2112,
             Self::DatagramUnreadable => 2113,
         }
@@ -199,6 +207,8 @@
             Self::SignalUnreadable => "signal-unreadable",
             Self::EndpointSignals => "endpoint-signals",
             Self::CredentialRefused => "credential-refused",
+            Self::AllotmentHeld => "allotment-held",
+            Self::AllotmentHolderSilent => "allotment-holder-silent",
             Self::AllotmentLowered => "allotment-lowered",
             Self::DatagramUnreadable => "datagram-unreadable",
         }
