--- /dev/null
+++ b/cuminarch-engine/src/allotted.rs
@@ -0,0 +1,204 @@
+//! Calls that count against the allotment of their client account.
+//!
+//! Each attempt takes a token, so that the number of runs stays within the allotment, and returns it
+//! if it provably did not run. An attempt after one that may have run takes another token if one is
+//! at hand, and is not made otherwise.
+
+use compact_str::{CompactString, format_compact};
+use cuminarch_allotment::{AllotmentOutput, TokenDecision};
+use cuminarch_protocol::AllotmentDatagram;
+use cuminarch_types::{AccountName, CallId, MonoTime};
+
+use crate::call::Call;
+use crate::token::TokenState;
+use crate::{Action, AllotmentSummary, Arrival, Direction, Engine, Refusal, RefusalReason};
+
+impl Engine {
+    /// Returns the account whose allotment a call counts against. Only calls that enter the mesh
+    /// here count.
+    pub(crate) fn allotted_account(&self, arrival: &Arrival) -> Option<AccountName> {
+        let is_entry = matches!(arrival.direction, Direction::Outbound(_))
+            && arrival.parent.is_none()
+            && arrival.share.is_none();
+        let account = arrival.account.as_ref().filter(|_| is_entry)?;
+        self.policy.allotments().contains_key(account).then(|| account.clone())
+    }
+
+    /// Returns `true` if a call needs no token or has one for its next attempt. Otherwise it was
+    /// refused, or it waits and is sent once it gets one.
+    pub(crate) fn has_token(
+        &mut self,
+        id: CallId,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(call) = self.calls.get(&id) else { return false };
+        let Some(account) = call.allotted_account.clone() else { return true };
+        match call.token {
+            TokenState::Held => return true,
+            TokenState::Waiting => return false,
+            TokenState::Spent => {
+                let has_token = self.take_token_for_repeat(id, now);
+                if !has_token {
+                    let refusal = Refusal::unknown(RefusalReason::UpstreamFailed);
+                    self.refuse(id, refusal, now, actions);
+                }
+                return has_token;
+            }
+            TokenState::NotRequested | TokenState::Returned => {}
+        }
+        let decision = self.allotments.request(&account, id, now);
+        self.apply_token_decision(id, &account, decision, now, actions)
+    }
+
+    /// Returns `true` if the call may be sent.
+    fn apply_token_decision(
+        &mut self,
+        id: CallId,
+        account: &AccountName,
+        decision: TokenDecision,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let (reason, retry_after) = match decision {
+            TokenDecision::Granted => {
+                self.set_token(id, TokenState::Held);
+                return true;
+            }
+            TokenDecision::Waiting => {
+                self.set_token(id, TokenState::Waiting);
+                return false;
+            }
+            TokenDecision::Exceeded { retry_after } => {
+                (RefusalReason::AllotmentExceeded, retry_after)
+            }
+            TokenDecision::Unavailable { retry_after } => {
+                (RefusalReason::AllotmentUnavailable, retry_after)
+            }
+        };
+        self.set_token(id, TokenState::Returned);
+        let detail = self.allotment_detail(account, now);
+        let refusal = Refusal::not_run(reason).with_retry_after(retry_after).with_detail(detail);
+        self.refuse(id, refusal, now, actions);
+        false
+    }
+
+    fn set_token(&mut self, id: CallId, token: TokenState) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.token = token;
+        }
+    }
+
+    /// Returns the log detail of a request that got no token: what this node believes about the
+    /// account, and how old that is.
+    fn allotment_detail(&self, account: &AccountName, now: MonoTime) -> CompactString {
+        let allotment = self.policy.allotments().get(account).copied().unwrap_or_default();
+        let limit = format_compact!(
+            "account={account} rate={} burst_requests={}",
+            allotment.rate,
+            allotment.burst_requests,
+        );
+        match self.allotments.table.usage(account, now) {
+            Some(usage) => format_compact!(
+                "{limit} usage_milli={} source=holder belief_age_ms={}",
+                usage.usage_milli,
+                now.since(usage.reported_at).as_millis(),
+            ),
+            None => format_compact!("{limit} source=none"),
+        }
+    }
+
+    /// Returns the token of an attempt that provably did not run, so that others can use it while
+    /// the call is on its way to the next endpoint.
+    pub(crate) fn return_token(&mut self, id: CallId, now: MonoTime) {
+        if let Some(call) = self.calls.get_mut(&id)
+            && let Some(account) = &call.allotted_account
+            && call.token == TokenState::Spent
+        {
+            call.token = TokenState::Returned;
+            self.allotments.give_back(account, id, now);
+        }
+    }
+
+    /// Makes sure that a call has a token for an attempt after one that may have run. Returns
+    /// `false` if it would have to wait for it.
+    pub(crate) fn take_token_for_repeat(&mut self, id: CallId, now: MonoTime) -> bool {
+        let Some(call) = self.calls.get(&id) else { return false };
+        let Some(account) = call.allotted_account.clone() else { return true };
+        if call.token != TokenState::Spent {
+            return true;
+        }
+        match self.allotments.request(&account, id, now) {
+            TokenDecision::Granted => {
+                self.set_token(id, TokenState::Held);
+                true
+            }
+            TokenDecision::Waiting => {
+                self.allotments.withdraw(&account, id, now);
+                false
+            }
+            TokenDecision::Exceeded { .. } | TokenDecision::Unavailable { .. } => false,
+        }
+    }
+
+    /// Returns the state of the allotments for dumps and metrics.
+    pub(crate) fn allotment_summary(&self) -> AllotmentSummary {
+        let waiting = self.calls.values().filter(|call| call.token == TokenState::Waiting).count();
+        self.allotments.summary(waiting)
+    }
+
+    /// Settles the token of a call that has ended.
+    pub(crate) fn settle_token(&mut self, id: CallId, call: &Call, now: MonoTime) {
+        let Some(account) = &call.allotted_account else { return };
+        match call.token {
+            TokenState::NotRequested => self.allotments.table.record_refused(account, now),
+            TokenState::Waiting => self.allotments.withdraw(account, id, now),
+            TokenState::Held => self.allotments.give_back(account, id, now),
+            TokenState::Spent | TokenState::Returned => {}
+        }
+    }
+
+    /// Applies the allotments of a policy that came into force.
+    pub(crate) fn apply_changed_allotments(&mut self, now: MonoTime) {
+        self.allotments.now = now;
+        if std::mem::take(&mut self.allotments.is_policy_changed) {
+            self.allotments.set_accounts(self.policy.allotments().clone(), now);
+        }
+    }
+
+    /// Applies what the table of allotments has decided and wants to send.
+    pub(crate) fn apply_allotment_outputs(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
+        actions.extend(self.allotments.notices.drain(..).map(Action::Report));
+        while let Some(output) = self.allotments.next_output() {
+            match output {
+                AllotmentOutput::Decided(id, decision) => {
+                    self.token_decided(id, decision, now, actions);
+                }
+                AllotmentOutput::Send(endpoint, message) => {
+                    let Some(to) = self.allotments.address(&endpoint) else { continue };
+                    let from = self.settings.endpoint.clone();
+                    let incarnation = self.settings.incarnation;
+                    let datagram = Box::new(AllotmentDatagram { from, incarnation, message });
+                    actions.push(Action::SendAllotment { to, datagram });
+                }
+            }
+        }
+    }
+
+    fn token_decided(
+        &mut self,
+        id: CallId,
+        decision: TokenDecision,
+        now: MonoTime,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let Some(account) = call.allotted_account.clone() else { return };
+        if call.token == TokenState::Waiting {
+            self.allotments.summary.record(&account, decision);
+            if self.apply_token_decision(id, &account, decision, now, actions) {
+                self.send(id, now, actions);
+            }
+        }
+    }
+}
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -14,6 +14,7 @@
 
 use crate::call::{Call, DownstreamTime, Stage};
 use crate::credential::Credential;
+use crate::token::TokenState;
 use crate::{Action, Arrival, Engine, LocalEnd, Refusal, RefusalReason};
 
 impl Engine {
@@ -99,6 +100,8 @@
             may_have_run: false,
             credential: Credential::of(arrival),
             routed: arrival.routed.clone(),
+            allotted_account: self.allotted_account(arrival),
+            token: TokenState::NotRequested,
             stage: Stage::Waiting,
             rule,
         }
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -71,11 +71,19 @@
     CredentialRefused,
     /// An answer contains a malformed statement of its upstream.
     SignalUnreadable,
+    /// The node holds other parts of a client account's allotment than before.
+    AllotmentHeld,
+    /// The holder of a part of an allotment did not answer.
+    AllotmentHolderSilent,
+    /// A configuration lowered the allotment of a client account.
+    AllotmentLowered,
+    /// A datagram about allotments could not be read.
+    DatagramUnreadable,
 }
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 34] = [
+    pub const ALL: [Self; 38] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -110,6 +118,10 @@
         Self::SignalUnreadable,
         Self::EndpointSignals,
         Self::CredentialRefused,
+        Self::AllotmentHeld,
+        Self::AllotmentHolderSilent,
+        Self::AllotmentLowered,
+        Self::DatagramUnreadable,
     ];
 
     /// Returns the number of the event; numbers are never reused.
@@ -150,6 +162,10 @@
             Self::SignalUnreadable => 2107,
             Self::EndpointSignals => 2108,
             Self::CredentialRefused => 2109,
+            Self::AllotmentHeld => 2110,
+            Self::AllotmentHolderSilent => 2111,
+            Self::AllotmentLowered => 2112,
+            Self::DatagramUnreadable => 2113,
         }
     }
 
@@ -191,6 +207,10 @@
             Self::SignalUnreadable => "signal-unreadable",
             Self::EndpointSignals => "endpoint-signals",
             Self::CredentialRefused => "credential-refused",
+            Self::AllotmentHeld => "allotment-held",
+            Self::AllotmentHolderSilent => "allotment-holder-silent",
+            Self::AllotmentLowered => "allotment-lowered",
+            Self::DatagramUnreadable => "datagram-unreadable",
         }
     }
 }
--- a/cuminarch-node/src/interface/native.rs
+++ b/cuminarch-node/src/interface/native.rs
@@ -166,7 +166,7 @@
         (Outcome::Unknown, RefusalReason::DeadlineExceeded) => 504,
         (Outcome::Unknown, _) => 502,
         (Outcome::NotRun, RefusalReason::CredentialWithdrawn) => 401,
-        (Outcome::NotRun, RefusalReason::BudgetExhausted) => 429,
+        (Outcome::NotRun, RefusalReason::BudgetExhausted | RefusalReason::AllotmentExceeded) => 429,
         (Outcome::NotRun, _) => 503,
     }
 }
