--- a/cuminarch-allotment/tests/behaviour.rs
+++ b/cuminarch-allotment/tests/behaviour.rs
@@ -244,6 +244,44 @@
     assert!(granted(3, 1_000, true, 300) > 0);
 }
 
+#[test]
+fn a_grant_of_lent_tokens_does_not_outlive_the_loan() {
+    let settings = AllotmentSettings::new(endpoint("e-1"), zone("a"));
+    let zones = [zone("a"), zone("b")].into_iter().collect();
+    let mut table = AllotmentTable::new(settings.with_zones(zones));
+    let mut now = MonoTime::ZERO;
+    table.set_accounts(limit(0.0, 8), now);
+    table.set_member(&endpoint("e-1"), &zone("a"), true, now);
+    table.set_member(&endpoint("h-b"), &zone("b"), true, now);
+    run(&mut table, &mut now, 10 * SECOND);
+    let ask = |id| {
+        AllotmentMessage::Ask(AllotmentAsk {
+            id,
+            account: account(),
+            shard: 0,
+            wanted_milli: 1_000,
+            extra_milli: 0,
+            arrived_requests: 1,
+            is_from_holder: false,
+            usage_milli: 0,
+        })
+    };
+    table.receive(&endpoint("e-2"), ask(1), now);
+    let (lender, lent) = asks(&mut table).remove(0);
+    run(&mut table, &mut now, Duration::from_millis(7));
+    table.receive(&endpoint("e-3"), ask(2), now);
+    table.receive(&lender, grant(lent.id, 2_000, 0), now);
+    let lifetimes_ms: Vec<u32> = table
+        .take_outputs()
+        .into_iter()
+        .map(|output| match output {
+            AllotmentOutput::Send(_, AllotmentMessage::Grant(grant)) => grant.lifetime_ms,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    assert_eq!(lifetimes_ms, [100, 93]);
+}
+
 #[test]
 fn a_late_grant_is_used_while_its_tokens_live_and_not_after() {
     for (late_ms, decided) in [(35, true), (99, true), (101, false)] {
--- a/cuminarch-allotment/tests/explore.rs
+++ b/cuminarch-allotment/tests/explore.rs
@@ -83,3 +83,23 @@
     assert_eq!(small.granted, 2);
     assert!(explore(small) >= LEAST_STATES);
 }
+
+#[test]
+fn a_limit_that_adds_parts_keeps_the_bound_beside_nodes_that_lag() {
+    // The higher limit has two parts of 20.5/s, the lower one part of 39/s.
+    let limits = [vec![limit(41.0, 10)], vec![limit(39.0, 10)]];
+    for raised in [vec![0], vec![1], vec![2], vec![0, 1], vec![0, 2], vec![1, 2]] {
+        for millis in [120, 700, 1_500] {
+            let mut small = Small::new(3, 1, limits.clone());
+            for node in 0..3 {
+                small.apply(Action::Limit(node));
+            }
+            small.apply(Action::Advance(5_000));
+            for node in &raised {
+                small.apply(Action::Limit(*node));
+            }
+            small.apply(Action::Advance(millis));
+            assert_eq!(small.probe(), None, "{raised:?} raised for {millis} ms");
+        }
+    }
+}
--- a/cuminarch-allotment/tests/support/small.rs
+++ b/cuminarch-allotment/tests/support/small.rs
@@ -183,7 +183,9 @@
     /// Lets all nodes spend what they can get now, on a copy.
     pub fn probe(&self) -> Option<String> {
         let mut copy = self.clone();
-        for _ in 0..3 {
+        let mut granted = None;
+        while granted != Some(copy.granted) && copy.violation.is_none() {
+            granted = Some(copy.granted);
             copy.deliver_all();
             for account in 0..copy.names.len() {
                 for node in 0..copy.nodes.len() {
