feat(engine): a repeat waits for its token

A repeat was made only if a token was at hand, which an account of one request in three seconds never has.

--- a/cuminarch-engine/src/allotted.rs
+++ b/cuminarch-engine/src/allotted.rs
@@ -1,8 +1,8 @@
 //! Calls that count against the allotment of their client account.
 //!
 //! Each attempt takes a token, so that the number of runs stays within the allotment, and returns it
-//! if it provably did not run. An attempt after one that may have run takes another token if one is
-//! at hand, and is not made otherwise.
+//! if it provably did not run. If there is none for an attempt after one that may have run, the
+//! caller gets the result of that one.
 
 use compact_str::{CompactString, format_compact};
 use cuminarch_allotment::{AllotmentOutput, TokenDecision};
@@ -37,15 +37,7 @@
         match call.token {
             TokenState::Held => return true,
             TokenState::Waiting => return false,
-            TokenState::Spent => {
-                let has_token = self.take_token_for_repeat(id, now);
-                if !has_token {
-                    let refusal = Refusal::unknown(RefusalReason::UpstreamFailed);
-                    self.refuse(id, refusal, now, actions);
-                }
-                return has_token;
-            }
-            TokenState::NotRequested | TokenState::Returned => {}
+            TokenState::NotRequested | TokenState::Spent | TokenState::Returned => {}
         }
         let decision = self.allotments.request(&account, id, now);
         self.apply_token_decision(id, &account, decision, now, actions)
@@ -77,6 +69,11 @@
             }
         };
         self.set_token(id, TokenState::Returned);
+        let earlier = self.calls.get_mut(&id).and_then(|call| call.earlier_refusal.take());
+        if let Some(earlier) = earlier {
+            self.refuse(id, *earlier, now, actions);
+            return false;
+        }
         let detail = self.allotment_detail(account, now);
         let refusal = Refusal::not_run(reason).with_retry_after(retry_after).with_detail(detail);
         self.refuse(id, refusal, now, actions);
@@ -120,24 +117,13 @@
         }
     }
 
-    /// Makes sure that a call has a token for an attempt after one that may have run. Returns
-    /// `false` if it would have to wait for it.
-    pub(crate) fn take_token_for_repeat(&mut self, id: CallId, now: MonoTime) -> bool {
-        let Some(call) = self.calls.get(&id) else { return false };
-        let Some(account) = call.allotted_account.clone() else { return true };
-        if call.token != TokenState::Spent {
-            return true;
-        }
-        match self.allotments.request(&account, id, now) {
-            TokenDecision::Granted => {
-                self.set_token(id, TokenState::Held);
-                true
-            }
-            TokenDecision::Waiting => {
-                self.allotments.withdraw(&account, id, now);
-                false
-            }
-            TokenDecision::Exceeded { .. } | TokenDecision::Unavailable { .. } => false,
+    /// Keeps the result of an attempt that may have run, for the case that there is no token for
+    /// another one.
+    pub(crate) fn keep_earlier_refusal(&mut self, id: CallId, refusal: &Refusal) {
+        if let Some(call) = self.calls.get_mut(&id)
+            && call.token == TokenState::Spent
+        {
+            call.earlier_refusal = Some(Box::new(refusal.clone()));
         }
     }
 
--- a/cuminarch-engine/src/call.rs
+++ b/cuminarch-engine/src/call.rs
@@ -11,6 +11,7 @@
     ServiceName,
 };
 
+use crate::Refusal;
 use crate::credential::Credential;
 use crate::token::TokenState;
 
@@ -52,6 +53,8 @@
     /// The account whose allotment the call counts against, if it has one.
     pub allotted_account: Option<AccountName>,
     pub token: TokenState,
+    /// Result of an attempt that may have run, while a token for another one is sought.
+    pub earlier_refusal: Option<Box<Refusal>>,
     pub stage: Stage,
 }
 
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -99,6 +99,7 @@
             routed: arrival.routed.clone(),
             allotted_account: self.allotted_account(arrival),
             token: TokenState::NotRequested,
+            earlier_refusal: None,
             stage: Stage::Waiting,
             rule,
         }
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -364,6 +364,7 @@
         let retry_at = now.after(self.backoff.delay(sending.retries, random));
         let may_retry = may_retry && call.replayable && retry_at < call.deadline;
         if may_retry && self.retry_limiters.entry(service).or_default().try_retry() {
+            self.keep_earlier_refusal(id, &refusal);
             if let Some(sending) = self.sending_mut(id) {
                 sending.retries += 1;
                 sending.retry_at = Some(retry_at);
--- a/cuminarch-engine/src/routed.rs
+++ b/cuminarch-engine/src/routed.rs
@@ -194,7 +194,8 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
-        if may_retry && self.can_retry(id, now) && self.take_token_for_repeat(id, now) {
+        if may_retry && self.can_retry(id, now) {
+            self.keep_earlier_refusal(id, &refusal);
             return self.send(id, now, actions);
         }
         self.refuse_routed(id, refusal, now, actions);
--- a/cuminarch-engine/tests/allotment_mesh/mod.rs
+++ b/cuminarch-engine/tests/allotment_mesh/mod.rs
@@ -201,17 +201,29 @@
             Serving::Run => self.answer(node, call, attempt),
             Serving::Hold => {}
             Serving::RunAndLose => {
-                self.handle(node, Event::RemoteLost { call, attempt, sent: true });
+                let refusal = Refusal::unknown(RefusalReason::UpstreamFailed);
+                self.refuse(node, (call, attempt), refusal, unspent);
             }
             Serving::Refuse => {
                 let refusal = Refusal::not_run(RefusalReason::Overloaded);
-                let receipt = Receipt { unspent, ..Receipt::default() };
-                let refused = RemoteRefusal { refusal, reached_upstream: false, receipt };
-                self.handle(node, Event::RemoteRefused(call, attempt, Box::new(refused)));
+                self.refuse(node, (call, attempt), refusal, unspent);
             }
         }
     }
 
+    fn refuse(
+        &mut self,
+        node: usize,
+        (call, attempt): (CallId, AttemptId),
+        refusal: Refusal,
+        unspent: Attempts,
+    ) {
+        let receipt = Receipt { unspent, ..Receipt::default() };
+        let reached_upstream = refusal.reason == RefusalReason::UpstreamFailed;
+        let refused = RemoteRefusal { refusal, reached_upstream, receipt };
+        self.handle(node, Event::RemoteRefused(call, attempt, Box::new(refused)));
+    }
+
     fn answer(&mut self, node: usize, call: CallId, attempt: AttemptId) {
         self.handle(node, Event::RemoteHead { call, attempt, is_failure: false });
         let receipt = Some(Receipt::default());
--- a/cuminarch-engine/tests/allotments.rs
+++ b/cuminarch-engine/tests/allotments.rs
@@ -123,6 +123,19 @@
     assert_eq!(granted, mesh.runs.len() as u64 + mesh.given_back());
 }
 
+/// An account within its allotment, whose tokens are at the holder of another node.
+#[test]
+fn a_repeat_waits_for_its_token() {
+    let mut mesh = filled(2);
+    let (node, call) = waiting_request(&mut mesh, Duration::from_secs(1));
+    mesh.serving = Serving::RunAndLose;
+    let before = mesh.runs.len();
+    mesh.run_for(Duration::from_millis(100));
+    let refused = &mesh.refused[&(node, call)];
+    assert_eq!(refused.reason, RefusalReason::UpstreamFailed);
+    assert!(mesh.runs.len() - before >= 2, "{}", mesh.runs.len() - before);
+}
+
 /// Returns a node that does not hold a part, so that its requests wait, and one such request.
 fn waiting_request(mesh: &mut Mesh, limit: Duration) -> (usize, cuminarch_types::CallId) {
     for node in 0..mesh.engines.len() {
