--- a/cuminarch-allotment/tests/explore.rs
+++ b/cuminarch-allotment/tests/explore.rs
@@ -28,7 +28,11 @@
         for account in 0..small.account_count() {
             actions.push(Action::Request(node, account));
         }
-        actions.extend([Action::GiveBack(node, 0), Action::Cut(node), Action::Restart(node)]);
+        actions.extend([
+            Action::GiveBack(node, 0, node == 1),
+            Action::Cut(node),
+            Action::Restart(node),
+        ]);
         actions.extend([Action::Suspend(node), Action::Limit(node), Action::Learn(node)]);
     }
     for at in 0..small.messages.len().min(3) {
@@ -79,3 +83,23 @@
     assert_eq!(small.granted, 2);
     assert!(explore(small) >= LEAST_STATES);
 }
+
+#[test]
+fn a_limit_that_adds_parts_keeps_the_bound_beside_nodes_that_lag() {
+    // The higher limit has two parts of 20.5/s, the lower one part of 39/s.
+    let limits = [vec![limit(41.0, 10)], vec![limit(39.0, 10)]];
+    for raised in [vec![0], vec![1], vec![2], vec![0, 1], vec![0, 2], vec![1, 2]] {
+        for millis in [120, 700, 1_500] {
+            let mut small = Small::new(3, 1, limits.clone());
+            for node in 0..3 {
+                small.apply(Action::Limit(node));
+            }
+            small.apply(Action::Advance(5_000));
+            for node in &raised {
+                small.apply(Action::Limit(*node));
+            }
+            small.apply(Action::Advance(millis));
+            assert_eq!(small.probe(), None, "{raised:?} raised for {millis} ms");
+        }
+    }
+}
