--- a/cuminarch-allotment/tests/explore.rs
+++ b/cuminarch-allotment/tests/explore.rs
@@ -86,8 +86,9 @@
 
 #[test]
 fn a_limit_that_adds_parts_keeps_the_bound_beside_nodes_that_lag() {
-    // The higher limit has two parts of 20.5/s, the lower one part of 39/s.
-    let limits = [vec![limit(41.0, 10)], vec![limit(39.0, 10)]];
+    // The higher limit has two parts of 20.5/s, the lower one part of 39/s; of five accounts some
+    // have the two at different nodes.
+    let limits = [vec![limit(41.0, 10); 5], vec![limit(39.0, 10); 5]];
     for raised in [vec![0], vec![1], vec![2], vec![0, 1], vec![0, 2], vec![1, 2]] {
         for millis in [120, 700, 1_500] {
             let mut small = Small::new(3, 1, limits.clone());
