--- a/cuminarch-allotment/src/table.rs
+++ b/cuminarch-allotment/src/table.rs
@@ -47,7 +47,11 @@
         for name in removed {
             self.remove_account(&name);
         }
-        let refills_from = first_refill(self.zone_changed_at, now);
+        let mut refills_from = first_refill(self.zone_changed_at, now);
+        // A process that has just been configured may not know all members yet.
+        if self.accounts.is_empty() {
+            refills_from = refills_from.max(now.after(QUARANTINE));
+        }
         for (name, limit) in accounts {
             if let Some(account) = self.accounts.get_mut(&name) {
                 account.set_limit(limit, &self.settings, &self.members, now);
@@ -79,6 +83,9 @@
         if !is_changed {
             return;
         }
+        if !is_member {
+            self.shared.heard(endpoint);
+        }
         if zone == self.settings.zone {
             self.zone_changed_at = Some(now);
         }
@@ -174,6 +181,11 @@
         std::mem::take(&mut self.shared.outputs)
     }
 
+    /// Returns the nodes that have become silent: each once until it is heard again.
+    pub fn take_silent(&mut self) -> Vec<EndpointId> {
+        std::mem::take(&mut self.shared.newly_silent)
+    }
+
     /// Returns the usage of an account, if a holder has reported it recently.
     #[must_use]
     pub fn usage(&self, account: &AccountName, now: MonoTime) -> Option<AccountUsage> {
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -13,6 +13,8 @@
 use cuminarch_types::{Attempts, CallId, MonoTime, Outcome, Rank};
 
 use crate::call::{Call, DownstreamTime, Stage};
+use crate::credential::Credential;
+use crate::token::TokenState;
 use crate::{Action, Arrival, Engine, LocalEnd, Refusal, RefusalReason};
 
 impl Engine {
@@ -24,7 +26,10 @@
         actions: &mut Vec<Action>,
     ) {
         let service = &self.settings.service;
-        let rule = self.policy.rule(service, &arrival.method, &arrival.target).clone();
+        let rule = match &arrival.rule {
+            Some(rule) => rule.clone(),
+            None => self.policy.rule(service, &arrival.method, &arrival.target).clone(),
+        };
         let call = self.new_call(arrival, rule, now);
         let rank = call.rank;
         let rule = call.rule.number;
@@ -93,7 +98,10 @@
             client_key: None,
             replayable: arrival.replayable,
             may_have_run: false,
+            credential: Credential::of(arrival),
             routed: arrival.routed.clone(),
+            allotted_account: self.allotted_account(arrival),
+            token: TokenState::NotRequested,
             stage: Stage::Waiting,
             rule,
         }
--- a/cuminarch-engine/src/lib.rs
+++ b/cuminarch-engine/src/lib.rs
@@ -22,9 +22,15 @@
 //! ```
 
 mod action;
+mod allotment_counts;
+mod allotment_notice;
+mod allotment_peers;
+mod allotments;
+mod allotted;
 mod arrival;
 mod budget;
 mod call;
+mod credential;
 mod engine;
 mod event;
 mod inbound;
@@ -37,8 +43,11 @@
 mod signals;
 mod summary;
 mod time;
+mod token;
 
 pub use action::{Action, Forward};
+pub use allotment_counts::{AllotmentCounts, AllotmentState, AllotmentSummary};
+pub use allotment_notice::AllotmentNotice;
 pub use arrival::{Arrival, Direction, RequestKey};
 pub use engine::Engine;
 pub use event::{ClaimResult, Event, LocalEnd, RemoteRefusal};
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -6,6 +6,7 @@
 use rand::RngExt;
 
 use crate::call::{Call, InFlightAttempt, Sending, Stage};
+use crate::token::TokenState;
 use crate::{Action, Arrival, Engine, Forward, Refusal, RefusalReason, RemoteRefusal, RequestKey};
 
 impl Engine {
@@ -117,6 +118,9 @@
         self.record_call_result(id, &endpoint, result_of_refusal(&refused), now);
         self.settle(id, attempt, Some(&refused.receipt), now);
         let RemoteRefusal { refusal, reached_upstream, .. } = refused;
+        if refusal.outcome == Outcome::NotRun {
+            self.return_token(id, now);
+        }
         if self.calls.get(&id).is_some_and(|call| call.routed.is_some()) {
             return self.routed_refused(id, refusal, reached_upstream, now, actions);
         }
@@ -157,6 +161,9 @@
         self.record_call_result(id, &endpoint, result, now);
         let receipt = (!sent).then_some(Receipt { unspent: share, ..Receipt::default() });
         self.settle(id, attempt, receipt.as_ref(), now);
+        if !sent {
+            self.return_token(id, now);
+        }
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.may_have_run |= sent;
         let is_retry_safe = call.idempotent || call.has_key;
@@ -174,6 +181,12 @@
     /// Sends the next attempt of a call.
     pub(crate) fn send(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
         self.cancel_planned_retry(id);
+        if self.refuse_withdrawn(id, now, actions) {
+            return;
+        }
+        if !self.has_token(id, now, actions) {
+            return;
+        }
         let Some(target) = self.choose_target(id, now) else {
             let bound = self.calls.get(&id).is_some_and(|call| call.key.is_some());
             let refusal = if bound {
@@ -196,6 +209,7 @@
         };
         let key = self.request_key(id);
         let Some(call) = self.calls.get_mut(&id) else { return };
+        call.token = TokenState::Spent;
         let Stage::Sending(sending) = &mut call.stage else { return };
         let endpoint = target.endpoint.clone();
         sending.tried.push(endpoint.clone());
--- a/cuminarch-engine/src/routed.rs
+++ b/cuminarch-engine/src/routed.rs
@@ -194,7 +194,7 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
-        if may_retry && self.can_retry(id, now) {
+        if may_retry && self.can_retry(id, now) && self.take_token_for_repeat(id, now) {
             return self.send(id, now, actions);
         }
         self.refuse_routed(id, refusal, now, actions);
--- a/cuminarch-node/src/data/mod.rs
+++ b/cuminarch-node/src/data/mod.rs
@@ -6,6 +6,8 @@
 mod answer;
 mod body;
 mod connections;
+mod credentials;
+mod datagrams;
 mod detached;
 mod driver;
 mod front;
@@ -30,5 +32,5 @@
 mod upstream_pool;
 
 pub use driver::{ClaimRequest, DataCommand};
-pub use listener::bind;
+pub use listener::{bind, bind_with_datagrams};
 pub use thread::{DataListeners, DataThread};
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -67,13 +67,23 @@
     RateLimitChanged,
     /// The upstream of another endpoint states other signals.
     EndpointSignals,
+    /// A request had no valid key of a client account.
+    CredentialRefused,
     /// An answer contains a malformed statement of its upstream.
     SignalUnreadable,
+    /// The node holds other parts of a client account's allotment than before.
+    AllotmentHeld,
+    /// The holder of a part of an allotment did not answer.
+    AllotmentHolderSilent,
+    /// A configuration lowered the allotment of a client account.
+    AllotmentLowered,
+    /// A datagram about allotments could not be read.
+    DatagramUnreadable,
 }
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 33] = [
+    pub const ALL: [Self; 38] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -107,6 +117,11 @@
         Self::RateLimitChanged,
         Self::SignalUnreadable,
         Self::EndpointSignals,
+        Self::CredentialRefused,
+        Self::AllotmentHeld,
+        Self::AllotmentHolderSilent,
+        Self::AllotmentLowered,
+        Self::DatagramUnreadable,
     ];
 
     /// Returns the number of the event; numbers are never reused.
@@ -146,6 +161,11 @@
             Self::RateLimitChanged => 2106,
             Self::SignalUnreadable => 2107,
             Self::EndpointSignals => 2108,
+            Self::CredentialRefused => 2109,
+            Self::AllotmentHeld => 2110,
+            Self::AllotmentHolderSilent => 2111,
+            Self::AllotmentLowered => 2112,
+            Self::DatagramUnreadable => 2113,
         }
     }
 
@@ -186,6 +206,11 @@
             Self::RateLimitChanged => "rate-limit-changed",
             Self::SignalUnreadable => "signal-unreadable",
             Self::EndpointSignals => "endpoint-signals",
+            Self::CredentialRefused => "credential-refused",
+            Self::AllotmentHeld => "allotment-held",
+            Self::AllotmentHolderSilent => "allotment-holder-silent",
+            Self::AllotmentLowered => "allotment-lowered",
+            Self::DatagramUnreadable => "datagram-unreadable",
         }
     }
 }
--- a/cuminarch-node/src/metrics.rs
+++ b/cuminarch-node/src/metrics.rs
@@ -1,9 +1,9 @@
 //! Metrics of a node in the Prometheus text format.
 
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use cuminarch_engine::EngineSummary;
+use cuminarch_engine::{AllotmentCounts, AllotmentSummary, EngineSummary};
 use cuminarch_types::{Outcome, RatePerSecond, StoreEra};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -13,6 +13,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::interface::CredentialFault;
+
 /// Direction of a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Direction {
@@ -42,6 +44,85 @@
     direction: &'static str,
 }
 
+/// What became of a datagram about allotments.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DatagramResult {
+    /// Received and readable.
+    Received,
+    /// Received and dropped.
+    Unreadable,
+    /// Sent.
+    Sent,
+    /// Not sent.
+    Unsent,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ResultLabels {
+    result: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct AccountLabels {
+    account: String,
+    result: &'static str,
+}
+
+/// Metrics of the allotments of client accounts.
+#[derive(Clone, Debug, Default)]
+struct AllotmentMetrics {
+    datagrams: Family<ResultLabels, Counter>,
+    tokens: Family<AccountLabels, Counter>,
+    waiting: Gauge,
+}
+
+impl AllotmentMetrics {
+    /// Account label of the accounts that are not counted one by one; no account has this name.
+    const OTHER_ACCOUNTS: &'static str = "(other)";
+
+    fn register(registry: &mut Registry) -> Self {
+        let metrics = Self::default();
+        let help = "Datagrams about allotments, by what became of them";
+        registry.register("allotment_datagrams", help, metrics.datagrams.clone());
+        let help = "Decisions on requests for tokens by account, for a bounded number of accounts";
+        registry.register("allotment_tokens", help, metrics.tokens.clone());
+        let help = "Requests that wait for the holder of an allotment";
+        registry.register("allotment_waiting", help, metrics.waiting.clone());
+        metrics
+    }
+
+    fn set(&self, summary: &AllotmentSummary) {
+        for (account, counts) in &summary.accounts {
+            self.set_account(account.as_str(), counts);
+        }
+        if summary.others != AllotmentCounts::default() {
+            self.set_account(Self::OTHER_ACCOUNTS, &summary.others);
+        }
+        let ignored = ResultLabels { result: "ignored" };
+        let ignored = self.datagrams.get_or_create(&ignored);
+        ignored.inner().store(summary.ignored_datagrams, Ordering::Relaxed);
+        self.waiting.set(i64::try_from(summary.waiting).unwrap_or(i64::MAX));
+    }
+
+    fn set_account(&self, account: &str, counts: &AllotmentCounts) {
+        let results = [
+            ("granted", counts.granted),
+            ("exceeded", counts.exceeded),
+            ("unavailable", counts.unavailable),
+            ("given-back", counts.given_back),
+        ];
+        for (result, count) in results {
+            let labels = AccountLabels { account: account.to_owned(), result };
+            self.tokens.get_or_create(&labels).inner().store(count, Ordering::Relaxed);
+        }
+    }
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ReasonLabels {
+    reason: &'static str,
+}
+
 /// Metrics of the calls in one direction.
 #[derive(Clone, Debug)]
 struct CallMetrics {
@@ -74,9 +155,11 @@
     inbound: CallMetrics,
     outbound: CallMetrics,
     attempts: Counter,
+    credential_faults: Family<ReasonLabels, Counter>,
     connections_refused: Counter,
     ring_full: Counter,
     gauges: Gauges,
+    allotments: AllotmentMetrics,
     registry: Registry,
 }
 
@@ -124,6 +207,7 @@
         let (inbound, outbound) = (of(Direction::Inbound), of(Direction::Outbound));
         let attempts = Counter::default();
         registry.register("attempts", "Attempts sent to other nodes", attempts.clone());
+        let credential_faults = register_credential_faults(&mut registry);
         let connections_refused = Counter::default();
         let help = "Connections closed at once as there were too many";
         registry.register("connections_refused", help, connections_refused.clone());
@@ -134,7 +218,18 @@
             ring_full.clone(),
         );
         let gauges = Gauges::register(&mut registry);
-        Self { inbound, outbound, attempts, connections_refused, ring_full, gauges, registry }
+        let allotments = AllotmentMetrics::register(&mut registry);
+        Self {
+            inbound,
+            outbound,
+            attempts,
+            credential_faults,
+            connections_refused,
+            ring_full,
+            gauges,
+            allotments,
+            registry,
+        }
     }
 
     fn histogram() -> Histogram {
@@ -161,6 +256,11 @@
         self.attempts.inc();
     }
 
+    /// Records a request without a valid key.
+    pub fn record_credential_fault(&self, fault: CredentialFault) {
+        self.credential_faults.get_or_create(&ReasonLabels { reason: fault.as_str() }).inc();
+    }
+
     /// Records the time that a call spent in the node itself.
     pub fn record_node_time(&self, direction: Direction, time: Duration) {
         self.of(direction).node_time.observe(time.as_secs_f64());
@@ -183,9 +283,21 @@
         self.ring_full.inc();
     }
 
+    /// Records a datagram about allotments.
+    pub fn record_datagram(&self, result: DatagramResult) {
+        let result = match result {
+            DatagramResult::Received => "received",
+            DatagramResult::Unreadable => "unreadable",
+            DatagramResult::Sent => "sent",
+            DatagramResult::Unsent => "unsent",
+        };
+        self.allotments.datagrams.get_or_create(&ResultLabels { result }).inc();
+    }
+
     /// Encodes all metrics as text.
     pub fn encode_text(&self, summary: &EngineSummary, store_era: StoreEra) -> String {
         self.gauges.set(summary);
+        self.allotments.set(&summary.allotments);
         self.gauges.store_era.set(i64::try_from(store_era.get()).unwrap_or(i64::MAX));
         let mut text = String::new();
         let _ = encode(&mut text, &self.registry);
@@ -230,3 +342,14 @@
         self.draining.set(i64::from(summary.draining));
     }
 }
+
+/// Registers the counter of requests without a valid key, with one label for each fault.
+fn register_credential_faults(registry: &mut Registry) -> Family<ReasonLabels, Counter> {
+    let faults = Family::<ReasonLabels, Counter>::default();
+    for fault in CredentialFault::ALL {
+        drop(faults.get_or_create(&ReasonLabels { reason: fault.as_str() }));
+    }
+    let help = "Requests without a valid key of a client account, by reason";
+    registry.register("credentials_refused", help, faults.clone());
+    faults
+}
