--- a/cuminarch-allotment/src/table.rs
+++ b/cuminarch-allotment/src/table.rs
@@ -47,7 +47,11 @@
         for name in removed {
             self.remove_account(&name);
         }
-        let refills_from = first_refill(self.zone_changed_at, now);
+        let mut refills_from = first_refill(self.zone_changed_at, now);
+        // A process that has just been configured may not know all members yet.
+        if self.accounts.is_empty() {
+            refills_from = refills_from.max(now.after(QUARANTINE));
+        }
         for (name, limit) in accounts {
             if let Some(account) = self.accounts.get_mut(&name) {
                 account.set_limit(limit, &self.settings, &self.members, now);
@@ -79,6 +83,9 @@
         if !is_changed {
             return;
         }
+        if !is_member {
+            self.shared.heard(endpoint);
+        }
         if zone == self.settings.zone {
             self.zone_changed_at = Some(now);
         }
