feat: a node that rejoins the fleet refills its parts of allotments after 0.3 s

Cause: every process that starts waits 2 s before its parts refill, as it might not know the members. A node whose own object of an earlier process is in the store was a member all along; its parts were its own, and what the earlier process spent came from the same refill. It now waits 0.3 s for its peers. Weighed: no wait (the list may be stale), buckets kept in the store (a call for each change). The explored histories contain the restart with a list.

--- a/cuminarch-allotment/src/account.rs
+++ b/cuminarch-allotment/src/account.rs
@@ -193,6 +193,13 @@
         }
     }
 
+    /// Lets the parts held here refill from `refills_from` on, if not earlier.
+    pub(crate) fn end_quarantine(&mut self, refills_from: MonoTime) {
+        for part in self.held.values_mut() {
+            part.bucket.end_quarantine(refills_from);
+        }
+    }
+
     /// Forgets what is not needed while no request comes.
     pub(crate) fn forget_entry(&mut self) {
         self.entry = None;
--- a/cuminarch-allotment/src/bounds.rs
+++ b/cuminarch-allotment/src/bounds.rs
@@ -36,6 +36,9 @@
 /// Time without refill at a node that became a holder: longer than a change of members takes to
 /// reach the previous holder, at 860 nodes four steps of gossip of at most 0.4 s each.
 pub(crate) const QUARANTINE: Duration = Duration::from_secs(2);
+/// The same at a node that was a member before its process started: for the answers of peers to its
+/// first round of gossip, as the list of the store may lack those that joined in the last seconds.
+pub(crate) const REJOIN_QUARANTINE: Duration = Duration::from_millis(300);
 /// Time without any event after which a holder takes itself to have been suspended, and its parts
 /// are quarantined anew: the members may have changed meanwhile.
 pub(crate) const STALL: Duration = Duration::from_secs(1);
--- a/cuminarch-allotment/src/bucket.rs
+++ b/cuminarch-allotment/src/bucket.rs
@@ -42,6 +42,11 @@
         self.filled_at = self.filled_at.max(refills_from);
     }
 
+    /// Refills from `refills_from` on, if not earlier.
+    pub(crate) fn end_quarantine(&mut self, refills_from: MonoTime) {
+        self.filled_at = self.filled_at.min(refills_from);
+    }
+
     /// Applies a changed limit; the level is cut at once.
     pub(crate) fn resize(&mut self, share: &Share, now: MonoTime) {
         self.refill(now);
--- a/cuminarch-allotment/src/table.rs
+++ b/cuminarch-allotment/src/table.rs
@@ -5,7 +5,7 @@
 
 use crate::account::{Account, Members, first_refill};
 use crate::account_holder::not_holder;
-use crate::bounds::{IDLE_AGE, QUARANTINE, STALL};
+use crate::bounds::{IDLE_AGE, QUARANTINE, REJOIN_QUARANTINE, STALL};
 use crate::shared::{Purpose, Shared};
 use crate::{AccountSummary, AccountUsage, AllotmentOutput, AllotmentSettings, TokenDecision};
 
@@ -17,6 +17,8 @@
     members: Members,
     /// When the members of the own zone last changed.
     zone_changed_at: Option<MonoTime>,
+    /// Whether the members were known to be complete once.
+    is_confirmed: bool,
     pub(crate) shared: Shared,
     cleanup_at: Option<MonoTime>,
     /// Time of the last event.
@@ -33,6 +35,7 @@
             accounts: BTreeMap::new(),
             members: Members::new(),
             zone_changed_at: None,
+            is_confirmed: false,
             shared,
             cleanup_at: None,
             observed_at: None,
@@ -50,7 +53,8 @@
         let mut refills_from = first_refill(self.zone_changed_at, now);
         // A process that has just been configured may not know all members yet.
         if self.accounts.is_empty() {
-            refills_from = refills_from.max(now.after(QUARANTINE));
+            let quarantine = if self.is_confirmed { REJOIN_QUARANTINE } else { QUARANTINE };
+            refills_from = refills_from.max(now.after(quarantine));
         }
         for (name, limit) in accounts {
             if let Some(account) = self.accounts.get_mut(&name) {
@@ -95,6 +99,19 @@
         }
     }
 
+    /// Shortens the quarantine of a process that has just started: the members have been stated, and
+    /// this endpoint was one of them before. Its parts were its own then, so no other node holds them,
+    /// and what the earlier process spent came from the same refill.
+    pub fn confirm_members(&mut self, now: MonoTime) {
+        self.observe(now);
+        self.is_confirmed = true;
+        self.zone_changed_at = None;
+        for account in self.accounts.values_mut() {
+            account.end_quarantine(now.after(REJOIN_QUARANTINE));
+            account.resume(now, &mut self.shared);
+        }
+    }
+
     /// Decides whether a request of an account may start.
     pub fn request(&mut self, account: &AccountName, call: CallId, now: MonoTime) -> TokenDecision {
         self.observe(now);
--- a/cuminarch-allotment/tests/behaviour.rs
+++ b/cuminarch-allotment/tests/behaviour.rs
@@ -10,6 +10,7 @@
 use cuminarch_types::{
     AccountName, Allotment, CallId, EndpointId, MonoTime, RatePerSecond, ZoneName,
 };
+use rstest::rstest;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -399,6 +400,27 @@
     assert_eq!(table.request(&account(), call(2), now), TokenDecision::Granted);
 }
 
+#[rstest]
+#[case::members_first(true)]
+#[case::limits_first(false)]
+fn a_process_that_rejoined_begins_empty_and_refills_soon(#[case] members_first: bool) {
+    let settings = AllotmentSettings::new(endpoint("e-1"), zone("a"));
+    let (mut table, mut now) = (AllotmentTable::new(settings), MonoTime::from_millis(60_000));
+    table.set_member(&endpoint("e-1"), &zone("a"), true, now);
+    if members_first {
+        table.confirm_members(now);
+    }
+    table.set_accounts(limit(10.0, 10), now);
+    if !members_first {
+        table.confirm_members(now);
+    }
+    run(&mut table, &mut now, Duration::from_millis(350));
+    let first = table.request(&account(), call(1), now);
+    assert!(matches!(first, TokenDecision::Exceeded { .. }), "{first:?}");
+    run(&mut table, &mut now, Duration::from_millis(150));
+    assert_eq!(table.request(&account(), call(2), now), TokenDecision::Granted);
+}
+
 #[test]
 fn accounts_without_a_limit_are_not_counted() {
     let (mut table, now) = holder(5.0, 5);
--- a/cuminarch-allotment/tests/explore.rs
+++ b/cuminarch-allotment/tests/explore.rs
@@ -32,6 +32,7 @@
             Action::GiveBack(node, 0, node == 1),
             Action::Cut(node),
             Action::Restart(node),
+            Action::Rejoin(node),
         ]);
         actions.extend([Action::Suspend(node), Action::Limit(node), Action::Learn(node)]);
     }
--- a/cuminarch-allotment/tests/histories.rs
+++ b/cuminarch-allotment/tests/histories.rs
@@ -24,6 +24,7 @@
             .prop_map(Action::Advance),
         1 => node.clone().prop_map(Action::Cut),
         1 => node.clone().prop_map(Action::Restart),
+        1 => node.clone().prop_map(Action::Rejoin),
         1 => node.clone().prop_map(Action::Suspend),
         1 => node.clone().prop_map(Action::Limit),
         1 => Just(Action::Change),
--- a/cuminarch-allotment/tests/load.rs
+++ b/cuminarch-allotment/tests/load.rs
@@ -124,6 +124,23 @@
     assert!(load.share() >= 0.99);
 }
 
+/// All nodes lose power at once; their buckets begin empty, and 1.5 s later nine tenths of what one
+/// bucket would allow are let through.
+#[test]
+fn all_nodes_restart_and_rejoin() {
+    let mut load = fleet_87();
+    for node in 0..87 {
+        load.fleet.stop(node);
+        load.fleet.rejoin(node);
+    }
+    load.run(Duration::from_millis(1_500));
+    load.report("all restarted, first 1.5 s");
+    load.reset();
+    load.run(Duration::from_secs(2));
+    load.report("all restarted, next 2 s");
+    assert!(load.share() >= 0.9);
+}
+
 #[test]
 fn lost_datagrams_lose_little() {
     let mut load = fleet_87();
--- a/cuminarch-allotment/tests/support/fleet.rs
+++ b/cuminarch-allotment/tests/support/fleet.rs
@@ -104,6 +104,15 @@
         self.flush(node);
     }
 
+    /// Starts a process on a node that has read the members from the store.
+    pub fn rejoin(&mut self, node: usize) {
+        self.start(node);
+        if let Some(table) = &mut self.nodes[node].table {
+            table.confirm_members(self.now);
+        }
+        self.flush(node);
+    }
+
     pub fn stop(&mut self, node: usize) {
         self.nodes[node].table = None;
         self.nodes[node].wake_at = None;
--- a/cuminarch-allotment/tests/support/small.rs
+++ b/cuminarch-allotment/tests/support/small.rs
@@ -26,6 +26,8 @@
     Advance(u64),
     Cut(usize),
     Restart(usize),
+    /// A node restarts and reads the members from the store.
+    Rejoin(usize),
     Suspend(usize),
     /// A node applies the other limits.
     Limit(usize),
@@ -173,6 +175,7 @@
                 self.nodes[node].is_suspended = false;
                 self.start(node);
             }
+            Action::Rejoin(node) => self.rejoin(node),
             Action::Suspend(node) => self.suspend(node),
             Action::Limit(node) => self.set_limits(node),
             Action::Change => self.change(),
@@ -225,6 +228,24 @@
         self.flush(node);
     }
 
+    /// A node that leaves ends before the others hear of it, so the store never names fewer members
+    /// than act.
+    fn rejoin(&mut self, node: usize) {
+        let last = self.nodes.len() - 1;
+        let is_ending = !self.last_is_member && self.nodes[last].learns_by.is_some();
+        if is_ending || (node == last && !self.last_is_member) {
+            return;
+        }
+        let state = &mut self.nodes[node];
+        state.is_suspended = false;
+        state.learns_by = None;
+        state.knows_last = self.last_is_member;
+        self.start(node);
+        let now = self.now;
+        self.nodes[node].table.confirm_members(now);
+        self.flush(node);
+    }
+
     fn request(&mut self, node: usize, account: usize) {
         let (now, name) = (self.now, self.names[account].clone());
         let state = &mut self.nodes[node];
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -143,6 +143,7 @@
                 self.router.update(*member, now);
                 self.count_members();
             }
+            Event::Rejoined => self.allotments.table.confirm_members(now),
             Event::Tick => self.tick(now, &mut actions),
             Event::Drain => self.draining = true,
         }
--- a/cuminarch-engine/src/event.rs
+++ b/cuminarch-engine/src/event.rs
@@ -104,6 +104,8 @@
     Member(Box<Member>),
     /// A datagram about allotments was received from this address.
     Allotment(SocketAddr, Box<AllotmentDatagram>),
+    /// All members have been stated, and this endpoint was one of them before the process started.
+    Rejoined,
     /// Deadlines, retries and waiting calls may be due.
     Tick,
     /// Stop accepting new calls.
--- a/cuminarch-membership/src/action.rs
+++ b/cuminarch-membership/src/action.rs
@@ -51,6 +51,8 @@
     SafeDefaults,
     /// A newer process of the own endpoint exists.
     Superseded,
+    /// The store names the members, and an earlier process of the own endpoint among them.
+    Rejoined,
     /// A member is suspected.
     Suspected(EndpointId),
     /// A member was removed because it did not refute a suspicion or has been replaced.
@@ -67,7 +69,8 @@
             Self::PlatformUnavailable
             | Self::PlatformAvailable
             | Self::SafeDefaults
-            | Self::Superseded => Ok(()),
+            | Self::Superseded
+            | Self::Rejoined => Ok(()),
             Self::StoreRestored(era) => write!(formatter, "era={era}"),
             Self::ConfigInForce(revision) | Self::ConfigConflict(revision) => {
                 write!(formatter, "revision={revision}")
--- a/cuminarch-membership/src/roster/store.rs
+++ b/cuminarch-membership/src/roster/store.rs
@@ -28,6 +28,8 @@
     pub(super) next_list_at: Option<MonoTime>,
     /// Whether the members have been read.
     pub(super) is_listed: bool,
+    /// Whether an earlier process of the own endpoint was reported as rejoined.
+    is_rejoined: bool,
     /// Whether the next read of the members must not be stale.
     pub(super) needs_current_list: bool,
     /// Whether the own object matches the current state of the node.
@@ -58,6 +60,7 @@
             config_version: None,
             next_list_at: None,
             is_listed: false,
+            is_rejoined: false,
             needs_current_list: false,
             is_own_object_current: true,
             written_at: MonoTime::ZERO,
@@ -266,6 +269,7 @@
                 self.member_listed(member, object.version, now);
             }
         }
+        self.report_rejoined(objects);
         self.check_own_object(version, objects);
         if *call == PlatformCall::ListMembers {
             self.store.needs_current_list = false;
@@ -280,6 +284,19 @@
         self.store.next_list_at = Some(now.after(interval));
     }
 
+    /// Reports once that the other nodes have known this endpoint since before this process started.
+    fn report_rejoined(&mut self, objects: &[ZoneObject]) {
+        let mut members = objects.iter().flat_map(|object| &object.value.members);
+        let is_known = members.any(|member| {
+            member.endpoint == self.own.endpoint
+                && member.incarnation < self.own.incarnation
+                && member.state != MemberState::Gone
+        });
+        if is_known && !std::mem::replace(&mut self.store.is_rejoined, true) {
+            self.notice(FleetNotice::Rejoined);
+        }
+    }
+
     fn member_written(&mut self, call: &PlatformCall, version: ObjectVersion, now: MonoTime) {
         let PlatformCall::PutMember(written, expected) = call else { return };
         if written.endpoint != self.own.endpoint {
--- a/cuminarch-membership/tests/roster.rs
+++ b/cuminarch-membership/tests/roster.rs
@@ -78,6 +78,17 @@
     assert!(world.all_have(1));
 }
 
+#[test]
+fn only_a_node_that_the_store_knows_from_an_earlier_process_rejoins() {
+    let mut world = settled(16);
+    assert!(world.rejoined.is_empty());
+    world.nodes.remove(&name(5));
+    world.run(Duration::from_secs(1));
+    world.start(5, 2);
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.rejoined, [name(5)]);
+}
+
 #[test]
 fn an_earlier_configuration_never_comes_back() {
     let mut world = settled(8);
--- a/cuminarch-membership/tests/roster_world/mod.rs
+++ b/cuminarch-membership/tests/roster_world/mod.rs
@@ -8,7 +8,8 @@
 
 use cuminarch_config::ConfigDocument;
 use cuminarch_membership::{
-    FleetAction, FleetEvent, FleetSettings, ObjectVersion, PlatformCall, PlatformReply, Roster,
+    FleetAction, FleetEvent, FleetNotice, FleetSettings, ObjectVersion, PlatformCall,
+    PlatformReply, Roster,
 };
 use cuminarch_protocol::{Member, MemberState, UpstreamRecord, UpstreamState};
 use cuminarch_types::{EndpointId, Incarnation, MonoTime, Revision};
@@ -43,6 +44,8 @@
     pub due: VecDeque<(EndpointId, FleetEvent)>,
     /// Pairs of nodes of which the first has sent its hello to the second.
     pub linked: BTreeSet<(EndpointId, EndpointId)>,
+    /// Nodes that reported that an earlier process of theirs was known.
+    pub rejoined: Vec<EndpointId>,
 }
 
 pub fn name(index: usize) -> EndpointId {
@@ -97,6 +100,7 @@
             cost_tenths: 0,
             due: VecDeque::new(),
             linked: BTreeSet::new(),
+            rejoined: Vec::new(),
         };
         (0..nodes).for_each(|index| world.start(index, 1));
         world
@@ -153,6 +157,7 @@
                 FleetAction::View(member) => {
                     self.views.insert((node.clone(), member.endpoint.clone()), *member);
                 }
+                FleetAction::Notice(FleetNotice::Rejoined) => self.rejoined.push(node.clone()),
                 FleetAction::Connect(_) | FleetAction::Notice(_) => {}
             }
         }
--- a/cuminarch-node/src/control/thread.rs
+++ b/cuminarch-node/src/control/thread.rs
@@ -188,8 +188,10 @@
             FleetAction::Policy(policy) => self.command(DataCommand::Policy(policy)).await,
             FleetAction::Notice(notice) => {
                 log_notice(&notice);
-                if notice == FleetNotice::Superseded {
-                    self.command(DataCommand::Drain).await;
+                match notice {
+                    FleetNotice::Superseded => self.command(DataCommand::Drain).await,
+                    FleetNotice::Rejoined => self.command(DataCommand::Rejoined).await,
+                    _ => {}
                 }
             }
         }
@@ -210,6 +212,7 @@
         FleetNotice::ConfigConflict(_) => error!("{} {notice}", NodeEvent::ConfigConflict),
         FleetNotice::SafeDefaults => warn!("{}", NodeEvent::SafeDefaults),
         FleetNotice::Superseded => error!("{}", NodeEvent::Superseded),
+        FleetNotice::Rejoined => info!("{}", NodeEvent::Rejoined),
         FleetNotice::Suspected(_) => info!("{} {notice}", NodeEvent::MemberSuspected),
         FleetNotice::GivenUp(_) => info!("{} {notice}", NodeEvent::MemberGivenUp),
         FleetNotice::ZoneCut(_) => warn!("{} {notice}", NodeEvent::ZoneCut),
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -42,6 +42,8 @@
     Claimed(CallId, ClaimResult),
     /// Report the node as not ready, but continue to serve calls.
     Leave,
+    /// The members are known, and this endpoint was one of them before the process started.
+    Rejoined,
     /// Refuse new calls.
     Drain,
     /// Apply new retry budget settings.
@@ -317,6 +319,7 @@
                 DataCommand::RetryBudget(settings) => {
                     self.shared.state.borrow_mut().engine.set_retry_budget(settings);
                 }
+                DataCommand::Rejoined => self.post(Event::Rejoined),
                 DataCommand::Leave => self.shared.is_leaving.set(true),
                 DataCommand::Drain => {
                     self.shared.is_leaving.set(true);
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -41,6 +41,8 @@
     ZoneJoined,
     /// A newer process of the own endpoint exists.
     Superseded,
+    /// The members are known, and an earlier process of the own endpoint is one of them.
+    Rejoined,
     /// The registration of the own upstream changed.
     UpstreamChanged,
     /// A registration was refused.
@@ -83,7 +85,7 @@
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 38] = [
+    pub const ALL: [Self; 39] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -102,6 +104,7 @@
         Self::ZoneCut,
         Self::ZoneJoined,
         Self::Superseded,
+        Self::Rejoined,
         Self::UpstreamChanged,
         Self::RegistrationRefused,
         Self::ObjectUnreadable,
@@ -146,6 +149,7 @@
             Self::ZoneCut => 6003,
             Self::ZoneJoined => 6004,
             Self::Superseded => 6005,
+            Self::Rejoined => 6008,
             Self::UpstreamChanged => 6006,
             Self::RegistrationRefused => 6007,
             Self::ObjectUnreadable => 3003,
@@ -191,6 +195,7 @@
             Self::ZoneCut => "zone-cut",
             Self::ZoneJoined => "zone-joined",
             Self::Superseded => "superseded",
+            Self::Rejoined => "rejoined",
             Self::UpstreamChanged => "upstream-changed",
             Self::RegistrationRefused => "registration-refused",
             Self::ObjectUnreadable => "object-unreadable",
