fix(cuminarch-engine): datagrams bear the incarnation that peers know

Found by reading: where the clock of a host was set back, the roster raises the incarnation of the new process, but datagrams bore the one of its start, so peers dropped them and requests of accounts at that node got 503 for its whole life. The new test fails without the change.

--- a/cuminarch-engine/src/allotments.rs
+++ b/cuminarch-engine/src/allotments.rs
@@ -3,7 +3,7 @@
 
 use cuminarch_allotment::{AllotmentOutput, AllotmentSettings, AllotmentTable, TokenDecision};
 use cuminarch_protocol::{AllotmentDatagram, Member};
-use cuminarch_types::{AccountName, Allotment, CallId, EndpointId, MonoTime};
+use cuminarch_types::{AccountName, Allotment, CallId, EndpointId, Incarnation, MonoTime};
 
 use crate::allotment_counts::AllotmentState;
 use crate::allotment_peers::AllotmentPeers;
@@ -26,6 +26,9 @@
     pub notices: Vec<AllotmentNotice>,
     /// Time of the latest event.
     pub now: MonoTime,
+    /// Incarnation of this process as other nodes know it; higher than the one that it started with
+    /// if the clock of the host was set back.
+    pub incarnation: Incarnation,
 }
 
 impl Allotments {
@@ -46,6 +49,7 @@
             held_parts: BTreeMap::new(),
             notices: Vec::new(),
             now: MonoTime::ZERO,
+            incarnation: settings.incarnation,
         }
     }
 
@@ -53,6 +57,7 @@
     pub fn record_member(&mut self, member: &Member, now: MonoTime) {
         let endpoint = &member.endpoint;
         if *endpoint == self.table.settings().endpoint {
+            self.incarnation = self.incarnation.max(member.incarnation);
             return;
         }
         let Some((previous, peer)) = self.peers.apply(member) else { return };
--- a/cuminarch-engine/src/allotted.rs
+++ b/cuminarch-engine/src/allotted.rs
@@ -163,7 +163,7 @@
                 AllotmentOutput::Send(endpoint, message) => {
                     let Some(to) = self.allotments.address(&endpoint) else { continue };
                     let from = self.settings.endpoint.clone();
-                    let incarnation = self.settings.incarnation;
+                    let incarnation = self.allotments.incarnation;
                     let datagram = Box::new(AllotmentDatagram { from, incarnation, message });
                     actions.push(Action::SendAllotment { to, datagram });
                 }
--- a/cuminarch-engine/tests/allotments.rs
+++ b/cuminarch-engine/tests/allotments.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use allotment_mesh::{Mesh, Serving, address, member};
-use cuminarch_engine::{AllotmentNotice, Event, RefusalReason};
+use cuminarch_engine::{AllotmentNotice, Engine, Event, RefusalReason};
 use cuminarch_protocol::{AllotmentDatagram, AllotmentGrant, AllotmentMessage, MemberState};
 use cuminarch_types::Incarnation;
 use rstest::rstest;
@@ -252,6 +252,27 @@
     assert_eq!(mesh.engines[2].summary().allotments.ignored_datagrams, 1);
 }
 
+/// Peers know a higher incarnation than the one that the process started with, because the clock of
+/// its host was set back; its datagrams must still be accepted.
+#[test]
+fn datagrams_bear_the_incarnation_that_peers_know() {
+    let mut mesh = filled(1);
+    let name = format!("{}-0", allotment_mesh::ZONES[0]);
+    let mut own = member(0, &name, allotment_mesh::ZONES[0]);
+    own.incarnation = Incarnation::new(9);
+    for node in 0..mesh.engines.len() {
+        mesh.handle(node, Event::Member(Box::new(own.clone())));
+    }
+    // More than the part of the own zone holds.
+    for _ in 0..30 {
+        mesh.call(0);
+    }
+    mesh.run_for(Duration::from_secs(1));
+    let ignored = |engine: &Engine| engine.summary().allotments.ignored_datagrams;
+    assert!(mesh.datagrams > 0);
+    assert_eq!(mesh.engines.iter().map(ignored).sum::<u64>(), 0);
+}
+
 /// Returns the number of parts that each node holds.
 fn held_parts(mesh: &Mesh) -> Vec<usize> {
     let states = mesh.engines.iter().map(|engine| engine.summary().allotments.states);
