--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use cuminarch_admission::{
-    Admission, AdmissionControl, FanoutEstimator, InternalRouteDetector, Origin, ReportedUsage,
-    Shedder,
+    Admission, AdmissionControl, FanoutEstimator, InternalRouteDetector, NestedFailures, Origin,
+    ReportedUsage, Shedder,
 };
 use cuminarch_attempts::{
     Backoff, DemandEstimator, EndpointPosition, RetryBudget, RetryBudgetSettings, RetryRatioLimiter,
@@ -45,6 +45,8 @@
     /// The local upstream, if upstreams register.
     pub(crate) upstream: Option<UpstreamRecord>,
     pub(crate) shedder: Shedder,
+    /// Shortages of downstream services, as shown by nested calls that failed.
+    pub(crate) nested_failures: NestedFailures,
     /// Usage of client accounts over all nodes, as last reported.
     pub(crate) account_usages: BTreeMap<AccountName, ReportedUsage>,
     pub(crate) fanout_estimator: FanoutEstimator,
@@ -88,6 +90,7 @@
             draining: false,
             upstream: None,
             shedder: Self::new_shedder(&settings),
+            nested_failures: NestedFailures::new(),
             account_usages: BTreeMap::new(),
             fanout_estimator: FanoutEstimator::new(),
             fan_outs_milli: BTreeMap::new(),
@@ -293,6 +296,7 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
+        self.record_nested_refusal(call, refusal.reason, now);
         self.adjust_refusal(call, &mut refusal);
         let receipt = self.remove(call, now, actions).unwrap_or_default();
         actions.push(Action::Refuse { call, refusal, receipt });
--- a/cuminarch-engine/src/lib.rs
+++ b/cuminarch-engine/src/lib.rs
@@ -30,6 +30,7 @@
 mod inbound;
 mod keys;
 mod load;
+mod nested;
 mod outbound;
 mod refusal;
 mod routed;
--- a/cuminarch-engine/src/load.rs
+++ b/cuminarch-engine/src/load.rs
@@ -33,7 +33,7 @@
             call_cost: self.admission.holding_time(route),
         };
         let downstream = self.fanout_estimator.fanouts(route).filter_map(|(child, calls)| {
-            let shortage = self.shedder.shortage(child)?.clone();
+            let shortage = self.downstream_shortage(child, now)?;
             Some(ServiceShortage { call_cost: shortage.call_cost.mul_f64(calls), ..shortage })
         });
         let all = std::iter::once(own).chain(downstream);
@@ -44,6 +44,17 @@
             .max_by(|left, right| left.shed_milli_at(now).total_cmp(&right.shed_milli_at(now)))
     }
 
+    /// Returns the shortage behind a downstream route: the larger one of what answers report and
+    /// what failed calls show.
+    fn downstream_shortage(&self, route: &RouteName, now: MonoTime) -> Option<ServiceShortage> {
+        let reported = self.shedder.shortage(route).cloned();
+        let Some(seen) = self.nested_failures.shortage(route, now) else { return reported };
+        match reported {
+            Some(reported) if reported.shed_milli_at(now) >= seen.shed_milli => Some(reported),
+            _ => Some(seen),
+        }
+    }
+
     /// Returns the calls that one call of `route` causes at the downstream service called most, in
     /// thousandths.
     fn fan_out_milli(&self, route: &RouteName) -> u32 {
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -92,6 +92,7 @@
     ) {
         let Some(in_flight) = self.current_attempt(id, attempt) else { return };
         let share = in_flight.share;
+        self.record_nested_answer(id, now);
         if let Some(receipt) = &receipt {
             self.observe_demand(id, share, receipt);
         }
--- a/cuminarch-types/src/mechanism.rs
+++ b/cuminarch-types/src/mechanism.rs
@@ -21,6 +21,8 @@
     Ejection,
     /// Avoids endpoints in proportion to the fraction of calls that they fail.
     FaultCost,
+    /// Counts nested calls that got no answer as shortage of the service that they were sent to.
+    NestedFailureShortage,
     /// Chooses endpoints by the occupancy that they report.
     OccupancyReports,
     /// Pauses retries to a service after one of its serving nodes denied a retry.
@@ -49,11 +51,12 @@
 
 impl Mechanism {
     /// All mechanisms in order of name.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::AccountShares,
         Self::ClassOrder,
         Self::Ejection,
         Self::FaultCost,
+        Self::NestedFailureShortage,
         Self::OccupancyReports,
         Self::RepeatPause,
         Self::Repeats,
@@ -76,6 +79,7 @@
             Self::ClassOrder => "class-order",
             Self::Ejection => "ejection",
             Self::FaultCost => "fault-cost",
+            Self::NestedFailureShortage => "nested-failure-shortage",
             Self::OccupancyReports => "occupancy-reports",
             Self::RepeatPause => "repeat-pause",
             Self::Repeats => "repeats",
