--- a/cuminarch-admission/src/lib.rs
+++ b/cuminarch-admission/src/lib.rs
@@ -39,6 +39,7 @@
 mod shortage;
 mod slot_admission;
 mod start_pacer;
+mod start_ramp;
 mod usage_estimator;
 mod usage_histogram;
 
@@ -57,3 +58,4 @@
 pub use shedder::{ServiceShortage, Shedder};
 pub use slot_admission::SlotAdmission;
 pub use start_pacer::{RateLimitChange, StartPacer};
+pub use start_ramp::StartRamp;
--- a/cuminarch-admission/tests/shrinking_room.rs
+++ b/cuminarch-admission/tests/shrinking_room.rs
@@ -9,7 +9,7 @@
 
 use cuminarch_admission::{
     AdmissionControl, AdmissionDecision, AdmissionRequest, NestedFailures, QueueEvent,
-    ServiceShortage, Shedder, SlotAdmission,
+    ServiceShortage, Shedder, SlotAdmission, StartRamp,
 };
 use cuminarch_types::{
     CallId, ConcurrencyLimit, MonoTime, Priority, Rank, RequestId, RouteName, ServiceName,
@@ -31,20 +31,23 @@
 const HANG: Duration = Duration::from_millis(100);
 const LOST_AT: MonoTime = MonoTime::from_millis(6_000);
 const BACK_AT: MonoTime = MonoTime::from_millis(14_000);
+const START_UNTIL: MonoTime = MonoTime::from_millis(5_000);
 const UNTIL: MonoTime = MonoTime::from_millis(24_000);
 /// Calls per second that an endpoint runs: 20 used slots of 20 ms.
 const ENDPOINT_ROOM_PER_S: f64 = 1_000.0;
 /// Of what is let in, from one second after the loss on.
 const MAX_FAILED: f64 = 0.02;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 enum Decider {
     /// Refuses nothing at the entry.
     Naive,
     /// Today's code: only reported shortage.
     Reported,
-    /// The code under test.
+    /// Failed nested calls count as shortage.
     NestedFailures,
+    /// Besides, a ramp after the start.
+    Ramp,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -53,6 +56,8 @@
     offered: f64,
     /// Whether endpoints report their shortage.
     reports: bool,
+    /// When half of the endpoints are lost.
+    lost_at: Option<MonoTime>,
 }
 
 enum Event {
@@ -72,6 +77,7 @@
     let_in_at: MonoTime,
     sent_at: MonoTime,
     is_done: bool,
+    is_served: bool,
 }
 
 #[derive(Debug, Default)]
@@ -87,6 +93,12 @@
     }
 }
 
+struct Outcome {
+    start: Tally,
+    shrunk: Tally,
+    recovered: Tally,
+}
+
 struct World {
     load: Load,
     decider: Decider,
@@ -100,6 +112,9 @@
     requests: BTreeMap<u64, Request>,
     route: RouteName,
     service: ServiceName,
+    ramps: Vec<StartRamp>,
+    /// The first four seconds.
+    start: Tally,
     /// From one second after the loss to the return, and from two seconds after it.
     shrunk: Tally,
     recovered: Tally,
@@ -125,12 +140,14 @@
             requests: BTreeMap::new(),
             route: "browse".parse().unwrap(),
             service: "lager".parse().unwrap(),
+            ramps: vec![StartRamp::new(); ENTRY_NODES],
+            start: Tally::default(),
             shrunk: Tally::default(),
             recovered: Tally::default(),
         }
     }
 
-    fn play(mut self) -> (Tally, Tally) {
+    fn play(mut self) -> Outcome {
         (0..ENTRY_NODES).for_each(|entry| self.next_arrival(entry));
         while let Some(((at, _), event)) = self.queue.pop_first() {
             if at >= UNTIL {
@@ -144,12 +161,13 @@
                 Event::RunEnd(endpoint, id) => self.end_run(endpoint, id),
                 Event::Hung(id) => self.call_endpoint(id),
                 Event::Answer(id, shortage) => {
-                    let entry = self.requests.remove(&id).unwrap().entry;
-                    self.entries[entry].record_report(&self.route, shortage, at);
+                    let request = self.requests.remove(&id).unwrap();
+                    self.ramps[request.entry].record_end(&self.route, request.is_served);
+                    self.entries[request.entry].record_report(&self.route, shortage, at);
                 }
             }
         }
-        (self.shrunk, self.recovered)
+        Outcome { start: self.start, shrunk: self.shrunk, recovered: self.recovered }
     }
 
     fn after(&mut self, delay: Duration, event: Event) {
@@ -164,7 +182,9 @@
     }
 
     fn tally(&mut self, at: MonoTime) -> Option<&mut Tally> {
-        if (LOST_AT.after(Duration::from_secs(1))..BACK_AT).contains(&at) {
+        if at < START_UNTIL {
+            Some(&mut self.start)
+        } else if (LOST_AT.after(Duration::from_secs(1))..BACK_AT).contains(&at) {
             Some(&mut self.shrunk)
         } else if at >= BACK_AT.after(Duration::from_secs(2)) {
             Some(&mut self.recovered)
@@ -178,7 +198,10 @@
         let now = self.now;
         let rank = Rank::of_request(Priority::new(2), RequestId::new(self.rng.random()));
         let is_refused = self.entries[entry].should_refuse(&self.route, rank, now);
-        if is_refused && self.decider != Decider::Naive {
+        let is_ramping = self.decider == Decider::Ramp
+            && !is_refused
+            && !self.ramps[entry].admit(&self.route, now);
+        if is_ramping || is_refused && self.decider != Decider::Naive {
             if let Some(tally) = self.tally(now) {
                 tally.refused += 1.0;
             }
@@ -197,6 +220,7 @@
             let_in_at: now,
             sent_at: now,
             is_done: false,
+            is_served: false,
         };
         self.requests.insert(id, request);
         self.after(TRAVEL, Event::AtMiddle(id));
@@ -204,8 +228,9 @@
 
     /// Sends the nested call to an endpoint that it has not tried, or gives it up.
     fn call_endpoint(&mut self, id: u64) {
-        let is_lost = (LOST_AT..BACK_AT).contains(&self.now);
-        let is_noticed = is_lost && self.now >= LOST_AT.after(LOSS_NOTICED);
+        let lost_at = self.load.lost_at.unwrap_or(BACK_AT);
+        let is_lost = (lost_at..BACK_AT).contains(&self.now);
+        let is_noticed = is_lost && self.now >= lost_at.after(LOSS_NOTICED);
         let count = if is_noticed { LEFT_ENDPOINTS } else { ENDPOINTS };
         let pick = self.rng.random_range(0..count);
         let now = self.now;
@@ -264,6 +289,7 @@
         let now = self.now;
         let request = self.requests.get_mut(&id).unwrap();
         assert!(!std::mem::replace(&mut request.is_done, true));
+        request.is_served = endpoint.is_some();
         let (let_in_at, middle, sent_at) = (request.let_in_at, request.middle, request.sent_at);
         if endpoint.is_none()
             && let Some(tally) = self.tally(let_in_at)
@@ -286,7 +312,7 @@
         let reported = shedder.shortage(&self.route).cloned();
         let seen = failures.shortage(&self.route, now);
         let shortage = match (reported, seen) {
-            (reported, _) if self.decider != Decider::NestedFailures => reported,
+            (reported, _) if self.decider < Decider::NestedFailures => reported,
             (Some(reported), Some(seen)) if reported.shed_milli_at(now) < seen.shed_milli => {
                 Some(seen)
             }
@@ -298,9 +324,12 @@
 }
 
 const LOADS: [(&str, Load); 3] = [
-    ("room halved, endpoints report", Load { offered: 0.8, reports: true }),
-    ("room halved, endpoints do not report", Load { offered: 0.8, reports: false }),
-    ("room halved, light load", Load { offered: 0.6, reports: false }),
+    ("room halved, endpoints report", Load { offered: 0.8, reports: true, lost_at: Some(LOST_AT) }),
+    (
+        "room halved, endpoints do not report",
+        Load { offered: 0.8, reports: false, lost_at: Some(LOST_AT) },
+    ),
+    ("room halved, light load", Load { offered: 0.6, reports: false, lost_at: Some(LOST_AT) }),
 ];
 
 #[test]
@@ -309,7 +338,7 @@
     for (name, load) in LOADS {
         writeln!(table, "{name}").unwrap();
         for decider in [Decider::Naive, Decider::Reported, Decider::NestedFailures] {
-            let (shrunk, recovered) = World::new(load, decider).play();
+            let Outcome { shrunk, recovered, .. } = World::new(load, decider).play();
             let served = (shrunk.let_in - shrunk.failed) / (shrunk.let_in + shrunk.refused);
             let refused = recovered.refused / (recovered.let_in + recovered.refused);
             let room = LEFT_ENDPOINTS as f64 / ENDPOINTS as f64 / load.offered;
@@ -330,7 +359,52 @@
 #[case::endpoints_do_not_report(LOADS[1].1)]
 #[case::light_load(LOADS[2].1)]
 fn little_of_what_is_let_in_fails_after_the_room_halved(#[case] load: Load) {
-    let (shrunk, recovered) = World::new(load, Decider::NestedFailures).play();
+    let Outcome { shrunk, recovered, .. } = World::new(load, Decider::NestedFailures).play();
     assert!(shrunk.failed() <= MAX_FAILED, "{shrunk:?}");
     assert!(recovered.failed() <= MAX_FAILED, "{recovered:?}");
 }
+
+/// A surge that begins with the start of all nodes, three times the room.
+const START_SURGE: Load = Load { offered: 3.0, reports: true, lost_at: None };
+
+#[test]
+fn a_surge_at_the_start_beside_todays_code() {
+    let mut table = String::new();
+    for decider in [Decider::Naive, Decider::Reported, Decider::NestedFailures, Decider::Ramp] {
+        let start = World::new(START_SURGE, decider).play().start;
+        let served = (start.let_in - start.failed) / (start.let_in + start.refused);
+        let failed = start.failed();
+        writeln!(
+            table,
+            "{decider:?}: failed deep {failed:.3} of what is let in; served {served:.2}"
+        )
+        .unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[test]
+fn little_of_what_is_let_in_fails_after_a_start() {
+    let todays = World::new(START_SURGE, Decider::Reported).play().start;
+    let start = World::new(START_SURGE, Decider::Ramp).play().start;
+    assert!(start.failed() <= MAX_FAILED, "{start:?}");
+    assert!(start.let_in - start.failed >= 0.95 * (todays.let_in - todays.failed), "{start:?}");
+}
+
+/// A node with 28 requests a second on seven routes, each of 0.3 s, from its start.
+#[test]
+fn the_ramp_refuses_nothing_at_the_usual_load() {
+    let mut ramp = StartRamp::new();
+    let routes: Vec<RouteName> =
+        (0..7).map(|index| format!("r-{index}").parse().unwrap()).collect();
+    let mut running: BTreeMap<u64, &RouteName> = BTreeMap::new();
+    for step in 0..200_u64 {
+        let now = MonoTime::from_millis(1_000 + step * 36);
+        while let Some(entry) = running.first_entry().filter(|entry| *entry.key() <= step) {
+            ramp.record_end(entry.remove(), true);
+        }
+        let route = &routes[step as usize % routes.len()];
+        assert!(ramp.admit(route, now), "{step}");
+        running.insert(step + 9, route);
+    }
+}
--- a/cuminarch-engine/src/call.rs
+++ b/cuminarch-engine/src/call.rs
@@ -144,4 +144,6 @@
     pub share: Attempts,
     pub sent_at: MonoTime,
     pub delivering: bool,
+    /// Whether the upstream's answer states a failure.
+    pub is_failure: bool,
 }
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -4,7 +4,7 @@
 
 use cuminarch_admission::{
     Admission, AdmissionControl, FanoutEstimator, InternalRouteDetector, NestedFailures, Origin,
-    ReportedUsage, Shedder,
+    ReportedUsage, Shedder, StartRamp,
 };
 use cuminarch_attempts::{
     Backoff, DemandEstimator, EndpointPosition, RetryBudget, RetryBudgetSettings, RetryRatioLimiter,
@@ -47,6 +47,8 @@
     pub(crate) shedder: Shedder,
     /// Shortages of downstream services, as shown by nested calls that failed.
     pub(crate) nested_failures: NestedFailures,
+    /// Bound of the requests in flight after the start.
+    pub(crate) start_ramp: StartRamp,
     /// Usage of client accounts over all nodes, as last reported.
     pub(crate) account_usages: BTreeMap<AccountName, ReportedUsage>,
     pub(crate) fanout_estimator: FanoutEstimator,
@@ -91,6 +93,7 @@
             upstream: None,
             shedder: Self::new_shedder(&settings),
             nested_failures: NestedFailures::new(),
+            start_ramp: StartRamp::new(),
             account_usages: BTreeMap::new(),
             fanout_estimator: FanoutEstimator::new(),
             fan_outs_milli: BTreeMap::new(),
@@ -296,7 +299,7 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
-        self.record_nested_refusal(call, refusal.reason, now);
+        self.record_refused_end(call, refusal.reason, now);
         self.adjust_refusal(call, &mut refusal);
         let receipt = self.remove(call, now, actions).unwrap_or_default();
         actions.push(Action::Refuse { call, refusal, receipt });
--- a/cuminarch-engine/src/nested.rs
+++ b/cuminarch-engine/src/nested.rs
@@ -1,46 +1,67 @@
-//! Nested calls that got no answer count as a shortage of the service that they were sent to.
+//! How calls to other services end, as evidence of the room there: nested calls that got no answer
+//! count as a shortage, and callers' requests that were served widen the ramp after a start.
 
-use cuminarch_types::{CallId, CapacityMode, Mechanism, MonoTime};
+use cuminarch_types::{CallId, CapacityMode, Mechanism, MonoTime, RouteName};
 
-use crate::call::Stage;
-use crate::{Engine, RefusalReason};
+use crate::call::{Call, Sending, Stage};
+use crate::{Engine, Refusal, RefusalReason};
 
 impl Engine {
-    fn counts_nested_failures(&self) -> bool {
+    fn is_learned(&self, mechanism: Mechanism) -> bool {
         self.settings.capacity == CapacityMode::Learned
-            && !self.settings.disabled.contains(Mechanism::NestedFailureShortage)
+            && !self.settings.disabled.contains(mechanism)
     }
 
-    /// Records that a nested call was answered.
-    pub(crate) fn record_nested_answer(&mut self, id: CallId, now: MonoTime) {
-        let Some(call) = self.calls.get(&id).filter(|_| self.counts_nested_failures()) else {
+    /// Refuses a caller's request if too many are in flight so soon after the start.
+    pub(crate) fn refuse_by_ramp(&mut self, route: &RouteName, now: MonoTime) -> Option<Refusal> {
+        if !self.is_learned(Mechanism::StartRamp) || self.start_ramp.admit(route, now) {
+            return None;
+        }
+        let refusal = Refusal::not_run(RefusalReason::OverloadedBehind);
+        Some(refusal.with_detail("start_ramp=full".into()))
+    }
+
+    /// Records the end of a routed call that an upstream answered.
+    pub(crate) fn record_answered_end(&mut self, id: CallId, now: MonoTime) {
+        let learns_failures = self.is_learned(Mechanism::NestedFailureShortage);
+        let Some((is_nested, route, sending)) = self.calls.get(&id).and_then(sent_call) else {
             return;
         };
-        let Some(routed) = call.routed.as_ref().filter(|routed| routed.is_nested) else { return };
-        let Stage::Sending(sending) = &call.stage else { return };
         let Some(in_flight) = &sending.current else { return };
-        let call_time = Some(now.since(in_flight.sent_at));
-        self.nested_failures.record_end(&routed.route, &sending.service, call_time, now);
+        if !is_nested {
+            self.start_ramp.record_end(route, !in_flight.is_failure);
+        } else if learns_failures {
+            let call_time = Some(now.since(in_flight.sent_at));
+            self.nested_failures.record_end(route, &sending.service, call_time, now);
+        }
     }
 
-    /// Records that a nested call ends without an answer, if for lack of room or endpoints.
-    pub(crate) fn record_nested_refusal(
-        &mut self,
-        id: CallId,
-        reason: RefusalReason,
-        now: MonoTime,
-    ) {
-        let Some(call) = self.calls.get(&id).filter(|_| self.counts_nested_failures()) else {
+    /// Records the end of a routed call that got no answer.
+    pub(crate) fn record_refused_end(&mut self, id: CallId, reason: RefusalReason, now: MonoTime) {
+        let learns_failures = self.is_learned(Mechanism::NestedFailureShortage);
+        let Some((is_nested, route, sending)) = self.calls.get(&id).and_then(sent_call) else {
             return;
         };
-        let Some(routed) = call.routed.as_ref().filter(|routed| routed.is_nested) else { return };
-        let Stage::Sending(sending) = &call.stage else { return };
-        if is_lack_of_room(reason) {
-            self.nested_failures.record_end(&routed.route, &sending.service, None, now);
+        if !is_nested {
+            let is_shed_here =
+                reason == RefusalReason::OverloadedBehind && sending.tried.is_empty();
+            if !is_shed_here {
+                self.start_ramp.record_end(route, false);
+            }
+        } else if is_lack_of_room(reason) && learns_failures {
+            self.nested_failures.record_end(route, &sending.service, None, now);
         }
     }
 }
 
+/// Returns the route and the attempts of a call to another service that took a route, and whether
+/// it is nested.
+fn sent_call(call: &Call) -> Option<(bool, &RouteName, &Sending)> {
+    let Stage::Sending(sending) = &call.stage else { return None };
+    let routed = call.routed.as_ref()?;
+    Some((routed.is_nested, &routed.route, sending))
+}
+
 const fn is_lack_of_room(reason: RefusalReason) -> bool {
     matches!(
         reason,
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -69,6 +69,7 @@
             return;
         };
         in_flight.delivering = true;
+        in_flight.is_failure = is_failure;
         let endpoint = in_flight.endpoint.clone();
         let result = if is_failure {
             CallResult::UpstreamError
@@ -92,7 +93,7 @@
     ) {
         let Some(in_flight) = self.current_attempt(id, attempt) else { return };
         let share = in_flight.share;
-        self.record_nested_answer(id, now);
+        self.record_answered_end(id, now);
         if let Some(receipt) = &receipt {
             self.observe_demand(id, share, receipt);
         }
@@ -207,6 +208,7 @@
             share,
             sent_at: now,
             delivering: false,
+            is_failure: false,
         });
         let service = sending.service.clone();
         let send = Self::send_kind(sending);
--- a/cuminarch-engine/src/shedding.rs
+++ b/cuminarch-engine/src/shedding.rs
@@ -45,7 +45,7 @@
         let demand = self.account_demand(&request);
         let decision = self.shedder.decide(&request, call.rank, &demand, now);
         if !decision.is_refused || self.settings.disabled.contains(Mechanism::Shedding) {
-            return None;
+            return self.refuse_by_ramp(&request.route, now);
         }
         let detail = self.shed_detail(&request, &decision, now);
         Some(Refusal::not_run(RefusalReason::OverloadedBehind).with_detail(detail))
--- a/cuminarch-types/src/mechanism.rs
+++ b/cuminarch-types/src/mechanism.rs
@@ -37,6 +37,8 @@
     SlotReserve,
     /// Sends calls to other zones when a zone has no capacity.
     SpillOver,
+    /// Bounds the requests in flight after the start of an entry node.
+    StartRamp,
     /// Counts calls that the upstream turns away as shortage.
     TurnedAwayShortage,
     /// Refuses, at the serving node, callers' requests that would wait too long.
@@ -51,7 +53,7 @@
 
 impl Mechanism {
     /// All mechanisms in order of name.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::AccountShares,
         Self::ClassOrder,
         Self::Ejection,
@@ -64,6 +66,7 @@
         Self::Shedding,
         Self::SlotReserve,
         Self::SpillOver,
+        Self::StartRamp,
         Self::TurnedAwayShortage,
         Self::WaitRefusal,
         Self::WarmUp,
@@ -87,6 +90,7 @@
             Self::Shedding => "shedding",
             Self::SlotReserve => "slot-reserve",
             Self::SpillOver => "spill-over",
+            Self::StartRamp => "start-ramp",
             Self::TurnedAwayShortage => "turned-away-shortage",
             Self::WaitRefusal => "wait-refusal",
             Self::WarmUp => "warm-up",
