--- a/cuminarch-admission/tests/returning_callers.rs
+++ b/cuminarch-admission/tests/returning_callers.rs
@@ -35,6 +35,8 @@
 struct Load {
     requests_per_s: f64,
     accounts: usize,
+    /// Requests of the first account relative to those of another one.
+    hot_factor: usize,
     room: f64,
     /// Part of the callers told a time who give up instead.
     give_up: f64,
@@ -58,6 +60,9 @@
     returned_in_time: f64,
     refused_again: f64,
     times: BTreeSet<MonoTime>,
+    /// Requests of the accounts other than the first one, and those of them that were served.
+    other_requests: f64,
+    other_served: f64,
 }
 
 impl Result {
@@ -75,6 +80,10 @@
     }
 }
 
+fn account_name(index: usize) -> AccountName {
+    format!("account-{index}").parse().unwrap()
+}
+
 struct World {
     load: Load,
     decider: Decider,
@@ -120,8 +129,9 @@
         let at = now.after(Duration::from_secs_f64(gap_s));
         let accounts = self.load.accounts;
         let account = (accounts > 0).then(|| {
-            let name = format!("account-{}", self.rng.random_range(0..accounts));
-            name.parse().unwrap()
+            let hot_factor = self.load.hot_factor;
+            let pick = self.rng.random_range(0..accounts + hot_factor - 1);
+            account_name(pick.saturating_sub(hot_factor - 1))
         });
         let deadline = at.after(TIME_LIMIT);
         self.schedule(at, Caller { account, deadline, told: None, is_return: false });
@@ -145,6 +155,10 @@
         if is_measured {
             result.requests += f64::from(u8::from(!caller.is_return));
             result.served += f64::from(u8::from(!decision));
+            if caller.account != Some(account_name(0)) {
+                result.other_requests += f64::from(u8::from(!caller.is_return));
+                result.other_served += f64::from(u8::from(!decision));
+            }
             if caller.told.is_some() {
                 result.returned_in_time += 1.0;
                 result.refused_again += f64::from(u8::from(decision));
@@ -198,8 +212,14 @@
     }
 }
 
-const ENTRY_NODE: Load =
-    Load { requests_per_s: 28.0, accounts: 86, room: 0.7, give_up: 0.0, states_deadline: true };
+const ENTRY_NODE: Load = Load {
+    requests_per_s: 28.0,
+    accounts: 86,
+    hot_factor: 1,
+    room: 0.7,
+    give_up: 0.0,
+    states_deadline: true,
+};
 
 fn loads() -> [(&'static str, Load); 6] {
     [
@@ -280,3 +300,14 @@
     let again = shedder.decide(&request, rank, &demand, later);
     assert_eq!(again.share.map(|share| share.is_returning), Some(false));
 }
+
+/// One of five accounts asks 6 times as much as each other one. There is room for all requests of
+/// the others; the returns of the first one must not take it.
+#[test]
+fn returning_callers_of_a_hot_account_take_no_room_from_others() {
+    let load = Load { accounts: 5, hot_factor: 6, ..ENTRY_NODE };
+    let result = World::new(load, Decider::Promised).play();
+    let others = result.other_served / result.other_requests;
+    assert!(others >= 0.95, "{others} {}", result.row());
+    assert!(result.refused_again() <= MAX_REFUSED_AGAIN, "{}", result.row());
+}
