--- a/cuminarch-engine/src/allotted.rs
+++ b/cuminarch-engine/src/allotted.rs
@@ -5,6 +5,7 @@
 //! caller gets the result of that one.
 
 use compact_str::{CompactString, format_compact};
+use cuminarch_admission::ReportedUsage;
 use cuminarch_allotment::{AllotmentOutput, TokenDecision};
 use cuminarch_protocol::AllotmentDatagram;
 use cuminarch_types::{AccountName, CallId, MonoTime};
@@ -40,9 +41,18 @@
             TokenState::NotRequested | TokenState::Spent | TokenState::Returned => {}
         }
         let decision = self.allotments.request(&account, id, now);
+        self.note_account_usage(&account, now);
         self.apply_token_decision(id, &account, decision, now, actions)
     }
 
+    /// Hands the usage that the holders of an allotment reported to the shedder.
+    fn note_account_usage(&mut self, account: &AccountName, now: MonoTime) {
+        if let Some(usage) = self.allotments.table.usage(account, now) {
+            let (usage_milli, reported_at) = (usage.usage_milli, usage.reported_at);
+            self.record_account_usage(account, ReportedUsage { usage_milli, reported_at });
+        }
+    }
+
     /// Returns `true` if the call may be sent.
     fn apply_token_decision(
         &mut self,
@@ -182,6 +192,7 @@
         let Some(account) = call.allotted_account.clone() else { return };
         if call.token == TokenState::Waiting {
             self.allotments.summary.record(&account, decision);
+            self.note_account_usage(&account, now);
             if self.apply_token_decision(id, &account, decision, now, actions) {
                 self.send(id, now, actions);
             }
--- a/cuminarch-engine/src/call.rs
+++ b/cuminarch-engine/src/call.rs
@@ -55,6 +55,10 @@
     pub token: TokenState,
     /// Result of an attempt that may have run, while a token for another one is sought.
     pub earlier_refusal: Option<Box<Refusal>>,
+    /// The client account that sent it, at the entry node.
+    pub account: Option<AccountName>,
+    /// Time until which its sender waits, if it stated one.
+    pub stated_deadline: Option<MonoTime>,
     pub stage: Stage,
 }
 
@@ -151,4 +155,6 @@
     pub share: Attempts,
     pub sent_at: MonoTime,
     pub delivering: bool,
+    /// Whether the upstream's answer states a failure.
+    pub is_failure: bool,
 }
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use cuminarch_admission::{
-    Admission, AdmissionControl, FanoutEstimator, InternalRouteDetector, Origin, Shedder,
+    Admission, AdmissionControl, FanoutEstimator, InternalRouteDetector, NestedFailures, Origin,
+    ReportedUsage, Shedder, StartRamp,
 };
 use cuminarch_attempts::{
     Backoff, DemandEstimator, EndpointPosition, RetryBudget, RetryBudgetSettings, RetryRatioLimiter,
@@ -13,7 +14,8 @@
 use cuminarch_protocol::{Receipt, UpstreamRecord, UpstreamState};
 use cuminarch_routing::{LearnedLevel, Router};
 use cuminarch_types::{
-    AttemptId, CallId, ClassName, ConcurrencyLimit, MonoTime, RouteName, RuleNumber, ServiceName,
+    AccountName, AttemptId, CallId, ClassName, ConcurrencyLimit, MonoTime, RouteName, RuleNumber,
+    ServiceName,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -44,6 +46,12 @@
     /// The local upstream, if upstreams register.
     pub(crate) upstream: Option<UpstreamRecord>,
     pub(crate) shedder: Shedder,
+    /// Shortages of downstream services, as shown by nested calls that failed.
+    pub(crate) nested_failures: NestedFailures,
+    /// Bound of the requests in flight after the start.
+    pub(crate) start_ramp: StartRamp,
+    /// Usage of client accounts over all nodes, as last reported.
+    pub(crate) account_usages: BTreeMap<AccountName, ReportedUsage>,
     pub(crate) fanout_estimator: FanoutEstimator,
     /// Calls that one call of a route causes at one downstream service, in thousandths.
     pub(crate) fan_outs_milli: BTreeMap<RouteName, u32>,
@@ -85,7 +93,10 @@
             rng: ChaCha8Rng::seed_from_u64(seed.wrapping_add(1)),
             draining: false,
             upstream: None,
-            shedder: Shedder::new(),
+            shedder: Self::new_shedder(&settings),
+            nested_failures: NestedFailures::new(),
+            start_ramp: StartRamp::new(),
+            account_usages: BTreeMap::new(),
             fanout_estimator: FanoutEstimator::new(),
             fan_outs_milli: BTreeMap::new(),
             internal_route_detector: InternalRouteDetector::new(),
@@ -299,6 +310,7 @@
         now: MonoTime,
         actions: &mut Vec<Action>,
     ) {
+        self.record_refused_end(call, refusal.reason, now);
         self.adjust_refusal(call, &mut refusal);
         let receipt = self.remove(call, now, actions).unwrap_or_default();
         actions.push(Action::Refuse { call, refusal, receipt });
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -103,6 +103,8 @@
             allotted_account: self.allotted_account(arrival),
             token: TokenState::NotRequested,
             earlier_refusal: None,
+            account: arrival.account.clone(),
+            stated_deadline: arrival.remaining.map(|left| now.after(left)),
             stage: Stage::Waiting,
             rule,
         }
--- a/cuminarch-types/src/mechanism.rs
+++ b/cuminarch-types/src/mechanism.rs
@@ -13,24 +13,32 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Mechanism {
+    /// Divides scarce room among the client accounts of a class.
+    AccountShares,
     /// Orders the requests waiting at a serving node by class.
     ClassOrder,
     /// Ejects endpoints that fail or are slow.
     Ejection,
     /// Avoids endpoints in proportion to the fraction of calls that they fail.
     FaultCost,
+    /// Counts nested calls that got no answer as shortage of the service that they were sent to.
+    NestedFailureShortage,
     /// Chooses endpoints by the occupancy that they report.
     OccupancyReports,
     /// Pauses retries to a service after one of its serving nodes denied a retry.
     RepeatPause,
     /// Retries calls that may have reached an upstream.
     Repeats,
+    /// Tells refused callers to return only when there will be room for them.
+    ReturnTimes,
     /// Refuses, at the entry node, requests that load a service with a shortage.
     Shedding,
     /// Keeps some slots of a serving node free.
     SlotReserve,
     /// Sends calls to other zones when a zone has no capacity.
     SpillOver,
+    /// Bounds the requests in flight after the start of an entry node.
+    StartRamp,
     /// Counts calls that the upstream turns away as shortage.
     TurnedAwayShortage,
     /// Refuses, at the serving node, callers' requests that would wait too long.
@@ -45,16 +53,20 @@
 
 impl Mechanism {
     /// All mechanisms in order of name.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 18] = [
+        Self::AccountShares,
         Self::ClassOrder,
         Self::Ejection,
         Self::FaultCost,
+        Self::NestedFailureShortage,
         Self::OccupancyReports,
         Self::RepeatPause,
         Self::Repeats,
+        Self::ReturnTimes,
         Self::Shedding,
         Self::SlotReserve,
         Self::SpillOver,
+        Self::StartRamp,
         Self::TurnedAwayShortage,
         Self::WaitRefusal,
         Self::WarmUp,
@@ -66,15 +78,19 @@
     #[must_use]
     pub const fn as_str(self) -> &'static str {
         match self {
+            Self::AccountShares => "account-shares",
             Self::ClassOrder => "class-order",
             Self::Ejection => "ejection",
             Self::FaultCost => "fault-cost",
+            Self::NestedFailureShortage => "nested-failure-shortage",
             Self::OccupancyReports => "occupancy-reports",
             Self::RepeatPause => "repeat-pause",
             Self::Repeats => "repeats",
+            Self::ReturnTimes => "return-times",
             Self::Shedding => "shedding",
             Self::SlotReserve => "slot-reserve",
             Self::SpillOver => "spill-over",
+            Self::StartRamp => "start-ramp",
             Self::TurnedAwayShortage => "turned-away-shortage",
             Self::WaitRefusal => "wait-refusal",
             Self::WarmUp => "warm-up",
