--- a/cuminarch-engine/tests/allotment_mesh/mod.rs
+++ b/cuminarch-engine/tests/allotment_mesh/mod.rs
@@ -43,6 +43,8 @@
     pub engines: Vec<Engine>,
     pub now: MonoTime,
     pub serving: Serving,
+    /// Sent with each answer.
+    pub receipt: Receipt,
     /// Times at which requests ran.
     pub runs: Vec<MonoTime>,
     pub refused: BTreeMap<(usize, CallId), Refused>,
@@ -72,6 +74,7 @@
             engines,
             now: MonoTime::from_millis(1),
             serving: Serving::Run,
+            receipt: Receipt::default(),
             runs: Vec::new(),
             refused: BTreeMap::new(),
             cut: BTreeSet::new(),
@@ -226,7 +229,7 @@
 
     fn answer(&mut self, node: usize, call: CallId, attempt: AttemptId) {
         self.handle(node, Event::RemoteHead { call, attempt, is_failure: false });
-        let receipt = Some(Receipt::default());
+        let receipt = Some(self.receipt.clone());
         self.handle(node, Event::RemoteEnd { call, attempt, receipt });
     }
 
--- a/cuminarch-engine/tests/allotments.rs
+++ b/cuminarch-engine/tests/allotments.rs
@@ -9,7 +9,10 @@
 
 use allotment_mesh::{Mesh, Serving, address, member};
 use cuminarch_engine::{AllotmentNotice, Event, RefusalReason};
-use cuminarch_protocol::{AllotmentDatagram, AllotmentGrant, AllotmentMessage, MemberState};
+use cuminarch_protocol::{
+    AllotmentDatagram, AllotmentGrant, AllotmentMessage, LoadReport, MemberState, PressureReport,
+    Receipt,
+};
 use cuminarch_types::Incarnation;
 use rstest::rstest;
 
@@ -296,3 +299,26 @@
     let expected = "account=quilts rate=20/s was_rate=20/s burst_requests=5 was_burst_requests=20";
     assert_eq!(lowered.filter(|text| text == expected).count(), 6);
 }
+
+/// A service behind is short of capacity, so the entry node sheds most requests before they ask.
+#[test]
+fn requests_that_are_shed_count_as_usage() {
+    const ARRIVING_PER_S: f64 = 1_000.0;
+    let mut mesh = filled(1);
+    let pressure = PressureReport {
+        service: "auftrag".parse().unwrap(),
+        shed_milli: 800,
+        age_ms: 0,
+        load_us: 20_000,
+    };
+    let load = LoadReport { pressure: Some(pressure), ..LoadReport::default() };
+    mesh.receipt = Receipt { load: Some(Box::new(load)), ..Receipt::default() };
+    mesh.run_with(Duration::from_secs(3), |mesh| {
+        mesh.call(0);
+    });
+    assert!(mesh.refusals(RefusalReason::OverloadedBehind) > 1_000);
+    let states = mesh.engines[0].summary().allotments.states;
+    let usage_milli = states.values().next().unwrap().usage_milli.unwrap();
+    // All of them arrive in one zone; the usage is relative to one part or to all.
+    assert!(f64::from(usage_milli) >= 0.9 * 1_000.0 * ARRIVING_PER_S / RATE, "{usage_milli}");
+}
