--- a/cuminarch-admission/src/control.rs
+++ b/cuminarch-admission/src/control.rs
@@ -25,6 +25,15 @@
     pub objective: Duration,
 }
 
+/// What an endpoint takes well, as measured at its node.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LearnedCapacity {
+    /// Requests that it runs concurrently at most.
+    pub limit: ConcurrencyLimit,
+    /// Part of the evidence that the limit needs, in thousandths.
+    pub confidence_milli: u32,
+}
+
 /// Decides which requests one endpoint runs, queues or refuses.
 pub trait AdmissionControl: Debug + Send {
     /// Decides on an incoming request.
@@ -84,6 +93,16 @@
 
     /// Returns the mean time for which a request of this route occupies a slot.
     fn holding_time(&self, route: &RouteName) -> Duration;
+
+    /// Returns what the endpoint takes well, if that is learned.
+    fn learned_capacity(&self) -> Option<LearnedCapacity> {
+        None
+    }
+
+    /// Returns the recent typical run time of a route, if that is learned.
+    fn run_time(&self, _route: &RouteName) -> Option<Duration> {
+        None
+    }
 }
 
 impl AdmissionControl for Admission {
--- a/cuminarch-admission/src/lib.rs
+++ b/cuminarch-admission/src/lib.rs
@@ -19,14 +19,17 @@
 //! ```
 
 mod admission;
+mod capacity_estimator;
 mod control;
 mod fanout_estimator;
 mod internal_route_detector;
 mod least_squares;
 mod level;
+mod level_times;
 mod limiter;
 mod origin;
 mod recent_starts;
+mod run_times;
 mod sender_model;
 mod settings;
 mod shedder;
@@ -35,7 +38,8 @@
 mod start_pacer;
 
 pub use admission::{Admission, AdmissionDecision, OfferReply, QueueEvent};
-pub use control::{AdmissionControl, AdmissionRequest};
+pub use capacity_estimator::CapacityEstimator;
+pub use control::{AdmissionControl, AdmissionRequest, LearnedCapacity};
 pub use fanout_estimator::FanoutEstimator;
 pub use internal_route_detector::InternalRouteDetector;
 pub use level::LevelControl;
--- a/cuminarch-admission/src/slot_admission.rs
+++ b/cuminarch-admission/src/slot_admission.rs
@@ -2,12 +2,15 @@
 use std::time::Duration;
 
 use cuminarch_types::{
-    CallId, ConcurrencyLimit, DisabledMechanisms, Mechanism, MonoTime, Rank, RouteName,
+    CallId, CapacityMode, ConcurrencyLimit, DisabledMechanisms, Mechanism, MonoTime, Rank,
+    RouteName,
 };
 
+use crate::run_times::RunTimes;
 use crate::shortage::Shortage;
 use crate::{
-    AdmissionControl, AdmissionDecision, AdmissionRequest, OfferReply, QueueEvent, StartPacer,
+    AdmissionControl, AdmissionDecision, AdmissionRequest, CapacityEstimator, LearnedCapacity,
+    OfferReply, QueueEvent, StartPacer,
 };
 
 /// Target start time and call; the smallest key starts first.
@@ -17,6 +20,8 @@
 struct Running {
     route: Option<RouteName>,
     since: MonoTime,
+    /// Running requests at the start, itself included, if the limit determined their number.
+    concurrency: Option<u32>,
 }
 
 #[derive(Clone, Debug)]
@@ -24,6 +29,7 @@
     route: Option<RouteName>,
     queue_key: QueueKey,
     latest_start: MonoTime,
+    is_nested: bool,
 }
 
 /// Admission control of an endpoint that states its number of concurrent requests.
@@ -34,6 +40,9 @@
 /// with time to spare. This time is postponed for callers' requests, and further for less urgent
 /// classes, so that nested calls come first when equally short of time. A request that would wait
 /// too long is refused immediately, while its caller can still go elsewhere.
+///
+/// With [`CapacityMode::Learned`], the number of slots in use follows from measured throughput and
+/// run times.
 #[derive(Clone, Debug)]
 pub struct SlotAdmission {
     capacity: ConcurrencyLimit,
@@ -46,6 +55,10 @@
     shortage: Shortage,
     pacer: StartPacer,
     disabled: DisabledMechanisms,
+    /// `None` unless capacity is learned.
+    run_times: Option<RunTimes>,
+    /// `None` until the slots are known, or unless the limit is learned.
+    estimator: Option<CapacityEstimator>,
 }
 
 impl SlotAdmission {
@@ -84,9 +97,18 @@
             shortage: Shortage::new(),
             pacer: StartPacer::new(),
             disabled: DisabledMechanisms::default(),
+            run_times: None,
+            estimator: None,
         }
     }
 
+    /// Sets where the number of slots in use comes from.
+    #[must_use]
+    pub fn with_capacity_mode(mut self, mode: CapacityMode) -> Self {
+        self.run_times = (mode == CapacityMode::Learned).then(RunTimes::default);
+        self
+    }
+
     /// Disables mechanisms.
     #[must_use]
     pub fn with_disabled(mut self, disabled: DisabledMechanisms) -> Self {
@@ -95,8 +117,26 @@
         self
     }
 
-    fn has_room(&self, now: MonoTime) -> bool {
-        self.running.len() < self.capacity.get() as usize && self.pacer.may_start(now)
+    /// Returns `true` if a request may start. Urgent ones do not start above the learned limit.
+    fn has_room(&self, is_urgent: bool, now: MonoTime) -> bool {
+        let limit = match &self.estimator {
+            Some(estimator) if is_urgent => estimator.applied_limit().min(estimator.limit()),
+            Some(estimator) => estimator.applied_limit(),
+            None => self.capacity.get(),
+        };
+        self.running.len() < limit as usize && self.pacer.may_start(now)
+    }
+
+    /// Learns from the time that has passed.
+    fn advance_estimator(&mut self, now: MonoTime) {
+        let holding_time = self.mean_holding_time();
+        let Some(estimator) = &mut self.estimator else { return };
+        if !self.queue.is_empty() {
+            estimator.record_excess();
+        }
+        if estimator.advance(holding_time, now) {
+            self.capacity = ConcurrencyLimit::new(estimator.limit());
+        }
     }
 
     /// Returns the number of slots that can be occupied within the rate limit, in thousandths.
@@ -114,6 +154,17 @@
         known.unwrap_or_else(|| self.mean_holding_time())
     }
 
+    /// Sets the slots in use, unless the same ones were stated before and their use is learned.
+    fn set_stated_capacity(&mut self, stated: ConcurrencyLimit, used: ConcurrencyLimit) {
+        let is_known = self.estimator.as_ref().is_some_and(|known| known.slots() == stated.get());
+        if is_known {
+            return;
+        }
+        self.capacity = used;
+        let learns = self.run_times.is_some() && !self.disabled.contains(Mechanism::LearnedLimit);
+        self.estimator = learns.then(|| CapacityEstimator::new(stated.get(), used.get()));
+    }
+
     /// Predicts the time until the request with this key starts.
     fn predicted_wait(&self, queue_key: QueueKey, now: MonoTime) -> Duration {
         let ahead = self.queue.range(..queue_key).count() + 1;
@@ -151,7 +202,9 @@
 
     fn start(&mut self, call: CallId, route: Option<RouteName>, now: MonoTime) {
         self.pacer.record_start(now);
-        self.running.insert(call, Running { route, since: now });
+        let is_limited = self.estimator.as_ref().is_some_and(CapacityEstimator::is_busy);
+        let concurrency = u32::try_from(self.running.len() + 1).ok().filter(|_| is_limited);
+        self.running.insert(call, Running { route, since: now, concurrency });
     }
 
     fn dequeue(&mut self, call: CallId) -> Option<Waiting> {
@@ -172,6 +225,15 @@
             let mean = self.holding_times.get(route).map_or(sample, |mean| smooth(*mean));
             self.holding_times.insert(route.clone(), mean);
         }
+        self.learn(ended, sample, now);
+    }
+
+    fn learn(&mut self, ended: &Running, run_time: Duration, now: MonoTime) {
+        let (Some(run_times), Some(route)) = (&mut self.run_times, &ended.route) else { return };
+        let excess_ln = run_times.record(route, run_time, now);
+        if let (Some(estimator), Some(concurrency)) = (&mut self.estimator, ended.concurrency) {
+            estimator.record(concurrency, excess_ln, now);
+        }
     }
 
     /// Adds a request to the offered work. Before the first run has ended, its holding time is
@@ -196,7 +258,8 @@
 impl AdmissionControl for SlotAdmission {
     fn offer(&mut self, request: &AdmissionRequest, now: MonoTime) -> OfferReply {
         self.record_offered_work(request, now);
-        if self.has_room(now) && self.queue.is_empty() {
+        self.advance_estimator(now);
+        if self.has_room(request.is_nested, now) && self.queue.is_empty() {
             self.start(request.call, request.route.clone(), now);
             return OfferReply { decision: AdmissionDecision::Run, evicted: None };
         }
@@ -208,7 +271,12 @@
             return OfferReply { decision, evicted: None };
         }
         self.queue.insert(queue_key);
-        let waiting = Waiting { route: request.route.clone(), queue_key, latest_start };
+        let waiting = Waiting {
+            route: request.route.clone(),
+            queue_key,
+            latest_start,
+            is_nested: request.is_nested,
+        };
         self.waiting.insert(request.call, waiting);
         OfferReply { decision: AdmissionDecision::Wait, evicted: None }
     }
@@ -253,8 +321,12 @@
             self.dequeue(call);
             events.push(QueueEvent::Refuse(call));
         }
-        while self.has_room(now) {
-            let Some((_, call)) = self.queue.first().copied() else { break };
+        self.advance_estimator(now);
+        while let Some((_, call)) = self.queue.first().copied() {
+            let is_urgent = self.waiting.get(&call).is_some_and(|waiting| waiting.is_nested);
+            if !self.has_room(is_urgent, now) {
+                break;
+            }
             let route = self.dequeue(call).and_then(|waiting| waiting.route);
             self.start(call, route, now);
             events.push(QueueEvent::Run(call));
@@ -273,7 +345,7 @@
             let used_percent = if has_reserve { Self::USED_SLOTS_PERCENT } else { 100 };
             let percent_slots = capacity.get().saturating_mul(used_percent);
             let used_slots = (percent_slots + 50) / 100;
-            self.capacity = ConcurrencyLimit::new(used_slots.max(1));
+            self.set_stated_capacity(capacity, ConcurrencyLimit::new(used_slots.max(1)));
         }
     }
 
@@ -314,4 +386,15 @@
     fn holding_time(&self, route: &RouteName) -> Duration {
         self.expected_holding_time(Some(route))
     }
+
+    fn learned_capacity(&self) -> Option<LearnedCapacity> {
+        self.run_times.as_ref()?;
+        let confidence = self.estimator.as_ref().map(CapacityEstimator::confidence_milli);
+        let confidence_milli = confidence.unwrap_or_default();
+        Some(LearnedCapacity { limit: self.capacity, confidence_milli })
+    }
+
+    fn run_time(&self, route: &RouteName) -> Option<Duration> {
+        self.run_times.as_ref()?.recent(route)
+    }
 }
--- a/cuminarch-engine/src/call.rs
+++ b/cuminarch-engine/src/call.rs
@@ -57,7 +57,12 @@
     /// Returns the attributes that routing needs.
     pub const fn attributes(&self) -> CallAttributes {
         let can_probe = self.idempotent && self.replayable && !self.rule.protected;
-        CallAttributes { rule: self.rule.number, rank: self.rank, can_probe }
+        CallAttributes {
+            rule: self.rule.number,
+            rank: self.rank,
+            can_probe,
+            has_time_to_spare: false,
+        }
     }
 }
 
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -65,11 +65,12 @@
     pub fn new(settings: EngineSettings, policy: Arc<Policy>) -> Self {
         let seed = settings.seed;
         let router = Router::new(settings.zone.clone(), settings.region.clone(), seed)
-            .with_disabled(settings.disabled.clone());
+            .with_disabled(settings.disabled.clone())
+            .with_capacity_mode(settings.capacity);
         let keys = KeyTable::new(settings.keys, settings.endpoint.clone(), settings.incarnation);
         Self {
             policy,
-            admission: settings.admission.build(&settings.disabled),
+            admission: settings.admission.build(&settings.disabled, settings.capacity),
             keys,
             router,
             calls: BTreeMap::new(),
--- a/cuminarch-engine/src/load.rs
+++ b/cuminarch-engine/src/load.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cuminarch_admission::ServiceShortage;
-use cuminarch_protocol::{LoadReport, PressureReport, Receipt};
+use cuminarch_protocol::{CapacityReport, LoadReport, PressureReport, Receipt};
 use cuminarch_types::{EndpointId, MonoTime, RouteName, ServiceName};
 
 use crate::Engine;
@@ -21,9 +21,18 @@
                 .map(|shortage| to_pressure_report(&shortage, now)),
             fan_out_milli: self.fan_out_milli(route),
             is_internal: self.internal_route_detector.is_internal(route),
+            capacity: self.capacity_report(route),
         }
     }
 
+    /// Returns what the local upstream takes well, if that is learned.
+    fn capacity_report(&self, route: &RouteName) -> Option<CapacityReport> {
+        let learned = self.admission.learned_capacity()?;
+        let run_time = self.admission.run_time(route);
+        let run_time_us = run_time.and_then(|time| u32::try_from(time.as_micros()).ok());
+        Some(CapacityReport { limit: learned.limit.get(), run_time_us })
+    }
+
     /// Returns the largest shortage among the local service and those downstream.
     fn worst_pressure(&self, route: &RouteName, now: MonoTime) -> Option<ServiceShortage> {
         let own = ServiceShortage {
@@ -65,6 +74,9 @@
     ) {
         let Some(load) = &receipt.load else { return };
         self.router.record_occupancy(service, endpoint, load.occupancy_milli, now);
+        if let Some(capacity) = &load.capacity {
+            self.router.record_capacity(service, endpoint, route, capacity, now);
+        }
         self.fan_outs_milli.insert(route.clone(), load.fan_out_milli);
         if load.is_internal {
             self.internal_routes.insert(route.clone());
--- a/cuminarch-engine/src/outbound.rs
+++ b/cuminarch-engine/src/outbound.rs
@@ -1,7 +1,7 @@
 //! Calls to other services through the nodes of their endpoints.
 
 use cuminarch_protocol::{Receipt, RoutedCall};
-use cuminarch_routing::{CallResult, Target};
+use cuminarch_routing::{CallAttributes, CallResult, Target};
 use cuminarch_types::{AttemptId, CallId, EndpointId, MonoTime, Outcome, ServiceName};
 use rand::RngExt;
 
@@ -9,6 +9,9 @@
 use crate::{Action, Arrival, Engine, Forward, Refusal, RefusalReason, RemoteRefusal, RequestKey};
 
 impl Engine {
+    /// Objective as a multiple of the run time from which a call has time to spare.
+    const MIN_SPARE_TIME_RATIO: u32 = 8;
+
     pub(crate) fn arrive_outbound(
         &mut self,
         id: CallId,
@@ -287,7 +290,8 @@
         }
         let service = sending.service.clone();
         let tried = sending.tried.clone();
-        let attributes = call.attributes();
+        let has_time_to_spare = self.has_time_to_spare(call, &service);
+        let attributes = CallAttributes { has_time_to_spare, ..call.attributes() };
         if call.routed.is_some() {
             return self.router.pick(&service, attributes, &tried, now);
         }
@@ -296,6 +300,16 @@
             .or_else(|| self.router.pick(&service, attributes, &[], now))
     }
 
+    /// Returns `true` if the objective of a call is much longer than its run and no upstream waits
+    /// for it.
+    fn has_time_to_spare(&self, call: &Call, service: &ServiceName) -> bool {
+        let Some(routed) = call.routed.as_ref().filter(|routed| !routed.is_nested) else {
+            return false;
+        };
+        let run_time = self.router.run_time(service, &routed.route);
+        run_time.is_some_and(|time| call.objective() > time * Self::MIN_SPARE_TIME_RATIO)
+    }
+
     /// Returns `true` if another attempt may succeed. A key leaves only one endpoint, where only a
     /// failed connection to the upstream is likely to recover soon.
     fn may_succeed_on_retry(&self, id: CallId, reason: RefusalReason, now: MonoTime) -> bool {
--- a/cuminarch-engine/src/settings.rs
+++ b/cuminarch-engine/src/settings.rs
@@ -17,10 +17,17 @@
 }
 
 impl AdmissionKind {
-    pub(crate) fn build(self, disabled: &DisabledMechanisms) -> Box<dyn AdmissionControl> {
+    pub(crate) fn build(
+        self,
+        disabled: &DisabledMechanisms,
+        capacity: CapacityMode,
+    ) -> Box<dyn AdmissionControl> {
         match self {
             Self::Adaptive(settings) => Box::new(Admission::new(settings)),
-            Self::Slots => Box::new(SlotAdmission::new().with_disabled(disabled.clone())),
+            Self::Slots => {
+                let admission = SlotAdmission::new().with_disabled(disabled.clone());
+                Box::new(admission.with_capacity_mode(capacity))
+            }
         }
     }
 }
--- a/cuminarch-protocol/src/call.rs
+++ b/cuminarch-protocol/src/call.rs
@@ -119,6 +119,21 @@
     /// Whether only upstreams make calls on this route, as far as the endpoint knows.
     #[serde(default, rename = "i", skip_serializing_if = "std::ops::Not::not")]
     pub is_internal: bool,
+    /// What the endpoint takes well, if it learns that.
+    #[serde(default, rename = "c", skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<CapacityReport>,
+}
+
+/// What an endpoint takes well, as its own node measures it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CapacityReport {
+    /// Requests that it runs concurrently at most.
+    #[serde(rename = "l")]
+    pub limit: u32,
+    /// Typical time of a run of this route, in microseconds, once enough runs have ended.
+    #[serde(default, rename = "w", skip_serializing_if = "Option::is_none")]
+    pub run_time_us: Option<u32>,
 }
 
 // `skip_serializing_if` passes a reference.
--- a/cuminarch-protocol/src/lib.rs
+++ b/cuminarch-protocol/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use allotment::{AllotmentAsk, AllotmentDatagram, AllotmentGrant, AllotmentMessage};
 pub use call::{
-    AnswerFrame, AnswerHead, CallFrame, CallHead, HeaderField, LoadReport, PressureReport, Receipt,
+    AnswerFrame, AnswerHead, CallFrame, CallHead, CapacityReport, HeaderField, LoadReport, PressureReport, Receipt,
     RefusalHead, RoutedCall,
 };
 pub use control::{
--- a/cuminarch-routing/src/endpoint.rs
+++ b/cuminarch-routing/src/endpoint.rs
@@ -5,6 +5,7 @@
 use cuminarch_types::{MonoTime, RatePerSecond, RuleNumber};
 
 use crate::endpoint_signals::EndpointSignals;
+use crate::endpoint_speed::EndpointSpeed;
 use crate::{CallAttributes, CallResult, LearnedLevel, Target};
 
 /// Exclusion of an endpoint from ordinary calls until its next probe.
@@ -40,6 +41,10 @@
     warm_up_until: MonoTime,
     /// What its upstream stated in its answers.
     pub signals: EndpointSignals,
+    /// Speed relative to its service, from its reports.
+    pub speed: EndpointSpeed,
+    /// Calls that it runs concurrently, if it has reported that.
+    pub learned_limit: Option<u32>,
 }
 
 /// Last occupancy that the endpoint reported.
@@ -107,6 +112,8 @@
             connect_failures: 0,
             warm_up_until: MonoTime::ZERO,
             signals: EndpointSignals::default(),
+            speed: EndpointSpeed::default(),
+            learned_limit: None,
         }
     }
 
@@ -257,7 +264,8 @@
     /// Returns the slots that calls can occupy: with a rate limit, as many as run concurrently at
     /// that rate.
     fn usable_slots(&self) -> f64 {
-        let slots = self.member.upstream.as_ref().map_or(0, |upstream| upstream.slots);
+        let stated_slots = || self.member.upstream.as_ref().map_or(0, |upstream| upstream.slots);
+        let slots = self.learned_limit.unwrap_or_else(stated_slots);
         let slots = f64::from(slots.max(1));
         match (self.rate_limit(), self.latency) {
             (Some(rate), Some(latency)) => {
@@ -299,6 +307,8 @@
             self.ejection = None;
             self.consecutive_failures = 0;
             self.error_ratio = 0.0;
+            self.speed = EndpointSpeed::default();
+            self.learned_limit = None;
             self.start_warm_up(&member, now);
         }
         self.member = member;
--- /dev/null
+++ b/cuminarch-routing/src/expected_finish.rs
@@ -0,0 +1,84 @@
+//! Chooses the endpoint at which a request is expected to finish first.
+//!
+//! Handles endpoints of one service that differ in speed or turn slow. The expected time is the run
+//! time at the endpoint, which its node reports, extended by the wait that grows with its
+//! occupancy. Because nearly full endpoints cost much more than others, all of them become equally
+//! occupied under saturation, and get calls in proportion to what they take.
+
+use cuminarch_types::{Mechanism, MonoTime};
+use rand::RngExt;
+use rand::seq::index::sample;
+use rand_chacha::ChaCha8Rng;
+
+use crate::CallAttributes;
+use crate::endpoint::Endpoint;
+use crate::occupancy::{UNREPORTED_OCCUPANCY_RATIO, penalty_milli};
+use crate::service::RoutingContext;
+
+/// Random endpoints that are compared. More would find the fastest ones more often, but all nodes
+/// would choose the same ones between two reports.
+const COMPARED_ENDPOINTS: usize = 3;
+/// Extension of the run time by the wait at a full endpoint, as a multiple.
+const FULL_WAIT_RATIO: f64 = 4.0;
+/// Power of the occupancy to which the wait grows.
+const WAIT_EXPONENT: i32 = 3;
+/// Weight of the run time for requests with time to spare, which leave fast endpoints to others.
+const PATIENT_SPEED_WEIGHT: f64 = 0.5;
+/// Extension of the time by a zone boundary, for its latency and traffic.
+const ZONE_COST_RATIO: f64 = 1.25;
+/// Part by which the estimates of two nodes differ at random, so that nodes with the same view do
+/// not choose alike.
+const RANDOM_PART: f64 = 0.1;
+/// Error ratio above which an endpoint does not count as fast: failing is faster than running.
+const MAX_ERROR_RATIO_OF_FAST: f64 = 0.05;
+
+/// Returns the candidate at which a request is expected to finish first. `mean_occupancy_milli` is
+/// that of the candidates' zone.
+pub fn choose<'a>(
+    local: &[&'a Endpoint],
+    remote: &[&'a Endpoint],
+    mean_occupancies_milli: (f64, f64),
+    attributes: CallAttributes,
+    context: &RoutingContext,
+    now: MonoTime,
+    rng: &mut ChaCha8Rng,
+) -> Option<&'a Endpoint> {
+    let (local_mean_milli, remote_mean_milli) = mean_occupancies_milli;
+    let mut best: Option<(f64, &Endpoint)> = None;
+    let zones = [(local, local_mean_milli, 1.0), (remote, remote_mean_milli, ZONE_COST_RATIO)];
+    for (endpoints, mean_milli, zone_cost) in zones {
+        let assumed_milli = (mean_milli * UNREPORTED_OCCUPANCY_RATIO) as u32;
+        for index in sample(rng, endpoints.len(), endpoints.len().min(COMPARED_ENDPOINTS)) {
+            let endpoint = endpoints[index];
+            let cost = cost(endpoint, assumed_milli, attributes, context, now)
+                * zone_cost
+                * rng.random_range(1.0 - RANDOM_PART..1.0 + RANDOM_PART);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, endpoint));
+            }
+        }
+    }
+    best.map(|(_, endpoint)| endpoint)
+}
+
+/// Returns the expected time of a request, relative to the mean run time of its service.
+fn cost(
+    endpoint: &Endpoint,
+    assumed_milli: u32,
+    attributes: CallAttributes,
+    context: &RoutingContext,
+    now: MonoTime,
+) -> f64 {
+    let occupancy_milli = if context.disabled.contains(Mechanism::OccupancyReports) {
+        endpoint.in_flight_occupancy_milli()
+    } else {
+        endpoint.occupancy_milli(assumed_milli, now)
+    };
+    let occupancy_milli = occupancy_milli + penalty_milli(endpoint, context, now);
+    let occupancy = f64::from(occupancy_milli) / 1_000.0;
+    let is_failing = endpoint.error_ratio(now) > MAX_ERROR_RATIO_OF_FAST;
+    let slowness_ln = endpoint.speed.slowness_ln(now);
+    let slowness_ln = if is_failing { slowness_ln.max(0.0) } else { slowness_ln };
+    let speed_weight = if attributes.has_time_to_spare { PATIENT_SPEED_WEIGHT } else { 1.0 };
+    (slowness_ln * speed_weight).exp() * (1.0 + FULL_WAIT_RATIO * occupancy.powi(WAIT_EXPONENT))
+}
--- a/cuminarch-routing/src/lib.rs
+++ b/cuminarch-routing/src/lib.rs
@@ -19,10 +19,13 @@
 
 mod endpoint;
 mod endpoint_signals;
+mod endpoint_speed;
+mod expected_finish;
 mod learned_level;
 mod mean_occupancy;
 mod occupancy;
 mod router;
+mod run_time_means;
 mod service;
 mod spill;
 mod splitter;
--- a/cuminarch-routing/src/occupancy.rs
+++ b/cuminarch-routing/src/occupancy.rs
@@ -18,6 +18,7 @@
 use crate::endpoint::Endpoint;
 use crate::mean_occupancy::MeanOccupancy;
 use crate::service::RoutingContext;
+use crate::{CallAttributes, expected_finish};
 
 /// Occupancy of the own zone below which no call spills over, in thousandths.
 const SPILL_THRESHOLD_MILLI: f64 = 750.0;
@@ -32,7 +33,7 @@
 
 /// Fraction of the mean occupancy assumed for an endpoint without a report: below 1, or it would
 /// never get the call that brings a report.
-const UNREPORTED_OCCUPANCY_RATIO: f64 = 0.5;
+pub const UNREPORTED_OCCUPANCY_RATIO: f64 = 0.5;
 /// Random endpoints that are compared, so that nodes with the same view do not all choose the same
 /// one (Mitzenmacher, 2001).
 const COMPARED_ENDPOINTS: usize = 2;
@@ -79,12 +80,8 @@
         now: MonoTime,
         rng: &mut ChaCha8Rng,
     ) -> Option<&'a Endpoint> {
-        let is_local = |endpoint: &&&Endpoint| context.distance(&endpoint.member) == 0;
-        let (local, remote): (Vec<&Endpoint>, Vec<&Endpoint>) =
-            endpoints.iter().partition(is_local);
-        let spill_ratio =
-            if context.disabled.contains(Mechanism::SpillOver) { 0.0 } else { self.spill_ratio };
-        if local.is_empty() || (!remote.is_empty() && rng.random_bool(spill_ratio)) {
+        let (local, remote) = split_by_zone(endpoints, context);
+        if self.leaves_zone(&local, &remote, context, rng) {
             return least_occupied(&sample_endpoints(&remote, rng), self.other_zones, context, now);
         }
         let chosen = least_occupied(&sample_endpoints(&local, rng), self.own_zone, context, now)?;
@@ -97,6 +94,46 @@
             .filter(|other| local_penalty_milli > remote_penalty_milli(other, context, now))
             .or(Some(chosen))
     }
+
+    /// Returns the one of a few random endpoints at which a call is expected to finish first.
+    pub fn choose_by_finish<'a>(
+        &self,
+        endpoints: &[&'a Endpoint],
+        attributes: CallAttributes,
+        context: &RoutingContext,
+        now: MonoTime,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<&'a Endpoint> {
+        let (local, remote) = split_by_zone(endpoints, context);
+        let means_milli = (
+            self.own_zone.milli(now).unwrap_or_default(),
+            self.other_zones.milli(now).unwrap_or_default(),
+        );
+        let local =
+            if self.leaves_zone(&local, &remote, context, rng) { Vec::new() } else { local };
+        expected_finish::choose(&local, &remote, means_milli, attributes, context, now, rng)
+    }
+
+    /// Returns `true` if the next call goes to another zone.
+    fn leaves_zone(
+        &self,
+        local: &[&Endpoint],
+        remote: &[&Endpoint],
+        context: &RoutingContext,
+        rng: &mut ChaCha8Rng,
+    ) -> bool {
+        let spill_ratio =
+            if context.disabled.contains(Mechanism::SpillOver) { 0.0 } else { self.spill_ratio };
+        local.is_empty() || (!remote.is_empty() && rng.random_bool(spill_ratio))
+    }
+}
+
+/// Returns the endpoints of the own zone and those of others.
+fn split_by_zone<'a>(
+    endpoints: &[&'a Endpoint],
+    context: &RoutingContext,
+) -> (Vec<&'a Endpoint>, Vec<&'a Endpoint>) {
+    endpoints.iter().partition(|endpoint| context.distance(&endpoint.member) == 0)
 }
 
 /// Returns the endpoint with the lowest occupancy plus penalty.
@@ -118,7 +155,7 @@
 }
 
 /// Returns the penalty for warm-up and errors, in thousandths of occupancy.
-fn penalty_milli(endpoint: &Endpoint, context: &RoutingContext, now: MonoTime) -> u32 {
+pub fn penalty_milli(endpoint: &Endpoint, context: &RoutingContext, now: MonoTime) -> u32 {
     let is_warming_up =
         endpoint.is_warming_up(now) && !context.disabled.contains(Mechanism::WarmUp);
     let warm_up_milli = if is_warming_up { WARM_UP_PENALTY_MILLI } else { 0 };
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -1,8 +1,10 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use cuminarch_protocol::{Member, UpstreamSignals};
+use cuminarch_protocol::{CapacityReport, Member, UpstreamSignals};
 use cuminarch_types::{
-    DisabledMechanisms, EndpointId, MonoTime, RegionName, RuleNumber, ServiceName, ZoneName,
+    CapacityMode, DisabledMechanisms, EndpointId, MonoTime, RegionName, RouteName, RuleNumber,
+    ServiceName, ZoneName,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -29,6 +31,7 @@
             region,
             zone_reachability: reachability,
             disabled: DisabledMechanisms::default(),
+            capacity_mode: CapacityMode::default(),
         };
         let rng = ChaCha8Rng::seed_from_u64(seed);
         Self { context: routing_context, rng, services: BTreeMap::new() }
@@ -41,6 +44,13 @@
         self
     }
 
+    /// Sets where the capacity of endpoints comes from.
+    #[must_use]
+    pub const fn with_capacity_mode(mut self, mode: CapacityMode) -> Self {
+        self.context.capacity_mode = mode;
+        self
+    }
+
     /// Applies a statement about a member; older statements are ignored.
     pub fn update(&mut self, member: Member, now: MonoTime) {
         let service = self.services.entry(member.service.clone()).or_default();
@@ -124,6 +134,27 @@
         }
     }
 
+    /// Records what the node of an endpoint reports that it takes well, in the answer to a call on
+    /// `route`.
+    pub fn record_capacity(
+        &mut self,
+        service: &ServiceName,
+        endpoint: &EndpointId,
+        route: &RouteName,
+        report: &CapacityReport,
+        now: MonoTime,
+    ) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.record_capacity(endpoint, route, report, now);
+        }
+    }
+
+    /// Returns the mean run time of a route, if endpoints of the service report it.
+    #[must_use]
+    pub fn run_time(&self, service: &ServiceName, route: &RouteName) -> Option<Duration> {
+        self.services.get(service)?.run_time(route)
+    }
+
     /// Records what the answer of a target states about its upstream. Returns `true` if that
     /// changed.
     pub fn record_signals(
--- a/cuminarch-routing/src/service.rs
+++ b/cuminarch-routing/src/service.rs
@@ -1,15 +1,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cuminarch_protocol::Member;
+use cuminarch_protocol::{CapacityReport, Member};
 use cuminarch_types::{
-    DisabledMechanisms, EndpointId, Mechanism, MonoTime, RegionName, RuleNumber, ZoneName,
+    CapacityMode, DisabledMechanisms, EndpointId, Mechanism, MonoTime, RegionName, RouteName,
+    RuleNumber, ZoneName,
 };
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
 use crate::endpoint::Endpoint;
 use crate::occupancy::ServiceOccupancy;
+use crate::run_time_means::RunTimeMeans;
 use crate::spill::Spill;
 use crate::zone_reachability::ZoneReachability;
 use crate::{CallAttributes, CallResult, LearnedLevel, Target};
@@ -23,9 +25,17 @@
     pub zone_reachability: ZoneReachability,
     /// Mechanisms that are switched off.
     pub disabled: DisabledMechanisms,
+    /// Where the capacity of endpoints comes from.
+    pub capacity_mode: CapacityMode,
 }
 
 impl RoutingContext {
+    /// Returns `true` if endpoints are chosen by when a call would finish.
+    fn chooses_by_finish(&self) -> bool {
+        self.capacity_mode == CapacityMode::Learned
+            && !self.disabled.contains(Mechanism::ExpectedFinish)
+    }
+
     /// Returns `true` if calls to a zone are likely to arrive.
     pub fn is_reachable(&self, zone: &ZoneName, now: MonoTime) -> bool {
         let checks_zones = !self.disabled.contains(Mechanism::ZoneSights);
@@ -49,6 +59,7 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     spill: Spill,
     occupancy: ServiceOccupancy,
+    run_times: RunTimeMeans,
     checked_at: MonoTime,
 }
 
@@ -144,6 +155,11 @@
         }
         let healthy = filter_or_all(candidates, |endpoint| endpoint.is_healthy(now));
         if healthy.iter().any(|endpoint| endpoint.reports_slots()) {
+            if context.chooses_by_finish() {
+                let occupancy = &self.occupancy;
+                let chosen = occupancy.choose_by_finish(&healthy, attributes, context, now, rng);
+                return chosen.map(Endpoint::target);
+            }
             return self.occupancy.choose(&healthy, context, now, rng).map(Endpoint::target);
         }
         let admitting = filter_or_all(healthy, |endpoint| endpoint.admits(attributes, now));
@@ -194,6 +210,26 @@
         self.occupancy.record(context.distance(&found.member) == 0, milli, now);
     }
 
+    /// Records what the node of an endpoint reports that it takes well.
+    pub fn record_capacity(
+        &mut self,
+        endpoint: &EndpointId,
+        route: &RouteName,
+        report: &CapacityReport,
+        now: MonoTime,
+    ) {
+        let Some(found) = self.endpoints.get_mut(endpoint) else { return };
+        found.learned_limit = Some(report.limit);
+        if let Some(run_time_us) = report.run_time_us {
+            found.speed.record(self.run_times.record(route, run_time_us), now);
+        }
+    }
+
+    /// Returns the mean run time of a route over the endpoints.
+    pub fn run_time(&self, route: &RouteName) -> Option<Duration> {
+        self.run_times.of(route)
+    }
+
     /// Returns the endpoints of the nearest zone, or the next nearest ones for calls that spill
     /// over.
     fn nearest<'a>(
--- a/cuminarch-routing/src/target.rs
+++ b/cuminarch-routing/src/target.rs
@@ -28,6 +28,8 @@
     pub rank: Rank,
     /// Whether it may probe an ejected endpoint, because it can be sent again.
     pub can_probe: bool,
+    /// Whether its objective is several times its run time and nothing else waits for it.
+    pub has_time_to_spare: bool,
 }
 
 /// How a call to an endpoint ended.
--- a/cuminarch-types/src/mechanism.rs
+++ b/cuminarch-types/src/mechanism.rs
@@ -17,8 +17,12 @@
     ClassOrder,
     /// Ejects endpoints that fail or are slow.
     Ejection,
+    /// Chooses endpoints by when a request would finish there.
+    ExpectedFinish,
     /// Avoids endpoints in proportion to the fraction of calls that they fail.
     FaultCost,
+    /// Limits the concurrency of an endpoint to what was measured to gain throughput.
+    LearnedLimit,
     /// Chooses endpoints by the occupancy that they report.
     OccupancyReports,
     /// Pauses retries to a service after one of its serving nodes denied a retry.
@@ -45,10 +49,12 @@
 
 impl Mechanism {
     /// All mechanisms in order of name.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 16] = [
         Self::ClassOrder,
         Self::Ejection,
+        Self::ExpectedFinish,
         Self::FaultCost,
+        Self::LearnedLimit,
         Self::OccupancyReports,
         Self::RepeatPause,
         Self::Repeats,
@@ -68,7 +74,9 @@
         match self {
             Self::ClassOrder => "class-order",
             Self::Ejection => "ejection",
+            Self::ExpectedFinish => "expected-finish",
             Self::FaultCost => "fault-cost",
+            Self::LearnedLimit => "learned-limit",
             Self::OccupancyReports => "occupancy-reports",
             Self::RepeatPause => "repeat-pause",
             Self::Repeats => "repeats",
