--- a/cuminarch-admission/src/capacity_estimator.rs
+++ b/cuminarch-admission/src/capacity_estimator.rs
@@ -1,8 +1,9 @@
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use cuminarch_types::MonoTime;
 
-use crate::level_times::TimesByLevel;
+use crate::level_times::{RunSum, TimesByLevel};
 
 /// Learns up to which concurrency an upstream gains throughput.
 ///
@@ -17,9 +18,8 @@
     /// Level of the learned limit.
     level: u32,
     times: TimesByLevel,
-    /// Recent mean of all run times relative to the usual ones, as a natural logarithm.
-    pace_ln: f64,
-    pace_updated_at: MonoTime,
+    /// Runs since the last evaluation, by level.
+    runs: BTreeMap<u32, RunSum>,
     window: Window,
     /// Windows with excess requests since the last knee or restart.
     busy_window_count: u32,
@@ -48,15 +48,15 @@
     const PROBE_INTERVALS: (u32, u32) = (4, 16);
     /// Distances of the levels that are tried, in turn.
     const SEARCH_STEPS: [i32; 6] = [-4, 1, -2, -5, -1, -3];
+    const RISING_STEPS: [i32; 1] = [1];
     const LOCAL_STEPS: [i32; 2] = [1, -1];
     /// Windows between two evaluations.
     const WINDOWS_PER_EVALUATION: u32 = 4;
     /// Fraction of the samples that an evaluation leaves to the next one.
-    const RETAINED_FRACTION: f64 = 0.95;
+    const RETAINED_FRACTION: f64 = 0.97;
     /// Throughput that another limit has to gain, as a natural logarithm.
     const MIN_GAIN_LN: f64 = 0.02;
-    const PACE_WINDOW: Duration = Duration::from_secs(1);
-    /// Bound of one sample, so that a disturbance of a moment does not outweigh the rest.
+    /// Bound of one run, so that a single long one does not outweigh the others.
     const MAX_EXCESS_LN: f64 = 1.5;
 
     /// Creates an estimator for an upstream with this many slots.
@@ -66,8 +66,7 @@
             slots: slots.max(1),
             level: 1,
             times: TimesByLevel::default(),
-            pace_ln: 0.0,
-            pace_updated_at: MonoTime::ZERO,
+            runs: BTreeMap::new(),
             window: Window::default(),
             busy_window_count: 0,
         };
@@ -112,14 +111,9 @@
     }
 
     /// Records a run that started with this concurrency while the limit kept others waiting.
-    pub fn record(&mut self, concurrency: u32, excess_ln: f64, now: MonoTime) {
-        let elapsed_s = now.since(self.pace_updated_at).as_secs_f64();
-        self.pace_updated_at = now;
-        let weight = (elapsed_s / Self::PACE_WINDOW.as_secs_f64()).min(1.0);
-        self.pace_ln += (excess_ln - self.pace_ln) * weight;
-        let sample_ln =
-            (excess_ln - self.pace_ln).clamp(-Self::MAX_EXCESS_LN, Self::MAX_EXCESS_LN);
-        self.times.record(self.level_of(concurrency), sample_ln);
+    pub fn record(&mut self, concurrency: u32, excess_ln: f64) {
+        let sample_ln = excess_ln.clamp(-Self::MAX_EXCESS_LN, Self::MAX_EXCESS_LN);
+        self.runs.entry(self.level_of(concurrency)).or_default().add(sample_ln);
     }
 
     /// Starts the next window if the current one is over. Returns `true` if the learned limit
@@ -147,34 +141,41 @@
     }
 
     fn evaluate(&mut self) {
-        let highest = self.times.highest_known().unwrap_or(0).max(self.level);
-        let best = match self.times.knee() {
-            Some(knee) => {
-                let gain_ln = self.ln_limit(knee.level) + knee.slowdown_ln - self.ln_limit(highest);
-                if gain_ln > Self::MIN_GAIN_LN { knee.level } else { highest }
-            }
-            None => highest,
-        };
+        let mut runs = std::mem::take(&mut self.runs);
+        let Some(own_runs) = runs.remove(&self.level) else { return };
+        for (level, probe_runs) in runs {
+            self.times.record(level, probe_runs, self.level, own_runs);
+        }
         self.times.fade(Self::RETAINED_FRACTION);
-        match best.cmp(&self.level) {
-            std::cmp::Ordering::Less => {
-                self.level = best;
-                self.busy_window_count = self.busy_window_count.max(Self::SEARCH_WINDOWS);
-            }
-            std::cmp::Ordering::Greater => self.level += 1,
-            std::cmp::Ordering::Equal => {}
+        if let Some(level) = self.level_before_knee() {
+            self.level = level;
+            self.busy_window_count = self.busy_window_count.max(Self::SEARCH_WINDOWS);
+        } else if self.times.may_rise(self.level) {
+            self.level += 1;
         }
     }
 
+    /// Returns a lower level that gains throughput, if there is one.
+    fn level_before_knee(&self) -> Option<u32> {
+        let knee = self.times.knee().filter(|knee| knee.level < self.level)?;
+        let lost_ln = self.ln_limit(self.level) - self.ln_limit(knee.level);
+        (knee.slowdown_ln - lost_ln > Self::MIN_GAIN_LN).then_some(knee.level)
+    }
+
     fn level_to_probe(&self, number: u32) -> Option<u32> {
-        let (search_interval, later_interval) = Self::PROBE_INTERVALS;
-        let is_searching = self.busy_window_count < Self::SEARCH_WINDOWS;
-        let interval = if is_searching { search_interval } else { later_interval };
+        let (frequent, rare) = Self::PROBE_INTERVALS;
+        let is_above_known = self.level == self.step_count() || self.times.is_known(self.level + 1);
+        let (interval, steps) = if self.busy_window_count < Self::SEARCH_WINDOWS {
+            (frequent, Self::SEARCH_STEPS.as_slice())
+        } else if !is_above_known {
+            (frequent, Self::RISING_STEPS.as_slice())
+        } else {
+            (rare, Self::LOCAL_STEPS.as_slice())
+        };
         if !number.is_multiple_of(interval) {
             return None;
         }
         let turn = (number / interval) as usize;
-        let steps = if is_searching { Self::SEARCH_STEPS.as_slice() } else { &Self::LOCAL_STEPS };
         let level = self.level.saturating_add_signed(steps[turn % steps.len()]);
         (level >= 1 && level <= self.step_count() && level != self.level).then_some(level)
     }
--- a/cuminarch-admission/src/level_times.rs
+++ b/cuminarch-admission/src/level_times.rs
@@ -4,6 +4,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct LevelTimes {
     weight: f64,
+    /// Mean logarithm, relative to the first level that was known.
     mean_ln: f64,
     /// Sum of the squared distances from the mean.
     squares: f64,
@@ -18,6 +19,33 @@
     pub slowdown_ln: f64,
 }
 
+/// Logarithms of run times, summed up.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RunSum {
+    pub count: u32,
+    pub sum_ln: f64,
+    pub sum_squares: f64,
+}
+
+impl RunSum {
+    /// Adds one run.
+    pub fn add(&mut self, excess_ln: f64) {
+        self.count += 1;
+        self.sum_ln += excess_ln;
+        self.sum_squares += excess_ln * excess_ln;
+    }
+
+    fn mean_ln(&self) -> Option<f64> {
+        (self.count > 0).then(|| self.sum_ln / f64::from(self.count))
+    }
+
+    /// Returns the sum of the squared distances from the mean.
+    fn squares(&self) -> f64 {
+        let mean_ln = self.mean_ln().unwrap_or_default();
+        (self.sum_squares - mean_ln * self.sum_ln).max(0.0)
+    }
+}
+
 /// Run times by level of concurrency.
 #[derive(Clone, Debug, Default)]
 pub struct TimesByLevel {
@@ -25,6 +53,12 @@
 }
 
 impl TimesByLevel {
+    /// Bound of the difference of two groups of runs, for a disturbance that affects one of them.
+    const MAX_DIFFERENCE_LN: f64 = 0.6;
+    /// Weight that a level needs before the limit rises to it.
+    const MIN_RISE_WEIGHT: f64 = 150.0;
+    /// Slowdown of a level to which the limit does not rise, as a natural logarithm.
+    const MAX_RISE_SLOWDOWN_LN: f64 = 0.1;
     /// Weight of a level below which it says nothing.
     const MIN_WEIGHT: f64 = 20.0;
     /// Multiple of its standard error that a slowdown has to exceed.
@@ -32,13 +66,37 @@
     /// Smallest slowdown that counts, as a natural logarithm.
     const MIN_SLOWDOWN_LN: f64 = 0.05;
 
-    /// Records a run that started at this level.
-    pub fn record(&mut self, level: u32, excess_ln: f64) {
+    /// Records run times at one level together with those at another at about the same time.
+    pub fn record(&mut self, level: u32, runs: RunSum, reference: u32, reference_runs: RunSum) {
+        let (Some(mean_ln), Some(reference_mean_ln)) = (runs.mean_ln(), reference_runs.mean_ln())
+        else {
+            return;
+        };
+        let reference_ln = self.levels.get(&reference).map_or(0.0, |times| times.mean_ln);
+        let difference_ln =
+            (mean_ln - reference_mean_ln).clamp(-Self::MAX_DIFFERENCE_LN, Self::MAX_DIFFERENCE_LN);
+        self.add(reference, reference_ln, reference_runs);
+        self.add(level, reference_ln + difference_ln, runs);
+    }
+
+    fn add(&mut self, level: u32, mean_ln: f64, runs: RunSum) {
+        let added = LevelTimes { weight: f64::from(runs.count), mean_ln, squares: runs.squares() };
         let times = self.levels.entry(level).or_default();
-        times.weight += 1.0;
-        let distance = excess_ln - times.mean_ln;
-        times.mean_ln += distance / times.weight;
-        times.squares += distance * (excess_ln - times.mean_ln);
+        *times = times.joined(&added);
+    }
+
+    /// Returns `true` if enough runs at this level are known to decide whether to rise to it.
+    pub fn is_known(&self, level: u32) -> bool {
+        self.levels.get(&level).is_some_and(|times| times.weight >= Self::MIN_RISE_WEIGHT)
+    }
+
+    /// Returns `true` if the next level is known not to be slower.
+    pub fn may_rise(&self, level: u32) -> bool {
+        let (Some(own), Some(above)) = (self.levels.get(&level), self.levels.get(&(level + 1)))
+        else {
+            return false;
+        };
+        self.is_known(level + 1) && above.mean_ln - own.mean_ln < Self::MAX_RISE_SLOWDOWN_LN
     }
 
     /// Lets old samples fade.
@@ -50,11 +108,6 @@
         self.levels.retain(|_, times| times.weight >= 1.0);
     }
 
-    /// Returns the highest level with enough samples.
-    pub fn highest_known(&self) -> Option<u32> {
-        self.known().map(|(level, _)| level).next_back()
-    }
-
     /// Returns the split of the levels at which the run times differ most, if they do with
     /// certainty.
     pub fn knee(&self) -> Option<Knee> {
--- a/cuminarch-admission/src/slot_admission.rs
+++ b/cuminarch-admission/src/slot_admission.rs
@@ -232,7 +232,7 @@
         let (Some(run_times), Some(route)) = (&mut self.run_times, &ended.route) else { return };
         let excess_ln = run_times.record(route, run_time, now);
         if let (Some(estimator), Some(concurrency)) = (&mut self.estimator, ended.concurrency) {
-            estimator.record(concurrency, excess_ln, now);
+            estimator.record(concurrency, excess_ln);
         }
     }
 
