--- a/cuminarch-admission/src/capacity_estimator.rs
+++ b/cuminarch-admission/src/capacity_estimator.rs
@@ -54,8 +54,9 @@
     const WINDOWS_PER_EVALUATION: u32 = 4;
     /// Fraction of the samples that an evaluation leaves to the next one.
     const RETAINED_FRACTION: f64 = 0.97;
-    /// Throughput that another limit has to gain, as a natural logarithm.
-    const MIN_GAIN_LN: f64 = 0.02;
+    /// Throughput that concurrency above a knee has to gain, as a natural logarithm, because it
+    /// lengthens all runs.
+    const MIN_GAIN_ABOVE_KNEE_LN: f64 = 0.05;
     /// Bound of one run, so that a single long one does not outweigh the others.
     const MAX_EXCESS_LN: f64 = 1.5;
 
@@ -155,11 +156,13 @@
         }
     }
 
-    /// Returns a lower level that gains throughput, if there is one.
+    /// Returns the level of a knee below the current one, unless the concurrency above it gains
+    /// throughput.
     fn level_before_knee(&self) -> Option<u32> {
         let knee = self.times.knee().filter(|knee| knee.level < self.level)?;
-        let lost_ln = self.ln_limit(self.level) - self.ln_limit(knee.level);
-        (knee.slowdown_ln - lost_ln > Self::MIN_GAIN_LN).then_some(knee.level)
+        let more_ln = self.ln_limit(self.level) - self.ln_limit(knee.level);
+        let gain_ln = more_ln - knee.slowdown_ln;
+        (gain_ln < Self::MIN_GAIN_ABOVE_KNEE_LN).then_some(knee.level)
     }
 
     fn level_to_probe(&self, number: u32) -> Option<u32> {
--- a/cuminarch-routing/src/endpoint_speed.rs
+++ b/cuminarch-routing/src/endpoint_speed.rs
@@ -49,12 +49,6 @@
         let usual_ln = self.usual_ln * remaining(age, Self::USUAL_WINDOW);
         usual_ln + (self.recent_ln - usual_ln) * recent_weight
     }
-
-    /// Returns the time since the last report.
-    #[must_use]
-    pub fn age(&self, now: MonoTime) -> Option<Duration> {
-        self.reported_at.map(|at| now.since(at))
-    }
 }
 
 /// Returns what is left after `age` of a value that decays to zero within `lifetime`.
--- a/cuminarch-routing/src/expected_finish.rs
+++ b/cuminarch-routing/src/expected_finish.rs
@@ -32,22 +32,29 @@
 /// Error ratio above which an endpoint does not count as fast: failing is faster than running.
 const MAX_ERROR_RATIO_OF_FAST: f64 = 0.05;
 
-/// Returns the candidate at which a request is expected to finish first. `mean_occupancy_milli` is
-/// that of the candidates' zone.
+/// Endpoints of the own zone or of others.
+#[derive(Clone, Copy, Debug)]
+pub struct Group<'a, 'b> {
+    pub endpoints: &'b [&'a Endpoint],
+    /// Their mean occupancy, in thousandths.
+    pub mean_milli: f64,
+    pub is_local: bool,
+}
+
+/// Returns the one of a few random endpoints of each group at which a call is expected to finish
+/// first.
 pub fn choose<'a>(
-    local: &[&'a Endpoint],
-    remote: &[&'a Endpoint],
-    mean_occupancies_milli: (f64, f64),
+    groups: [Group<'a, '_>; 2],
     attributes: CallAttributes,
     context: &RoutingContext,
     now: MonoTime,
     rng: &mut ChaCha8Rng,
 ) -> Option<&'a Endpoint> {
-    let (local_mean_milli, remote_mean_milli) = mean_occupancies_milli;
     let mut best: Option<(f64, &Endpoint)> = None;
-    let zones = [(local, local_mean_milli, 1.0), (remote, remote_mean_milli, ZONE_COST_RATIO)];
-    for (endpoints, mean_milli, zone_cost) in zones {
-        let assumed_milli = (mean_milli * UNREPORTED_OCCUPANCY_RATIO) as u32;
+    for group in groups {
+        let endpoints = group.endpoints;
+        let assumed_milli = (group.mean_milli * UNREPORTED_OCCUPANCY_RATIO) as u32;
+        let zone_cost = if group.is_local { 1.0 } else { ZONE_COST_RATIO };
         for index in sample(rng, endpoints.len(), endpoints.len().min(COMPARED_ENDPOINTS)) {
             let endpoint = endpoints[index];
             let cost = cost(endpoint, assumed_milli, attributes, context, now)
--- a/cuminarch-routing/src/occupancy.rs
+++ b/cuminarch-routing/src/occupancy.rs
@@ -16,6 +16,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::endpoint::Endpoint;
+use crate::expected_finish::Group;
 use crate::mean_occupancy::MeanOccupancy;
 use crate::service::RoutingContext;
 use crate::{CallAttributes, expected_finish};
@@ -105,13 +106,14 @@
         rng: &mut ChaCha8Rng,
     ) -> Option<&'a Endpoint> {
         let (local, remote) = split_by_zone(endpoints, context);
-        let means_milli = (
-            self.own_zone.milli(now).unwrap_or_default(),
-            self.other_zones.milli(now).unwrap_or_default(),
-        );
         let local =
             if self.leaves_zone(&local, &remote, context, rng) { Vec::new() } else { local };
-        expected_finish::choose(&local, &remote, means_milli, attributes, context, now, rng)
+        let group = |endpoints, mean: MeanOccupancy, is_local| {
+            let mean_milli = mean.milli(now).unwrap_or_default();
+            Group { endpoints, mean_milli, is_local }
+        };
+        let groups = [group(&local, self.own_zone, true), group(&remote, self.other_zones, false)];
+        expected_finish::choose(groups, attributes, context, now, rng)
     }
 
     /// Returns `true` if the next call goes to another zone.
--- a/cuminarch-routing/tests/support/capacity_model.rs
+++ b/cuminarch-routing/tests/capacity_model/mod.rs
@@ -19,11 +19,11 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::ready_member;
+use crate::support::ready_member;
 
 pub const SLOTS: u32 = 60;
 /// Mean run time at speed 1.
-pub const RUN_TIME_S: f64 = 0.05;
+const RUN_TIME_S: f64 = 0.05;
 const OBJECTIVE: Duration = Duration::from_millis(400);
 const DEADLINE: Duration = Duration::from_millis(1_600);
 const MAX_ATTEMPTS: usize = 3;
@@ -43,9 +43,6 @@
     Oracle,
 }
 
-/// A true property of an endpoint that changes with time.
-pub type AtTime = fn(f64) -> f64;
-
 /// One endpoint.
 #[derive(Clone, Debug)]
 pub struct ModelEndpoint {
--- a/cuminarch-routing/tests/support/mod.rs
+++ b/cuminarch-routing/tests/support/mod.rs
@@ -1,7 +1,5 @@
 //! Members for the tests of this package.
 
-pub mod capacity_model;
-
 use cuminarch_protocol::{Member, MemberState, UpstreamRecord, UpstreamState};
 use cuminarch_types::Incarnation;
 
