--- a/cuminarch-admission/src/capacity_estimator.rs
+++ b/cuminarch-admission/src/capacity_estimator.rs
@@ -40,15 +40,17 @@
     /// Steps between no request and all slots.
     const STEPS: u32 = 20;
     const MIN_WINDOW: Duration = Duration::from_millis(100);
+    /// Length of a window of longer runs: those above a lower limit have to end first.
+    const WINDOW_RUN_TIMES: f64 = 0.75;
     /// Busy windows in which the levels far below are tried.
     const SEARCH_WINDOWS: u32 = 48;
     /// Busy windows after which they are tried again.
     const SEARCH_INTERVAL_WINDOWS: u32 = 900;
     /// One of this many windows tries another level, during the search and later.
     const PROBE_INTERVALS: (u32, u32) = (4, 16);
-    /// Distances of the levels that are tried, in turn.
-    const SEARCH_STEPS: [i32; 6] = [-4, 1, -2, -5, -1, -3];
-    const RISING_STEPS: [i32; 1] = [1];
+    /// Distances of the levels that are tried, in turn. A knee that is found far below is approached
+    /// from there.
+    const SEARCH_STEPS: [i32; 2] = [-4, 1];
     const LOCAL_STEPS: [i32; 2] = [1, -1];
     /// Windows between two evaluations.
     const WINDOWS_PER_EVALUATION: u32 = 4;
@@ -120,7 +122,9 @@
     /// Starts the next window if the current one is over. Returns `true` if the learned limit
     /// changed.
     pub fn advance(&mut self, holding_time: Duration, now: MonoTime) -> bool {
-        if now.since(self.window.started_at) < holding_time.max(Self::MIN_WINDOW) {
+        if now.since(self.window.started_at)
+            < holding_time.mul_f64(Self::WINDOW_RUN_TIMES).max(Self::MIN_WINDOW)
+        {
             return false;
         }
         let is_busy = self.window.is_busy;
@@ -167,11 +171,15 @@
 
     fn level_to_probe(&self, number: u32) -> Option<u32> {
         let (frequent, rare) = Self::PROBE_INTERVALS;
-        let is_above_known = self.level == self.step_count() || self.times.is_known(self.level + 1);
+        let is_unknown = |step: &i32| {
+            let level = self.level.saturating_add_signed(*step);
+            self.is_level(level) && !self.times.is_known(level)
+        };
+        let unknown_steps: Vec<i32> = Self::LOCAL_STEPS.into_iter().filter(is_unknown).collect();
         let (interval, steps) = if self.busy_window_count < Self::SEARCH_WINDOWS {
             (frequent, Self::SEARCH_STEPS.as_slice())
-        } else if !is_above_known {
-            (frequent, Self::RISING_STEPS.as_slice())
+        } else if !unknown_steps.is_empty() {
+            (frequent, unknown_steps.as_slice())
         } else {
             (rare, Self::LOCAL_STEPS.as_slice())
         };
@@ -180,7 +188,11 @@
         }
         let turn = (number / interval) as usize;
         let level = self.level.saturating_add_signed(steps[turn % steps.len()]);
-        (level >= 1 && level <= self.step_count() && level != self.level).then_some(level)
+        self.is_level(level).then_some(level)
+    }
+
+    fn is_level(&self, level: u32) -> bool {
+        (1..=self.step_count()).contains(&level)
     }
 
     fn ln_limit(&self, level: u32) -> f64 {
--- a/cuminarch-admission/src/level_times.rs
+++ b/cuminarch-admission/src/level_times.rs
@@ -56,7 +56,7 @@
     /// Bound of the difference of two groups of runs, for a disturbance that affects one of them.
     const MAX_DIFFERENCE_LN: f64 = 0.6;
     /// Weight that a level needs before the limit rises to it.
-    const MIN_RISE_WEIGHT: f64 = 150.0;
+    const MIN_RISE_WEIGHT: f64 = 250.0;
     /// Slowdown of a level to which the limit does not rise, as a natural logarithm.
     const MAX_RISE_SLOWDOWN_LN: f64 = 0.1;
     /// Weight of a level below which it says nothing.
--- a/cuminarch-admission/src/run_times.rs
+++ b/cuminarch-admission/src/run_times.rs
@@ -27,7 +27,7 @@
     /// The same for the mean that run times are compared with.
     const BASE_WINDOW: Duration = Duration::from_secs(10);
     /// Bounds of the weight of one sample in the recent mean.
-    const RECENT_WEIGHTS: (f64, f64) = (1.0 / 32.0, 0.25);
+    const RECENT_WEIGHTS: (f64, f64) = (1.0 / 32.0, 0.4);
     /// Runs after which the recent mean is reported.
     const MIN_RUN_COUNT: u32 = 4;
     const MIN_RUN_TIME_S: f64 = 1e-5;
--- a/cuminarch-routing/src/endpoint_speed.rs
+++ b/cuminarch-routing/src/endpoint_speed.rs
@@ -13,28 +13,36 @@
     usual_ln: f64,
     /// Time of the last report; `None` before the first one.
     reported_at: Option<MonoTime>,
+    report_count: u32,
 }
 
 impl EndpointSpeed {
     /// Time for which a report counts fully.
-    const HOLD: Duration = Duration::from_millis(400);
+    const HOLD: Duration = Duration::from_millis(300);
     /// Time after [`Self::HOLD`] in which it decays.
-    const DECAY: Duration = Duration::from_millis(1_200);
-    /// Time over which the usual value is averaged.
-    const USUAL_WINDOW: Duration = Duration::from_secs(30);
+    const DECAY: Duration = Duration::from_millis(900);
+    /// Time in which the usual value decays.
+    const USUAL_DECAY: Duration = Duration::from_secs(30);
+    /// Reports over which the first usual value is averaged.
+    const FIRST_REPORT_COUNT: u32 = 16;
+    /// Later change of the usual value per second, whatever the difference, so that a slow moment
+    /// does not become usual.
+    const USUAL_CHANGE_PER_S: f64 = 0.02;
     /// Bound of the difference from the mean: factors of 50 say the same as of 20.
     const MAX_LN: f64 = 3.0;
 
     /// Records the difference of a reported run time from the mean of its route.
     pub fn record(&mut self, difference_ln: f64, now: MonoTime) {
         let difference_ln = difference_ln.clamp(-Self::MAX_LN, Self::MAX_LN);
-        self.usual_ln = match self.reported_at {
-            Some(at) => {
-                let elapsed_s = now.since(at).as_secs_f64();
-                let weight = (elapsed_s / Self::USUAL_WINDOW.as_secs_f64()).min(0.1);
-                self.usual_ln + (difference_ln - self.usual_ln) * weight
+        self.report_count = self.report_count.saturating_add(1);
+        let excess_ln = difference_ln - self.usual_ln;
+        self.usual_ln += match self.reported_at {
+            Some(at) if self.report_count > Self::FIRST_REPORT_COUNT => {
+                let elapsed_s = now.since(at).as_secs_f64().min(1.0);
+                let most_ln = Self::USUAL_CHANGE_PER_S * elapsed_s;
+                excess_ln.clamp(-most_ln, most_ln)
             }
-            None => difference_ln,
+            _ => excess_ln / f64::from(self.report_count),
         };
         self.recent_ln = difference_ln;
         self.reported_at = Some(now);
@@ -46,7 +54,7 @@
         let Some(at) = self.reported_at else { return 0.0 };
         let age = now.since(at);
         let recent_weight = remaining(age.saturating_sub(Self::HOLD), Self::DECAY);
-        let usual_ln = self.usual_ln * remaining(age, Self::USUAL_WINDOW);
+        let usual_ln = self.usual_ln * remaining(age, Self::USUAL_DECAY);
         usual_ln + (self.recent_ln - usual_ln) * recent_weight
     }
 }
--- a/cuminarch-routing/src/expected_finish.rs
+++ b/cuminarch-routing/src/expected_finish.rs
@@ -19,9 +19,9 @@
 /// would choose the same ones between two reports.
 const COMPARED_ENDPOINTS: usize = 3;
 /// Extension of the run time by the wait at a full endpoint, as a multiple.
-const FULL_WAIT_RATIO: f64 = 4.0;
+const FULL_WAIT_RATIO: f64 = 3.0;
 /// Power of the occupancy to which the wait grows.
-const WAIT_EXPONENT: i32 = 3;
+const WAIT_EXPONENT: i32 = 8;
 /// Weight of the run time for requests with time to spare, which leave fast endpoints to others.
 const PATIENT_SPEED_WEIGHT: f64 = 0.5;
 /// Extension of the time by a zone boundary, for its latency and traffic.
