--- a/cuminarch-admission/src/slot_admission.rs
+++ b/cuminarch-admission/src/slot_admission.rs
@@ -225,12 +225,12 @@
             let mean = self.holding_times.get(route).map_or(sample, |mean| smooth(*mean));
             self.holding_times.insert(route.clone(), mean);
         }
-        self.learn(ended, sample, now);
+        self.learn(ended, now);
     }
 
-    fn learn(&mut self, ended: &Running, run_time: Duration, now: MonoTime) {
+    fn learn(&mut self, ended: &Running, now: MonoTime) {
         let (Some(run_times), Some(route)) = (&mut self.run_times, &ended.route) else { return };
-        let excess_ln = run_times.record(route, run_time, now);
+        let excess_ln = run_times.record(route, ended.since, now);
         if let (Some(estimator), Some(concurrency)) = (&mut self.estimator, ended.concurrency) {
             estimator.record(concurrency, excess_ln);
         }
--- a/cuminarch-routing/src/endpoint.rs
+++ b/cuminarch-routing/src/endpoint.rs
@@ -351,15 +351,22 @@
         }
     }
 
-    /// Returns `true` if it should be ejected; `median` is the median latency of its service.
-    pub fn is_outlier(&self, median: Option<Duration>, now: MonoTime) -> bool {
-        if self.consecutive_failures >= Self::FAILURES_TO_EJECT {
-            return true;
-        }
-        let Some(median) = median else { return false };
-        let limit = median * Self::SLOW_FACTOR + Self::SLOW_SLACK;
-        let is_stalled = self.in_flight >= Self::STALLED_CALLS && self.silence(now) > limit;
-        is_stalled || self.latency.is_some_and(|latency| latency > limit)
+    /// Returns `true` if it fails or does not answer; `median` is the median latency of its service.
+    pub fn has_stopped(&self, median: Option<Duration>, now: MonoTime) -> bool {
+        let is_stalled = |median| {
+            self.in_flight >= Self::STALLED_CALLS && self.silence(now) > Self::slow_limit(median)
+        };
+        self.consecutive_failures >= Self::FAILURES_TO_EJECT || median.is_some_and(is_stalled)
+    }
+
+    /// Returns `true` if its answers take much longer than the median of its service.
+    pub fn is_slow(&self, median: Option<Duration>) -> bool {
+        let limit = median.map(Self::slow_limit);
+        self.latency.is_some_and(|latency| limit.is_some_and(|limit| latency > limit))
+    }
+
+    fn slow_limit(median: Duration) -> Duration {
+        median * Self::SLOW_FACTOR + Self::SLOW_SLACK
     }
 
     /// Excludes it from ordinary calls.
--- a/cuminarch-routing/src/endpoint_speed.rs
+++ b/cuminarch-routing/src/endpoint_speed.rs
@@ -18,16 +18,18 @@
 
 impl EndpointSpeed {
     /// Time for which a report counts fully.
-    const HOLD: Duration = Duration::from_millis(300);
+    const HOLD: Duration = Duration::from_millis(200);
     /// Time after [`Self::HOLD`] in which it decays.
-    const DECAY: Duration = Duration::from_millis(900);
+    const DECAY: Duration = Duration::from_millis(700);
     /// Time in which the usual value decays.
     const USUAL_DECAY: Duration = Duration::from_secs(30);
     /// Reports over which the first usual value is averaged.
     const FIRST_REPORT_COUNT: u32 = 16;
     /// Later change of the usual value per second, whatever the difference, so that a slow moment
     /// does not become usual.
-    const USUAL_CHANGE_PER_S: f64 = 0.02;
+    const USUAL_CHANGE_PER_S: f64 = 0.005;
+    /// Difference from the usual value that the noise of a few runs explains, and that is ignored.
+    const NOISE_LN: f64 = 0.15;
     /// Bound of the difference from the mean: factors of 50 say the same as of 20.
     const MAX_LN: f64 = 3.0;
 
@@ -55,7 +57,9 @@
         let age = now.since(at);
         let recent_weight = remaining(age.saturating_sub(Self::HOLD), Self::DECAY);
         let usual_ln = self.usual_ln * remaining(age, Self::USUAL_DECAY);
-        usual_ln + (self.recent_ln - usual_ln) * recent_weight
+        let change_ln = self.recent_ln - self.usual_ln;
+        let change_ln = (change_ln.abs() - Self::NOISE_LN).max(0.0).copysign(change_ln);
+        usual_ln + change_ln * recent_weight
     }
 }
 
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -104,7 +104,7 @@
         if let Some(found) = service.get(endpoint) {
             self.context.zone_reachability.record_result(&found.member.zone, endpoint, result, now);
         }
-        service.record_result(endpoint, result, now);
+        service.record_result(&self.context, endpoint, result, now);
     }
 
     /// Records the admission level that the answer to a call under `rule` reported.
--- a/cuminarch-routing/src/service.rs
+++ b/cuminarch-routing/src/service.rs
@@ -30,6 +30,13 @@
 }
 
 impl RoutingContext {
+    /// Returns `true` if an endpoint should be ejected; `median` is the median latency of its
+    /// service. A slow one keeps its place where the choice accounts for its speed.
+    fn is_outlier(&self, endpoint: &Endpoint, median: Option<Duration>, now: MonoTime) -> bool {
+        let is_slow = || !self.chooses_by_finish() && endpoint.is_slow(median);
+        endpoint.has_stopped(median, now) || is_slow()
+    }
+
     /// Returns `true` if endpoints are chosen by when a call would finish.
     fn chooses_by_finish(&self) -> bool {
         self.capacity_mode == CapacityMode::Learned
@@ -177,7 +184,13 @@
         Some(chosen.target())
     }
 
-    pub fn record_result(&mut self, endpoint: &EndpointId, result: CallResult, now: MonoTime) {
+    pub fn record_result(
+        &mut self,
+        context: &RoutingContext,
+        endpoint: &EndpointId,
+        result: CallResult,
+        now: MonoTime,
+    ) {
         let Some(found) = self.endpoints.get(endpoint) else { return };
         // Iterates over all endpoints, which only the few calls to ejected ones need.
         let median = if found.is_ejected() { self.median(now) } else { None };
@@ -185,7 +198,9 @@
         found.record_result(result, now);
         if found.is_ejected() {
             match result {
-                CallResult::Answered(_) if !found.is_outlier(median, now) => found.restore(now),
+                CallResult::Answered(_) if !context.is_outlier(found, median, now) => {
+                    found.restore(now);
+                }
                 CallResult::Answered(_) | CallResult::Unanswered | CallResult::UpstreamError => {
                     found.eject(now);
                 }
@@ -258,7 +273,7 @@
         self.checked_at = now;
         self.occupancy.adapt(elapsed.min(Self::MAX_ELAPSED), now);
         if !context.disabled.contains(Mechanism::Ejection) {
-            self.eject_outliers(now);
+            self.eject_outliers(context, now);
         }
         let mean_latency = |is_local: bool| {
             let endpoints = self.endpoints().filter(|endpoint| endpoint.is_healthy(now));
@@ -271,15 +286,15 @@
     }
 
     /// Ejects outliers, but always less than half of the endpoints.
-    fn eject_outliers(&mut self, now: MonoTime) {
+    fn eject_outliers(&mut self, context: &RoutingContext, now: MonoTime) {
         let median = self.median(now);
         let lowest_ratio = self.lowest_error_ratio(now);
         let known = self.endpoints().filter(|endpoint| endpoint.takes_work()).count();
         let mut ejected = self.ejected();
         for endpoint in self.endpoints.values_mut() {
             let is_allowed = (ejected + 1) * 2 < known;
-            let should_eject =
-                endpoint.is_outlier(median, now) || endpoint.has_excess_errors(lowest_ratio, now);
+            let should_eject = context.is_outlier(endpoint, median, now)
+                || endpoint.has_excess_errors(lowest_ratio, now);
             if is_allowed && !endpoint.is_ejected() && should_eject {
                 endpoint.eject(now);
                 ejected += 1;
