--- a/cuminarch-admission/src/capacity_estimator.rs
+++ b/cuminarch-admission/src/capacity_estimator.rs
@@ -48,7 +48,7 @@
     const SEARCH_INTERVAL_WINDOWS: u32 = 900;
     /// One of this many windows tries another level, during the search and later.
     const PROBE_INTERVALS: (u32, u32) = (4, 16);
-    /// Distances of the levels that are tried, in turn. A knee that is found far below is approached
+    /// Distances of the levels that are tried, in turn; the second one only until it is known. A knee that is found far below is approached
     /// from there.
     const SEARCH_STEPS: [i32; 2] = [-4, 1];
     const LOCAL_STEPS: [i32; 2] = [1, -1];
@@ -177,7 +177,11 @@
         };
         let unknown_steps: Vec<i32> = Self::LOCAL_STEPS.into_iter().filter(is_unknown).collect();
         let (interval, steps) = if self.busy_window_count < Self::SEARCH_WINDOWS {
-            (frequent, Self::SEARCH_STEPS.as_slice())
+            let is_next_unknown = unknown_steps.contains(&1);
+            (
+                frequent,
+                if is_next_unknown { &Self::SEARCH_STEPS[..] } else { &Self::SEARCH_STEPS[..1] },
+            )
         } else if !unknown_steps.is_empty() {
             (frequent, unknown_steps.as_slice())
         } else {
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -19,7 +19,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::call::{Call, Sending, Stage};
-use crate::{Action, Direction, EngineSettings, EngineSummary, Event, Refusal, RefusalReason};
+use crate::{
+    Action, CapacityChange, Direction, EngineSettings, EngineSummary, Event, Refusal, RefusalReason,
+};
 
 /// Makes all decisions about the calls of one node.
 #[derive(Debug)]
@@ -55,6 +57,9 @@
     pub(crate) retries_denied_until: BTreeMap<ServiceName, MonoTime>,
     /// Position of the local endpoint in its service.
     pub(crate) own_position: EndpointPosition,
+    /// Own limit at the last change of it that was noted.
+    pub(crate) noted_limit: Option<ConcurrencyLimit>,
+    pub(crate) capacity_changes: Vec<CapacityChange>,
     next_call: CallId,
     next_attempt: AttemptId,
 }
@@ -92,6 +97,8 @@
             retry_budget: RetryBudget::new(),
             retries_denied_until: BTreeMap::new(),
             own_position: EndpointPosition { endpoint_count: 1, index: 0 },
+            noted_limit: None,
+            capacity_changes: Vec::new(),
             next_call: CallId::new(1),
             next_attempt: AttemptId::new(1),
             settings,
@@ -203,7 +210,8 @@
 
     /// Returns the state for dumps and metrics.
     #[must_use]
-    pub fn summary(&self) -> EngineSummary {
+    pub fn summary(&self, now: MonoTime) -> EngineSummary {
+        let learned = self.admission.learned_capacity();
         EngineSummary {
             calls: self.calls.len(),
             running: self.admission.running(),
@@ -214,6 +222,8 @@
             keys: self.keys.len(),
             members: self.router.members().count(),
             shortage_milli: self.admission.shortage_milli(),
+            capacity_confidence_milli: learned.map(|learned| learned.confidence_milli),
+            endpoint_capacities: self.endpoint_capacities(now),
             revision: self.policy.revision(),
             draining: self.draining,
         }
--- a/cuminarch-engine/src/lib.rs
+++ b/cuminarch-engine/src/lib.rs
@@ -25,6 +25,7 @@
 mod arrival;
 mod budget;
 mod call;
+mod capacity;
 mod engine;
 mod event;
 mod inbound;
@@ -40,6 +41,7 @@
 
 pub use action::{Action, Forward};
 pub use arrival::{Arrival, Direction, RequestKey};
+pub use capacity::{CapacityChange, EndpointCapacity};
 pub use engine::Engine;
 pub use event::{ClaimResult, Event, LocalEnd, RemoteRefusal};
 pub use refusal::{Refusal, RefusalReason};
--- a/cuminarch-engine/src/summary.rs
+++ b/cuminarch-engine/src/summary.rs
@@ -1,6 +1,8 @@
 use cuminarch_types::{ConcurrencyLimit, Rank, RatePerSecond, Revision};
 use serde::Serialize;
 
+use crate::EndpointCapacity;
+
 /// State of an engine for dumps and metrics.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct EngineSummary {
@@ -22,6 +24,12 @@
     pub members: usize,
     /// Fraction of the load that exceeds the capacity of the local upstream, in thousandths.
     pub shortage_milli: u16,
+    /// Part of the evidence that the concurrency limit needs, in thousandths, if it is learned.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub capacity_confidence_milli: Option<u32>,
+    /// What is believed of the endpoints that have reported their capacity.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub endpoint_capacities: Vec<EndpointCapacity>,
     /// Revision of the policy in force.
     pub revision: Revision,
     /// Whether new calls are refused.
--- a/cuminarch-engine/tests/model/world.rs
+++ b/cuminarch-engine/tests/model/world.rs
@@ -153,7 +153,7 @@
     fn plan_tick(&mut self, process: Process) {
         let site = &mut self.sites[process.0];
         let clock = site.clock(self.now);
-        let is_waiting = site.engine.summary().waiting > 0;
+        let is_waiting = site.engine.summary(self.now).waiting > 0;
         let poll = is_waiting.then(|| clock.after(Duration::from_millis(5)));
         let wake = match (site.engine.next_wake(), poll) {
             (Some(wake), Some(poll)) => Some(wake.min(poll)),
@@ -307,7 +307,7 @@
     /// Checks that the engines keep no state after the last step.
     fn check_sites(&mut self) {
         for (index, site) in self.sites.iter().enumerate() {
-            let summary = site.engine.summary();
+            let summary = site.engine.summary(self.now);
             let remaining = summary.calls + summary.running + summary.waiting;
             if remaining > 0 || site.engine.next_wake().is_some() {
                 self.audit.violations.push(format!("site {index} keeps state: {summary:?}"));
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -23,6 +23,7 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
+use super::capacity_log::log_changes;
 use crate::clock::Clock;
 use crate::event::NodeEvent;
 use crate::metrics::{Direction, Metrics};
@@ -207,6 +208,7 @@
                 let _ = mailbox.send(action);
             }
         }
+        log_changes(&state.engine.take_capacity_changes());
         let wakes_earlier =
             state.engine.next_wake().is_some_and(|wake| wake < self.shared.next_tick_at.get());
         if wakes_earlier {
@@ -281,7 +283,8 @@
                     self.post(Event::Drain);
                 }
                 DataCommand::Summary(reply) => {
-                    let _ = reply.try_send(self.shared.state.borrow().engine.summary());
+                    let now = self.shared.clock.now();
+                    let _ = reply.try_send(self.shared.state.borrow().engine.summary(now));
                 }
                 DataCommand::Stop(timeout) => return Some(timeout),
             }
--- a/cuminarch-node/src/data/mod.rs
+++ b/cuminarch-node/src/data/mod.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod body;
+mod capacity_log;
 mod connections;
 mod detached;
 mod driver;
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -69,11 +69,15 @@
     EndpointSignals,
     /// An answer contains a malformed statement of its upstream.
     SignalUnreadable,
+    /// The learned limit of the own upstream changed by more than a fifth.
+    LearnedLimitChanged,
+    /// The speed of another endpoint changed by more than a fifth.
+    EndpointSpeedChanged,
 }
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 33] = [
+    pub const ALL: [Self; 35] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -107,6 +111,8 @@
         Self::RateLimitChanged,
         Self::SignalUnreadable,
         Self::EndpointSignals,
+        Self::LearnedLimitChanged,
+        Self::EndpointSpeedChanged,
     ];
 
     /// Returns the number of the event; numbers are never reused.
@@ -146,6 +152,8 @@
             Self::RateLimitChanged => 2106,
             Self::SignalUnreadable => 2107,
             Self::EndpointSignals => 2108,
+            Self::LearnedLimitChanged => 2115,
+            Self::EndpointSpeedChanged => 2116,
         }
     }
 
@@ -186,6 +194,8 @@
             Self::RateLimitChanged => "rate-limit-changed",
             Self::SignalUnreadable => "signal-unreadable",
             Self::EndpointSignals => "endpoint-signals",
+            Self::LearnedLimitChanged => "learned-limit-changed",
+            Self::EndpointSpeedChanged => "endpoint-speed-changed",
         }
     }
 }
--- a/cuminarch-routing/src/endpoint.rs
+++ b/cuminarch-routing/src/endpoint.rs
@@ -2,11 +2,11 @@
 use std::time::Duration;
 
 use cuminarch_protocol::{Member, MemberState, UpstreamRecord};
-use cuminarch_types::{MonoTime, RatePerSecond, RuleNumber};
+use cuminarch_types::{ConcurrencyLimit, MonoTime, RatePerSecond, RuleNumber};
 
 use crate::endpoint_signals::EndpointSignals;
 use crate::endpoint_speed::EndpointSpeed;
-use crate::{CallAttributes, CallResult, LearnedLevel, Target};
+use crate::{CallAttributes, CallResult, CapacityBelief, LearnedLevel, Target};
 
 /// Exclusion of an endpoint from ordinary calls until its next probe.
 #[derive(Clone, Copy, Debug)]
@@ -146,6 +146,16 @@
         self.signals.rate_limit(self.member.upstream.as_ref())
     }
 
+    /// Returns what is believed of its capacity, if it has reported that.
+    pub fn capacity_belief(&self, now: MonoTime) -> Option<CapacityBelief<'_>> {
+        Some(CapacityBelief {
+            endpoint: &self.member.endpoint,
+            limit: ConcurrencyLimit::new(self.learned_limit?),
+            speed_milli: self.speed.speed_milli(now),
+            age: self.speed.age(now)?,
+        })
+    }
+
     /// Returns `true` if it gets ordinary calls and has free slots, as far as is known.
     pub fn has_room(&self, now: MonoTime) -> bool {
         let is_usable = self.takes_work() && self.is_healthy(now);
--- a/cuminarch-routing/src/endpoint_speed.rs
+++ b/cuminarch-routing/src/endpoint_speed.rs
@@ -2,6 +2,15 @@
 
 use cuminarch_types::MonoTime;
 
+/// Change of the speed of an endpoint relative to its service, in thousandths.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SpeedChange {
+    /// The speed until now.
+    pub previous_milli: u32,
+    /// The speed from now on.
+    pub current_milli: u32,
+}
+
 /// How much longer runs take at an endpoint than at its service on average, as natural logarithms.
 ///
 /// Without reports, the recent value decays to the usual one of the endpoint, so that an endpoint
@@ -14,6 +23,9 @@
     /// Time of the last report; `None` before the first one.
     reported_at: Option<MonoTime>,
     report_count: u32,
+    /// Value at the last change that was noted, and its time.
+    noted_ln: f64,
+    noted_at: MonoTime,
 }
 
 impl EndpointSpeed {
@@ -30,6 +42,9 @@
     const USUAL_CHANGE_PER_S: f64 = 0.005;
     /// Difference from the usual value that the noise of a few runs explains, and that is ignored.
     const NOISE_LN: f64 = 0.15;
+    /// Logarithm of 1.2: a change by a fifth is noted.
+    const MIN_NOTED_CHANGE_LN: f64 = 0.182;
+    const NOTED_INTERVAL: Duration = Duration::from_secs(1);
     /// Bound of the difference from the mean: factors of 50 say the same as of 20.
     const MAX_LN: f64 = 3.0;
 
@@ -50,6 +65,32 @@
         self.reported_at = Some(now);
     }
 
+    /// Returns the change since the last one that was noted, if it is more than a fifth. At most one
+    /// a second is noted.
+    pub fn take_change(&mut self, now: MonoTime) -> Option<SpeedChange> {
+        let (previous_ln, current_ln) = (self.noted_ln, self.slowness_ln(now));
+        let is_large = (current_ln - previous_ln).abs() > Self::MIN_NOTED_CHANGE_LN;
+        if !is_large || now.since(self.noted_at) < Self::NOTED_INTERVAL {
+            return None;
+        }
+        self.noted_ln = current_ln;
+        self.noted_at = now;
+        Some(SpeedChange {
+            previous_milli: to_speed_milli(previous_ln),
+            current_milli: to_speed_milli(current_ln),
+        })
+    }
+
+    /// Returns the speed that is assumed now, in thousandths of the mean of the service.
+    pub fn speed_milli(&self, now: MonoTime) -> u32 {
+        to_speed_milli(self.slowness_ln(now))
+    }
+
+    /// Returns the time since the last report.
+    pub fn age(&self, now: MonoTime) -> Option<Duration> {
+        self.reported_at.map(|at| now.since(at))
+    }
+
     /// Returns the difference that is assumed now.
     #[must_use]
     pub fn slowness_ln(&self, now: MonoTime) -> f64 {
@@ -63,6 +104,10 @@
     }
 }
 
+fn to_speed_milli(slowness_ln: f64) -> u32 {
+    ((-slowness_ln).exp() * 1_000.0) as u32
+}
+
 /// Returns what is left after `age` of a value that decays to zero within `lifetime`.
 fn remaining(age: Duration, lifetime: Duration) -> f64 {
     1.0 - (age.as_secs_f64() / lifetime.as_secs_f64()).min(1.0)
--- a/cuminarch-routing/src/lib.rs
+++ b/cuminarch-routing/src/lib.rs
@@ -17,6 +17,7 @@
 //! # Ok::<(), cuminarch_types::ParseError>(())
 //! ```
 
+mod capacity_belief;
 mod endpoint;
 mod endpoint_signals;
 mod endpoint_speed;
@@ -32,6 +33,8 @@
 mod target;
 mod zone_reachability;
 
+pub use capacity_belief::CapacityBelief;
+pub use endpoint_speed::SpeedChange;
 pub use learned_level::LearnedLevel;
 pub use router::Router;
 pub use splitter::Splitter;
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -11,7 +11,7 @@
 
 use crate::service::{RoutingContext, Service};
 use crate::zone_reachability::ZoneReachability;
-use crate::{CallAttributes, CallResult, LearnedLevel, Target};
+use crate::{CallAttributes, CallResult, CapacityBelief, LearnedLevel, SpeedChange, Target};
 
 /// Endpoints by service, with the state that this node tracks for each.
 #[derive(Clone, Debug)]
@@ -135,7 +135,7 @@
     }
 
     /// Records what the node of an endpoint reports that it takes well, in the answer to a call on
-    /// `route`.
+    /// `route`. Returns the change of its speed, if that is more than a fifth.
     pub fn record_capacity(
         &mut self,
         service: &ServiceName,
@@ -143,10 +143,14 @@
         route: &RouteName,
         report: &CapacityReport,
         now: MonoTime,
-    ) {
-        if let Some(service) = self.services.get_mut(service) {
-            service.record_capacity(endpoint, route, report, now);
-        }
+    ) -> Option<SpeedChange> {
+        self.services.get_mut(service)?.record_capacity(endpoint, route, report, now)
+    }
+
+    /// Returns what is believed of the endpoints that have reported their capacity.
+    pub fn capacity_beliefs(&self, now: MonoTime) -> impl Iterator<Item = CapacityBelief<'_>> {
+        let endpoints = self.services.values().flat_map(Service::endpoints);
+        endpoints.filter_map(move |endpoint| endpoint.capacity_belief(now))
     }
 
     /// Returns the mean run time of a route, if endpoints of the service report it.
--- a/cuminarch-routing/src/service.rs
+++ b/cuminarch-routing/src/service.rs
@@ -14,7 +14,7 @@
 use crate::run_time_means::RunTimeMeans;
 use crate::spill::Spill;
 use crate::zone_reachability::ZoneReachability;
-use crate::{CallAttributes, CallResult, LearnedLevel, Target};
+use crate::{CallAttributes, CallResult, LearnedLevel, SpeedChange, Target};
 
 /// Location of the choosing node, and node-wide routing state.
 #[derive(Clone, Debug)]
@@ -225,19 +225,20 @@
         self.occupancy.record(context.distance(&found.member) == 0, milli, now);
     }
 
-    /// Records what the node of an endpoint reports that it takes well.
+    /// Records what the node of an endpoint reports that it takes well. Returns the change of its
+    /// speed, if that is more than a fifth.
     pub fn record_capacity(
         &mut self,
         endpoint: &EndpointId,
         route: &RouteName,
         report: &CapacityReport,
         now: MonoTime,
-    ) {
-        let Some(found) = self.endpoints.get_mut(endpoint) else { return };
+    ) -> Option<SpeedChange> {
+        let found = self.endpoints.get_mut(endpoint)?;
         found.learned_limit = Some(report.limit);
-        if let Some(run_time_us) = report.run_time_us {
-            found.speed.record(self.run_times.record(route, run_time_us), now);
-        }
+        let difference_ln = self.run_times.record(route, report.run_time_us?);
+        found.speed.record(difference_ln, now);
+        found.speed.take_change(now)
     }
 
     /// Returns the mean run time of a route over the endpoints.
