--- a/cuminarch-routing/src/endpoint.rs
+++ b/cuminarch-routing/src/endpoint.rs
@@ -80,6 +80,8 @@
     const ERROR_SMOOTHING_FACTOR: f64 = 0.06;
     /// An endpoint is ejected if its error ratio exceeds the lowest one by more than this.
     const MAX_EXCESS_ERROR_RATIO: f64 = 0.25;
+    /// Error ratio above which run times say nothing.
+    const MAX_ERROR_RATIO_OF_RUN_TIMES: f64 = 0.05;
     /// Time in which the error ratio of an endpoint without calls decays to zero: the longest time
     /// until an ejected endpoint is probed.
     const ERROR_DECAY: Duration = Self::MAX_EJECTION;
@@ -187,6 +189,12 @@
         self.error_ratio * (1.0 - age).max(0.0)
     }
 
+    /// Returns `true` if it fails so many calls that its run times say nothing of its speed: failing
+    /// is faster than running.
+    pub fn is_failing(&self, now: MonoTime) -> bool {
+        self.error_ratio(now) > Self::MAX_ERROR_RATIO_OF_RUN_TIMES
+    }
+
     /// Returns `true` if its error ratio exceeds `lowest_ratio`, that of the best endpoint, by too
     /// much.
     pub fn has_excess_errors(&self, lowest_ratio: f64, now: MonoTime) -> bool {
--- a/cuminarch-routing/src/expected_finish.rs
+++ b/cuminarch-routing/src/expected_finish.rs
@@ -22,6 +22,9 @@
 const FULL_WAIT_RATIO: f64 = 3.0;
 /// Power of the occupancy to which the wait grows.
 const WAIT_EXPONENT: i32 = 8;
+/// Extension of the time by a penalty for warm-up or errors of as many slots as there are. A failed
+/// call is lost or runs again, so it counts also while all endpoints are nearly empty.
+const PENALTY_RATIO: f64 = 4.0;
 /// Weight of the run time for requests with time to spare, which leave fast endpoints to others.
 const PATIENT_SPEED_WEIGHT: f64 = 0.5;
 /// Extension of the time by a zone boundary, for its latency and traffic.
@@ -29,8 +32,6 @@
 /// Part by which the estimates of two nodes differ at random, so that nodes with the same view do
 /// not choose alike.
 const RANDOM_PART: f64 = 0.1;
-/// Error ratio above which an endpoint does not count as fast: failing is faster than running.
-const MAX_ERROR_RATIO_OF_FAST: f64 = 0.05;
 
 /// Endpoints of the own zone or of others.
 #[derive(Clone, Copy, Debug)]
@@ -44,7 +45,7 @@
 /// Returns the one of a few random endpoints of each group at which a call is expected to finish
 /// first.
 pub fn choose<'a>(
-    groups: [Group<'a, '_>; 2],
+    groups: &[Group<'a, '_>],
     attributes: CallAttributes,
     context: &RoutingContext,
     now: MonoTime,
@@ -81,11 +82,12 @@
     } else {
         endpoint.occupancy_milli(assumed_milli, now)
     };
-    let occupancy_milli = occupancy_milli + penalty_milli(endpoint, context, now);
-    let occupancy = f64::from(occupancy_milli) / 1_000.0;
-    let is_failing = endpoint.error_ratio(now) > MAX_ERROR_RATIO_OF_FAST;
+    let penalty = f64::from(penalty_milli(endpoint, context, now)) / 1_000.0;
+    let occupancy = f64::from(occupancy_milli) / 1_000.0 + penalty;
     let slowness_ln = endpoint.speed.slowness_ln(now);
-    let slowness_ln = if is_failing { slowness_ln.max(0.0) } else { slowness_ln };
+    let slowness_ln = if endpoint.is_failing(now) { slowness_ln.max(0.0) } else { slowness_ln };
     let speed_weight = if attributes.has_time_to_spare { PATIENT_SPEED_WEIGHT } else { 1.0 };
-    (slowness_ln * speed_weight).exp() * (1.0 + FULL_WAIT_RATIO * occupancy.powi(WAIT_EXPONENT))
+    (slowness_ln * speed_weight).exp()
+        * (1.0 + FULL_WAIT_RATIO * occupancy.powi(WAIT_EXPONENT))
+        * (1.0 + PENALTY_RATIO * penalty)
 }
--- a/cuminarch-routing/src/occupancy.rs
+++ b/cuminarch-routing/src/occupancy.rs
@@ -106,14 +106,20 @@
         rng: &mut ChaCha8Rng,
     ) -> Option<&'a Endpoint> {
         let (local, remote) = split_by_zone(endpoints, context);
-        let local =
-            if self.leaves_zone(&local, &remote, context, rng) { Vec::new() } else { local };
         let group = |endpoints, mean: MeanOccupancy, is_local| {
             let mean_milli = mean.milli(now).unwrap_or_default();
             Group { endpoints, mean_milli, is_local }
         };
-        let groups = [group(&local, self.own_zone, true), group(&remote, self.other_zones, false)];
-        expected_finish::choose(groups, attributes, context, now, rng)
+        let own = group(&local, self.own_zone, true);
+        let others = group(&remote, self.other_zones, false);
+        if self.leaves_zone(&local, &remote, context, rng) {
+            return expected_finish::choose(&[others], attributes, context, now, rng);
+        }
+        let chosen = expected_finish::choose(&[own], attributes, context, now, rng)?;
+        if penalty_milli(chosen, context, now) == 0 {
+            return Some(chosen);
+        }
+        expected_finish::choose(&[own, others], attributes, context, now, rng)
     }
 
     /// Returns `true` if the next call goes to another zone.
--- a/cuminarch-routing/src/service.rs
+++ b/cuminarch-routing/src/service.rs
@@ -236,6 +236,9 @@
     ) -> Option<SpeedChange> {
         let found = self.endpoints.get_mut(endpoint)?;
         found.learned_limit = Some(report.limit);
+        if found.is_failing(now) {
+            return None;
+        }
         let difference_ln = self.run_times.record(route, report.run_time_us?);
         found.speed.record(difference_ln, now);
         found.speed.take_change(now)
--- a/cuminarch-routing/tests/expected_finish.rs
+++ b/cuminarch-routing/tests/expected_finish.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cuminarch_protocol::CapacityReport;
-use cuminarch_routing::{CallAttributes, Router};
+use cuminarch_routing::{CallAttributes, CallResult, Router};
 use cuminarch_types::{
     CapacityMode, DisabledMechanisms, EndpointId, Mechanism, MonoTime, ServiceName,
 };
@@ -71,6 +71,25 @@
     assert!((found - share).abs() < 0.1, "{found}");
 }
 
+/// An endpoint that fails a tenth of its calls, and so reports short run times, gets no more calls
+/// than the other one.
+#[test]
+fn endpoint_that_fails_some_calls_does_not_count_as_fast() {
+    let mut router = router(CapacityMode::Learned, None);
+    for step in 0..200 {
+        let now = START.after(Duration::from_millis(step * 10));
+        report(&mut router, [300, 300], now);
+        let result = match step % 10 {
+            0 => CallResult::UpstreamError,
+            _ => CallResult::Answered(Duration::from_millis(20)),
+        };
+        router.record_sent(&service(), &endpoint(1), now);
+        router.record_result(&service(), &endpoint(1), result, now);
+    }
+    let share = fast_share(&mut router, false, START.after(Duration::from_secs(2)));
+    assert!(share <= 0.5, "{share}");
+}
+
 /// When the fast endpoint fills, requests with time to spare leave it to those without.
 #[test]
 fn requests_with_time_to_spare_leave_the_fast_endpoint() {
