--- a/cuminarch-node/src/lib.rs
+++ b/cuminarch-node/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 mod admin;
+mod capacity_metrics;
 mod clock;
 mod control;
 mod data;
--- a/cuminarch-node/src/metrics.rs
+++ b/cuminarch-node/src/metrics.rs
@@ -13,6 +13,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::capacity_metrics::CapacityMetrics;
+
 /// Direction of a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Direction {
@@ -66,6 +68,7 @@
     revision: Gauge,
     draining: Gauge,
     store_era: Gauge,
+    capacity: CapacityMetrics,
 }
 
 /// All metrics of a node.
@@ -195,7 +198,7 @@
 
 impl Gauges {
     fn register(registry: &mut Registry) -> Self {
-        let gauges = Self::default();
+        let gauges = Self { capacity: CapacityMetrics::register(registry), ..Self::default() };
         let entries = [
             ("calls_in_progress", "Calls in progress", &gauges.calls),
             ("calls_running", "Calls that run at the own upstream", &gauges.running),
@@ -228,5 +231,6 @@
         self.members.set(count(summary.members));
         self.revision.set(i64::try_from(summary.revision.get()).unwrap_or(i64::MAX));
         self.draining.set(i64::from(summary.draining));
+        self.capacity.set(summary);
     }
 }
--- a/cuminarch-routing/tests/expected_finish.rs
+++ b/cuminarch-routing/tests/expected_finish.rs
@@ -88,6 +88,10 @@
     }
     let share = fast_share(&mut router, false, START.after(Duration::from_secs(2)));
     assert!(share <= 0.5, "{share}");
+    // Its run times do not make the other one slow.
+    let now = START.after(Duration::from_secs(2));
+    let speed_milli = router.capacity_beliefs(now).next().unwrap().speed_milli;
+    assert!(speed_milli > 800, "{speed_milli}");
 }
 
 /// When the fast endpoint fills, requests with time to spare leave it to those without.
