--- a/cuminarch-engine/src/capacity.rs
+++ b/cuminarch-engine/src/capacity.rs
@@ -1,5 +1,6 @@
 //! What is learned of the capacity of the local upstream and of other endpoints, for operators.
 
+use cuminarch_routing::SpeedChange;
 use cuminarch_types::{ConcurrencyLimit, EndpointId, MonoTime};
 use serde::Serialize;
 
@@ -42,6 +43,9 @@
 }
 
 impl Engine {
+    /// Changes of beliefs kept for the driver.
+    const MAX_CAPACITY_CHANGES: usize = 64;
+
     /// Returns the changes of beliefs since the last call.
     pub fn take_capacity_changes(&mut self) -> Vec<CapacityChange> {
         self.note_own_limit();
@@ -61,6 +65,19 @@
             .collect()
     }
 
+    /// Notes a change of the speed of another endpoint for the driver. A driver that does not ask
+    /// for changes misses the later ones.
+    pub(crate) fn note_speed(&mut self, endpoint: &EndpointId, change: Option<SpeedChange>) {
+        let Some(change) = change else { return };
+        if self.capacity_changes.len() < Self::MAX_CAPACITY_CHANGES {
+            self.capacity_changes.push(CapacityChange::Speed {
+                endpoint: endpoint.clone(),
+                previous_milli: change.previous_milli,
+                current_milli: change.current_milli,
+            });
+        }
+    }
+
     fn note_own_limit(&mut self) {
         let Some(learned) = self.admission.learned_capacity() else { return };
         let previous = *self.noted_limit.get_or_insert(learned.limit);
--- a/cuminarch-engine/src/load.rs
+++ b/cuminarch-engine/src/load.rs
@@ -6,7 +6,7 @@
 use cuminarch_protocol::{CapacityReport, LoadReport, PressureReport, Receipt};
 use cuminarch_types::{EndpointId, MonoTime, RouteName, ServiceName};
 
-use crate::{CapacityChange, Engine};
+use crate::Engine;
 
 impl Engine {
     /// Smallest shortage that is reported, in thousandths.
@@ -76,11 +76,7 @@
         self.router.record_occupancy(service, endpoint, load.occupancy_milli, now);
         if let Some(capacity) = &load.capacity {
             let change = self.router.record_capacity(service, endpoint, route, capacity, now);
-            self.capacity_changes.extend(change.map(|change| CapacityChange::Speed {
-                endpoint: endpoint.clone(),
-                previous_milli: change.previous_milli,
-                current_milli: change.current_milli,
-            }));
+            self.note_speed(endpoint, change);
         }
         self.fan_outs_milli.insert(route.clone(), load.fan_out_milli);
         if load.is_internal {
