--- a/cuminarch-admission/src/lib.rs
+++ b/cuminarch-admission/src/lib.rs
@@ -20,17 +20,20 @@
 
 mod account_demand;
 mod admission;
+mod capacity_estimator;
 mod class_shares;
 mod control;
 mod fanout_estimator;
 mod internal_route_detector;
 mod least_squares;
 mod level;
+mod level_times;
 mod limiter;
 mod nested_failures;
 mod origin;
 mod recent_starts;
 mod return_times;
+mod run_times;
 mod sender_model;
 mod settings;
 mod share_plan;
@@ -45,7 +48,8 @@
 
 pub use account_demand::{AccountDemand, ReportedUsage};
 pub use admission::{Admission, AdmissionDecision, OfferReply, QueueEvent};
-pub use control::{AdmissionControl, AdmissionRequest};
+pub use capacity_estimator::CapacityEstimator;
+pub use control::{AdmissionControl, AdmissionRequest, LearnedCapacity};
 pub use fanout_estimator::FanoutEstimator;
 pub use internal_route_detector::InternalRouteDetector;
 pub use level::LevelControl;
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -22,7 +22,9 @@
 
 use crate::allotments::Allotments;
 use crate::call::{Call, Sending, Stage};
-use crate::{Action, Direction, EngineSettings, EngineSummary, Event, Refusal, RefusalReason};
+use crate::{
+    Action, CapacityChange, Direction, EngineSettings, EngineSummary, Event, Refusal, RefusalReason,
+};
 
 /// Makes all decisions about the calls of one node.
 #[derive(Debug)]
@@ -65,6 +67,9 @@
     /// Position of the local endpoint in its service.
     pub(crate) own_position: EndpointPosition,
     pub(crate) allotments: Allotments,
+    /// Own limit at the last change of it that was noted.
+    pub(crate) noted_limit: Option<ConcurrencyLimit>,
+    pub(crate) capacity_changes: Vec<CapacityChange>,
     next_call: CallId,
     next_attempt: AttemptId,
 }
@@ -75,11 +80,12 @@
     pub fn new(settings: EngineSettings, policy: Arc<Policy>) -> Self {
         let seed = settings.seed;
         let router = Router::new(settings.zone.clone(), settings.region.clone(), seed)
-            .with_disabled(settings.disabled.clone());
+            .with_disabled(settings.disabled.clone())
+            .with_capacity_mode(settings.capacity);
         let keys = KeyTable::new(settings.keys, settings.endpoint.clone(), settings.incarnation);
         Self {
             policy,
-            admission: settings.admission.build(&settings.disabled),
+            admission: settings.admission.build(&settings.disabled, settings.capacity),
             keys,
             router,
             calls: BTreeMap::new(),
@@ -105,6 +111,8 @@
             retries_denied_until: BTreeMap::new(),
             own_position: EndpointPosition { endpoint_count: 1, index: 0 },
             allotments: Allotments::new(&settings),
+            noted_limit: None,
+            capacity_changes: Vec::new(),
             next_call: CallId::new(1),
             next_attempt: AttemptId::new(1),
             settings,
@@ -222,7 +230,8 @@
 
     /// Returns the state for dumps and metrics.
     #[must_use]
-    pub fn summary(&self) -> EngineSummary {
+    pub fn summary(&self, now: MonoTime) -> EngineSummary {
+        let learned = self.admission.learned_capacity();
         EngineSummary {
             calls: self.calls.len(),
             running: self.admission.running(),
@@ -233,6 +242,8 @@
             keys: self.keys.len(),
             members: self.router.members().count(),
             shortage_milli: self.admission.shortage_milli(),
+            capacity_confidence_milli: learned.map(|learned| learned.confidence_milli),
+            endpoint_capacities: self.endpoint_capacities(now),
             revision: self.policy.revision(),
             draining: self.draining,
             allotments: self.allotment_summary(),
--- a/cuminarch-engine/tests/account_shares.rs
+++ b/cuminarch-engine/tests/account_shares.rs
@@ -132,6 +132,7 @@
         pressure: Some(pressure),
         fan_out_milli: 1_000,
         is_internal: false,
+        ..LoadReport::default()
     };
     Receipt { load: Some(Box::new(load)), ..Receipt::default() }
 }
--- a/cuminarch-engine/tests/allotment_mesh/mod.rs
+++ b/cuminarch-engine/tests/allotment_mesh/mod.rs
@@ -255,7 +255,8 @@
 
     /// Returns the tokens that nodes gave back.
     pub fn given_back(&self) -> u64 {
-        let summaries = self.engines.iter().map(|engine| engine.summary().allotments.total());
+        let summaries =
+            self.engines.iter().map(|engine| engine.summary(self.now).allotments.total());
         summaries.map(|total| total.given_back).sum()
     }
 }
--- a/cuminarch-engine/tests/allotments.rs
+++ b/cuminarch-engine/tests/allotments.rs
@@ -83,7 +83,7 @@
     mesh.call(0);
     mesh.run_for(Duration::from_millis(100));
     assert_eq!(mesh.refusals(RefusalReason::Overloaded), 1, "{:?}", mesh.refused);
-    let totals = mesh.engines[0].summary().allotments.total();
+    let totals = mesh.engines[0].summary(mesh.now).allotments.total();
     assert!(totals.granted > 0);
     assert_eq!(totals.given_back, totals.granted);
     assert!(mesh.runs.is_empty());
@@ -122,7 +122,7 @@
     assert!(mesh.runs.len() > 20, "{}", mesh.runs.len());
     assert_eq!(mesh.overrun(RATE, BURST), None);
     let granted: u64 =
-        mesh.engines.iter().map(|engine| engine.summary().allotments.total().granted).sum();
+        mesh.engines.iter().map(|engine| engine.summary(mesh.now).allotments.total().granted).sum();
     assert_eq!(granted, mesh.runs.len() as u64 + mesh.given_back());
 }
 
@@ -143,7 +143,7 @@
 fn waiting_request(mesh: &mut Mesh, limit: Duration) -> (usize, cuminarch_types::CallId) {
     for node in 0..mesh.engines.len() {
         let call = mesh.call_within(node, limit);
-        if mesh.engines[node].summary().allotments.waiting == 1 {
+        if mesh.engines[node].summary(mesh.now).allotments.waiting == 1 {
             return (node, call);
         }
     }
@@ -158,8 +158,8 @@
     mesh.run_for(Duration::from_millis(30));
     let refused = &mesh.refused[&(node, call)];
     assert_eq!(refused.reason, RefusalReason::DeadlineExceeded);
-    assert_eq!(mesh.engines[node].summary().allotments.waiting, 0);
-    assert_eq!(mesh.engines[node].summary().calls, 0);
+    assert_eq!(mesh.engines[node].summary(mesh.now).allotments.waiting, 0);
+    assert_eq!(mesh.engines[node].summary(mesh.now).calls, 0);
 }
 
 #[test]
@@ -171,7 +171,7 @@
     mesh.handle(node, Event::Cancel(call));
     mesh.run_for(Duration::from_millis(10));
     assert_eq!(mesh.runs.len(), runs);
-    assert_eq!(mesh.engines[node].summary().allotments.waiting, 0);
+    assert_eq!(mesh.engines[node].summary(mesh.now).allotments.waiting, 0);
     // The token that was on its way serves the next request at once.
     mesh.call(node);
     assert_eq!(mesh.runs.len(), runs + 1);
@@ -194,8 +194,8 @@
     let (node, call) = waiting_request(&mut mesh, Duration::from_secs(1));
     mesh.remove_accounts(2);
     mesh.run_for(Duration::from_secs(2));
-    assert_eq!(mesh.engines[node].summary().allotments.waiting, 0);
-    assert_eq!(mesh.engines[node].summary().calls, 0, "{call}");
+    assert_eq!(mesh.engines[node].summary(mesh.now).allotments.waiting, 0);
+    assert_eq!(mesh.engines[node].summary(mesh.now).calls, 0, "{call}");
 }
 
 #[test]
@@ -252,7 +252,7 @@
         message: AllotmentMessage::Grant(grant),
     };
     mesh.handle(2, Event::Allotment(source, Box::new(datagram)));
-    assert_eq!(mesh.engines[2].summary().allotments.ignored_datagrams, 1);
+    assert_eq!(mesh.engines[2].summary(mesh.now).allotments.ignored_datagrams, 1);
 }
 
 /// Peers know a higher incarnation than the one that the process started with, because the clock of
@@ -271,14 +271,14 @@
         mesh.call(0);
     }
     mesh.run_for(Duration::from_secs(1));
-    let ignored = |engine: &Engine| engine.summary().allotments.ignored_datagrams;
+    let ignored = |engine: &Engine| engine.summary(mesh.now).allotments.ignored_datagrams;
     assert!(mesh.datagrams > 0);
     assert_eq!(mesh.engines.iter().map(ignored).sum::<u64>(), 0);
 }
 
 /// Returns the number of parts that each node holds.
 fn held_parts(mesh: &Mesh) -> Vec<usize> {
-    let states = mesh.engines.iter().map(|engine| engine.summary().allotments.states);
+    let states = mesh.engines.iter().map(|engine| engine.summary(mesh.now).allotments.states);
     states.map(|states| states.values().map(|state| state.held_parts).sum()).collect()
 }
 
@@ -338,7 +338,7 @@
         mesh.call(0);
     });
     assert!(mesh.refusals(RefusalReason::OverloadedBehind) > 1_000);
-    let states = mesh.engines[0].summary().allotments.states;
+    let states = mesh.engines[0].summary(mesh.now).allotments.states;
     let usage_milli = states.values().next().unwrap().usage_milli.unwrap();
     // All of them arrive in one zone; the usage is relative to one part or to all.
     assert!(f64::from(usage_milli) >= 0.9 * 1_000.0 * ARRIVING_PER_S / RATE, "{usage_milli}");
--- a/cuminarch-engine/tests/recorded_decisions.rs
+++ b/cuminarch-engine/tests/recorded_decisions.rs
@@ -88,8 +88,12 @@
         age_ms: 30,
         load_us: 20_000,
     });
-    let load =
-        LoadReport { occupancy_milli: 700, pressure, fan_out_milli: 2_000, is_internal: false };
+    let load = LoadReport {
+        occupancy_milli: 700,
+        pressure,
+        fan_out_milli: 2_000,
+        ..LoadReport::default()
+    };
     let receipt = Receipt { load: Some(Box::new(load)), ..Receipt::default() };
     match rng.random_range(0..20_u32) {
         0 => Event::RemoteLost { call, attempt, sent: true },
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -25,6 +25,7 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
+use super::capacity_log::log_changes;
 use super::datagrams::DatagramSender;
 use crate::clock::Clock;
 use crate::decisions::LogRateLimiter;
@@ -239,6 +240,7 @@
                 }
             }
         }
+        log_changes(&state.engine.take_capacity_changes());
         let wakes_earlier =
             state.engine.next_wake().is_some_and(|wake| wake < self.shared.next_tick_at.get());
         if wakes_earlier {
@@ -326,7 +328,8 @@
                     self.post(Event::Drain);
                 }
                 DataCommand::Summary(reply) => {
-                    let _ = reply.try_send(self.shared.state.borrow().engine.summary());
+                    let now = self.shared.clock.now();
+                    let _ = reply.try_send(self.shared.state.borrow().engine.summary(now));
                 }
                 DataCommand::Stop(timeout) => return Some(timeout),
             }
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -81,11 +81,15 @@
     AllotmentLowered,
     /// A datagram about allotments could not be read.
     DatagramUnreadable,
+    /// The learned limit of the own upstream changed by more than a fifth.
+    LearnedLimitChanged,
+    /// The speed of another endpoint changed by more than a fifth.
+    EndpointSpeedChanged,
 }
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 39] = [
+    pub const ALL: [Self; 41] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -125,6 +129,8 @@
         Self::AllotmentHolderSilent,
         Self::AllotmentLowered,
         Self::DatagramUnreadable,
+        Self::LearnedLimitChanged,
+        Self::EndpointSpeedChanged,
     ];
 
     /// Returns the number of the event; numbers are never reused.
@@ -170,6 +176,8 @@
             Self::AllotmentHolderSilent => 2111,
             Self::AllotmentLowered => 2112,
             Self::DatagramUnreadable => 2113,
+            Self::LearnedLimitChanged => 2115,
+            Self::EndpointSpeedChanged => 2116,
         }
     }
 
@@ -216,6 +224,8 @@
             Self::AllotmentHolderSilent => "allotment-holder-silent",
             Self::AllotmentLowered => "allotment-lowered",
             Self::DatagramUnreadable => "datagram-unreadable",
+            Self::LearnedLimitChanged => "learned-limit-changed",
+            Self::EndpointSpeedChanged => "endpoint-speed-changed",
         }
     }
 }
--- a/cuminarch-routing/src/endpoint.rs
+++ b/cuminarch-routing/src/endpoint.rs
@@ -2,10 +2,11 @@
 use std::time::Duration;
 
 use cuminarch_protocol::{Member, MemberState, UpstreamRecord};
-use cuminarch_types::{MonoTime, RatePerSecond, RuleNumber};
+use cuminarch_types::{ConcurrencyLimit, MonoTime, RatePerSecond, RuleNumber};
 
 use crate::endpoint_signals::EndpointSignals;
-use crate::{CallAttributes, CallResult, LearnedLevel, Target};
+use crate::endpoint_speed::EndpointSpeed;
+use crate::{CallAttributes, CallResult, CapacityBelief, LearnedLevel, Target};
 
 /// Exclusion of an endpoint from ordinary calls until its next probe.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +41,10 @@
     warm_up_until: MonoTime,
     /// What its upstream stated in its answers.
     pub signals: EndpointSignals,
+    /// Speed relative to its service, from its reports.
+    pub speed: EndpointSpeed,
+    /// Calls that it runs concurrently, if it has reported that.
+    pub learned_limit: Option<u32>,
 }
 
 /// Last occupancy that the endpoint reported.
@@ -75,6 +80,8 @@
     const ERROR_SMOOTHING_FACTOR: f64 = 0.06;
     /// An endpoint is ejected if its error ratio exceeds the lowest one by more than this.
     const MAX_EXCESS_ERROR_RATIO: f64 = 0.25;
+    /// Error ratio above which run times say nothing.
+    const MAX_ERROR_RATIO_OF_RUN_TIMES: f64 = 0.05;
     /// Time in which the error ratio of an endpoint without calls decays to zero: the longest time
     /// until an ejected endpoint is probed.
     const ERROR_DECAY: Duration = Self::MAX_EJECTION;
@@ -107,6 +114,8 @@
             connect_failures: 0,
             warm_up_until: MonoTime::ZERO,
             signals: EndpointSignals::default(),
+            speed: EndpointSpeed::default(),
+            learned_limit: None,
         }
     }
 
@@ -139,6 +148,16 @@
         self.signals.rate_limit(self.member.upstream.as_ref())
     }
 
+    /// Returns what is believed of its capacity, if it has reported that.
+    pub fn capacity_belief(&self, now: MonoTime) -> Option<CapacityBelief<'_>> {
+        Some(CapacityBelief {
+            endpoint: &self.member.endpoint,
+            limit: ConcurrencyLimit::new(self.learned_limit?),
+            speed_milli: self.speed.speed_milli(now),
+            age: self.speed.age(now)?,
+        })
+    }
+
     /// Returns `true` if it gets ordinary calls and has free slots, as far as is known.
     pub fn has_room(&self, now: MonoTime) -> bool {
         let is_usable = self.takes_work() && self.is_healthy(now);
@@ -170,6 +189,12 @@
         self.error_ratio * (1.0 - age).max(0.0)
     }
 
+    /// Returns `true` if it fails so many calls that its run times say nothing of its speed: failing
+    /// is faster than running.
+    pub fn is_failing(&self, now: MonoTime) -> bool {
+        self.error_ratio(now) > Self::MAX_ERROR_RATIO_OF_RUN_TIMES
+    }
+
     /// Returns `true` if its error ratio exceeds `lowest_ratio`, that of the best endpoint, by too
     /// much.
     pub fn has_excess_errors(&self, lowest_ratio: f64, now: MonoTime) -> bool {
@@ -257,7 +282,8 @@
     /// Returns the slots that calls can occupy: with a rate limit, as many as run concurrently at
     /// that rate.
     fn usable_slots(&self) -> f64 {
-        let slots = self.member.upstream.as_ref().map_or(0, |upstream| upstream.slots);
+        let stated_slots = || self.member.upstream.as_ref().map_or(0, |upstream| upstream.slots);
+        let slots = self.learned_limit.unwrap_or_else(stated_slots);
         let slots = f64::from(slots.max(1));
         match (self.rate_limit(), self.latency) {
             (Some(rate), Some(latency)) => {
@@ -299,6 +325,8 @@
             self.ejection = None;
             self.consecutive_failures = 0;
             self.error_ratio = 0.0;
+            self.speed = EndpointSpeed::default();
+            self.learned_limit = None;
             self.start_warm_up(&member, now);
         }
         self.member = member;
@@ -341,15 +369,22 @@
         }
     }
 
-    /// Returns `true` if it should be ejected; `median` is the median latency of its service.
-    pub fn is_outlier(&self, median: Option<Duration>, now: MonoTime) -> bool {
-        if self.consecutive_failures >= Self::FAILURES_TO_EJECT {
-            return true;
-        }
-        let Some(median) = median else { return false };
-        let limit = median * Self::SLOW_FACTOR + Self::SLOW_SLACK;
-        let is_stalled = self.in_flight >= Self::STALLED_CALLS && self.silence(now) > limit;
-        is_stalled || self.latency.is_some_and(|latency| latency > limit)
+    /// Returns `true` if it fails or does not answer; `median` is the median latency of its service.
+    pub fn has_stopped(&self, median: Option<Duration>, now: MonoTime) -> bool {
+        let is_stalled = |median| {
+            self.in_flight >= Self::STALLED_CALLS && self.silence(now) > Self::slow_limit(median)
+        };
+        self.consecutive_failures >= Self::FAILURES_TO_EJECT || median.is_some_and(is_stalled)
+    }
+
+    /// Returns `true` if its answers take much longer than the median of its service.
+    pub fn is_slow(&self, median: Option<Duration>) -> bool {
+        let limit = median.map(Self::slow_limit);
+        self.latency.is_some_and(|latency| limit.is_some_and(|limit| latency > limit))
+    }
+
+    fn slow_limit(median: Duration) -> Duration {
+        median * Self::SLOW_FACTOR + Self::SLOW_SLACK
     }
 
     /// Excludes it from ordinary calls.
--- a/cuminarch-routing/src/lib.rs
+++ b/cuminarch-routing/src/lib.rs
@@ -17,18 +17,24 @@
 //! # Ok::<(), cuminarch_types::ParseError>(())
 //! ```
 
+mod capacity_belief;
 mod endpoint;
 mod endpoint_signals;
+mod endpoint_speed;
+mod expected_finish;
 mod learned_level;
 mod mean_occupancy;
 mod occupancy;
 mod router;
+mod run_time_means;
 mod service;
 mod spill;
 mod splitter;
 mod target;
 mod zone_reachability;
 
+pub use capacity_belief::CapacityBelief;
+pub use endpoint_speed::SpeedChange;
 pub use learned_level::LearnedLevel;
 pub use router::Router;
 pub use splitter::Splitter;
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -1,15 +1,17 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use cuminarch_protocol::{Member, UpstreamSignals};
+use cuminarch_protocol::{CapacityReport, Member, UpstreamSignals};
 use cuminarch_types::{
-    DisabledMechanisms, EndpointId, MonoTime, RegionName, RuleNumber, ServiceName, ZoneName,
+    CapacityMode, DisabledMechanisms, EndpointId, MonoTime, RegionName, RouteName, RuleNumber,
+    ServiceName, ZoneName,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::service::{RoutingContext, Service};
 use crate::zone_reachability::ZoneReachability;
-use crate::{CallAttributes, CallResult, LearnedLevel, Target};
+use crate::{CallAttributes, CallResult, CapacityBelief, LearnedLevel, SpeedChange, Target};
 
 /// Endpoints by service, with the state that this node tracks for each.
 #[derive(Clone, Debug)]
@@ -29,6 +31,7 @@
             region,
             zone_reachability: reachability,
             disabled: DisabledMechanisms::default(),
+            capacity_mode: CapacityMode::default(),
         };
         let rng = ChaCha8Rng::seed_from_u64(seed);
         Self { context: routing_context, rng, services: BTreeMap::new() }
@@ -41,6 +44,13 @@
         self
     }
 
+    /// Sets where the capacity of endpoints comes from.
+    #[must_use]
+    pub const fn with_capacity_mode(mut self, mode: CapacityMode) -> Self {
+        self.context.capacity_mode = mode;
+        self
+    }
+
     /// Applies a statement about a member; older statements are ignored.
     pub fn update(&mut self, member: Member, now: MonoTime) {
         let service = self.services.entry(member.service.clone()).or_default();
@@ -94,7 +104,7 @@
         if let Some(found) = service.get(endpoint) {
             self.context.zone_reachability.record_result(&found.member.zone, endpoint, result, now);
         }
-        service.record_result(endpoint, result, now);
+        service.record_result(&self.context, endpoint, result, now);
     }
 
     /// Records the admission level that the answer to a call under `rule` reported.
@@ -124,6 +134,31 @@
         }
     }
 
+    /// Records what the node of an endpoint reports that it takes well, in the answer to a call on
+    /// `route`. Returns the change of its speed, if that is more than a fifth.
+    pub fn record_capacity(
+        &mut self,
+        service: &ServiceName,
+        endpoint: &EndpointId,
+        route: &RouteName,
+        report: &CapacityReport,
+        now: MonoTime,
+    ) -> Option<SpeedChange> {
+        self.services.get_mut(service)?.record_capacity(endpoint, route, report, now)
+    }
+
+    /// Returns what is believed of the endpoints that have reported their capacity.
+    pub fn capacity_beliefs(&self, now: MonoTime) -> impl Iterator<Item = CapacityBelief<'_>> {
+        let endpoints = self.services.values().flat_map(Service::endpoints);
+        endpoints.filter_map(move |endpoint| endpoint.capacity_belief(now))
+    }
+
+    /// Returns the mean run time of a route, if endpoints of the service report it.
+    #[must_use]
+    pub fn run_time(&self, service: &ServiceName, route: &RouteName) -> Option<Duration> {
+        self.services.get(service)?.run_time(route)
+    }
+
     /// Records what the answer of a target states about its upstream. Returns `true` if that
     /// changed.
     pub fn record_signals(
--- a/cuminarch-routing/src/service.rs
+++ b/cuminarch-routing/src/service.rs
@@ -1,18 +1,20 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cuminarch_protocol::Member;
+use cuminarch_protocol::{CapacityReport, Member};
 use cuminarch_types::{
-    DisabledMechanisms, EndpointId, Mechanism, MonoTime, RegionName, RuleNumber, ZoneName,
+    CapacityMode, DisabledMechanisms, EndpointId, Mechanism, MonoTime, RegionName, RouteName,
+    RuleNumber, ZoneName,
 };
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
 use crate::endpoint::Endpoint;
 use crate::occupancy::ServiceOccupancy;
+use crate::run_time_means::RunTimeMeans;
 use crate::spill::Spill;
 use crate::zone_reachability::ZoneReachability;
-use crate::{CallAttributes, CallResult, LearnedLevel, Target};
+use crate::{CallAttributes, CallResult, LearnedLevel, SpeedChange, Target};
 
 /// Location of the choosing node, and node-wide routing state.
 #[derive(Clone, Debug)]
@@ -23,9 +25,24 @@
     pub zone_reachability: ZoneReachability,
     /// Mechanisms that are switched off.
     pub disabled: DisabledMechanisms,
+    /// Where the capacity of endpoints comes from.
+    pub capacity_mode: CapacityMode,
 }
 
 impl RoutingContext {
+    /// Returns `true` if an endpoint should be ejected; `median` is the median latency of its
+    /// service. A slow one keeps its place where the choice accounts for its speed.
+    fn is_outlier(&self, endpoint: &Endpoint, median: Option<Duration>, now: MonoTime) -> bool {
+        let is_slow = || !self.chooses_by_finish() && endpoint.is_slow(median);
+        endpoint.has_stopped(median, now) || is_slow()
+    }
+
+    /// Returns `true` if endpoints are chosen by when a call would finish.
+    fn chooses_by_finish(&self) -> bool {
+        self.capacity_mode == CapacityMode::Learned
+            && !self.disabled.contains(Mechanism::ExpectedFinish)
+    }
+
     /// Returns `true` if calls to a zone are likely to arrive.
     pub fn is_reachable(&self, zone: &ZoneName, now: MonoTime) -> bool {
         let checks_zones = !self.disabled.contains(Mechanism::ZoneSights);
@@ -49,6 +66,7 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     spill: Spill,
     occupancy: ServiceOccupancy,
+    run_times: RunTimeMeans,
     checked_at: MonoTime,
 }
 
@@ -144,6 +162,11 @@
         }
         let healthy = filter_or_all(candidates, |endpoint| endpoint.is_healthy(now));
         if healthy.iter().any(|endpoint| endpoint.reports_slots()) {
+            if context.chooses_by_finish() {
+                let occupancy = &self.occupancy;
+                let chosen = occupancy.choose_by_finish(&healthy, attributes, context, now, rng);
+                return chosen.map(Endpoint::target);
+            }
             return self.occupancy.choose(&healthy, context, now, rng).map(Endpoint::target);
         }
         let admitting = filter_or_all(healthy, |endpoint| endpoint.admits(attributes, now));
@@ -161,7 +184,13 @@
         Some(chosen.target())
     }
 
-    pub fn record_result(&mut self, endpoint: &EndpointId, result: CallResult, now: MonoTime) {
+    pub fn record_result(
+        &mut self,
+        context: &RoutingContext,
+        endpoint: &EndpointId,
+        result: CallResult,
+        now: MonoTime,
+    ) {
         let Some(found) = self.endpoints.get(endpoint) else { return };
         // Iterates over all endpoints, which only the few calls to ejected ones need.
         let median = if found.is_ejected() { self.median(now) } else { None };
@@ -169,7 +198,9 @@
         found.record_result(result, now);
         if found.is_ejected() {
             match result {
-                CallResult::Answered(_) if !found.is_outlier(median, now) => found.restore(now),
+                CallResult::Answered(_) if !context.is_outlier(found, median, now) => {
+                    found.restore(now);
+                }
                 CallResult::Answered(_) | CallResult::Unanswered | CallResult::UpstreamError => {
                     found.eject(now);
                 }
@@ -194,6 +225,30 @@
         self.occupancy.record(context.distance(&found.member) == 0, milli, now);
     }
 
+    /// Records what the node of an endpoint reports that it takes well. Returns the change of its
+    /// speed, if that is more than a fifth.
+    pub fn record_capacity(
+        &mut self,
+        endpoint: &EndpointId,
+        route: &RouteName,
+        report: &CapacityReport,
+        now: MonoTime,
+    ) -> Option<SpeedChange> {
+        let found = self.endpoints.get_mut(endpoint)?;
+        found.learned_limit = Some(report.limit);
+        if found.is_failing(now) {
+            return None;
+        }
+        let difference_ln = self.run_times.record(route, report.run_time_us?);
+        found.speed.record(difference_ln, now);
+        found.speed.take_change(now)
+    }
+
+    /// Returns the mean run time of a route over the endpoints.
+    pub fn run_time(&self, route: &RouteName) -> Option<Duration> {
+        self.run_times.of(route)
+    }
+
     /// Returns the endpoints of the nearest zone, or the next nearest ones for calls that spill
     /// over.
     fn nearest<'a>(
@@ -222,7 +277,7 @@
         self.checked_at = now;
         self.occupancy.adapt(elapsed.min(Self::MAX_ELAPSED), now);
         if !context.disabled.contains(Mechanism::Ejection) {
-            self.eject_outliers(now);
+            self.eject_outliers(context, now);
         }
         let mean_latency = |is_local: bool| {
             let endpoints = self.endpoints().filter(|endpoint| endpoint.is_healthy(now));
@@ -235,15 +290,15 @@
     }
 
     /// Ejects outliers, but always less than half of the endpoints.
-    fn eject_outliers(&mut self, now: MonoTime) {
+    fn eject_outliers(&mut self, context: &RoutingContext, now: MonoTime) {
         let median = self.median(now);
         let lowest_ratio = self.lowest_error_ratio(now);
         let known = self.endpoints().filter(|endpoint| endpoint.takes_work()).count();
         let mut ejected = self.ejected();
         for endpoint in self.endpoints.values_mut() {
             let is_allowed = (ejected + 1) * 2 < known;
-            let should_eject =
-                endpoint.is_outlier(median, now) || endpoint.has_excess_errors(lowest_ratio, now);
+            let should_eject = context.is_outlier(endpoint, median, now)
+                || endpoint.has_excess_errors(lowest_ratio, now);
             if is_allowed && !endpoint.is_ejected() && should_eject {
                 endpoint.eject(now);
                 ejected += 1;
--- a/cuminarch-types/src/mechanism.rs
+++ b/cuminarch-types/src/mechanism.rs
@@ -19,10 +19,14 @@
     ClassOrder,
     /// Ejects endpoints that fail or are slow.
     Ejection,
+    /// Chooses endpoints by when a request would finish there.
+    ExpectedFinish,
     /// Avoids endpoints in proportion to the fraction of calls that they fail.
     FaultCost,
     /// Counts nested calls that got no answer as shortage of the service that they were sent to.
     NestedFailureShortage,
+    /// Limits the concurrency of an endpoint to what was measured to gain throughput.
+    LearnedLimit,
     /// Chooses endpoints by the occupancy that they report.
     OccupancyReports,
     /// Pauses retries to a service after one of its serving nodes denied a retry.
@@ -53,12 +57,14 @@
 
 impl Mechanism {
     /// All mechanisms in order of name.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 20] = [
         Self::AccountShares,
         Self::ClassOrder,
         Self::Ejection,
+        Self::ExpectedFinish,
         Self::FaultCost,
         Self::NestedFailureShortage,
+        Self::LearnedLimit,
         Self::OccupancyReports,
         Self::RepeatPause,
         Self::Repeats,
@@ -81,8 +87,10 @@
             Self::AccountShares => "account-shares",
             Self::ClassOrder => "class-order",
             Self::Ejection => "ejection",
+            Self::ExpectedFinish => "expected-finish",
             Self::FaultCost => "fault-cost",
             Self::NestedFailureShortage => "nested-failure-shortage",
+            Self::LearnedLimit => "learned-limit",
             Self::OccupancyReports => "occupancy-reports",
             Self::RepeatPause => "repeat-pause",
             Self::Repeats => "repeats",
