--- a/cuminarch-allotment/src/bounds.rs
+++ b/cuminarch-allotment/src/bounds.rs
@@ -44,8 +44,8 @@
 /// See [`MIN_EMPTY`].
 pub(crate) const MAX_EMPTY: Duration = Duration::from_millis(250);
 /// Time after a refusal for which an entry node refuses without an ask. At the limit, it bounds
-/// the asks of a node to 10 a second and account.
-pub(crate) const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
+/// the asks of a node to 8 a second and account.
+pub(crate) const REFUSAL_PAUSE: Duration = Duration::from_millis(125);
 /// Greatest time that a refused caller is told to wait.
 pub(crate) const MAX_RETRY: Duration = Duration::from_secs(30);
 /// Rate of a part in requests a second from which on the account has more parts in each zone, so
