feat(node): requires_config; test(soak): keys of client accounts under faults

A daemon that starts without a configuration served with safe defaults, which know no accounts. The soak gives its fleet an account whose second key changes with each configuration, and checks that no request runs without a valid key and that no upstream receives one.

--- a/cuminarch-engine/src/refusal.rs
+++ b/cuminarch-engine/src/refusal.rs
@@ -45,6 +45,8 @@
     KeyBoundElsewhere,
     /// The client account no longer holds the key that the request came with.
     CredentialWithdrawn,
+    /// The node has found no configuration yet and must not serve without one.
+    NoConfiguration,
 }
 
 impl RefusalReason {
@@ -77,11 +79,12 @@
             Self::ClaimUnavailable => "claim-unavailable",
             Self::KeyBoundElsewhere => "key-bound-elsewhere",
             Self::CredentialWithdrawn => "credential-withdrawn",
+            Self::NoConfiguration => "no-configuration",
         }
     }
 
     /// Every reason.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::Draining,
         Self::Overloaded,
         Self::OverloadedBehind,
@@ -101,6 +104,7 @@
         Self::ClaimUnavailable,
         Self::KeyBoundElsewhere,
         Self::CredentialWithdrawn,
+        Self::NoConfiguration,
     ];
 
     /// Returns the reason for which [`RefusalReason::as_str`] returns `text`.
--- a/cuminarch-node/src/data/handler.rs
+++ b/cuminarch-node/src/data/handler.rs
@@ -7,7 +7,7 @@
 use cuminarch_engine::{Arrival, Direction, Refusal, RefusalReason};
 use cuminarch_http::RequestHead;
 use cuminarch_protocol::HeaderField;
-use cuminarch_types::RequestId;
+use cuminarch_types::{RequestId, Revision};
 use tokio::sync::oneshot;
 
 use super::body::RequestBody;
@@ -109,6 +109,10 @@
     if !plan.may_run_concurrently {
         request.position.shared.wait_for_earlier_answers(request.position.number).await;
     }
+    if context.requires_config && policy.revision() == Revision::default() {
+        let refusal = Refusal::not_run(RefusalReason::NoConfiguration);
+        return context.interface.refusal(&refusal, plan.arrival.root, &plan.echoed_fields).into();
+    }
     let is_outbound = plan.arrival.direction != Direction::Inbound;
     let is_refused = context.interface.refuses_while_draining()
         && context.driver.is_draining()
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -46,6 +46,8 @@
     pub tasks: Tasks,
     pub interface: Arc<dyn CallerInterface>,
     pub decisions: Rc<LogRateLimiter>,
+    /// Whether calls are refused until a configuration is found.
+    pub requires_config: bool,
     /// Limits of the settings; the policy may override them.
     pub settings_limits: DataLimits,
     pub splitter: Rc<RefCell<Splitter>>,
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -97,6 +97,7 @@
             interface: self.interface,
             settings_limits: DataLimits::new(&self.settings),
             decisions: Rc::new(LogRateLimiter::new()),
+            requires_config: self.settings.requires_config,
             splitter: Rc::default(),
             upstream_changes: self.upstream_changes,
         };
--- a/cuminarch-node/src/settings.rs
+++ b/cuminarch-node/src/settings.rs
@@ -86,6 +86,10 @@
     /// Maximum number of connections from callers and peers, and separately from the own upstream.
     #[serde(default = "default_max_connections")]
     pub max_connections: usize,
+    /// Whether calls are refused until a configuration is found, instead of served by the safe
+    /// defaults, which know no client accounts.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub requires_config: bool,
     /// All availability zones of the deployment, in which the allotments of client accounts are
     /// divided equally. Without them, each allotment is held by one node.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- a/cuminarch-soak/src/callers.rs
+++ b/cuminarch-soak/src/callers.rs
@@ -5,7 +5,7 @@
 use cuminarch_testing::{CallerAnswer, HttpCaller};
 use cuminarch_types::Outcome;
 
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, INVALID_KEYS, VALID_KEY};
 use crate::site::Site;
 use crate::{CallerResult, Observations, Promise, Sabotage};
 
@@ -19,6 +19,8 @@
 impl Caller {
     /// Time between two requests.
     const REQUEST_PAUSE: Duration = Duration::from_millis(5);
+    /// Requests of which one has an invalid key.
+    const INTRUSION_INTERVAL: usize = 8;
     /// Maximum sends of one approval, all with the same key.
     const MAX_SENDS: usize = 3;
 
@@ -31,7 +33,9 @@
         let mut results = Vec::new();
         while Instant::now() < deadline {
             let request = results.len();
-            let mut result = if request % 2 == 0 {
+            let mut result = if request % Self::INTRUSION_INTERVAL == 1 {
+                self.send_intrusion(request).await
+            } else if request % 2 == 0 {
                 self.send_approval(request).await
             } else {
                 self.send_browse(request).await
@@ -50,21 +54,31 @@
     }
 
     async fn send_browse(&self, request: usize) -> CallerResult {
-        let target = format!("/items/{}-{request}", self.index);
-        let mut result =
-            CallerResult { target, is_idempotent: true, outcome: None, is_own_answer: true };
-        if let Some(answer) = self.entry_site(request).call("GET", &result.target, &[]).await {
+        let mut result = CallerResult::new(format!("/items/{}-{request}", self.index), true);
+        let entry = self.entry_site(request);
+        if let Some(answer) = entry.call(VALID_KEY, "GET", &result.target, &[]).await {
+            self.record_answer(&mut result, answer);
+        }
+        result
+    }
+
+    /// Sends a request with an invalid key.
+    async fn send_intrusion(&self, request: usize) -> CallerResult {
+        let mut result = CallerResult::new(format!("/intrusions/{}-{request}", self.index), true);
+        result.has_valid_key = false;
+        let round = request / Self::INTRUSION_INTERVAL;
+        let key = INVALID_KEYS[round % INVALID_KEYS.len()];
+        let entry = self.entry_site(self.index + round / INVALID_KEYS.len());
+        if let Some(answer) = entry.call(key, "GET", &result.target, &[]).await {
             self.record_answer(&mut result, answer);
         }
         result
     }
 
     async fn send_approval(&self, request: usize) -> CallerResult {
-        let target = format!("/approvals/{}-{request}", self.index);
-        let mut result =
-            CallerResult { target, is_idempotent: false, outcome: None, is_own_answer: true };
+        let mut result = CallerResult::new(format!("/approvals/{}-{request}", self.index), false);
         let entry = self.entry_site(self.index + request);
-        let key = entry.call("POST", "/.cuminarch/keys", &[]).await;
+        let key = entry.call(VALID_KEY, "POST", "/.cuminarch/keys", &[]).await;
         let Some(key) = key.filter(|answer| answer.status == 201 && answer.is_complete) else {
             return result;
         };
@@ -72,7 +86,8 @@
         for send in 1..=Self::MAX_SENDS {
             let headers = [("idempotency-key", key.clone()), ("cuminarch-send", send.to_string())];
             let entry = self.entry_site(self.index + request + send);
-            let Some(answer) = entry.call("POST", &result.target, &headers).await else { continue };
+            let call = entry.call(VALID_KEY, "POST", &result.target, &headers);
+            let Some(answer) = call.await else { continue };
             self.record_answer(&mut result, answer);
             if result.outcome != Some(Outcome::NotRun) {
                 break;
@@ -99,7 +114,8 @@
             (&self.sites[0].upstream, &self.sites[Fleet::ENTRY_SITE_COUNT].upstream);
         let is_completed = result.outcome == Some(Outcome::Completed);
         let (upstream, runs) = match promise {
-            Promise::AtMostOnce if is_completed => (entry, 1),
+            Promise::AtMostOnce | Promise::HiddenKeys if is_completed => (entry, 1),
+            Promise::ValidKeys if !result.has_valid_key => (entry, 1),
             Promise::BoundedAttempts if is_completed => {
                 (downstream, Observations::GRANTED_ATTEMPTS)
             }
@@ -109,10 +125,12 @@
             }
             _ => return,
         };
+        let key = [("authorization", VALID_KEY.to_owned())];
+        let headers = if promise == Promise::HiddenKeys { &key[..] } else { &[] };
         for _ in 0..runs {
             let caller = HttpCaller::new(upstream.address());
             // The answer does not matter: the upstream counts the run.
-            let _ = caller.call("POST", &result.target, &[], Bytes::new()).await;
+            let _ = caller.call("POST", &result.target, headers, Bytes::new()).await;
         }
     }
 }
--- a/cuminarch-soak/src/fleet.rs
+++ b/cuminarch-soak/src/fleet.rs
@@ -23,8 +23,14 @@
   - {class: approval, methods: [POST], path: /approvals/**, idempotent: false}
   - {class: browse, path: /**, idempotent: true}
 default_class: browse
+accounts:
 ";
 
+/// Key that stays valid.
+pub const VALID_KEY: &str = "valid";
+/// Keys that are never valid during the faults: the first was withdrawn before, the other never held.
+pub const INVALID_KEYS: [&str; 2] = ["rotating-1", "unknown"];
+
 /// Service that callers send requests to, and the downstream service that it calls.
 const SERVICES: [&str; 2] = ["katalog", "auftrag"];
 
@@ -58,6 +64,8 @@
             .wait_until_recovered(Self::READY_TIMEOUT)
             .await
             .wrap_err("the fleet did not become ready")?;
+        fleet.publish_config().await?;
+        fleet.wait_until_withdrawn(INVALID_KEYS[0]).await?;
         Ok(fleet)
     }
 
@@ -95,7 +103,7 @@
         let started_at = Instant::now();
         for site in &self.sites[..Self::ENTRY_SITE_COUNT] {
             let is_failed = |answer: CallerAnswer| answer.status != 200;
-            while site.call("GET", "/items/probe", &[]).await.is_none_or(is_failed) {
+            while site.call(VALID_KEY, "GET", "/items/probe", &[]).await.is_none_or(is_failed) {
                 if started_at.elapsed() > timeout {
                     bail!("no request completed within {timeout:?}");
                 }
@@ -105,6 +113,21 @@
         Ok(started_at.elapsed())
     }
 
+    /// Waits until the entry sites refuse a key.
+    async fn wait_until_withdrawn(&self, key: &str) -> Result<()> {
+        let started_at = Instant::now();
+        for site in &self.sites[..Self::ENTRY_SITE_COUNT] {
+            let is_accepted = |answer: CallerAnswer| answer.status != 401;
+            while site.call(key, "GET", "/items/probe", &[]).await.is_none_or(is_accepted) {
+                if started_at.elapsed() > Self::READY_TIMEOUT {
+                    bail!("a withdrawn key is still accepted");
+                }
+                tokio::time::sleep(Self::POLL_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the number of runs of each request at the upstreams of these sites.
     pub fn runs(sites: &[Arc<Site>], results: &[CallerResult]) -> BTreeMap<String, u64> {
         let runs =
@@ -141,7 +164,9 @@
         let document = ConfigDocument {
             revision: Revision::new(revision),
             change: format!("change-{revision}").parse()?,
-            sheet: SHEET.to_owned(),
+            sheet: format!(
+                "{SHEET}  - {{name: quilts, keys: [{VALID_KEY}, rotating-{revision}]}}\n"
+            ),
         };
         let text = serde_json::to_string(&document)?;
         loop {
--- a/cuminarch-soak/src/observations.rs
+++ b/cuminarch-soak/src/observations.rs
@@ -16,6 +16,17 @@
     pub outcome: Option<Outcome>,
     /// `false` if an apparently complete, successful answer was not the expected one.
     pub is_own_answer: bool,
+    /// Whether it was sent with the key of a client account.
+    pub has_valid_key: bool,
+}
+
+impl CallerResult {
+    /// Creates the result of a request with a valid key that has no answer yet.
+    #[must_use]
+    pub const fn new(target: String, is_idempotent: bool) -> Self {
+        let (is_own_answer, has_valid_key) = (true, true);
+        Self { target, is_idempotent, outcome: None, is_own_answer, has_valid_key }
+    }
 }
 
 /// How a terminated daemon ended.
@@ -38,6 +49,8 @@
     pub runs: BTreeMap<String, u64>,
     /// Runs at the upstreams of the downstream sites, by target.
     pub downstream_runs: BTreeMap<String, u64>,
+    /// Requests with a key of a client account at any upstream.
+    pub keys_at_upstreams: u64,
     /// Revisions in force by site, in the order in which they were observed.
     pub revisions: BTreeMap<usize, Vec<u64>>,
     /// All terminations.
@@ -66,6 +79,10 @@
             let details = format!("site {}: {}", termination.site, termination.details);
             violations.push(Violation { promise: Promise::GracefulStops, details });
         }
+        if self.keys_at_upstreams > 0 {
+            let details = format!("upstreams received {} keys", self.keys_at_upstreams);
+            violations.push(Violation { promise: Promise::HiddenKeys, details });
+        }
         if self.recovery.is_none() {
             let details = "requests do not complete after the last fault".to_owned();
             violations.push(Violation { promise: Promise::Recovery, details });
@@ -85,6 +102,9 @@
         if result.outcome == Some(Outcome::NotRun) && runs > 0 {
             report(Promise::TrueRefusals, format!("{target} was answered not run but ran"));
         }
+        if !result.has_valid_key && runs > 0 {
+            report(Promise::ValidKeys, format!("{target} ran without a valid key"));
+        }
         if !result.is_own_answer {
             report(
                 Promise::WholeAnswers,
--- a/cuminarch-soak/src/promise.rs
+++ b/cuminarch-soak/src/promise.rs
@@ -17,11 +17,15 @@
     GracefulStops,
     /// Requests complete again soon after the end of the last fault.
     Recovery,
+    /// No request runs without a valid key of a client account.
+    ValidKeys,
+    /// No upstream receives a key.
+    HiddenKeys,
 }
 
 impl Promise {
     /// All promises.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 9] = [
         Self::AtMostOnce,
         Self::TrueRefusals,
         Self::WholeAnswers,
@@ -29,6 +33,8 @@
         Self::ConfigurationNeverBack,
         Self::GracefulStops,
         Self::Recovery,
+        Self::ValidKeys,
+        Self::HiddenKeys,
     ];
 
     /// Returns the name used on the command line and in reports.
@@ -42,6 +48,8 @@
             Self::ConfigurationNeverBack => "configuration-never-back",
             Self::GracefulStops => "graceful-stops",
             Self::Recovery => "recovery",
+            Self::ValidKeys => "valid-keys",
+            Self::HiddenKeys => "hidden-keys",
         }
     }
 }
--- a/cuminarch-soak/src/run.rs
+++ b/cuminarch-soak/src/run.rs
@@ -113,6 +113,8 @@
         let signal = if violates(Promise::GracefulStops) { Signal::KILL } else { Signal::TERM };
         observations.terminations.extend(fleet.stop(signal).await?);
         let (entry_sites, downstream_sites) = fleet.sites.split_at(Fleet::ENTRY_SITE_COUNT);
+        let keys = fleet.sites.iter().map(|site| site.upstream.keys_received());
+        observations.keys_at_upstreams = keys.sum();
         observations.runs = Fleet::runs(entry_sites, &observations.caller_results);
         observations.downstream_runs = Fleet::runs(downstream_sites, &observations.caller_results);
         Ok(())
--- a/cuminarch-soak/src/site.rs
+++ b/cuminarch-soak/src/site.rs
@@ -53,7 +53,8 @@
         let platform_link = LinkProxy::start(platform).await?;
         let (upstream_address, platform_address) =
             (upstream_link.address(), platform_link.address());
-        let settings = DaemonSettings::new(service, index, upstream_address, platform_address);
+        let mut settings = DaemonSettings::new(service, index, upstream_address, platform_address);
+        settings.requires_config = true;
         upstream.update(|behaviour| {
             behaviour.egress_address = Some(settings.egress_address);
             behaviour.downstream_services = downstream.into_iter().collect();
@@ -71,14 +72,17 @@
         })
     }
 
-    /// Sends a request to the daemon; returns `None` without an answer.
+    /// Sends a request with a key to the daemon; returns `None` without an answer.
     pub async fn call(
         &self,
+        key: &str,
         method: &str,
         target: &str,
         headers: &[(&str, String)],
     ) -> Option<CallerAnswer> {
-        send_request(self.settings.caller_address, method, target, headers, Self::CALL_TIMEOUT)
+        let authorization = [("authorization", format!("Bearer {key}"))];
+        let headers = [headers, &authorization].concat();
+        send_request(self.settings.caller_address, method, target, &headers, Self::CALL_TIMEOUT)
             .await
     }
 
--- a/cuminarch-soak/tests/schedule.rs
+++ b/cuminarch-soak/tests/schedule.rs
@@ -48,6 +48,7 @@
         is_idempotent: false,
         outcome: Some(Outcome::Completed),
         is_own_answer: true,
+        has_valid_key: true,
     };
     let mut observations = Observations { caller_results: vec![result], ..Observations::default() };
     observations.runs.insert("/approvals/1".to_owned(), 1);
@@ -86,6 +87,12 @@
 #[case::ended_by_force(Promise::GracefulStops, |observed: &mut Observations| {
     observed.terminations[0].is_graceful = false;
 })]
+#[case::invalid_key(Promise::ValidKeys, |observed: &mut Observations| {
+    observed.caller_results[0].has_valid_key = false;
+})]
+#[case::key_at_an_upstream(Promise::HiddenKeys, |observed: &mut Observations| {
+    observed.keys_at_upstreams = 1;
+})]
 #[case::stays_down(Promise::Recovery, |observed: &mut Observations| observed.recovery = None)]
 fn each_violation_is_detected(
     #[case] promise: Promise,
--- a/cuminarch-testing/src/daemon_settings.rs
+++ b/cuminarch-testing/src/daemon_settings.rs
@@ -25,6 +25,8 @@
     pub upstream_address: SocketAddr,
     /// Address of the platform.
     pub platform_address: SocketAddr,
+    /// Whether the daemon refuses calls until it has a configuration.
+    pub requires_config: bool,
 }
 
 impl DaemonSettings {
@@ -46,6 +48,7 @@
             admin_address: free_address(),
             upstream_address,
             platform_address,
+            requires_config: false,
         }
     }
 
@@ -55,7 +58,7 @@
         format!(
             "fleet: test\nendpoint: {}\nservice: {}\nzone: zrh-a\nregion: ch-central\n\
              caller_address: {}\negress_address: {}\ndata_address: {}\ncontrol_address: {}\n\
-             admin_address: {}\nupstream_address: {}\nplatform_address: {}\n",
+             admin_address: {}\nupstream_address: {}\nplatform_address: {}\n{}",
             self.endpoint,
             self.service,
             self.caller_address,
@@ -65,6 +68,7 @@
             self.admin_address,
             self.upstream_address,
             self.platform_address,
+            if self.requires_config { "requires_config: true\n" } else { "" },
         )
     }
 }
--- a/cuminarch-testing/src/upstream_server.rs
+++ b/cuminarch-testing/src/upstream_server.rs
@@ -65,6 +65,7 @@
     slots: Semaphore,
     runs: AtomicU64,
     runs_by_target: Mutex<BTreeMap<String, u64>>,
+    keys_received: AtomicU64,
 }
 
 /// An upstream on loopback. Its answer contains the request's target, which lets a
@@ -91,6 +92,7 @@
             slots,
             runs: AtomicU64::new(0),
             runs_by_target: Mutex::default(),
+            keys_received: AtomicU64::new(0),
         });
         let server_shared = Arc::clone(&shared);
         thread::Builder::new()
@@ -118,6 +120,12 @@
         runs.get(target).copied().unwrap_or(0)
     }
 
+    /// Returns the number of requests that carried a key of a client account.
+    #[must_use]
+    pub fn keys_received(&self) -> u64 {
+        self.shared.keys_received.load(Ordering::Relaxed)
+    }
+
     /// Changes the behaviour for later requests, except the number of slots.
     pub fn update(&self, change: impl FnOnce(&mut UpstreamBehaviour)) {
         change(&mut self.shared.behaviour.lock().unwrap_or_else(PoisonError::into_inner));
@@ -150,6 +158,8 @@
     let behaviour = shared.behaviour.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let target = request.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let token = request.headers().get("cuminarch-request").cloned();
+    let has_key = request.headers().contains_key("authorization");
+    shared.keys_received.fetch_add(u64::from(has_key), Ordering::Relaxed);
     let _ = request.into_body().collect().await;
     shared.runs.fetch_add(1, Ordering::Relaxed);
     count_run(&shared, &target);
--- a/cuminarchd/tests/soak.rs
+++ b/cuminarchd/tests/soak.rs
@@ -30,6 +30,8 @@
 #[case(Promise::ConfigurationNeverBack)]
 #[case(Promise::GracefulStops)]
 #[case(Promise::Recovery)]
+#[case(Promise::ValidKeys)]
+#[case(Promise::HiddenKeys)]
 fn a_breach_of_each_promise_is_noticed(#[case] promise: Promise) {
     let report = run_soak(3, Some(Sabotage(promise)));
     let is_reported = report.violations.iter().any(|violation| violation.promise == promise);
