--- a/cuminarch-engine/src/refusal.rs
+++ b/cuminarch-engine/src/refusal.rs
@@ -49,6 +49,8 @@
     AllotmentExceeded,
     /// No holder of the client account's allotment can be reached.
     AllotmentUnavailable,
+    /// The node has found no configuration yet and must not serve without one.
+    NoConfiguration,
 }
 
 impl RefusalReason {
@@ -86,11 +88,12 @@
             Self::CredentialWithdrawn => "credential-withdrawn",
             Self::AllotmentExceeded => "allotment-exceeded",
             Self::AllotmentUnavailable => "allotment-unavailable",
+            Self::NoConfiguration => "no-configuration",
         }
     }
 
     /// Every reason.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::Draining,
         Self::Overloaded,
         Self::OverloadedBehind,
@@ -112,6 +115,7 @@
         Self::CredentialWithdrawn,
         Self::AllotmentExceeded,
         Self::AllotmentUnavailable,
+        Self::NoConfiguration,
     ];
 
     /// Returns the reason for which [`RefusalReason::as_str`] returns `text`.
