--- a/cuminarch-allotment/tests/load.rs
+++ b/cuminarch-allotment/tests/load.rs
@@ -130,7 +130,7 @@
 /// bucket would allow are let through.
 #[test]
 fn all_nodes_restart_and_rejoin() {
-    let mut load = fleet_87();
+    let mut load = fleet_87(40);
     for node in 0..87 {
         load.fleet.stop(node);
         load.fleet.rejoin(node);
