--- a/cuminarch-engine/tests/allotment_mesh/mod.rs
+++ b/cuminarch-engine/tests/allotment_mesh/mod.rs
@@ -47,6 +47,8 @@
     pub receipt: Receipt,
     /// Times at which requests ran.
     pub runs: Vec<MonoTime>,
+    /// Calls that ran at least once.
+    pub ran: BTreeSet<(usize, CallId)>,
     pub refused: BTreeMap<(usize, CallId), Refused>,
     /// Nodes that neither send nor receive datagrams.
     pub cut: BTreeSet<usize>,
@@ -76,6 +78,7 @@
             serving: Serving::Run,
             receipt: Receipt::default(),
             runs: Vec::new(),
+            ran: BTreeSet::new(),
             refused: BTreeMap::new(),
             cut: BTreeSet::new(),
             datagrams: 0,
@@ -199,6 +202,7 @@
     fn serve(&mut self, node: usize, (call, attempt): (CallId, AttemptId), unspent: Attempts) {
         if self.serving != Serving::Refuse {
             self.runs.push(self.now);
+            self.ran.insert((node, call));
         }
         match self.serving {
             Serving::Run => self.answer(node, call, attempt),
--- a/cuminarch-engine/tests/allotments.rs
+++ b/cuminarch-engine/tests/allotments.rs
@@ -139,6 +139,22 @@
     assert!(mesh.runs.len() - before >= 2, "{}", mesh.runs.len() - before);
 }
 
+#[test]
+fn a_request_without_a_token_for_its_repeat_gets_the_result_of_the_first_attempt() {
+    let mut mesh = Mesh::new(1, 0.3, 3);
+    mesh.run_for(Duration::from_secs(15));
+    mesh.serving = Serving::RunAndLose;
+    for node in (0..3).cycle().take(9) {
+        mesh.call(node);
+    }
+    mesh.run_for(Duration::from_secs(1));
+    assert!(!mesh.ran.is_empty());
+    for call in &mesh.ran {
+        assert_eq!(mesh.refused[call].reason, RefusalReason::UpstreamFailed);
+    }
+    assert_eq!(mesh.overrun(0.3, 3), None);
+}
+
 /// Returns a node that does not hold a part, so that its requests wait, and one such request.
 fn waiting_request(mesh: &mut Mesh, limit: Duration) -> (usize, cuminarch_types::CallId) {
     for node in 0..mesh.engines.len() {
