--- a/cuminarch-admission/src/nested_failures.rs
+++ b/cuminarch-admission/src/nested_failures.rs
@@ -30,10 +30,6 @@
     release_step: f64,
     /// Smoothed time of a call that was answered.
     call_time: Duration,
-    /// Sum of the times of the calls answered in this window.
-    window_call_time: Duration,
-    /// Mean time of a call in a recent window without waiting.
-    unqueued_call_time: Duration,
 }
 
 impl NestedFailures {
@@ -44,10 +40,10 @@
     const REACTION_TIME: Duration = Duration::from_millis(1_000);
     /// Minimum number of calls in a window for a meaningful fraction.
     const MIN_WINDOW_CALLS: u32 = 16;
-    /// Minimum number of answered calls in a window for a meaningful mean time.
-    const MIN_WAIT_CALLS: u32 = 16;
     /// Below this fraction failed there is no shortage, because the next attempts succeed.
     const MIN_FAILED_FRACTION: f64 = 0.05;
+    /// Below this fraction failed, some of what is shed is released.
+    const MAX_CLEAN_FRACTION: f64 = 0.01;
     /// Part of the remaining load that is shed beyond the failed fraction, so that the releases
     /// that probe for room stay within the room for some windows.
     const MARGIN: f64 = 0.05;
@@ -55,16 +51,6 @@
     const RELEASE_GROWTH: f64 = 1.5;
     /// Maximum shed fraction, so that some requests remain to show recovery.
     const MAX_SHED: f64 = 0.9;
-    /// A window whose calls took this many times as long as without waiting shows a growing queue:
-    /// nothing is released.
-    const MAX_WAIT_RATIO: f64 = 2.0;
-    /// From this ratio on, calls soon fail. Counts only after some failed, because calls may also
-    /// take longer for other reasons.
-    const QUEUED_RATIO: f64 = 4.0;
-    /// Fraction of the load that is shed to drain a queue.
-    const DRAIN_FRACTION: f64 = 0.05;
-    /// Growth per window of the time without waiting, because a service may become slower.
-    const UNQUEUED_GROWTH: f64 = 1.01;
     /// Weight of a call in the smoothed time.
     const CALL_TIME_WEIGHT: f64 = 0.1;
 
@@ -92,8 +78,6 @@
             raised_at: MonoTime::ZERO,
             release_step: Self::MIN_RELEASE_STEP,
             call_time: Duration::ZERO,
-            window_call_time: Duration::ZERO,
-            unqueued_call_time: Duration::MAX,
         });
         failures.advance(now);
         failures.ended = failures.ended.saturating_add(1);
@@ -124,16 +108,12 @@
             return;
         }
         let failed_fraction = f64::from(self.failed) / f64::from(self.ended.max(1));
-        let wait_ratio = self.advance_wait_ratio();
-        let is_draining = self.shed > 0.0 && wait_ratio >= NestedFailures::QUEUED_RATIO;
-        let excess =
-            failed_fraction.max(if is_draining { NestedFailures::DRAIN_FRACTION } else { 0.0 });
-        if excess >= NestedFailures::MIN_FAILED_FRACTION {
+        if failed_fraction >= NestedFailures::MIN_FAILED_FRACTION {
             if self.ended < NestedFailures::MIN_WINDOW_CALLS {
                 return;
             }
-            self.raise(excess, now);
-        } else if self.failed > 0 || wait_ratio >= NestedFailures::MAX_WAIT_RATIO {
+            self.raise(failed_fraction, now);
+        } else if failed_fraction >= NestedFailures::MAX_CLEAN_FRACTION {
             self.release_step = NestedFailures::MIN_RELEASE_STEP;
         } else {
             let windows = age.as_secs_f64() / NestedFailures::WINDOW.as_secs_f64();
@@ -162,23 +142,7 @@
         }
     }
 
-    /// Returns how many times as long as without waiting the calls of this window took, and ends
-    /// it.
-    fn advance_wait_ratio(&mut self) -> f64 {
-        let answered = self.ended.saturating_sub(self.failed);
-        let total = std::mem::take(&mut self.window_call_time);
-        if answered < NestedFailures::MIN_WAIT_CALLS {
-            return 1.0;
-        }
-        let mean = total / answered;
-        let unqueued = self.unqueued_call_time.as_secs_f64() * NestedFailures::UNQUEUED_GROWTH;
-        let unqueued_s = unqueued.min(mean.as_secs_f64());
-        self.unqueued_call_time = Duration::from_secs_f64(unqueued_s);
-        if unqueued_s > 0.0 { mean.as_secs_f64() / unqueued_s } else { 1.0 }
-    }
-
     fn record_call_time(&mut self, call_time: Duration) {
-        self.window_call_time += call_time;
         let weight = if self.call_time.is_zero() { 1.0 } else { NestedFailures::CALL_TIME_WEIGHT };
         self.call_time = self.call_time.mul_f64(1.0 - weight) + call_time.mul_f64(weight);
     }
