--- a/cuminarch-admission/src/shedder.rs
+++ b/cuminarch-admission/src/shedder.rs
@@ -114,16 +114,15 @@
         if demand.account.is_some() {
             self.shares.get_or_insert_default();
         }
-        if self.shares.is_none() {
-            let is_refused = self.should_refuse(&request.route, rank, now);
-            let refused_fraction = self.refused_fraction(&request.route);
-            return ShedDecision { is_refused, refused_fraction, share: None };
+        if self.shares.is_some() {
+            self.plan_if_due(now);
         }
-        self.plan_if_due(now);
-        let Some(shares) = &mut self.shares else {
-            return ShedDecision { is_refused: false, refused_fraction: 0.0, share: None };
-        };
-        shares.decide(request, rank, demand, now)
+        if let Some(shares) = &mut self.shares {
+            return shares.decide(request, rank, demand, now);
+        }
+        let is_refused = self.should_refuse(&request.route, rank, now);
+        let refused_fraction = self.refused_fraction(&request.route);
+        ShedDecision { is_refused, refused_fraction, share: None }
     }
 
     /// Promises room to a refused request at a time between the bounds of `window`, the search
