--- a/cuminarch/src/lib.rs
+++ b/cuminarch/src/lib.rs
@@ -20,6 +20,7 @@
 //! ```
 
 pub use cuminarch_admission as admission;
+pub use cuminarch_allotment as allotment;
 pub use cuminarch_attempts as attempts;
 pub use cuminarch_config as config;
 pub use cuminarch_engine as engine;
