fix(config): among accounts of one class the class of the route decides

Now the pair decides, the account's class first. Without accounts the priorities are those of before.

--- a/cuminarch-config/src/accounts.rs
+++ b/cuminarch-config/src/accounts.rs
@@ -3,8 +3,11 @@
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
-use cuminarch_types::{AccountName, Allotment, ClassName};
+use std::sync::Arc;
 
+use cuminarch_types::{AccountName, Allotment, ClassName, Priority};
+
+use crate::class_order::ClassOrder;
 use crate::{AccountEntry, CredentialDigest, Rule};
 
 /// A client account.
@@ -12,8 +15,18 @@
 pub struct Account {
     /// Name of the account.
     pub name: AccountName,
-    /// Class of its requests, instead of the route's.
-    pub class: Option<Rule>,
+    /// Class of its requests, which goes before the route's.
+    pub class: Option<Arc<AccountClass>>,
+}
+
+/// Class of client accounts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AccountClass {
+    /// What the class sets for requests.
+    pub rule: Rule,
+    /// Priorities of the requests by those of their routes: among accounts of one class, the class of
+    /// the route decides.
+    pub priorities: BTreeMap<Priority, Priority>,
 }
 
 /// A key that an account holds.
@@ -39,7 +52,11 @@
     #[must_use]
     pub fn rule(&self, route: &Rule) -> Rule {
         match &self.class {
-            Some(class) => class.clone().with_route_limits(route),
+            Some(class) => {
+                let rule = class.rule.clone().with_route_limits(route);
+                let priority = class.priorities.get(&route.priority).copied();
+                Rule { priority: priority.unwrap_or(rule.priority), ..rule }
+            }
             None => route.clone(),
         }
     }
@@ -49,11 +66,19 @@
     pub(crate) fn new(
         entries: &[AccountEntry],
         classes: &BTreeMap<&ClassName, Rule>,
+        order: &ClassOrder,
         digest_seed: u64,
     ) -> Self {
+        let of_accounts: BTreeMap<&ClassName, Arc<AccountClass>> = classes
+            .iter()
+            .map(|(name, rule)| {
+                let priorities = order.of_account_class(name);
+                (*name, Arc::new(AccountClass { rule: rule.clone(), priorities }))
+            })
+            .collect();
         let to_account = |entry: &AccountEntry| Account {
             name: entry.name.clone(),
-            class: entry.class.as_ref().and_then(|class| classes.get(class)).cloned(),
+            class: entry.class.as_ref().and_then(|class| of_accounts.get(class)).cloned(),
         };
         let accounts = entries.iter().map(to_account).collect();
         let mut holders: Vec<_> = entries
--- a/cuminarch-config/src/accounts/tests.rs
+++ b/cuminarch-config/src/accounts/tests.rs
@@ -3,6 +3,7 @@
 use cuminarch_types::ApiKey;
 
 use super::*;
+use crate::Sheet;
 
 const ACCOUNTS: usize = 5_000;
 const KEYS_PER_ACCOUNT: usize = 2;
@@ -21,7 +22,8 @@
 
 #[test]
 fn a_look_up_among_5000_accounts_compares_no_more_than_a_binary_search() {
-    let index = AccountIndex::new(&entries(), &BTreeMap::new(), 7);
+    let index =
+        AccountIndex::new(&entries(), &BTreeMap::new(), &ClassOrder::new(&Sheet::default()), 7);
     let limit = (ACCOUNTS * KEYS_PER_ACCOUNT).ilog2() + 2;
     for account in 0..ACCOUNTS {
         for key in 0..=KEYS_PER_ACCOUNT {
--- a/cuminarch-config/src/lib.rs
+++ b/cuminarch-config/src/lib.rs
@@ -35,6 +35,7 @@
 mod accounts;
 mod check;
 mod check_accounts;
+mod class_order;
 mod credential;
 mod decode;
 mod diagnostic;
@@ -53,7 +54,7 @@
 mod weakening;
 
 pub use account_entry::AccountEntry;
-pub use accounts::{Account, AccountIndex, HeldKey};
+pub use accounts::{Account, AccountClass, AccountIndex, HeldKey};
 pub use credential::CredentialDigest;
 pub use diagnostic::{Diagnostic, DiagnosticKind, Position, Severity};
 pub use document::{ConfigDocument, ZoneStatus};
--- a/cuminarch-config/src/policy.rs
+++ b/cuminarch-config/src/policy.rs
@@ -11,6 +11,7 @@
 
 use crate::accounts::allotments;
 use crate::check::check;
+use crate::class_order::ClassOrder;
 use crate::index::RuleIndex;
 use crate::pattern::{PathPattern, remove_dot_segments};
 use crate::space::SAFE_METHODS;
@@ -102,11 +103,15 @@
         if !errors.is_empty() {
             return Err(SheetError::new(errors));
         }
+        let order = ClassOrder::new(sheet);
         let classes: BTreeMap<&ClassName, Rule> = sheet
             .classes
             .iter()
             .enumerate()
-            .map(|(position, entry)| (&entry.name, Rule::from_class(entry, position)))
+            .map(|(position, entry)| {
+                let priority = order.of_class(position);
+                (&entry.name, Rule { priority, ..Rule::from_class(entry, position) })
+            })
             .collect();
         let matchers = sheet
             .rules
@@ -123,9 +128,9 @@
             }
         }
         policy.caller_limits = sheet.caller_limits;
-        policy.accounts = AccountIndex::new(&sheet.accounts, &classes, digest_seed);
+        policy.accounts = AccountIndex::new(&sheet.accounts, &classes, &order, digest_seed);
         policy.allotments = allotments(&sheet.accounts);
-        policy.top_priority = classes.values().map(|rule| rule.priority).max().unwrap_or_default();
+        policy.top_priority = order.top();
         Ok(policy)
     }
 
@@ -196,7 +201,8 @@
         self.caller_limits
     }
 
-    /// Returns the highest priority of any class.
+    /// Returns the highest priority of callers' requests: of any class, or of the accounts' if there
+    /// are any.
     #[must_use]
     pub const fn top_priority(&self) -> Priority {
         self.top_priority
