feat(node): log the digest of a request and the end of the upstream's process

When a run loses its connection, the node connects to its upstream once; if that is refused, CU2117 lists the runs that ended with it. No decision uses either.

--- a/cuminarch-bench/src/decisions/engine_mesh.rs
+++ b/cuminarch-bench/src/decisions/engine_mesh.rs
@@ -227,7 +227,8 @@
             | Action::Deliver { .. }
             | Action::Replay { .. }
             | Action::SendAllotment { .. }
-            | Action::Report(_) => {}
+            | Action::Report(_)
+            | Action::ReportQuarantine(_) => {}
         }
     }
 
--- a/cuminarch-engine/src/action.rs
+++ b/cuminarch-engine/src/action.rs
@@ -6,7 +6,7 @@
 use cuminarch_routing::Target;
 use cuminarch_types::{AttemptId, Attempts, CallId, ClientKey, InstanceId, Rank};
 
-use crate::{AllotmentNotice, Refusal, RequestKey};
+use crate::{AllotmentNotice, QuarantineNotice, Refusal, RequestKey};
 
 /// One attempt sent to another node.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -112,6 +112,8 @@
     },
     /// Log a change that concerns allotments.
     Report(AllotmentNotice),
+    /// Log a decision about requests that crash endpoints.
+    ReportQuarantine(QuarantineNotice),
 }
 
 impl Action {
@@ -128,7 +130,7 @@
             | Self::Close { call, .. }
             | Self::CancelLocal { call }
             | Self::CancelRemote { call, .. } => Some(*call),
-            Self::SendAllotment { .. } | Self::Report(_) => None,
+            Self::SendAllotment { .. } | Self::Report(_) | Self::ReportQuarantine(_) => None,
         }
     }
 }
--- a/cuminarch-engine/src/arrival.rs
+++ b/cuminarch-engine/src/arrival.rs
@@ -4,7 +4,8 @@
 use cuminarch_once::{BoundKey, RequestFingerprint};
 use cuminarch_protocol::RoutedCall;
 use cuminarch_types::{
-    AccountName, Attempts, CallId, ClientKey, Rank, RequestId, ResendNumber, ServiceName,
+    AccountName, Attempts, CallId, ClientKey, Rank, RequestId, RequestIdentity, ResendNumber,
+    ServiceName,
 };
 
 /// Direction of a call.
@@ -66,6 +67,8 @@
     pub account: Option<AccountName>,
     /// Digest of the account's key without which the request must not run, at the entry node.
     pub credential: Option<CredentialDigest>,
+    /// Identity by which the request is recognized when it returns, if the driver computes it.
+    pub identity: Option<RequestIdentity>,
 }
 
 impl Arrival {
@@ -91,6 +94,7 @@
             rule: None,
             account: None,
             credential: None,
+            identity: None,
         }
     }
 
@@ -186,6 +190,13 @@
         self
     }
 
+    /// Sets the identity by which the request is recognized when it returns.
+    #[must_use]
+    pub const fn with_identity(mut self, identity: Option<RequestIdentity>) -> Self {
+        self.identity = identity;
+        self
+    }
+
     /// Sets the idempotency key.
     #[must_use]
     pub fn with_key(mut self, key: Option<RequestKey>) -> Self {
--- a/cuminarch-engine/src/call.rs
+++ b/cuminarch-engine/src/call.rs
@@ -8,7 +8,7 @@
 use cuminarch_routing::{CallAttributes, LearnedLevel};
 use cuminarch_types::{
     AccountName, AttemptId, Attempts, CallId, ClientKey, EndpointId, MonoTime, Rank, RequestId,
-    ServiceName,
+    RequestIdentity, ServiceName,
 };
 
 use crate::Refusal;
@@ -47,6 +47,7 @@
     /// Whether an earlier attempt may have run.
     pub may_have_run: bool,
     /// Key of the client account, at the entry node.
+    pub identity: Option<RequestIdentity>,
     pub credential: Option<Credential>,
     /// Properties of the route, if the call took one.
     pub routed: Option<RoutedCall>,
--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -70,6 +70,9 @@
     /// Own limit at the last change of it that was noted.
     pub(crate) noted_limit: Option<ConcurrencyLimit>,
     pub(crate) capacity_changes: Vec<CapacityChange>,
+    /// Time of the latest report that the process of the upstream has ended, until the upstream
+    /// answers a call.
+    pub(crate) ended_at: Option<MonoTime>,
     next_call: CallId,
     next_attempt: AttemptId,
 }
@@ -113,6 +116,7 @@
             allotments: Allotments::new(&settings),
             noted_limit: None,
             capacity_changes: Vec::new(),
+            ended_at: None,
             next_call: CallId::new(1),
             next_attempt: AttemptId::new(1),
             settings,
@@ -155,6 +159,7 @@
             }
             Event::Cancel(call) => self.cancel(call, now, &mut actions),
             Event::LocalTurnedAway(call) => self.local_turned_away(call, now, &mut actions),
+            Event::UpstreamEnded => self.upstream_ended(now, &mut actions),
             Event::Upstream(record) => self.upstream_registered(*record, now, &mut actions),
             Event::Allotment(source, datagram) => self.allotments.receive(source, *datagram, now),
             Event::Member(member) => {
--- a/cuminarch-engine/src/event.rs
+++ b/cuminarch-engine/src/event.rs
@@ -67,6 +67,9 @@
     },
     /// The local upstream turned the call away without running it.
     LocalTurnedAway(CallId),
+    /// The process of the local upstream has ended: its connections broke and its address accepts
+    /// no new ones.
+    UpstreamEnded,
     /// The local upstream has registered.
     Upstream(Box<UpstreamRecord>),
     /// Another node started to forward an answer.
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -99,6 +99,7 @@
             replayable: arrival.replayable,
             may_have_run: false,
             credential: Credential::of(arrival),
+            identity: arrival.identity,
             routed: arrival.routed.clone(),
             allotted_account: self.allotted_account(arrival),
             token: TokenState::NotRequested,
@@ -111,6 +112,7 @@
     }
 
     pub(crate) fn local_head(&mut self, id: CallId, now: MonoTime) {
+        self.ended_at = None;
         if let Some(call) = self.calls.get_mut(&id)
             && let Stage::Running { head_at, .. } = &mut call.stage
         {
--- a/cuminarch-engine/tests/model/world.rs
+++ b/cuminarch-engine/tests/model/world.rs
@@ -195,6 +195,7 @@
             Action::SendAllotment { .. } | Action::Report(_) => {
                 unreachable!("no account has an allotment")
             }
+            Action::ReportQuarantine(_) => unreachable!("no upstream ends"),
         }
     }
 
--- a/cuminarch-node/src/data/body.rs
+++ b/cuminarch-node/src/data/body.rs
@@ -98,6 +98,13 @@
         }
     }
 
+    /// Returns the part of the body that has been read.
+    pub fn available(&self) -> &[u8] {
+        match self {
+            Self::Buffered(bytes) | Self::Streaming(bytes, _) => bytes,
+        }
+    }
+
     /// Returns `true` if a receiving node has the entire body before it starts the call.
     pub const fn is_short(&self) -> bool {
         matches!(self, Self::Buffered(bytes) if bytes.len() < Self::MAX_BUFFERED_BYTES)
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -11,7 +11,7 @@
 use cuminarch_config::Policy;
 use cuminarch_engine::Direction as CallDirection;
 use cuminarch_engine::{
-    Action, AllotmentNotice, Arrival, ClaimResult, Engine, EngineSummary, Event,
+    Action, AllotmentNotice, Arrival, ClaimResult, Engine, EngineSummary, Event, QuarantineNotice,
 };
 use cuminarch_membership::{Registration, UpstreamTracker};
 use cuminarch_once::BoundKey;
@@ -98,6 +98,16 @@
             info!("{event} {notice} left_out={left_out}");
         }
     }
+
+    /// Logs a decision about requests that crash endpoints.
+    fn report_quarantine(&self, notice: &QuarantineNotice) {
+        let event = match notice {
+            QuarantineNotice::UpstreamEnded { .. } => NodeEvent::UpstreamEnded,
+        };
+        if let Some(left_out) = self.decisions.admit(event) {
+            info!("{event} {notice} left_out={left_out}");
+        }
+    }
 }
 
 /// Handle to the engine for the tasks of the data thread.
@@ -232,6 +242,7 @@
                 Action::Claim { call, key, bound } => self.claim(call, key, bound),
                 Action::SendAllotment { to, datagram } => self.shared.datagrams.send(to, &datagram),
                 Action::Report(notice) => self.shared.report(&notice),
+                Action::ReportQuarantine(notice) => self.shared.report_quarantine(&notice),
                 action => {
                     if let Some(mailbox) = action.call().and_then(|call| state.mailboxes.get(&call))
                     {
--- a/cuminarch-node/src/data/handler.rs
+++ b/cuminarch-node/src/data/handler.rs
@@ -176,6 +176,7 @@
         routed: arrival.routed.clone(),
         is_inbound: arrival.direction == Direction::Inbound,
         account: arrival.account.clone(),
+        identity: None,
         idempotent: arrival.rule.as_ref().is_none_or(|rule| rule.idempotent),
         received_at: request.received_at,
     };
--- a/cuminarch-node/src/data/link_client.rs
+++ b/cuminarch-node/src/data/link_client.rs
@@ -80,6 +80,7 @@
     let Some(left_out) = context.decisions.admit(event) else { return };
     info!(
         request:% = request.label(context),
+        digest:% = request.digest(),
         route = request.route(),
         account = request.account(),
         service:% = request.service,
--- a/cuminarch-node/src/data/link_server.rs
+++ b/cuminarch-node/src/data/link_server.rs
@@ -152,6 +152,7 @@
         headers: Arc::new(head.headers),
         routed: head.routed,
         account: None,
+        identity: None,
         idempotent: head.idempotent,
         is_inbound: true,
         body,
--- a/cuminarch-node/src/data/local.rs
+++ b/cuminarch-node/src/data/local.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use cuminarch_engine::Event;
-use cuminarch_http::{HeadLimits, ResponseHead, write_request_head};
+use cuminarch_http::{HeadLimits, HttpError, ResponseHead, write_request_head};
 use cuminarch_once::StoredAnswer;
 use cuminarch_protocol::{AnswerHead, HeaderField, UpstreamLifetime};
 use cuminarch_types::{CallId, InstanceId};
@@ -15,7 +15,7 @@
 use super::body::RequestBody;
 use super::runner::{CallRequest, DataContext};
 use super::signals::record_upstream_signals;
-use super::upstream_connection::{SendError, UpstreamConnection};
+use super::upstream_connection::{ReceiveError, SendError, UpstreamConnection};
 use super::upstream_pool::UpstreamPool;
 use crate::event::NodeEvent;
 use crate::interface::{AnswerClass, UpstreamCall};
@@ -39,8 +39,10 @@
     NotSent,
     /// The upstream declined to run the request.
     TurnedAway,
-    /// The request may have run.
-    Lost,
+    /// The request may have run; the connection broke.
+    Disconnected,
+    /// The request may have run; the answer is malformed.
+    Malformed,
 }
 
 /// Runs a call at the local upstream. Returns `None` if there is no answer; the failure has
@@ -63,7 +65,12 @@
             return None;
         }
         Err(failure) => {
-            let sent = matches!(failure, UpstreamFailure::Lost);
+            let sent = !matches!(failure, UpstreamFailure::NotSent);
+            if matches!(failure, UpstreamFailure::Disconnected)
+                && context.upstream.has_ended().await
+            {
+                context.driver.post(Event::UpstreamEnded);
+            }
             log_fault(context, &run, request, if sent { "lost" } else { "not sent" });
             context.driver.post(Event::LocalFailed { call, sent });
             return None;
@@ -89,6 +96,7 @@
     let Some(left_out) = context.decisions.admit(event) else { return };
     info!(
         request:% = request.label(context),
+        digest:% = request.digest(),
         route = request.route(),
         instance = run.instance.as_ref().map_or("-", |instance| instance.as_str()),
         reason = reason,
@@ -120,14 +128,14 @@
         match connection.send(&head.bytes, body, is_chunked).await {
             Ok(()) => return read_answer(context, connection, head, is_head).await,
             Err(SendError::NotSent(unsent)) => body = unsent,
-            Err(SendError::MaybeSent) => return Err(UpstreamFailure::Lost),
+            Err(SendError::MaybeSent) => return Err(UpstreamFailure::Disconnected),
         }
     }
     let mut connection = pool.open().await.ok_or(UpstreamFailure::NotSent)?;
     match connection.send(&head.bytes, body, is_chunked).await {
         Ok(()) => read_answer(context, connection, head, is_head).await,
         Err(SendError::NotSent(_)) => Err(UpstreamFailure::NotSent),
-        Err(SendError::MaybeSent) => Err(UpstreamFailure::Lost),
+        Err(SendError::MaybeSent) => Err(UpstreamFailure::Disconnected),
     }
 }
 
@@ -141,7 +149,7 @@
     let limits = HeadLimits::new();
     loop {
         let head =
-            connection.read_head(&limits, is_head).await.map_err(|_| UpstreamFailure::Lost)?;
+            connection.read_head(&limits, is_head).await.map_err(|error| failure_of(&error))?;
         let class = context.interface.classify_answer(&request.fields, &head);
         if matches!(class, AnswerClass::Current { .. } | AnswerClass::NotRun) {
             record_upstream_signals(context, request.lifetime.as_ref(), &head.fields);
@@ -152,7 +160,7 @@
                 connection
                     .discard_body(MAX_DROPPED_BYTES)
                     .await
-                    .map_err(|_| UpstreamFailure::Lost)?;
+                    .map_err(|error| failure_of(&error))?;
             }
             AnswerClass::NotRun => {
                 if connection.discard_body(MAX_DROPPED_BYTES).await.is_ok() {
@@ -160,8 +168,17 @@
                 }
                 return Err(UpstreamFailure::TurnedAway);
             }
-            AnswerClass::Invalid => return Err(UpstreamFailure::Lost),
+            AnswerClass::Invalid => return Err(UpstreamFailure::Malformed),
+        }
+    }
+}
+
+const fn failure_of(error: &ReceiveError) -> UpstreamFailure {
+    match error {
+        ReceiveError::Connection(_) | ReceiveError::Http(HttpError::Truncated) => {
+            UpstreamFailure::Disconnected
         }
+        _ => UpstreamFailure::Malformed,
     }
 }
 
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -10,10 +10,14 @@
 use compact_str::CompactString;
 use cuminarch_config::Route;
 use cuminarch_engine::{Action, Arrival, Refusal, RefusalReason};
+use cuminarch_http::find_field;
 use cuminarch_once::StoredAnswer;
 use cuminarch_protocol::{AnswerHead, HeaderField, Receipt, RoutedCall, UpstreamRecord};
+use cuminarch_quarantine::RequestParts;
 use cuminarch_routing::Splitter;
-use cuminarch_types::{AccountName, Outcome, RequestId, ServiceName, ZoneName};
+use cuminarch_types::{
+    AccountName, Outcome, RequestDigest, RequestId, RequestIdentity, ServiceName, ZoneName,
+};
 use flume::Sender;
 use log::{info, warn};
 
@@ -95,6 +99,8 @@
     /// The client account, at the entry node.
     pub account: Option<AccountName>,
     pub idempotent: bool,
+    /// Set when the call begins.
+    pub identity: Option<RequestIdentity>,
     /// Set if the request came from another node or is for the local upstream.
     pub is_inbound: bool,
     pub received_at: Instant,
@@ -117,6 +123,27 @@
         self.account.as_ref().map_or("-", AccountName::as_str)
     }
 
+    /// Returns the identity by which the request is recognized when it returns.
+    pub fn identity(&self, context: &DataContext) -> RequestIdentity {
+        let interface = &context.interface;
+        let field = |name: &str| find_field(&self.headers, name);
+        let mut parts = RequestParts::new(&self.service, &self.method, &self.target)
+            .with_host(field("host").unwrap_or_default())
+            .with_account(field(interface.account_field()))
+            .with_body(self.body.available(), self.body_len_bytes);
+        for field in self.headers.iter() {
+            if !interface.is_attempt_field(&field.name) {
+                parts = parts.with_field(&field.name, &field.value);
+            }
+        }
+        parts.identity()
+    }
+
+    /// Returns the digest of the request for logs.
+    pub fn digest(&self) -> RequestDigest {
+        self.identity.map_or_else(|| RequestDigest::new(0), |identity| identity.request)
+    }
+
     /// Returns `true` if the request may run more than once.
     pub const fn is_idempotent(&self) -> bool {
         self.idempotent
@@ -138,7 +165,8 @@
     mut request: CallRequest,
     completion: &CompletionFlag,
 ) -> Reply {
-    let mut guard = context.driver.begin(arrival);
+    request.identity = Some(request.identity(context));
+    let mut guard = context.driver.begin(arrival.with_identity(request.identity));
     let mut deadline;
     while let Some(action) = guard.next().await {
         let answer = match action {
@@ -223,6 +251,7 @@
     let Some(left_out) = context.decisions.admit(event) else { return };
     info!(
         request:% = request.label(context),
+        digest:% = request.digest(),
         route = request.route(),
         account = request.account(),
         service:% = request.service,
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -81,6 +81,8 @@
     AllotmentLowered,
     /// A datagram about allotments could not be read.
     DatagramUnreadable,
+    /// The process of the own upstream ended.
+    UpstreamEnded,
     /// The learned limit of the own upstream changed by more than a fifth.
     LearnedLimitChanged,
     /// The speed of another endpoint changed by more than a fifth.
@@ -89,7 +91,7 @@
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 41] = [
+    pub const ALL: [Self; 42] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -129,6 +131,7 @@
         Self::AllotmentHolderSilent,
         Self::AllotmentLowered,
         Self::DatagramUnreadable,
+        Self::UpstreamEnded,
         Self::LearnedLimitChanged,
         Self::EndpointSpeedChanged,
     ];
@@ -176,6 +179,7 @@
             Self::AllotmentHolderSilent => 2111,
             Self::AllotmentLowered => 2112,
             Self::DatagramUnreadable => 2113,
+            Self::UpstreamEnded => 2117,
             Self::LearnedLimitChanged => 2115,
             Self::EndpointSpeedChanged => 2116,
         }
@@ -224,6 +228,7 @@
             Self::AllotmentHolderSilent => "allotment-holder-silent",
             Self::AllotmentLowered => "allotment-lowered",
             Self::DatagramUnreadable => "datagram-unreadable",
+            Self::UpstreamEnded => "upstream-ended",
             Self::LearnedLimitChanged => "learned-limit-changed",
             Self::EndpointSpeedChanged => "endpoint-speed-changed",
         }
--- a/cuminarch-node/src/interface/mod.rs
+++ b/cuminarch-node/src/interface/mod.rs
@@ -67,6 +67,12 @@
         None
     }
 
+    /// Returns the name of the field that holds the client account of a forwarded request.
+    fn account_field(&self) -> &'static str;
+
+    /// Returns `true` if the value of a forwarded field is new in each attempt of a request.
+    fn is_attempt_field(&self, name: &str) -> bool;
+
     /// Adds fields to a request for the own upstream.
     fn add_upstream_fields(&self, call: &UpstreamCall<'_>, fields: &mut Vec<HeaderField>);
 
--- a/cuminarch-node/src/interface/native.rs
+++ b/cuminarch-node/src/interface/native.rs
@@ -84,6 +84,14 @@
         }))
     }
 
+    fn account_field(&self) -> &'static str {
+        headers::ACCOUNT
+    }
+
+    fn is_attempt_field(&self, _name: &str) -> bool {
+        false
+    }
+
     fn add_upstream_fields(&self, call: &UpstreamCall<'_>, fields: &mut Vec<HeaderField>) {
         fields.push(HeaderField::new("via", headers::VIA_VALUE));
         let token = headers::format_request_id(call.root, call.call);
--- a/cuminarch-types/src/lib.rs
+++ b/cuminarch-types/src/lib.rs
@@ -29,6 +29,7 @@
 mod object_version;
 mod outcome;
 mod rank;
+mod request_identity;
 
 pub use allotment::Allotment;
 pub use api_key::ApiKey;
@@ -47,3 +48,4 @@
 pub use object_version::ObjectVersion;
 pub use outcome::Outcome;
 pub use rank::{Priority, Rank};
+pub use request_identity::{RequestDigest, RequestIdentity, RequestVariant};
