fix(engine): the door of an endpoint that has ended refuses at once and reports no shortage

Callers saw: right after an endpoint had ended, entry nodes refused requests for its service as overloaded although the other endpoints had room.

Cause: the node beside the ended endpoint went on to start calls there. Each connection that was refused counted as work that the upstream had turned away, which is evidence of a shortage of the service; entry nodes shed for it.

Change: from the end of the upstream until it answers or another instance registers, the node refuses calls as not run with the reason upstream-absent, as it does while no upstream has registered; callers' nodes then go elsewhere and stay away. Calls in the queue are released as well.

--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -75,8 +75,8 @@
     /// Requests that crash endpoints.
     pub(crate) quarantine: Quarantine,
     pub(crate) trials: Trials,
-    /// Time of the latest report that the process of the upstream has ended, until the upstream
-    /// answers a call.
+    /// Latest time at which the process of the upstream was known to have ended, until the upstream
+    /// answers a call or another instance of it registers.
     pub(crate) ended_at: Option<MonoTime>,
     next_call: CallId,
     next_attempt: AttemptId,
@@ -352,10 +352,13 @@
     }
 
     /// Returns why the local upstream accepts no new work, or `None` if it does.
-    pub(crate) fn closed_reason(&self) -> Option<RefusalReason> {
+    pub(crate) fn closed_reason(&self, now: MonoTime) -> Option<RefusalReason> {
         if self.draining {
             return Some(RefusalReason::Draining);
         }
+        if self.has_ended_recently(now) {
+            return Some(RefusalReason::UpstreamAbsent);
+        }
         match self.upstream.as_ref()?.state {
             UpstreamState::Ready => None,
             UpstreamState::Draining => Some(RefusalReason::Draining),
@@ -377,7 +380,7 @@
         }
         self.admission.set_capacity(ConcurrencyLimit::new(record.slots));
         self.upstream = Some(record);
-        let events = match self.closed_reason() {
+        let events = match self.closed_reason(now) {
             Some(_) => self.admission.refuse_waiting(),
             None => self.admission.poll(now),
         };
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -42,7 +42,7 @@
         if !self.look_up_key(id, arrival, now, actions) {
             return;
         }
-        if let Some(reason) = self.closed_reason() {
+        if let Some(reason) = self.closed_reason(now) {
             let refusal = Refusal::not_run(reason);
             return self.refuse(id, refusal.with_retry_after(Duration::ZERO), now, actions);
         }
@@ -153,6 +153,9 @@
         if !self.calls.contains_key(&id) {
             return;
         }
+        if !sent && self.ended_at.is_some() {
+            self.ended_at = Some(now);
+        }
         let outcome = if sent { Outcome::Unknown } else { Outcome::NotRun };
         let reason = if sent && self.has_ended_recently(now) {
             RefusalReason::UpstreamEnded
@@ -303,7 +306,7 @@
         if let Some(key) = call.key.clone() {
             self.keys.finish(&key, id, KeyResult::NotRun);
         }
-        let reason = match self.closed_reason() {
+        let reason = match self.closed_reason(now) {
             _ if is_late => RefusalReason::DeadlineExceeded,
             Some(reason) => reason,
             None => RefusalReason::Overloaded,
--- a/cuminarch-engine/src/quarantined.rs
+++ b/cuminarch-engine/src/quarantined.rs
@@ -39,6 +39,8 @@
         let runs = runs.into_iter().map(|(identity, age)| (identity.request, age)).collect();
         let notice = QuarantineNotice::UpstreamEnded { instance, runs };
         actions.push(Action::ReportQuarantine(notice));
+        let events = self.admission.refuse_waiting();
+        self.apply_queue_events(events, now, actions);
         if let Some(request) = finding.convicted {
             let crashes = finding.crashes;
             let notice = QuarantineNotice::Convicted { request, crashes };
