fix(engine): suspected requests wait for a copy that was already running

Cause: when the first endpoint ended, another one was already running a copy of the request. Calls that had been lost with the first came back at once and got their turn beside that copy. When the copy ended its endpoint, two suspected requests had been running, and neither was convicted.

Change: a call that was running when its request became suspected has its turn, like one that was started later.

Evidence: a_copy_that_runs_elsewhere_at_the_first_crash_convicts_its_request_alone fails before (3 ends) and passes now (2).

--- a/cuminarch-engine/src/quarantined.rs
+++ b/cuminarch-engine/src/quarantined.rs
@@ -14,7 +14,8 @@
 use cuminarch_routing::Target;
 use cuminarch_types::{CallId, EndpointId, MonoTime, RequestIdentity, ServiceName};
 
-use crate::call::Stage;
+use crate::call::{Call, Stage};
+use crate::trials::Trials;
 use crate::{Action, Engine, QuarantineNotice, Refusal, RefusalReason};
 
 impl Engine {
@@ -173,7 +174,19 @@
             return true;
         }
         let wait_until = now.after(call.objective());
-        self.trials.begin(id, now) || !self.trials.wait(id, wait_until)
+        self.begins_trial(id, now) || !self.trials.wait(id, wait_until)
+    }
+
+    /// Returns `true` if it is the turn of a suspected call. A call that was running when its request
+    /// became suspected has its turn, too.
+    fn begins_trial(&mut self, id: CallId, now: MonoTime) -> bool {
+        let is_on_trial = |(other, call): (&CallId, &Call)| {
+            let Stage::Running { since, head_at: None } = call.stage else { return false };
+            *other != id
+                && now.since(since) < Trials::MAX_TURN
+                && self.quarantine.verdict(call.identity, now) == Verdict::Suspected
+        };
+        !self.calls.iter().any(is_on_trial) && self.trials.begin(id, now)
     }
 
     /// Offers waiting calls to the local upstream: those whose turn it is, those that are no longer
@@ -187,7 +200,7 @@
             }
             let identity = self.calls.get(&id).and_then(|call| call.identity);
             let is_suspected = self.quarantine.verdict(identity, now) == Verdict::Suspected;
-            if is_suspected && now < wait_until && !self.trials.begin(id, now) {
+            if is_suspected && now < wait_until && !self.begins_trial(id, now) {
                 self.trials.wait(id, wait_until);
             } else {
                 self.offer_admitted(id, now, actions);
--- a/cuminarch-engine/src/trials.rs
+++ b/cuminarch-engine/src/trials.rs
@@ -17,7 +17,7 @@
     /// Calls that wait at most; further ones run without their turn.
     const MAX_WAITING: usize = 256;
     /// Time after which the next request starts beside one that still runs.
-    const MAX_TURN: Duration = Duration::from_millis(500);
+    pub const MAX_TURN: Duration = Duration::from_millis(500);
 
     /// Returns `true` if it is the turn of a call.
     pub fn begin(&mut self, call: CallId, now: MonoTime) -> bool {
@@ -43,8 +43,8 @@
     pub fn end(&mut self, call: CallId) {
         if self.current.is_some_and(|(current, _)| current == call) {
             self.current = None;
-            self.is_changed = true;
         }
+        self.is_changed = true;
     }
 
     /// Records that waiting calls may be able to continue.
--- a/cuminarch-engine/tests/crashing_requests.rs
+++ b/cuminarch-engine/tests/crashing_requests.rs
@@ -108,3 +108,29 @@
     }
     mesh.run_for(Duration::from_millis(300));
 }
+
+#[test]
+fn a_copy_that_runs_elsewhere_at_the_first_crash_convicts_its_request_alone() {
+    let mut mesh = Mesh::new(4);
+    mesh.deadly.insert(request(DEADLY).request);
+    for number in 0..160 {
+        mesh.ask(number % 4, request(1_000 + number as u128));
+    }
+    mesh.ask(0, request(DEADLY));
+    mesh.run_for(Duration::from_millis(30));
+    for number in 0..3 {
+        mesh.ask(number, request(2_000 + number as u128));
+    }
+    mesh.ask(1, request(DEADLY));
+    for _ in 0..30 {
+        mesh.run_for(Duration::from_millis(10));
+        for (index, identity) in std::mem::take(&mut mesh.lost).into_iter().enumerate() {
+            mesh.ask(index % 4, identity);
+        }
+    }
+    mesh.run_for(Duration::from_secs(2));
+    mesh.ask(2, request(DEADLY));
+    mesh.run_for(Duration::from_secs(2));
+    assert_eq!(mesh.crashes.len(), 2, "{:?}", mesh.crashes);
+    assert!(mesh.asked.last().unwrap().is_refused(), "{:?}", mesh.asked.last());
+}
