fix(node): a request that was turned away does not return over the same connection

Callers saw: 503 'not run' for a POST that its endpoint was running, where the endpoint wrote its earlier refusal once more on a kept connection.

Cause: a second copy of an answer is recognized by its attempt id. When a request that had been turned away went over the same connection again, the copy of its refusal had the right id.

Change: a connection keeps the labels of the requests that were turned away on it, at most 16, and does not carry these requests again; after 16 it is closed.

--- a/cuminarch-node/src/data/local.rs
+++ b/cuminarch-node/src/data/local.rs
@@ -124,7 +124,8 @@
     };
     let is_chunked = request.body_len_bytes.is_none();
     let mut body = body;
-    if let Some(mut connection) = pool.take_idle(idle_time) {
+    let label = context.interface.request_label(&request.headers);
+    if let Some(mut connection) = pool.take_idle(idle_time, label.as_deref()) {
         match connection.send(&head.bytes, body, is_chunked).await {
             Ok(()) => return read_answer(context, connection, head, is_head).await,
             Err(SendError::NotSent(unsent)) => body = unsent,
@@ -164,6 +165,8 @@
             }
             AnswerClass::NotRun => {
                 if connection.discard_body(MAX_DROPPED_BYTES).await.is_ok() {
+                    let label = context.interface.request_label(&request.fields);
+                    connection.record_turned_away(label);
                     context.upstream.put_back(connection);
                 }
                 return Err(UpstreamFailure::TurnedAway);
--- a/cuminarch-node/src/data/upstream_connection.rs
+++ b/cuminarch-node/src/data/upstream_connection.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
 use cuminarch_http::{
     BodyDecoder, BodyFraming, Decoded, HeadLimits, HttpError, LAST_CHUNK, ResponseHead, write_chunk,
 };
@@ -57,6 +58,8 @@
     decoder: BodyDecoder,
     keeps_alive: bool,
     idle_limit: Duration,
+    /// Labels of the requests that the upstream turned away on this connection.
+    turned_away: Vec<CompactString>,
 }
 
 impl UpstreamConnection {
@@ -64,6 +67,8 @@
     const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(4);
     /// Margin by which an idle connection is given up before the stated timeout.
     const IDLE_MARGIN: Duration = Duration::from_millis(900);
+    /// Turned away requests after which a connection is closed, because it keeps their labels.
+    const MAX_TURNED_AWAY: usize = 16;
     const READ_BUFFER_BYTES: usize = 8 * 1024;
 
     pub fn new(stream: TcpStream) -> Self {
@@ -75,9 +80,21 @@
             decoder: BodyDecoder::new(BodyFraming::Empty),
             keeps_alive: true,
             idle_limit: Self::DEFAULT_IDLE_LIMIT,
+            turned_away: Vec::new(),
         }
     }
 
+    /// Records that the upstream turned a request away on this connection.
+    pub fn record_turned_away(&mut self, label: Option<CompactString>) {
+        self.turned_away.extend(label);
+    }
+
+    /// Returns `true` if the connection can carry a request with this label. After the same request
+    /// was turned away here, a second copy of that answer could not be told from the next one.
+    pub fn may_carry(&self, label: Option<&str>) -> bool {
+        label.is_none_or(|label| self.turned_away.iter().all(|other| other != label))
+    }
+
     /// Returns the maximum time that the connection may be idle.
     pub const fn idle_limit(&self) -> Duration {
         self.idle_limit
@@ -94,7 +111,9 @@
     /// Returns `true` if the connection can carry another request.
     pub fn is_reusable(&self) -> bool {
         let is_sent = matches!(self.send_state, SendState::Idle(_));
-        is_sent && self.keeps_alive && self.decoder.is_complete() && self.buffer.is_empty()
+        let has_room = self.turned_away.len() < Self::MAX_TURNED_AWAY;
+        let is_complete = self.decoder.is_complete() && self.buffer.is_empty();
+        is_sent && self.keeps_alive && is_complete && has_room
     }
 
     /// Sends a request. A long or streaming body is sent by a separate task, so that an early
--- a/cuminarch-node/src/data/upstream_pool.rs
+++ b/cuminarch-node/src/data/upstream_pool.rs
@@ -57,15 +57,22 @@
         self.address
     }
 
-    /// Takes a connection whose idle time is within `bounds`, if there is one.
-    pub fn take_idle(&self, bounds: RangeInclusive<Duration>) -> Option<UpstreamConnection> {
+    /// Takes a connection whose idle time is within `bounds` and that can carry a request with this
+    /// label, if there is one.
+    pub fn take_idle(
+        &self,
+        bounds: RangeInclusive<Duration>,
+        label: Option<&str>,
+    ) -> Option<UpstreamConnection> {
         let mut idle = self.idle.borrow_mut();
         while idle.front().is_some_and(|oldest| oldest.since.elapsed() > Self::MAX_IDLE_TIME) {
             idle.pop_front();
         }
         loop {
-            let is_settled = |idle: &IdleConnection| idle.since.elapsed() >= *bounds.start();
-            let last = idle.iter().rposition(is_settled)?;
+            let is_usable = |idle: &IdleConnection| {
+                idle.since.elapsed() >= *bounds.start() && idle.connection.may_carry(label)
+            };
+            let last = idle.iter().rposition(is_usable)?;
             let last = idle.remove(last)?;
             let limit = (*bounds.end()).min(last.connection.idle_limit());
             if last.since.elapsed() <= limit && last.connection.is_quiet() {
--- a/cuminarch-testing/src/raw_upstream.rs
+++ b/cuminarch-testing/src/raw_upstream.rs
@@ -49,15 +49,26 @@
 pub struct RawConnection {
     reader: BufReader<TcpStream>,
     writer: TcpStream,
+    last_written: Vec<u8>,
 }
 
 impl RawConnection {
+    /// Writes once more what was written last.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer has closed the connection.
+    pub fn repeat(&mut self) -> io::Result<()> {
+        self.writer.write_all(&self.last_written)
+    }
+
     /// Writes raw bytes.
     ///
     /// # Errors
     ///
     /// Returns an error if the peer has closed the connection.
     pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.last_written = bytes.to_vec();
         self.writer.write_all(bytes)
     }
 
@@ -186,7 +197,7 @@
 fn serve(stream: TcpStream, handler: &RequestHandler, runs: &AtomicU64) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     let reader = BufReader::new(stream.try_clone().ok()?);
-    let mut connection = RawConnection { reader, writer: stream };
+    let mut connection = RawConnection { reader, writer: stream, last_written: Vec::new() };
     loop {
         let request = read_head(&mut connection.reader)?;
         runs.fetch_add(1, Ordering::Relaxed);
