--- a/cuminarch-testing/src/raw_upstream.rs
+++ b/cuminarch-testing/src/raw_upstream.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
+use std::time::Duration;
+
+use socket2::SockRef;
 
 /// A request as a [`RawUpstream`] received it.
 #[derive(Clone, Debug, Default)]
@@ -72,6 +75,15 @@
         self.writer.write_all(bytes)
     }
 
+    /// Resets the connection when the handler closes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the socket does not take the option.
+    pub fn reset_on_close(&self) -> io::Result<()> {
+        SockRef::from(&self.writer).set_linger(Some(Duration::ZERO))
+    }
+
     /// Reads the body declared in the request's head and calls `on_data` with each piece.
     ///
     /// # Errors
