feat(node): an upstream that ends within its answers is noticed, too

A request may crash its endpoint after the head of its answer. The end was noticed only by calls that waited for a head, so that an endpoint which was only sending bodies ended unnoticed, and such a request was never suspected.

Change: a body that breaks off with its connection is checked like a missing head.

--- a/cuminarch-node/src/data/answer.rs
+++ b/cuminarch-node/src/data/answer.rs
@@ -251,6 +251,9 @@
             }
             Err(error) => {
                 debug!("{} {error}", NodeEvent::ConnectionFault);
+                if error.is_disconnect() && source.pool.has_ended().await {
+                    self.report_upstream_ended();
+                }
                 self.close_local(LocalEnd::Broken);
                 Some(Err(BrokenBody))
             }
@@ -306,6 +309,12 @@
         }
     }
 
+    fn report_upstream_ended(&self) {
+        if let Some(guard) = &self.guard {
+            guard.driver().post(Event::UpstreamEnded);
+        }
+    }
+
     fn close_local(&mut self, end: LocalEnd) {
         let Some(guard) = self.guard.as_mut() else { return };
         let outcome = match &end {
--- a/cuminarch-node/src/data/local.rs
+++ b/cuminarch-node/src/data/local.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use cuminarch_engine::Event;
-use cuminarch_http::{HeadLimits, HttpError, ResponseHead, write_request_head};
+use cuminarch_http::{HeadLimits, ResponseHead, write_request_head};
 use cuminarch_once::StoredAnswer;
 use cuminarch_protocol::{AnswerHead, HeaderField, UpstreamLifetime};
 use cuminarch_types::{CallId, InstanceId};
@@ -177,12 +177,7 @@
 }
 
 const fn failure_of(error: &ReceiveError) -> UpstreamFailure {
-    match error {
-        ReceiveError::Connection(_) | ReceiveError::Http(HttpError::Truncated) => {
-            UpstreamFailure::Disconnected
-        }
-        _ => UpstreamFailure::Malformed,
-    }
+    if error.is_disconnect() { UpstreamFailure::Disconnected } else { UpstreamFailure::Malformed }
 }
 
 /// Head of a request as it is sent to the local upstream.
--- a/cuminarch-node/src/data/upstream_connection.rs
+++ b/cuminarch-node/src/data/upstream_connection.rs
@@ -40,6 +40,13 @@
     TooLong,
 }
 
+impl ReceiveError {
+    /// Returns `true` if the upstream has closed or reset the connection within the answer.
+    pub const fn is_disconnect(&self) -> bool {
+        matches!(self, Self::Connection(_) | Self::Http(HttpError::Truncated))
+    }
+}
+
 /// Task that sends a body. It returns the write half of the connection if the body was sent
 /// completely.
 type UploadTask = JoinHandle<Option<OwnedWriteHalf>>;
