--- a/cuminarch-quarantine/src/table.rs
+++ b/cuminarch-quarantine/src/table.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -35,6 +36,8 @@
     entries: BTreeMap<Key, Entry>,
     /// Entries to send to other nodes.
     changed: BTreeSet<Key>,
+    /// Digest of all entries, unless they changed since it was last computed.
+    digest: Cell<Option<u64>>,
 }
 
 impl SuspectTable {
@@ -59,7 +62,7 @@
     /// Creates an empty table.
     #[must_use]
     pub const fn new() -> Self {
-        Self { entries: BTreeMap::new(), changed: BTreeSet::new() }
+        Self { entries: BTreeMap::new(), changed: BTreeSet::new(), digest: Cell::new(None) }
     }
 
     /// Returns `true` if nothing is known of any request.
@@ -175,7 +178,7 @@
         entry.crashes = entry.crashes.saturating_add(1);
         entry.last_crash_at = now;
         entry.source = None;
-        self.changed.insert((request, scope));
+        self.mark_changed((request, scope));
     }
 
     /// Records that the local endpoint has answered a request. Returns `true` if that clears it.
@@ -192,7 +195,7 @@
             {
                 entry.cleared = entry.crashes;
                 entry.source = None;
-                self.changed.insert(key);
+                self.mark_changed(key);
                 is_cleared = true;
             }
         }
@@ -225,7 +228,7 @@
         entry.cleared = entry.cleared.max(statement.cleared);
         if is_newer {
             entry.source = Some(from.clone());
-            self.changed.insert(key);
+            self.mark_changed(key);
         }
         is_newer
     }
@@ -240,7 +243,11 @@
 
     /// Drops entries that no longer matter.
     pub fn expire(&mut self, now: MonoTime) {
+        let len = self.entries.len();
         self.entries.retain(|key, entry| !Self::is_expired(key.1, entry, now));
+        if self.entries.len() < len {
+            self.digest.set(None);
+        }
     }
 
     fn evict(&mut self) {
@@ -258,6 +265,7 @@
         for (_, _, key) in order.into_iter().take(surplus) {
             self.entries.remove(&key);
         }
+        self.digest.set(None);
     }
 
     /// Returns the entries that changed since the last call, convictions first.
@@ -293,7 +301,18 @@
     /// Returns a digest of all entries, to compare the tables of two nodes.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        self.entries.iter().fold(0, |digest, (key, entry)| digest ^ entry_digest(*key, entry))
+        if let Some(digest) = self.digest.get() {
+            return digest;
+        }
+        let add = |digest, (key, entry): (&Key, &Entry)| digest ^ entry_digest(*key, entry);
+        let digest = self.entries.iter().fold(0, add);
+        self.digest.set(Some(digest));
+        digest
+    }
+
+    fn mark_changed(&mut self, key: Key) {
+        self.changed.insert(key);
+        self.digest.set(None);
     }
 }
 
