fix(engine): an upstream that announced its end makes nobody suspect

A planned stop may end runs that outlast the time for it. They said nothing about their requests, but were suspected like the runs of a crash, and callers had to repeat them themselves.

--- a/cuminarch-engine/src/quarantined.rs
+++ b/cuminarch-engine/src/quarantined.rs
@@ -9,7 +9,7 @@
 
 use compact_str::format_compact;
 use cuminarch_once::KeyResult;
-use cuminarch_protocol::SuspicionDatagram;
+use cuminarch_protocol::{SuspicionDatagram, UpstreamState};
 use cuminarch_quarantine::{Quarantine, Verdict};
 use cuminarch_routing::Target;
 use cuminarch_types::{CallId, EndpointId, MonoTime, RequestIdentity, ServiceName};
@@ -23,10 +23,15 @@
     /// the upstream answered a call in between.
     const MIN_RESTART_TIME: Duration = Duration::from_secs(1);
 
-    /// Suspects the requests that the local upstream was running when its process ended.
+    /// Suspects the requests that the local upstream was running when its process ended, unless it
+    /// had announced that.
     ///
     /// The calls of a process that ended report its end one after the other; the first report counts.
     pub(crate) fn upstream_ended(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
+        let state = self.upstream.as_ref().map(|upstream| upstream.state);
+        if state.is_some_and(|state| state != UpstreamState::Ready) {
+            return;
+        }
         let is_known = self.has_ended_recently(now);
         self.ended_at = Some(now);
         if is_known {
--- a/cuminarch-engine/tests/crash_mesh/mod.rs
+++ b/cuminarch-engine/tests/crash_mesh/mod.rs
@@ -154,6 +154,15 @@
         self.at(Duration::ZERO, Step::Kill(node));
     }
 
+    /// Lets an upstream announce that it leaves.
+    pub fn drain_upstream(&mut self, node: usize) {
+        let record = UpstreamRecord {
+            state: UpstreamState::Draining,
+            ..record(self.upstreams[node].starts)
+        };
+        self.handle(node, Event::Upstream(Box::new(record)));
+    }
+
     /// Lets time pass.
     pub fn run_for(&mut self, time: Duration) {
         let until = self.now.after(time);
--- a/cuminarch-engine/tests/crashing_requests.rs
+++ b/cuminarch-engine/tests/crashing_requests.rs
@@ -134,3 +134,21 @@
     assert_eq!(mesh.crashes.len(), 2, "{:?}", mesh.crashes);
     assert!(mesh.asked.last().unwrap().is_refused(), "{:?}", mesh.asked.last());
 }
+
+#[test]
+fn an_upstream_that_announced_its_end_makes_nobody_suspect() {
+    let mut mesh = Mesh::new(4);
+    for number in 0..80 {
+        mesh.ask(number % 4, request(1_000 + number as u128));
+    }
+    mesh.run_for(Duration::from_millis(20));
+    mesh.drain_upstream(0);
+    mesh.kill_upstream(0);
+    mesh.run_for(Duration::from_millis(50));
+    for engine in &mesh.engines {
+        assert_eq!(engine.summary(mesh.now).suspected_requests, 0);
+    }
+    mesh.kill_upstream(1);
+    mesh.run_for(Duration::from_millis(50));
+    assert!(mesh.engines[3].summary(mesh.now).suspected_requests > 0);
+}
