fix(engine): a suspected request goes to an endpoint that can be reached

All nodes send a suspected request to the same endpoint, the highest in an order of hashes. That order ignored zones that are cut off and endpoints that do not answer, so that a request waited for the connection to fail before it went elsewhere.

Change: the order is taken among the endpoints that get ordinary calls.

--- a/cuminarch-engine/src/quarantined.rs
+++ b/cuminarch-engine/src/quarantined.rs
@@ -157,10 +157,8 @@
             return None;
         }
         let request = identity?.request;
-        let members = self.router.members_taking_work(service);
-        let untried = members.filter(|member| !tried.contains(&member.endpoint));
-        let first = untried.max_by_key(|member| Quarantine::trial_order(request, &member.endpoint));
-        self.router.target(&first?.endpoint)
+        let order = |endpoint: &EndpointId| Quarantine::trial_order(request, endpoint);
+        self.router.pick_by_order(service, tried, now, order)
     }
 
     /// Returns `true` if a call may be offered to the local upstream now. Otherwise it was refused,
--- a/cuminarch-quarantine/src/lib.rs
+++ b/cuminarch-quarantine/src/lib.rs
@@ -1,16 +1,29 @@
 //! Requests that crash the endpoints that run them.
 //!
-//! [`RequestParts`] computes the identity by which such a request is recognized when it returns at
-//! any host.
+//! When an endpoint ends, the requests that it was running are suspected. Endpoints run one
+//! suspected request at a time, so that the next end convicts one request, which is then refused for
+//! a while; an answer clears a request. [`RequestParts`] computes the identity by which a request is
+//! recognized when it returns at any host, [`SuspectTable`] holds what is known, and [`Quarantine`]
+//! keeps the tables of all nodes alike. The package does no I/O.
 //!
 //! ```
-//! use cuminarch_quarantine::RequestParts;
+//! use cuminarch_quarantine::{Quarantine, RequestParts, Verdict};
+//! use cuminarch_types::MonoTime;
 //!
 //! let service = "katalog".parse()?;
-//! let request = RequestParts::new(&service, "GET", "/patterns/7").with_host(b"quilts.example");
-//! let other = RequestParts::new(&service, "GET", "/patterns/8").with_host(b"quilts.example");
-//! assert_eq!(request.identity(), request.identity());
-//! assert_ne!(request.identity().request, other.identity().request);
+//! let deadly = RequestParts::new(&service, "GET", "/patterns/7").identity();
+//! let beside = RequestParts::new(&service, "GET", "/patterns/8").identity();
+//! let mut quarantine = Quarantine::new("katalog-1".parse()?, 1);
+//!
+//! quarantine.record_crash(&[deadly, beside], MonoTime::from_millis(1_000));
+//! let now = MonoTime::from_millis(1_200);
+//! assert_eq!(quarantine.verdict(Some(beside), now), Verdict::Suspected);
+//! quarantine.record_answer(beside, now);
+//! assert_eq!(quarantine.verdict(Some(beside), now), Verdict::Unsuspected);
+//!
+//! quarantine.record_crash(&[deadly, beside], now);
+//! assert!(matches!(quarantine.verdict(Some(deadly), now), Verdict::Refused { .. }));
+//! assert_eq!(quarantine.verdict(Some(beside), now), Verdict::Suspected);
 //! # Ok::<(), cuminarch_types::ParseError>(())
 //! ```
 
--- a/cuminarch-routing/src/router.rs
+++ b/cuminarch-routing/src/router.rs
@@ -83,6 +83,20 @@
         service.pick(&self.context, attributes, exclude, now, &mut self.rng)
     }
 
+    /// Returns the target outside `exclude` with the highest value of `order`, among the endpoints
+    /// that get ordinary calls.
+    pub fn pick_by_order(
+        &self,
+        service: &ServiceName,
+        exclude: &[EndpointId],
+        now: MonoTime,
+        order: impl Fn(&EndpointId) -> u64,
+    ) -> Option<Target> {
+        let candidates = self.services.get(service)?.candidates(&self.context, exclude, now);
+        let first = candidates.into_iter().max_by_key(|found| order(&found.member.endpoint))?;
+        Some(first.target())
+    }
+
     /// Records that a call was sent.
     pub fn record_sent(&mut self, service: &ServiceName, endpoint: &EndpointId, now: MonoTime) {
         let service = self.services.get_mut(service);
--- a/cuminarch-routing/src/service.rs
+++ b/cuminarch-routing/src/service.rs
@@ -139,6 +139,31 @@
         is_limited && self.endpoints().filter(is_other).any(|other| other.has_room(now))
     }
 
+    /// Returns the endpoints outside `exclude` that get ordinary calls; if there is none, those that
+    /// take work at all.
+    pub fn candidates(
+        &self,
+        context: &RoutingContext,
+        exclude: &[EndpointId],
+        now: MonoTime,
+    ) -> Vec<&Endpoint> {
+        let reachable = self.reachable(context, exclude, now);
+        filter_or_all(reachable, |endpoint| endpoint.is_healthy(now))
+    }
+
+    fn reachable(
+        &self,
+        context: &RoutingContext,
+        exclude: &[EndpointId],
+        now: MonoTime,
+    ) -> Vec<&Endpoint> {
+        let takes_call = |endpoint: &&Endpoint| {
+            endpoint.takes_work() && !exclude.contains(&endpoint.member.endpoint)
+        };
+        let candidates: Vec<&Endpoint> = self.endpoints().filter(takes_call).collect();
+        filter_or_all(candidates, |endpoint| context.is_reachable(&endpoint.member.zone, now))
+    }
+
     pub fn pick(
         &mut self,
         context: &RoutingContext,
@@ -148,13 +173,7 @@
         rng: &mut ChaCha8Rng,
     ) -> Option<Target> {
         self.check(context, now);
-        let candidates: Vec<&Endpoint> = self
-            .endpoints()
-            .filter(|endpoint| endpoint.takes_work())
-            .filter(|endpoint| !exclude.contains(&endpoint.member.endpoint))
-            .collect();
-        let candidates =
-            filter_or_all(candidates, |endpoint| context.is_reachable(&endpoint.member.zone, now));
+        let candidates = self.reachable(context, exclude, now);
         if attributes.can_probe
             && let Some(endpoint) = candidates.iter().find(|endpoint| endpoint.is_probe_due(now))
         {
