test(membership): changes while the nodes that read the store lose it

In virtual time, readers that fall silent, are refused, frozen or killed right before a change, also in a zone that is cut off; the last node that reaches the store; a mass restart on stale reads.

--- /dev/null
+++ b/cuminarch-membership/tests/config_currency.rs
@@ -0,0 +1,138 @@
+//! When a change of the configuration comes into force on the nodes that reach the store, while others
+//! have just lost it.
+
+mod roster_world;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cuminarch_types::{EndpointId, MonoTime, Revision};
+use roster_world::{World, name, settled};
+use rstest::rstest;
+
+/// Time limit for a change to be in force, as in the settings of the nodes.
+const CONFIG_APPLY: Duration = Duration::from_secs(2);
+/// Moments between two watches at which the store is lost.
+const MOMENTS: u32 = 10;
+const MOMENT: Duration = Duration::from_millis(150);
+const OBSERVATION: Duration = Duration::from_secs(7);
+
+/// How nodes lose the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Loss {
+    /// Calls get no answer.
+    Silent,
+    /// Calls are refused.
+    Refused,
+    /// The nodes stand still.
+    Frozen,
+    /// The processes are killed.
+    Killed,
+}
+
+fn lose(world: &mut World, lost: &BTreeSet<EndpointId>, loss: Loss) {
+    match loss {
+        Loss::Silent => world.silent.extend(lost.iter().cloned()),
+        Loss::Refused => world.cut.extend(lost.iter().cloned()),
+        Loss::Frozen => world.frozen.extend(lost.iter().cloned()),
+        Loss::Killed => world.nodes.retain(|node, _| !lost.contains(node)),
+    }
+}
+
+/// Returns the longest delay until revision 2 is in force on the nodes that are not in `lost`.
+fn longest_delay(world: &World, lost: &BTreeSet<EndpointId>, published_at: MonoTime) -> Duration {
+    let others = world.nodes.keys().filter(|node| !lost.contains(*node));
+    let delay = |node: &EndpointId| {
+        let at = world.in_force_at.get(&(node.clone(), Revision::new(2)));
+        at.map_or(Duration::MAX, |at| at.since(published_at))
+    };
+    others.map(delay).max().unwrap()
+}
+
+/// Publishes a change right after `lost` have lost the store, at several moments between two watches.
+fn worst_delay(
+    nodes: usize,
+    prepare: impl Fn(&mut World),
+    choose: impl Fn(&World) -> BTreeSet<EndpointId>,
+    loss: Loss,
+) -> Duration {
+    let delays = (0..MOMENTS).map(|moment| {
+        let mut world = settled(nodes);
+        prepare(&mut world);
+        world.run(Duration::from_secs(3) + MOMENT * moment);
+        let lost = choose(&world);
+        lose(&mut world, &lost, loss);
+        let published_at = world.now;
+        world.publish(2);
+        world.run(OBSERVATION);
+        longest_delay(&world, &lost, published_at)
+    });
+    delays.max().unwrap()
+}
+
+fn all_watchers(world: &World) -> BTreeSet<EndpointId> {
+    (0..3).flat_map(|zone| world.watchers(&format!("zone-{zone}"))).collect()
+}
+
+#[rstest]
+fn a_change_is_in_force_in_time_although_its_readers_have_just_lost_the_store(
+    #[values(12, 60)] nodes: usize,
+    #[values(Loss::Silent, Loss::Refused, Loss::Frozen, Loss::Killed)] loss: Loss,
+) {
+    let delay = worst_delay(nodes, |_| {}, all_watchers, loss);
+    println!("{nodes} nodes, {loss:?}: {delay:?}");
+    assert!(delay <= CONFIG_APPLY, "{delay:?}");
+}
+
+#[rstest]
+fn a_change_is_in_force_in_time_in_a_zone_that_is_cut_off(
+    #[values(9, 60)] nodes: usize,
+    #[values(Loss::Silent, Loss::Frozen)] loss: Loss,
+) {
+    let cut_off = |world: &mut World| {
+        world.islands.insert("zone-0".parse().unwrap());
+    };
+    let choose = |world: &World| world.watchers("zone-0").into_iter().collect();
+    let delay = worst_delay(nodes, cut_off, choose, loss);
+    println!("{nodes} nodes, {loss:?}: {delay:?}");
+    assert!(delay <= CONFIG_APPLY, "{delay:?}");
+}
+
+#[rstest]
+fn the_last_node_that_reaches_the_store_passes_a_change_on_in_time(
+    #[values(12, 120)] nodes: usize,
+) {
+    let delays = (0..MOMENTS).map(|moment| {
+        let mut world = settled(nodes);
+        world.run(Duration::from_secs(3) + MOMENT * moment);
+        let lost: BTreeSet<EndpointId> = (1..nodes).map(name).collect();
+        lose(&mut world, &lost, Loss::Refused);
+        let published_at = world.now;
+        world.publish(2);
+        world.run(OBSERVATION);
+        longest_delay(&world, &BTreeSet::new(), published_at)
+    });
+    let delay = delays.max().unwrap();
+    println!("{nodes} nodes: {delay:?}");
+    assert!(delay <= CONFIG_APPLY, "{delay:?}");
+}
+
+#[rstest]
+fn a_process_that_read_an_old_configuration_soon_replaces_it(#[values(6, 60)] nodes: usize) {
+    let mut world = settled(nodes);
+    world.store.lag = Duration::from_secs(6);
+    world.run(Duration::from_secs(5));
+    world.publish(2);
+    world.run(Duration::from_secs(1));
+    for index in 0..nodes {
+        world.nodes.remove(&name(index));
+    }
+    for index in 0..nodes {
+        world.start(index, 2);
+    }
+    let started_at = world.now;
+    world.run(Duration::from_secs(10));
+    let delay = longest_delay(&world, &BTreeSet::new(), started_at);
+    println!("{nodes} nodes: {delay:?}");
+    assert!(delay <= CONFIG_APPLY, "{delay:?}");
+}
--- a/cuminarch-membership/tests/roster_world/mod.rs
+++ b/cuminarch-membership/tests/roster_world/mod.rs
@@ -11,14 +11,17 @@
     FleetAction, FleetEvent, FleetNotice, FleetSettings, ObjectVersion, PlatformCall,
     PlatformReply, Roster,
 };
-use cuminarch_protocol::{Member, MemberState, UpstreamRecord, UpstreamState};
-use cuminarch_types::{EndpointId, Incarnation, MonoTime, Revision};
+use cuminarch_protocol::{ControlMessage, Member, MemberState, UpstreamRecord, UpstreamState};
+use cuminarch_types::{EndpointId, Incarnation, MonoTime, Revision, ZoneName};
 
 pub use store::StoreModel;
 
 pub const STEP: Duration = Duration::from_millis(50);
 /// Maximum duration of a watch at the store.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1_400);
+/// Time after which a call without an answer fails, and the same for a watch.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const SILENT_WATCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Delay after which a late write is executed.
 const LATE_WRITE_DELAY: Duration = Duration::from_millis(2_500);
 
@@ -29,6 +32,15 @@
     pub store: StoreModel,
     /// Nodes that cannot reach the store.
     pub cut: BTreeSet<EndpointId>,
+    /// Nodes whose calls to the store get no answer and fail at their timeouts.
+    pub silent: BTreeSet<EndpointId>,
+    /// Nodes that stand still; nothing reaches them.
+    pub frozen: BTreeSet<EndpointId>,
+    /// Zones that are cut off from the others.
+    pub islands: BTreeSet<ZoneName>,
+    timeouts: Vec<(MonoTime, EndpointId, PlatformCall)>,
+    /// When each node put each revision into force.
+    pub in_force_at: BTreeMap<(EndpointId, Revision), MonoTime>,
     /// Whether writes are executed late and their answers are lost.
     pub delays_writes: bool,
     late_writes: Vec<(MonoTime, PlatformCall)>,
@@ -90,6 +102,11 @@
             nodes: BTreeMap::new(),
             store: StoreModel::new(),
             cut: BTreeSet::new(),
+            silent: BTreeSet::new(),
+            frozen: BTreeSet::new(),
+            islands: BTreeSet::new(),
+            timeouts: Vec::new(),
+            in_force_at: BTreeMap::new(),
             delays_writes: false,
             late_writes: Vec::new(),
             watches: Vec::new(),
@@ -133,11 +150,24 @@
         }
     }
 
+    /// Returns `true` if messages pass between two nodes.
+    fn is_connected(&self, from: &EndpointId, to: &EndpointId) -> bool {
+        let zone = |node| self.nodes.get(node).map(zone_of);
+        let (from, to) = (zone(from), zone(to));
+        from == to || [from, to].iter().flatten().all(|zone| !self.islands.contains(zone))
+    }
+
     pub fn handle(&mut self, node: &EndpointId, event: FleetEvent) {
+        if self.frozen.contains(node) {
+            return;
+        }
         let Some(roster) = self.nodes.get_mut(node) else { return };
         for action in roster.handle(event, self.now) {
             match action {
                 FleetAction::Send(to, _, message) => {
+                    if self.frozen.contains(&to) || !self.is_connected(node, &to) {
+                        continue;
+                    }
                     let hello = self.nodes[node].hello();
                     if self.linked.insert((node.clone(), to.clone())) {
                         let hello_received = FleetEvent::Received(node.clone(), hello);
@@ -149,6 +179,7 @@
                 FleetAction::Policy(policy) => {
                     let held = self.in_force.insert(node.clone(), policy.revision());
                     self.ever_in_force.insert((node.clone(), policy.revision()));
+                    self.in_force_at.insert((node.clone(), policy.revision()), self.now);
                     assert!(
                         held.unwrap_or_default() < policy.revision(),
                         "{node} returned to an earlier revision"
@@ -169,6 +200,11 @@
             matches!(call, PlatformCall::ListMembersLagging | PlatformCall::ListConfigLagging);
         self.cost_tenths += if is_stale_read { 1 } else { 10 };
         let reply = match &call {
+            _ if self.silent.contains(node) => {
+                let is_watch = matches!(call, PlatformCall::WatchConfig(..));
+                let timeout = if is_watch { SILENT_WATCH_TIMEOUT } else { CALL_TIMEOUT };
+                return self.timeouts.push((self.now.after(timeout), node.clone(), call));
+            }
             _ if self.cut.contains(node) => {
                 let failed = FleetEvent::Platform(call, PlatformReply::Failed);
                 return self.due.push_back((node.clone(), failed));
@@ -195,7 +231,10 @@
     fn end_watches(&mut self) {
         for (node, after, until) in std::mem::take(&mut self.watches) {
             let call = PlatformCall::WatchConfig(after);
-            if self.cut.contains(&node) {
+            if self.silent.contains(&node) {
+                let until = self.now.after(SILENT_WATCH_TIMEOUT);
+                self.timeouts.push((until, node, call));
+            } else if self.cut.contains(&node) {
                 self.feed(&node, FleetEvent::Platform(call, PlatformReply::Failed));
             } else if let Some(reply) = self.store.watch(after, until <= self.now) {
                 self.answer(&node, call, reply);
@@ -206,6 +245,15 @@
         }
     }
 
+    fn end_timed_out_calls(&mut self) {
+        let now = self.now;
+        let (due, left) = self.timeouts.drain(..).partition(|(at, ..)| *at <= now);
+        self.timeouts = left;
+        for (_, node, call) in due {
+            self.feed(&node, FleetEvent::Platform(call, PlatformReply::Failed));
+        }
+    }
+
     fn execute_late_writes(&mut self) {
         let now = self.now;
         let (due, left) = self.late_writes.drain(..).partition(|(at, _)| *at <= now);
@@ -235,6 +283,7 @@
             self.store.take_backup(self.now);
             self.execute_late_writes();
             self.end_watches();
+            self.end_timed_out_calls();
             if self.now.as_micros().is_multiple_of(Roster::TICK.as_micros() as u64) {
                 for node in self.nodes.keys().cloned().collect::<Vec<_>>() {
                     self.feed(&node, FleetEvent::Tick);
@@ -256,11 +305,24 @@
         })
     }
 
+    /// Returns the nodes of a zone that hold a watch on the configuration.
+    pub fn watchers(&self, zone: &str) -> Vec<EndpointId> {
+        let is_watcher = |(_, roster): &(&EndpointId, &Roster)| {
+            roster.summary().is_reporter && zone_of(roster).as_str() == zone
+        };
+        self.nodes.iter().filter(is_watcher).map(|(node, _)| node.clone()).collect()
+    }
+
     pub fn all_have(&self, revision: u64) -> bool {
         self.nodes.keys().all(|node| self.in_force.get(node) == Some(&Revision::new(revision)))
     }
 }
 
+fn zone_of(roster: &Roster) -> ZoneName {
+    let ControlMessage::Hello(hello) = roster.hello() else { panic!("no hello") };
+    hello.member.zone
+}
+
 pub fn settled(nodes: usize) -> World {
     let mut world = World::new(nodes);
     world.publish(1);
