feat(membership): log how a configuration came and when it was last verified

CU4001 named the revision only, so the three hypotheses on late changes could not be told apart. CU4001 now has the source, the age and source of the last evidence that the configuration before was the latest, and the node's own reads since; CU4005 and CU4006 mark the time without evidence; the dump and the metric config_verified_age show the age. No decision changed.

--- a/cuminarch-membership/src/action.rs
+++ b/cuminarch-membership/src/action.rs
@@ -6,7 +6,7 @@
 use cuminarch_protocol::{ControlMessage, Member};
 use cuminarch_types::{EndpointId, Revision, StoreEra, ZoneName};
 
-use crate::{ObjectVersion, ZoneMembers};
+use crate::{ConfigCurrency, ConfigSource, ObjectVersion, ZoneMembers};
 
 /// A call to the platform.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -41,8 +41,15 @@
     PlatformAvailable,
     /// The platform's store was restored from a backup and is in this era now.
     StoreRestored(StoreEra),
-    /// A configuration came into force.
-    ConfigInForce(Revision),
+    /// A configuration from this source came into force; the last evidence that the one before
+    /// it was the latest follows.
+    ConfigInForce(Revision, ConfigSource, ConfigCurrency),
+    /// It has not been known for longer than a change may take that the configuration in force is
+    /// the latest.
+    ConfigUnverified(Revision, ConfigCurrency),
+    /// The configuration in force is known to be the latest again, from this source; the evidence
+    /// before it follows.
+    ConfigVerified(Revision, ConfigSource, ConfigCurrency),
     /// A configuration was refused.
     ConfigRefused(Revision, String),
     /// Two configurations have this revision; the first one stays in force.
@@ -72,9 +79,14 @@
             | Self::Superseded
             | Self::Rejoined => Ok(()),
             Self::StoreRestored(era) => write!(formatter, "era={era}"),
-            Self::ConfigInForce(revision) | Self::ConfigConflict(revision) => {
-                write!(formatter, "revision={revision}")
+            Self::ConfigInForce(revision, source, currency)
+            | Self::ConfigVerified(revision, source, currency) => {
+                write!(formatter, "revision={revision} source={source} {currency}")
             }
+            Self::ConfigUnverified(revision, currency) => {
+                write!(formatter, "revision={revision} {currency}")
+            }
+            Self::ConfigConflict(revision) => write!(formatter, "revision={revision}"),
             Self::ConfigRefused(revision, reason) => {
                 write!(formatter, "revision={revision}: {reason}")
             }
--- a/cuminarch-membership/src/configuration.rs
+++ b/cuminarch-membership/src/configuration.rs
@@ -8,7 +8,9 @@
 use cuminarch_types::{EndpointId, MonoTime, Revision};
 
 use crate::topology::homes;
-use crate::{Fleet, FleetAction, FleetNotice, apply_patch, make_patch};
+use crate::{
+    ConfigCurrency, ConfigSource, Fleet, FleetAction, FleetNotice, apply_patch, make_patch,
+};
 
 /// Delay before a relay that does not serve a member pushes a configuration to it.
 const FALLBACK_PUSH_DELAY: Duration = Duration::from_secs(3);
@@ -112,7 +114,9 @@
         from: Option<&EndpointId>,
         now: MonoTime,
     ) {
-        self.notice(FleetNotice::ConfigInForce(document.revision));
+        let source = ConfigSource::new(from);
+        let currency = ConfigCurrency::default();
+        self.notice(FleetNotice::ConfigInForce(document.revision, source, currency));
         let patch = base.and_then(|base| make_patch(base, document));
         self.config.accept(document, patch, now);
         self.refresh_topology(now);
--- a/cuminarch-membership/src/control_plane.rs
+++ b/cuminarch-membership/src/control_plane.rs
@@ -15,7 +15,7 @@
     fn hello(&self) -> ControlMessage;
 
     /// Returns the state for operators.
-    fn summary(&self) -> FleetSummary;
+    fn summary(&self, now: MonoTime) -> FleetSummary;
 }
 
 impl ControlPlane for Fleet {
@@ -27,7 +27,7 @@
         Self::hello(self)
     }
 
-    fn summary(&self) -> FleetSummary {
+    fn summary(&self, _: MonoTime) -> FleetSummary {
         Self::summary(self)
     }
 }
@@ -41,7 +41,7 @@
         Self::hello(self)
     }
 
-    fn summary(&self) -> FleetSummary {
-        Self::summary(self)
+    fn summary(&self, now: MonoTime) -> FleetSummary {
+        Self::summary(self, now)
     }
 }
--- a/cuminarch-membership/src/lib.rs
+++ b/cuminarch-membership/src/lib.rs
@@ -31,6 +31,7 @@
 
 mod action;
 mod call_kind;
+mod config_currency;
 mod configuration;
 mod control_plane;
 mod detector;
@@ -51,6 +52,7 @@
 mod zones;
 
 pub use action::{FleetAction, FleetNotice, PlatformCall};
+pub use config_currency::{ConfigCurrency, ConfigSource};
 pub use control_plane::ControlPlane;
 pub use cuminarch_types::ObjectVersion;
 pub use event::{FleetEvent, PlatformReply, ZoneMembers, ZoneObject};
--- a/cuminarch-membership/src/roster/gossip.rs
+++ b/cuminarch-membership/src/roster/gossip.rs
@@ -11,7 +11,7 @@
 use rand::RngExt;
 
 use super::Roster;
-use crate::{FleetAction, apply_patch};
+use crate::{ConfigSource, FleetAction, apply_patch};
 
 impl Roster {
     /// Number of random members to which each round sends a heartbeat.
@@ -76,7 +76,7 @@
     }
 
     fn heartbeat(&self, now: MonoTime) -> Heartbeat {
-        let age = self.verified_at.map(|verified_at| now.since(verified_at));
+        let age = self.evidence.at().map(|at| now.since(at));
         Heartbeat {
             revision: self.revision(),
             members_digest: self.table.digest(),
@@ -154,7 +154,8 @@
             && let Some(age_ms) = heartbeat.verified_age_ms
         {
             let micros = now.as_micros().saturating_sub(u64::from(age_ms) * 1_000);
-            self.verified_at = self.verified_at.max(Some(MonoTime::from_micros(micros)));
+            let at = MonoTime::from_micros(micros);
+            self.config_verified(at, ConfigSource::Member(from.clone()), now);
         }
         let differs = heartbeat.members_digest != self.table.digest();
         let buckets = self.table.buckets().to_vec();
--- a/cuminarch-membership/src/roster/mod.rs
+++ b/cuminarch-membership/src/roster/mod.rs
@@ -8,6 +8,7 @@
 //! other.
 
 mod era;
+mod evidence;
 mod first_config;
 mod gossip;
 mod store;
@@ -24,10 +25,11 @@
 
 use crate::configuration::ConfigState;
 use crate::{
-    FleetAction, FleetEvent, FleetNotice, FleetSettings, FleetSummary, MemberTable, MergeOutcome,
-    make_patch,
+    ConfigSource, FleetAction, FleetEvent, FleetNotice, FleetSettings, FleetSummary, MemberTable,
+    MergeOutcome, make_patch,
 };
 
+use evidence::Evidence;
 use first_config::PendingConfig;
 use store::StoreState;
 
@@ -52,8 +54,7 @@
     peers: BTreeMap<EndpointId, RosterPeer>,
     /// Members whose latest statement has to be forwarded.
     pending_statements: BTreeSet<EndpointId>,
-    /// Latest time at which the store is known to have held no newer configuration.
-    verified_at: Option<MonoTime>,
+    evidence: Evidence,
     store: StoreState,
     rng: ChaCha8Rng,
     started_at: MonoTime,
@@ -89,7 +90,7 @@
             pending_config: None,
             peers: BTreeMap::new(),
             pending_statements: BTreeSet::new(),
-            verified_at: None,
+            evidence: Evidence::default(),
             store,
             rng,
             started_at: now,
@@ -135,13 +136,14 @@
 
     /// Returns the state for operators.
     #[must_use]
-    pub fn summary(&self) -> FleetSummary {
+    pub fn summary(&self, now: MonoTime) -> FleetSummary {
         FleetSummary {
             is_relay: false,
             is_reporter: self.is_watcher(),
             lacks_platform: self.store.is_unavailable,
             store_era: self.store.era.unwrap_or_default(),
             revision: self.revision(),
+            config_currency: self.config_currency(now),
             zone_relays: Vec::new(),
             homes: Vec::new(),
             attached: Vec::new(),
@@ -161,6 +163,7 @@
         self.flush_statements();
         self.apply_pending_config(now);
         self.drive_store(now);
+        self.report_unverified_config(now);
         self.table.remove_expired_tombstones(Self::TOMBSTONE_TTL, now);
     }
 
@@ -257,7 +260,8 @@
         match self.config.gate.offer(document) {
             GateDecision::Accepted(policy) => {
                 self.actions.push(FleetAction::Policy(policy));
-                self.notice(FleetNotice::ConfigInForce(document.revision));
+                let (source, currency) = (ConfigSource::new(from), self.config_currency(now));
+                self.notice(FleetNotice::ConfigInForce(document.revision, source, currency));
                 let patch = base.and_then(|base| make_patch(&base, document));
                 self.config.accept(document, patch, now);
                 self.spread_config(from, now);
--- a/cuminarch-membership/src/roster/store.rs
+++ b/cuminarch-membership/src/roster/store.rs
@@ -12,7 +12,7 @@
 use super::Roster;
 use crate::call_kind::CallKind;
 use crate::topology::rank_in_zone;
-use crate::{FleetAction, FleetNotice, PlatformCall, PlatformReply, ZoneObject};
+use crate::{ConfigSource, FleetAction, FleetNotice, PlatformCall, PlatformReply, ZoneObject};
 
 /// State of the calls to the store.
 #[derive(Debug)]
@@ -193,14 +193,18 @@
             .mul_add(Self::VERIFY_DELAY_STEP_RATIO, Self::VERIFY_DELAY_RATIO);
         let delay = self.settings.config_apply.mul_f64(ratio);
         // Peers confirm the configuration that this node read at its start.
-        let verified_at = self.verified_at.unwrap_or(self.started_at);
+        let verified_at = self.evidence.at().unwrap_or(self.started_at);
         if now.since(verified_at) >= delay {
             self.call(PlatformCall::ListConfig);
         }
     }
 
     fn call(&mut self, call: PlatformCall) {
-        if self.store.under_way.insert(CallKind::of(&call)) {
+        let kind = CallKind::of(&call);
+        if self.store.under_way.insert(kind) {
+            if kind == CallKind::Config {
+                self.evidence.reads = self.evidence.reads.saturating_add(1);
+            }
             self.actions.push(FleetAction::Platform(call));
         }
     }
@@ -253,7 +257,7 @@
             _ => true,
         };
         self.store.config_version = Some(version).filter(|_| is_gapless);
-        self.verified_at = Some(now);
+        self.config_verified(now, ConfigSource::Store, now);
     }
 
     fn members_listed(
@@ -418,6 +422,7 @@
     fn store_failed(&mut self, call: &PlatformCall, now: MonoTime) {
         self.store.failures = self.store.failures.saturating_add(1);
         if CallKind::of(call) == CallKind::Config {
+            self.evidence.failed_reads = self.evidence.failed_reads.saturating_add(1);
             self.store.config_version = None;
         }
         self.back_off(now);
--- a/cuminarch-membership/src/summary.rs
+++ b/cuminarch-membership/src/summary.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use crate::peer::Peer;
-use crate::{Fleet, MemberTable};
+use crate::{ConfigCurrency, Fleet, MemberTable};
 
 /// State of a [`Fleet`] for operators.
 #[derive(Clone, Debug, Serialize)]
@@ -20,6 +20,8 @@
     pub store_era: StoreEra,
     /// Revision of the configuration in force; 0 for the safe defaults.
     pub revision: Revision,
+    /// What is known about whether that is the latest one.
+    pub config_currency: ConfigCurrency,
     /// Other relays of its zone.
     pub zone_relays: Vec<EndpointId>,
     /// Relays that it reports to.
@@ -44,6 +46,7 @@
             lacks_platform: self.platform.is_unavailable,
             store_era: StoreEra::default(),
             revision: self.revision(),
+            config_currency: ConfigCurrency::default(),
             zone_relays: self.topology.zone_relays.clone(),
             homes: self.topology.homes.clone(),
             attached: self.topology.attached.keys().cloned().collect(),
--- a/cuminarch-membership/tests/roster_world/mod.rs
+++ b/cuminarch-membership/tests/roster_world/mod.rs
@@ -308,7 +308,7 @@
     /// Returns the nodes of a zone that hold a watch on the configuration.
     pub fn watchers(&self, zone: &str) -> Vec<EndpointId> {
         let is_watcher = |(_, roster): &(&EndpointId, &Roster)| {
-            roster.summary().is_reporter && zone_of(roster).as_str() == zone
+            roster.summary(self.now).is_reporter && zone_of(roster).as_str() == zone
         };
         self.nodes.iter().filter(is_watcher).map(|(node, _)| node.clone()).collect()
     }
--- a/cuminarch-node/src/admin.rs
+++ b/cuminarch-node/src/admin.rs
@@ -109,9 +109,8 @@
     fn metrics(&self) -> Page {
         match self.engine_summary() {
             Some(summary) => {
-                let store_era =
-                    self.fleet_summary().map(|fleet| fleet.store_era).unwrap_or_default();
-                page(200, METRICS_TYPE, self.metrics.encode_text(&summary, store_era))
+                let fleet = self.fleet_summary();
+                page(200, METRICS_TYPE, self.metrics.encode_text(&summary, fleet.as_ref()))
             }
             None => unresponsive_page(),
         }
--- a/cuminarch-node/src/control/thread.rs
+++ b/cuminarch-node/src/control/thread.rs
@@ -135,7 +135,7 @@
                 self.links.accept(stream, &hello);
             }
             Wake::Query(query) => {
-                let _ = query.try_send(self.fleet.summary());
+                let _ = query.try_send(self.fleet.summary(self.clock.now()));
             }
             Wake::Stop => return false,
         }
@@ -207,7 +207,9 @@
         FleetNotice::PlatformUnavailable => warn!("{}", NodeEvent::PlatformUnavailable),
         FleetNotice::PlatformAvailable => info!("{}", NodeEvent::PlatformAvailable),
         FleetNotice::StoreRestored(_) => warn!("{} {notice}", NodeEvent::StoreRestored),
-        FleetNotice::ConfigInForce(_) => info!("{} {notice}", NodeEvent::ConfigInForce),
+        FleetNotice::ConfigInForce(..) => info!("{} {notice}", NodeEvent::ConfigInForce),
+        FleetNotice::ConfigUnverified(..) => warn!("{} {notice}", NodeEvent::ConfigUnverified),
+        FleetNotice::ConfigVerified(..) => info!("{} {notice}", NodeEvent::ConfigVerified),
         FleetNotice::ConfigRefused(..) => warn!("{} {notice}", NodeEvent::ConfigRefused),
         FleetNotice::ConfigConflict(_) => error!("{} {notice}", NodeEvent::ConfigConflict),
         FleetNotice::SafeDefaults => warn!("{}", NodeEvent::SafeDefaults),
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -19,6 +19,10 @@
     StoreRestored,
     /// A configuration came into force.
     ConfigInForce,
+    /// The configuration has not been known to be the latest for too long.
+    ConfigUnverified,
+    /// The configuration is known to be the latest again.
+    ConfigVerified,
     /// A configuration was refused.
     ConfigRefused,
     /// Two configurations have the same revision; the first one is kept.
@@ -97,7 +101,7 @@
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 45] = [
+    pub const ALL: [Self; 47] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -105,6 +109,8 @@
         Self::PlatformUnavailable,
         Self::PlatformAvailable,
         Self::ConfigInForce,
+        Self::ConfigUnverified,
+        Self::ConfigVerified,
         Self::ConfigRefused,
         Self::DutyEnded,
         Self::RingFull,
@@ -156,6 +162,8 @@
             Self::PlatformUnavailable => 3001,
             Self::PlatformAvailable => 3002,
             Self::ConfigInForce => 4001,
+            Self::ConfigUnverified => 4005,
+            Self::ConfigVerified => 4006,
             Self::ConfigRefused => 4002,
             Self::DutyEnded => 5001,
             Self::RingFull => 5002,
@@ -208,6 +216,8 @@
             Self::PlatformUnavailable => "platform-unavailable",
             Self::PlatformAvailable => "platform-available",
             Self::ConfigInForce => "config-in-force",
+            Self::ConfigUnverified => "config-unverified",
+            Self::ConfigVerified => "config-verified",
             Self::ConfigRefused => "config-refused",
             Self::DutyEnded => "duty-ended",
             Self::RingFull => "ring-full",
--- a/cuminarch-node/src/metrics.rs
+++ b/cuminarch-node/src/metrics.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use cuminarch_engine::{AllotmentCounts, AllotmentSummary, EngineSummary};
-use cuminarch_types::{Outcome, RatePerSecond, StoreEra};
+use cuminarch_membership::FleetSummary;
+use cuminarch_types::{Outcome, RatePerSecond};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -150,6 +151,7 @@
     suspected_requests: Gauge,
     quarantined_requests: Gauge,
     store_era: Gauge,
+    verified_age: Gauge<f64, AtomicU64>,
     capacity: CapacityMetrics,
 }
 
@@ -299,10 +301,12 @@
     }
 
     /// Encodes all metrics as text.
-    pub fn encode_text(&self, summary: &EngineSummary, store_era: StoreEra) -> String {
+    pub fn encode_text(&self, summary: &EngineSummary, fleet: Option<&FleetSummary>) -> String {
         self.gauges.set(summary);
         self.allotments.set(&summary.allotments);
-        self.gauges.store_era.set(i64::try_from(store_era.get()).unwrap_or(i64::MAX));
+        if let Some(fleet) = fleet {
+            self.gauges.set_fleet(fleet);
+        }
         let mut text = String::new();
         let _ = encode(&mut text, &self.registry);
         text
@@ -339,9 +343,18 @@
         }
         let help = "Requests per second that the own upstream accepts; +Inf without a limit";
         registry.register("rate_limit", help, gauges.rate_limit.clone());
+        let help = "Time since the configuration was last known to be the latest; +Inf if never";
+        let unit = Unit::Seconds;
+        registry.register_with_unit("config_verified_age", help, unit, gauges.verified_age.clone());
         gauges
     }
 
+    fn set_fleet(&self, fleet: &FleetSummary) {
+        self.store_era.set(i64::try_from(fleet.store_era.get()).unwrap_or(i64::MAX));
+        let age = fleet.config_currency.verified_age_ms.map(Duration::from_millis);
+        self.verified_age.set(age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
+    }
+
     fn set(&self, summary: &EngineSummary) {
         let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
         self.calls.set(count(summary.calls));
