fix(membership): each node reads the configuration before its evidence is too old

What callers saw: requests were handled by an older version later than 2 s after a newer one was acknowledged, at nodes that had lost nothing. Four real processes, the two readers of their zone silenced right before a change: up to 2.70 s. In virtual time 2.4 to 2.65 s, and 4.55 s where one of 120 nodes reached the store.

Cause: a node counted its configuration as the latest for 2.5 s after the evidence and 0.15 s longer for each rank, more than the limit itself, as long as the readers of its zone gave no sign, and readers that are silent give none. Besides: - evidence was dated by its arrival, so that a message or an answer that had waited (a suspended host, a stalled link) made old evidence new; - a process counted the stale read at its start as evidence; - all kinds of calls shared one back-off of up to 1.6 s, and a read waited for a silent watch.

Now every node reads the store once the evidence is half of the limit old, 0.15 of it later for the last ranks. Evidence counts from the start of the call, the end of an idle watch, or the time at which a member was asked. Readers announce their evidence in their zone, their watches end in turn, and the reads go beside watches and writes. Half of the messages of gossip and pushes stay in the zone, which may be cut off.

A restore that is noticed by a write while a watch waits is read once instead of twice.

--- a/cuminarch-membership/src/action.rs
+++ b/cuminarch-membership/src/action.rs
@@ -1,6 +1,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cuminarch_config::{Policy, ZoneStatus};
 use cuminarch_protocol::{ControlMessage, Member};
@@ -21,8 +22,12 @@
     ListConfig,
     /// The same with a stale read: the reply may be some seconds old.
     ListConfigLagging,
+    /// List the objects under `config/`, also while a watch waits.
+    VerifyConfig,
     /// Wait for a change under `config/`.
     WatchConfig(ObjectVersion),
+    /// Wait for a change under `config/` for at most this time.
+    WatchConfigFor(ObjectVersion, Duration),
     /// Replace the own zone's object under `members/` if it still has this version.
     PutMembers(Arc<ZoneMembers>, Option<ObjectVersion>),
     /// Write the own zone's object under `status/`.
--- a/cuminarch-membership/src/call_kind.rs
+++ b/cuminarch-membership/src/call_kind.rs
@@ -5,6 +5,7 @@
 pub enum CallKind {
     Members,
     Config,
+    VerifyConfig,
     PutMembers,
     PutStatus,
 }
@@ -17,7 +18,9 @@
             | PlatformCall::WatchMembers(_) => Self::Members,
             PlatformCall::ListConfig
             | PlatformCall::ListConfigLagging
-            | PlatformCall::WatchConfig(_) => Self::Config,
+            | PlatformCall::WatchConfig(_)
+            | PlatformCall::WatchConfigFor(..) => Self::Config,
+            PlatformCall::VerifyConfig => Self::VerifyConfig,
             PlatformCall::PutMembers(..) | PlatformCall::PutMember(..) => Self::PutMembers,
             PlatformCall::PutStatus(_) => Self::PutStatus,
         }
--- a/cuminarch-membership/src/configuration.rs
+++ b/cuminarch-membership/src/configuration.rs
@@ -51,6 +51,11 @@
         self.whole.clone()
     }
 
+    /// Returns the time at which the configuration came into force.
+    pub const fn in_force_at(&self) -> MonoTime {
+        self.in_force_at
+    }
+
     /// Returns `true` if the configuration came into force after `at`.
     pub fn came_into_force_after(&self, at: MonoTime) -> bool {
         self.in_force_at > at
--- a/cuminarch-membership/src/roster/era.rs
+++ b/cuminarch-membership/src/roster/era.rs
@@ -13,6 +13,7 @@
 
 use super::Roster;
 use crate::FleetNotice;
+use crate::call_kind::CallKind;
 
 impl Roster {
     /// Maximum delay before the first call in a new era, to spread out the writes of a
@@ -65,6 +66,6 @@
             self.store.is_own_object_current = false;
         }
         let wait = Self::ERA_JITTER.mul_f64(self.rng.random_range(0.0..1.0));
-        self.store.next_call_at = self.store.next_call_at.max(now.after(wait));
+        self.delay_calls(CallKind::PutMembers, wait, now);
     }
 }
--- a/cuminarch-membership/src/roster/evidence.rs
+++ b/cuminarch-membership/src/roster/evidence.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use cuminarch_types::MonoTime;
+use cuminarch_protocol::{ControlMessage, Heartbeat};
+use cuminarch_types::{EndpointId, MonoTime};
 
 use super::Roster;
 use crate::{ConfigCurrency, ConfigSource, FleetNotice};
@@ -40,6 +41,96 @@
 }
 
 impl Roster {
+    /// Time after which a reply to a heartbeat no longer arrives: a link without a reply is closed
+    /// before.
+    const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
+    /// Difference of ages for which it is worth to ask a member, relative to the time limit for a
+    /// configuration to be in force.
+    const MIN_GAIN_RATIO: f64 = 0.25;
+    /// Minimum interval between two announcements of own evidence, relative to the same limit.
+    const SHARE_INTERVAL_RATIO: f64 = 0.2;
+
+    /// Notes that a member was asked for its state.
+    pub(super) fn note_question(&mut self, to: &EndpointId, now: MonoTime) {
+        let peer = self.peers.entry(to.clone()).or_default();
+        let is_awaited = peer.asked_at.is_some_and(|at| now.since(at) < Self::REPLY_TIMEOUT);
+        if !is_awaited {
+            peer.asked_at = Some(now);
+        }
+    }
+
+    pub(super) fn link_lost(&mut self, member: &EndpointId) {
+        if let Some(peer) = self.peers.get_mut(member) {
+            peer.asked_at = None;
+        }
+    }
+
+    /// Returns the time of a member's evidence if it states any for this configuration, given when
+    /// the statement was made.
+    fn stated_time(&self, heartbeat: &Heartbeat, made_at: MonoTime) -> Option<MonoTime> {
+        let age_ms = heartbeat.verified_age_ms.filter(|_| heartbeat.revision <= self.revision())?;
+        let micros = made_at.as_micros().saturating_sub(u64::from(age_ms) * 1_000);
+        Some(MonoTime::from_micros(micros))
+    }
+
+    fn is_gain(&self, at: MonoTime) -> bool {
+        let min_gain = self.settings.config_apply.mul_f64(Self::MIN_GAIN_RATIO);
+        self.evidence.at.is_none_or(|held| held.after(min_gain) <= at)
+    }
+
+    /// Asks a member that states later evidence. The statement itself proves nothing: it may have
+    /// been on its way for long.
+    pub(super) fn request_evidence(
+        &mut self,
+        from: &EndpointId,
+        heartbeat: &Heartbeat,
+        now: MonoTime,
+    ) {
+        if self.stated_time(heartbeat, now).is_some_and(|at| self.is_gain(at)) {
+            self.send_heartbeat(from, now);
+        }
+    }
+
+    /// Adopts the evidence in a reply of a member, as of the time at which the member was asked.
+    pub(super) fn evidence_received(
+        &mut self,
+        from: &EndpointId,
+        heartbeat: &Heartbeat,
+        now: MonoTime,
+    ) {
+        let asked_at = self.peers.get_mut(from).and_then(|peer| peer.asked_at.take());
+        let Some(asked_at) = asked_at else {
+            return self.request_evidence(from, heartbeat, now);
+        };
+        let Some(at) = self.stated_time(heartbeat, asked_at) else { return };
+        let is_gain = self.is_gain(at);
+        self.config_verified(at, ConfigSource::Member(from.clone()), now);
+        if is_gain && self.zone_members() > Self::MAX_DIRECT_RECIPIENTS {
+            self.announce_evidence(Self::FAN_OUT, now);
+        }
+    }
+
+    /// Announces own evidence in the zone.
+    pub(super) fn share_evidence(&mut self, now: MonoTime) {
+        let interval = self.settings.config_apply.mul_f64(Self::SHARE_INTERVAL_RATIO);
+        if now.since(self.evidence_shared_at) >= interval {
+            self.evidence_shared_at = now;
+            self.announce_evidence(Self::MAX_DIRECT_RECIPIENTS, now);
+        }
+    }
+
+    fn announce_evidence(&mut self, count: usize, now: MonoTime) {
+        let zone = self.own.zone.clone();
+        for peer in self.random_members(count, None, |member| member.zone == zone) {
+            let heartbeat = self.heartbeat(now);
+            self.send(&peer, ControlMessage::Ack(heartbeat));
+        }
+    }
+
+    fn zone_members(&self) -> usize {
+        self.table.iter().filter(|member| member.zone == self.own.zone).count()
+    }
+
     /// Records that the store held no newer configuration at `at`.
     pub(super) fn config_verified(&mut self, at: MonoTime, source: ConfigSource, now: MonoTime) {
         if self.evidence.at.is_some_and(|held| held >= at) {
--- a/cuminarch-membership/src/roster/gossip.rs
+++ b/cuminarch-membership/src/roster/gossip.rs
@@ -1,5 +1,6 @@
 //! Gossip of statements and configurations between nodes.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use rand::RngExt;
 
 use super::Roster;
-use crate::{ConfigSource, FleetAction, apply_patch};
+use crate::{FleetAction, apply_patch};
 
 impl Roster {
     /// Number of random members to which each round sends a heartbeat.
@@ -37,14 +38,23 @@
         let interval = self.settings.config_apply.mul_f64(Self::GOSSIP_INTERVAL_FRACTION);
         let interval = interval.min(Self::MAX_GOSSIP_INTERVAL);
         self.next_gossip_at = now.after(interval.mul_f64(jitter));
-        let mut targets = self.random_peers(Self::PEERS_PER_ROUND, None);
+        let mut targets = self.spread_targets(Self::PEERS_PER_ROUND, None);
         targets.extend(self.recently_gone(now));
         for peer in targets {
-            let heartbeat = self.heartbeat(now);
-            self.send(&peer, ControlMessage::Heartbeat(heartbeat));
+            self.send_heartbeat(&peer, now);
         }
     }
 
+    /// Returns random members, half of them from the own zone: the others may be cut off.
+    fn spread_targets(&mut self, count: usize, excluded: Option<&EndpointId>) -> Vec<EndpointId> {
+        let zone = self.own.zone.clone();
+        let mut targets = self.random_members(count / 2, excluded, |member| member.zone == zone);
+        let held: BTreeSet<EndpointId> = targets.iter().cloned().collect();
+        let is_left = |member: &Member| !held.contains(&member.endpoint);
+        targets.extend(self.random_members(count - targets.len(), excluded, is_left));
+        targets
+    }
+
     /// Returns a random member that left or went recently, if any. Its host may run a
     /// new process that knows no other node, for example while the store is unavailable.
     fn recently_gone(&mut self, now: MonoTime) -> Option<EndpointId> {
@@ -60,10 +70,21 @@
 
     /// Returns random members that have not gone, except this node and `excluded`.
     fn random_peers(&mut self, count: usize, excluded: Option<&EndpointId>) -> Vec<EndpointId> {
+        self.random_members(count, excluded, |_| true)
+    }
+
+    /// Returns random members that have not gone and match, except this node and `excluded`.
+    pub(super) fn random_members(
+        &mut self,
+        count: usize,
+        excluded: Option<&EndpointId>,
+        matches: impl Fn(&Member) -> bool,
+    ) -> Vec<EndpointId> {
         let is_peer = |member: &&Arc<Member>| {
             member.state != MemberState::Gone
                 && member.endpoint != self.own.endpoint
                 && Some(&member.endpoint) != excluded
+                && matches(member)
         };
         let mut peers: Vec<EndpointId> =
             self.table.iter().filter(is_peer).map(|member| member.endpoint.clone()).collect();
@@ -75,12 +96,12 @@
         chosen
     }
 
-    fn heartbeat(&self, now: MonoTime) -> Heartbeat {
-        let age = self.evidence.at().map(|at| now.since(at));
+    pub(super) fn heartbeat(&self, now: MonoTime) -> Heartbeat {
+        let age_ms = |at| u32::try_from(now.since(at).as_millis().saturating_add(1)).ok();
         Heartbeat {
             revision: self.revision(),
             members_digest: self.table.digest(),
-            verified_age_ms: age.and_then(|age| u32::try_from(age.as_millis()).ok()),
+            verified_age_ms: self.evidence.at().and_then(age_ms),
             store_era: self.store.era.unwrap_or_default(),
             ..Heartbeat::default()
         }
@@ -121,9 +142,13 @@
             ControlMessage::Heartbeat(heartbeat) => {
                 let answer = self.heartbeat(now);
                 self.send(from, ControlMessage::Ack(answer));
+                self.request_evidence(from, &heartbeat, now);
+                self.compare_heartbeat(from, &heartbeat, now);
+            }
+            ControlMessage::Ack(heartbeat) => {
+                self.evidence_received(from, &heartbeat, now);
                 self.compare_heartbeat(from, &heartbeat, now);
             }
-            ControlMessage::Ack(heartbeat) => self.compare_heartbeat(from, &heartbeat, now),
             ControlMessage::Members(members) => self.members_received(from, &members, now),
             ControlMessage::Buckets(buckets) => {
                 let members = self.table.differing(&buckets);
@@ -141,22 +166,16 @@
         }
     }
 
-    /// Sends the state of this node to a peer that has just connected.
-    fn send_heartbeat(&mut self, to: &EndpointId, now: MonoTime) {
+    /// Sends the state of this node to a peer and asks for its state.
+    pub(super) fn send_heartbeat(&mut self, to: &EndpointId, now: MonoTime) {
         let heartbeat = self.heartbeat(now);
+        self.note_question(to, now);
         self.send(to, ControlMessage::Heartbeat(heartbeat));
     }
 
     /// Compares the state of a peer with the own state.
     fn compare_heartbeat(&mut self, from: &EndpointId, heartbeat: &Heartbeat, now: MonoTime) {
         self.note_peer_era(heartbeat.store_era, now);
-        if heartbeat.revision <= self.revision()
-            && let Some(age_ms) = heartbeat.verified_age_ms
-        {
-            let micros = now.as_micros().saturating_sub(u64::from(age_ms) * 1_000);
-            let at = MonoTime::from_micros(micros);
-            self.config_verified(at, ConfigSource::Member(from.clone()), now);
-        }
         let differs = heartbeat.members_digest != self.table.digest();
         let buckets = self.table.buckets().to_vec();
         let peer = self.peers.entry(from.clone()).or_default();
@@ -189,7 +208,7 @@
     /// Forwards a new configuration: to many members if it came from the store, else to a few.
     pub(super) fn spread_config(&mut self, from: Option<&EndpointId>, now: MonoTime) {
         let count = if from.is_some() { Self::FAN_OUT } else { Self::MAX_DIRECT_RECIPIENTS };
-        for peer in self.random_peers(count, from) {
+        for peer in self.spread_targets(count, from) {
             self.send_config(&peer, now);
         }
     }
--- a/cuminarch-membership/src/roster/mod.rs
+++ b/cuminarch-membership/src/roster/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! For a platform whose store is shared by all nodes: each node stores one object
 //! that describes it, and writes the object only when it changes. Changes spread
-//! by gossip. A few nodes of each zone hold a watch on the configuration; the
-//! others read it from the store only when gossip has not confirmed it for a
-//! while. Calls thus grow more slowly than the fleet, and no node depends on any
-//! other.
+//! by gossip. Two nodes of each zone hold a watch on the configuration; the
+//! others read it from the store only when it has not been confirmed for half
+//! of the time that a change may take. Calls thus grow more slowly than the
+//! fleet, and no node that reaches the store depends on any other.
 
+mod backoff;
+mod config_reads;
 mod era;
 mod evidence;
 mod first_config;
@@ -41,6 +43,8 @@
     reported_revision: Option<Revision>,
     pulled_at: Option<MonoTime>,
     config_sent_at: Option<MonoTime>,
+    /// When the heartbeat was sent whose reply is awaited.
+    asked_at: Option<MonoTime>,
 }
 
 /// Membership and configuration state machine of one node, with a shared store and gossip.
@@ -55,6 +59,7 @@
     /// Members whose latest statement has to be forwarded.
     pending_statements: BTreeSet<EndpointId>,
     evidence: Evidence,
+    evidence_shared_at: MonoTime,
     store: StoreState,
     rng: ChaCha8Rng,
     started_at: MonoTime,
@@ -91,6 +96,7 @@
             peers: BTreeMap::new(),
             pending_statements: BTreeSet::new(),
             evidence: Evidence::default(),
+            evidence_shared_at: MonoTime::ZERO,
             store,
             rng,
             started_at: now,
@@ -105,7 +111,7 @@
         match event {
             FleetEvent::Tick => self.tick(now),
             FleetEvent::Received(from, message) => self.receive(&from, message, now),
-            FleetEvent::LinkLost(_) => {}
+            FleetEvent::LinkLost(member) => self.link_lost(&member),
             FleetEvent::Platform(call, reply) => self.store_replied(&call, reply, now),
             FleetEvent::StoreEra(era) => self.note_store_era(era, now),
             FleetEvent::Upstream(record) => self.upstream_changed(record, now),
--- a/cuminarch-membership/src/roster/store.rs
+++ b/cuminarch-membership/src/roster/store.rs
@@ -1,6 +1,6 @@
 //! Schedules the calls of this node to the platform's store.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,14 +10,18 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::Roster;
+use super::backoff::Backoffs;
+use super::config_reads::ConfigRead;
 use crate::call_kind::CallKind;
 use crate::topology::rank_in_zone;
-use crate::{ConfigSource, FleetAction, FleetNotice, PlatformCall, PlatformReply, ZoneObject};
+use crate::{FleetAction, FleetNotice, PlatformCall, PlatformReply, ZoneObject};
 
 /// State of the calls to the store.
 #[derive(Debug)]
 pub struct StoreState {
-    under_way: BTreeSet<CallKind>,
+    /// Calls under way, with the times at which they were started.
+    under_way: BTreeMap<CallKind, MonoTime>,
+    backoffs: Backoffs,
     /// Latest era that the store itself has reported.
     pub(super) era: Option<StoreEra>,
     /// Latest era that a peer has reported.
@@ -40,9 +44,14 @@
     pub(super) own_version: Option<ObjectVersion>,
     /// Members whose objects this node has to rewrite, with the versions of the objects.
     pub(super) outdated: BTreeMap<EndpointId, ObjectVersion>,
-    pub(super) next_call_at: MonoTime,
+    /// Time of the first call.
+    first_call_at: MonoTime,
     /// Time of the next read of the configuration while there is none.
-    next_config_at: MonoTime,
+    pub(super) next_config_at: MonoTime,
+    /// Whether the next watch is the first one after a read or a change.
+    pub(super) is_first_watch: bool,
+    /// When other members became known, or the node took itself for the only one.
+    pub(super) settled_at: Option<MonoTime>,
     failures: u32,
     pub is_unavailable: bool,
     is_safe_defaults_reported: bool,
@@ -54,7 +63,8 @@
 
     pub fn new(rng: &mut ChaCha8Rng, now: MonoTime) -> Self {
         Self {
-            under_way: BTreeSet::new(),
+            under_way: BTreeMap::new(),
+            backoffs: Backoffs::default(),
             era: None,
             peer_era: StoreEra::default(),
             config_version: None,
@@ -66,8 +76,10 @@
             written_at: MonoTime::ZERO,
             own_version: None,
             outdated: BTreeMap::new(),
-            next_call_at: now.after(Self::START_JITTER.mul_f64(rng.random_range(0.0..1.0))),
+            first_call_at: now.after(Self::START_JITTER.mul_f64(rng.random_range(0.0..1.0))),
             next_config_at: now,
+            is_first_watch: true,
+            settled_at: None,
             failures: 0,
             is_unavailable: false,
             is_safe_defaults_reported: false,
@@ -76,31 +88,11 @@
 }
 
 impl Roster {
-    /// Number of members of a zone that hold a watch on the configuration; more than one,
-    /// to tolerate the loss of any of them.
-    const WATCHERS: usize = 2;
-    /// Delay after the start by which a node knows the others or is alone. A node that
-    /// knows no others does not watch before that; otherwise all nodes of a starting
-    /// fleet would.
-    const SETTLE_DELAY: Duration = Duration::from_secs(4);
-    /// Interval between two reads of the configuration by a node that has none.
-    const INITIAL_CONFIG_INTERVAL: Duration = Duration::from_millis(700);
     /// Interval between two reads of the members by a node that has just started.
     const INITIAL_LIST_INTERVAL: Duration = Duration::from_millis(1_500);
     /// Maximum staleness of a stale read: the platform specifies it only as some
     /// seconds.
     const MAX_STALENESS: Duration = Duration::from_millis(3_500);
-    /// Delay after which an unconfirmed configuration is read from the store, relative to
-    /// the time limit for it to be in force. It exceeds the duration of a watch, because
-    /// each watch confirms the configuration to all nodes.
-    const VERIFY_DELAY_RATIO: f64 = 1.25;
-    /// Additional delay for each rank below the watchers, relative to the same limit. It
-    /// spreads out the reads of a zone, and the first replies serve the other nodes.
-    const VERIFY_DELAY_STEP_RATIO: f64 = 0.075;
-    /// Base delay after failures; doubled with each consecutive failure.
-    const INITIAL_BACKOFF: Duration = Duration::from_millis(250);
-    /// Maximum delay after a failure.
-    const MAX_BACKOFF: Duration = Duration::from_millis(1_600);
     /// Number of consecutive failures after which the store counts as unavailable.
     const UNAVAILABLE_AFTER_FAILURES: u32 = 2;
     /// Interval between two reads of the members by the first node of a zone.
@@ -115,11 +107,6 @@
         rank_in_zone(&self.own, &self.table)
     }
 
-    /// Returns `true` if this node holds a watch on the configuration.
-    pub(super) fn is_watcher(&self) -> bool {
-        self.rank() < Self::WATCHERS
-    }
-
     /// Reports once that no configuration was found.
     fn report_safe_defaults(&mut self, now: MonoTime) {
         let is_late = now.since(self.started_at) >= Self::SAFE_DEFAULTS_DELAY;
@@ -146,22 +133,20 @@
 
     pub(super) fn drive_store(&mut self, now: MonoTime) {
         self.report_safe_defaults(now);
-        if now < self.store.next_call_at || self.own.state >= MemberState::Gone {
+        if now < self.store.first_call_at || self.own.state >= MemberState::Gone {
             return;
         }
         if self.store.next_list_at.is_none_or(|at| at <= now) {
             let may_lag = !self.store.needs_current_list;
-            self.call(if may_lag {
-                PlatformCall::ListMembersLagging
-            } else {
-                PlatformCall::ListMembers
-            });
+            let call =
+                if may_lag { PlatformCall::ListMembersLagging } else { PlatformCall::ListMembers };
+            self.call(call, now);
         }
         if !self.store.is_own_object_current && self.has_upstream() {
             let version = self.store.own_version;
-            self.call(PlatformCall::PutMember(self.own.clone(), version));
+            self.call(PlatformCall::PutMember(self.own.clone(), version), now);
         }
-        self.repair_outdated();
+        self.repair_outdated(now);
         self.ask_for_config(now);
     }
 
@@ -170,43 +155,18 @@
         self.own.upstream.as_ref().is_none_or(|upstream| upstream.instance.is_some())
     }
 
-    fn ask_for_config(&mut self, now: MonoTime) {
-        if self.revision() == Revision::default() {
-            if self.store.next_config_at <= now {
-                self.store.next_config_at = now.after(Self::INITIAL_CONFIG_INTERVAL);
-                self.call(PlatformCall::ListConfigLagging);
-            }
-            return;
-        }
-        let knows_others = self.table.len() > 1;
-        if !knows_others && now.since(self.started_at) < Self::SETTLE_DELAY {
-            return;
-        }
-        let rank = self.rank();
-        if rank < Self::WATCHERS {
-            let call = self.store.config_version;
-            self.call(call.map_or(PlatformCall::ListConfig, PlatformCall::WatchConfig));
+    /// Starts a call unless one of its kind is under way or has just failed. Kinds do not wait for
+    /// each other: a write that gets no answer must not delay a read of the configuration.
+    pub(super) fn call(&mut self, call: PlatformCall, now: MonoTime) {
+        let kind = CallKind::of(&call);
+        if self.store.under_way.contains_key(&kind) || !self.store.backoffs.is_over(kind, now) {
             return;
         }
-        let ranks_behind = u32::try_from(rank - Self::WATCHERS).unwrap_or(u32::MAX);
-        let ratio = f64::from(ranks_behind)
-            .mul_add(Self::VERIFY_DELAY_STEP_RATIO, Self::VERIFY_DELAY_RATIO);
-        let delay = self.settings.config_apply.mul_f64(ratio);
-        // Peers confirm the configuration that this node read at its start.
-        let verified_at = self.evidence.at().unwrap_or(self.started_at);
-        if now.since(verified_at) >= delay {
-            self.call(PlatformCall::ListConfig);
-        }
-    }
-
-    fn call(&mut self, call: PlatformCall) {
-        let kind = CallKind::of(&call);
-        if self.store.under_way.insert(kind) {
-            if kind == CallKind::Config {
-                self.evidence.reads = self.evidence.reads.saturating_add(1);
-            }
-            self.actions.push(FleetAction::Platform(call));
+        self.store.under_way.insert(kind, now);
+        if matches!(kind, CallKind::Config | CallKind::VerifyConfig) {
+            self.evidence.reads = self.evidence.reads.saturating_add(1);
         }
+        self.actions.push(FleetAction::Platform(call));
     }
 
     pub(super) fn store_replied(
@@ -215,11 +175,13 @@
         reply: PlatformReply,
         now: MonoTime,
     ) {
-        self.store.under_way.remove(&CallKind::of(call));
+        let kind = CallKind::of(call);
+        let started_at = self.store.under_way.remove(&kind).unwrap_or(now);
         if reply == PlatformReply::Failed {
             return self.store_failed(call, now);
         }
         self.store.failures = 0;
+        self.store.backoffs.succeeded(kind);
         if std::mem::take(&mut self.store.is_unavailable) {
             self.notice(FleetNotice::PlatformAvailable);
         }
@@ -230,10 +192,11 @@
             }
             PlatformReply::Config { version, document } => {
                 self.note_store_era(version.era(), now);
+                let read = ConfigRead { started_at, version, is_empty: document.is_none() };
                 if let Some(document) = document {
                     self.stored_config_received(document, now);
                 }
-                self.config_read(call, version, now);
+                self.config_read(call, &read, now);
             }
             PlatformReply::MembersWritten(version) => self.member_written(call, version, now),
             PlatformReply::MembersConflict(object) => {
@@ -244,22 +207,6 @@
         self.drive_store(now);
     }
 
-    /// Records the version up to which the configuration of the store is known.
-    fn config_read(&mut self, call: &PlatformCall, version: ObjectVersion, now: MonoTime) {
-        // A stale read shows neither the version to watch from nor that there is no
-        // newer configuration.
-        if *call == PlatformCall::ListConfigLagging || !self.is_of_latest_era(version) {
-            return;
-        }
-        // A watch that began in an earlier era has missed the writes since the restore.
-        let is_gapless = match call {
-            PlatformCall::WatchConfig(after) => after.era() == version.era(),
-            _ => true,
-        };
-        self.store.config_version = Some(version).filter(|_| is_gapless);
-        self.config_verified(now, ConfigSource::Store, now);
-    }
-
     fn members_listed(
         &mut self,
         call: &PlatformCall,
@@ -347,7 +294,7 @@
         }
         if version.is_none() || version == *expected {
             // The reply contains nothing that would let the next write succeed.
-            self.back_off(now);
+            self.store.backoffs.extend(CallKind::PutMembers, now, &mut self.rng);
         }
     }
 
@@ -399,12 +346,12 @@
 
     /// Rewrites the objects of members that left while the store was unavailable. Nodes
     /// that start later would otherwise take these members for alive.
-    fn repair_outdated(&mut self) {
+    fn repair_outdated(&mut self, now: MonoTime) {
         let Some((endpoint, version)) = self.store.outdated.first_key_value() else { return };
         let (endpoint, version) = (endpoint.clone(), *version);
         match self.table.get(&endpoint).cloned() {
             Some(held) if !held.takes_work() => {
-                self.call(PlatformCall::PutMember(held, Some(version)));
+                self.call(PlatformCall::PutMember(held, Some(version)), now);
             }
             _ => {
                 self.store.outdated.remove(&endpoint);
@@ -412,20 +359,22 @@
         }
     }
 
-    /// Delays the next call, longer after each consecutive failure.
-    fn back_off(&mut self, now: MonoTime) {
-        let doubled = Self::INITIAL_BACKOFF.saturating_mul(1 << self.store.failures.min(8));
-        let wait = doubled.min(Self::MAX_BACKOFF).mul_f64(self.rng.random_range(0.5..1.0));
-        self.store.next_call_at = self.store.next_call_at.max(now.after(wait));
+    /// Delays the next calls of a kind.
+    pub(super) fn delay_calls(&mut self, kind: CallKind, wait: Duration, now: MonoTime) {
+        self.store.backoffs.delay(kind, wait, now);
     }
 
     fn store_failed(&mut self, call: &PlatformCall, now: MonoTime) {
         self.store.failures = self.store.failures.saturating_add(1);
-        if CallKind::of(call) == CallKind::Config {
+        let kind = CallKind::of(call);
+        if matches!(kind, CallKind::Config | CallKind::VerifyConfig) {
             self.evidence.failed_reads = self.evidence.failed_reads.saturating_add(1);
-            self.store.config_version = None;
         }
-        self.back_off(now);
+        if let PlatformCall::WatchConfigFor(after, _) = call {
+            // A read since the start of the watch has replaced its version.
+            self.store.config_version = self.store.config_version.filter(|held| held != after);
+        }
+        self.store.backoffs.failed(kind, now, &mut self.rng);
         if self.store.failures >= Self::UNAVAILABLE_AFTER_FAILURES && !self.store.is_unavailable {
             self.store.is_unavailable = true;
             self.notice(FleetNotice::PlatformUnavailable);
--- a/cuminarch-membership/tests/config_currency.rs
+++ b/cuminarch-membership/tests/config_currency.rs
@@ -6,8 +6,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use cuminarch_types::{EndpointId, MonoTime, Revision};
-use roster_world::{World, name, settled};
+use cuminarch_membership::{
+    FleetAction, FleetEvent, FleetSettings, PlatformCall, PlatformReply, Roster,
+};
+use cuminarch_protocol::{ControlMessage, Heartbeat, UpstreamState};
+use cuminarch_types::{EndpointId, MonoTime, ObjectVersion, Revision};
+use roster_world::{World, document, member, name, record, settled};
 use rstest::rstest;
 
 /// Time limit for a change to be in force, as in the settings of the nodes.
@@ -136,3 +140,87 @@
     println!("{nodes} nodes: {delay:?}");
     assert!(delay <= CONFIG_APPLY, "{delay:?}");
 }
+
+#[rstest]
+fn writes_without_an_answer_delay_no_read(#[values(12, 60)] nodes: usize) {
+    let write = |world: &mut World| {
+        world.delays_writes = true;
+        for index in 0..nodes {
+            world.feed(&name(index), FleetEvent::Upstream(record(UpstreamState::Draining)));
+        }
+    };
+    let delay = worst_delay(nodes, write, all_watchers, Loss::Silent);
+    assert!(delay <= CONFIG_APPLY, "{delay:?}");
+}
+
+#[test]
+fn a_process_that_knows_no_other_verifies_its_first_configuration() {
+    let mut world = World::new(1);
+    world.publish(1);
+    world.run(Duration::from_secs(7));
+    world.store.lag = Duration::from_secs(6);
+    world.publish(2);
+    world.run(Duration::from_secs(1));
+    world.start(0, 2);
+    let started_at = world.now;
+    world.run(Duration::from_secs(5));
+    let delay = longest_delay(&world, &BTreeSet::new(), started_at);
+    assert!(delay <= CONFIG_APPLY + Roster::TICK, "{delay:?}");
+}
+
+/// A node that knows one other member and has read revision 1 at `now`.
+fn reading_roster(now: MonoTime) -> Roster {
+    let mut roster = Roster::new(FleetSettings::new("tests"), member(0, 1), now);
+    let other = std::sync::Arc::new(member(3, 1));
+    let members = ControlMessage::Members(vec![other]);
+    roster.handle(FleetEvent::Received(name(3), members), now);
+    let version = ObjectVersion::new(5);
+    let reply = PlatformReply::Config { version, document: Some(document(1)) };
+    roster.handle(FleetEvent::Platform(PlatformCall::VerifyConfig, reply), now);
+    let heartbeat = Heartbeat { revision: Revision::new(1), ..Heartbeat::default() };
+    roster.handle(FleetEvent::Received(name(3), ControlMessage::Ack(heartbeat)), now);
+    roster
+}
+
+fn verified_age_ms(roster: &Roster, now: MonoTime) -> Option<u64> {
+    roster.summary(now).config_currency.verified_age_ms
+}
+
+fn statement(age_ms: u32) -> Heartbeat {
+    let revision = Revision::new(1);
+    Heartbeat { revision, verified_age_ms: Some(age_ms), ..Heartbeat::default() }
+}
+
+#[test]
+fn a_statement_that_was_on_its_way_for_long_is_no_evidence() {
+    let start = MonoTime::from_millis(1_000);
+    let mut roster = reading_roster(start);
+    let now = start.after(Duration::from_millis(900));
+    let held = verified_age_ms(&roster, now);
+    let message = ControlMessage::Ack(statement(0));
+    let actions = roster.handle(FleetEvent::Received(name(3), message), now);
+    assert_eq!(verified_age_ms(&roster, now), held);
+    let asks = |action: &FleetAction| matches!(action, FleetAction::Send(to, _, ControlMessage::Heartbeat(_)) if *to == name(3));
+    assert!(actions.iter().any(asks), "{actions:?}");
+    // The reply counts from the time of the question, not from its arrival.
+    let later = now.after(Duration::from_millis(300));
+    let message = ControlMessage::Ack(statement(100));
+    roster.handle(FleetEvent::Received(name(3), message), later);
+    assert_eq!(verified_age_ms(&roster, later), Some(400));
+}
+
+/// The host of a node is suspended between the answer of the store and its processing.
+#[test]
+fn an_answer_that_waited_in_the_node_counts_from_the_start_of_the_call() {
+    let start = MonoTime::from_millis(1_000);
+    let mut roster = reading_roster(start);
+    let asked_at = start.after(Duration::from_secs(2));
+    let actions = roster.handle(FleetEvent::Tick, asked_at);
+    let reads =
+        |action: &FleetAction| matches!(action, FleetAction::Platform(PlatformCall::VerifyConfig));
+    assert!(actions.iter().any(reads), "{actions:?}");
+    let resumed_at = asked_at.after(Duration::from_secs(5));
+    let reply = PlatformReply::Config { version: ObjectVersion::new(6), document: None };
+    roster.handle(FleetEvent::Platform(PlatformCall::VerifyConfig, reply), resumed_at);
+    assert_eq!(verified_age_ms(&roster, resumed_at), Some(5_000));
+}
--- a/cuminarch-membership/tests/roster_world/mod.rs
+++ b/cuminarch-membership/tests/roster_world/mod.rs
@@ -8,8 +8,7 @@
 
 use cuminarch_config::ConfigDocument;
 use cuminarch_membership::{
-    FleetAction, FleetEvent, FleetNotice, FleetSettings, ObjectVersion, PlatformCall,
-    PlatformReply, Roster,
+    FleetAction, FleetEvent, FleetNotice, FleetSettings, PlatformCall, PlatformReply, Roster,
 };
 use cuminarch_protocol::{ControlMessage, Member, MemberState, UpstreamRecord, UpstreamState};
 use cuminarch_types::{EndpointId, Incarnation, MonoTime, Revision, ZoneName};
@@ -17,8 +16,6 @@
 pub use store::StoreModel;
 
 pub const STEP: Duration = Duration::from_millis(50);
-/// Maximum duration of a watch at the store.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(1_400);
 /// Time after which a call without an answer fails, and the same for a watch.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 const SILENT_WATCH_TIMEOUT: Duration = Duration::from_secs(2);
@@ -44,7 +41,7 @@
     /// Whether writes are executed late and their answers are lost.
     pub delays_writes: bool,
     late_writes: Vec<(MonoTime, PlatformCall)>,
-    watches: Vec<(EndpointId, ObjectVersion, MonoTime)>,
+    watches: Vec<(EndpointId, PlatformCall, MonoTime)>,
     pub in_force: BTreeMap<EndpointId, Revision>,
     /// Every revision that the current process of a node has had in force.
     pub ever_in_force: BTreeSet<(EndpointId, Revision)>,
@@ -201,7 +198,7 @@
         self.cost_tenths += if is_stale_read { 1 } else { 10 };
         let reply = match &call {
             _ if self.silent.contains(node) => {
-                let is_watch = matches!(call, PlatformCall::WatchConfig(..));
+                let is_watch = matches!(call, PlatformCall::WatchConfigFor(..));
                 let timeout = if is_watch { SILENT_WATCH_TIMEOUT } else { CALL_TIMEOUT };
                 return self.timeouts.push((self.now.after(timeout), node.clone(), call));
             }
@@ -209,9 +206,9 @@
                 let failed = FleetEvent::Platform(call, PlatformReply::Failed);
                 return self.due.push_back((node.clone(), failed));
             }
-            PlatformCall::WatchConfig(after) => {
-                let until = self.now.after(WATCH_TIMEOUT);
-                return self.watches.push((node.clone(), *after, until));
+            PlatformCall::WatchConfigFor(_, wait) => {
+                let until = self.now.after(*wait);
+                return self.watches.push((node.clone(), call, until));
             }
             PlatformCall::PutMember(..) if self.delays_writes => {
                 self.late_writes.push((self.now.after(LATE_WRITE_DELAY), call.clone()));
@@ -229,8 +226,8 @@
     }
 
     fn end_watches(&mut self) {
-        for (node, after, until) in std::mem::take(&mut self.watches) {
-            let call = PlatformCall::WatchConfig(after);
+        for (node, call, until) in std::mem::take(&mut self.watches) {
+            let PlatformCall::WatchConfigFor(after, _) = call else { continue };
             if self.silent.contains(&node) {
                 let until = self.now.after(SILENT_WATCH_TIMEOUT);
                 self.timeouts.push((until, node, call));
@@ -240,7 +237,7 @@
                 self.answer(&node, call, reply);
                 self.drain();
             } else {
-                self.watches.push((node, after, until));
+                self.watches.push((node, call, until));
             }
         }
     }
--- a/cuminarch-node/src/control/platform.rs
+++ b/cuminarch-node/src/control/platform.rs
@@ -24,6 +24,7 @@
     calls: Sender<PlatformCall>,
     members: Sender<PlatformCall>,
     config: Sender<PlatformCall>,
+    verification: Sender<PlatformCall>,
     replies: Receiver<FleetEvent>,
 }
 
@@ -46,7 +47,8 @@
         let calls = start("platform")?;
         let members = start("platform-members")?;
         let config = start("platform-config")?;
-        Ok(Self { calls, members, config, replies })
+        let verification = start("platform-verify")?;
+        Ok(Self { calls, members, config, verification, replies })
     }
 
     /// Queues a call. Returns a failure as its reply if the queue is full or closed.
@@ -55,7 +57,9 @@
             PlatformCall::WatchMembers(_) => &self.members,
             PlatformCall::ListConfig
             | PlatformCall::ListConfigLagging
-            | PlatformCall::WatchConfig(_) => &self.config,
+            | PlatformCall::WatchConfig(_)
+            | PlatformCall::WatchConfigFor(..) => &self.config,
+            PlatformCall::VerifyConfig => &self.verification,
             _ => &self.calls,
         };
         match ring.try_send(call) {
@@ -116,13 +120,18 @@
             PlatformCall::WatchMembers(after) => {
                 Ok(members_reply(&store.watch(&path(MEMBERS)?, *after, self.watch_timeout)?))
             }
-            PlatformCall::ListConfig => config_reply(&store.list(&path(CURRENT_CONFIG)?)?),
+            PlatformCall::ListConfig | PlatformCall::VerifyConfig => {
+                config_reply(&store.list(&path(CURRENT_CONFIG)?)?)
+            }
             PlatformCall::ListConfigLagging => {
                 config_reply(&store.list_allow_stale(&path(CURRENT_CONFIG)?)?)
             }
             PlatformCall::WatchConfig(after) => {
                 config_reply(&store.watch(&path(CURRENT_CONFIG)?, *after, self.watch_timeout)?)
             }
+            PlatformCall::WatchConfigFor(after, wait) => {
+                config_reply(&store.watch(&path(CURRENT_CONFIG)?, *after, *wait)?)
+            }
             PlatformCall::PutMembers(value, expected) => put_members(store, value, *expected),
             PlatformCall::PutStatus(status) => {
                 let path = path(&format!("status/{}", status.zone))?;
--- a/cuminarch-testing/src/virtual_fleet/platform.rs
+++ b/cuminarch-testing/src/virtual_fleet/platform.rs
@@ -99,8 +99,10 @@
         let kind = match call {
             PlatformCall::ListMembers | PlatformCall::ListMembersLagging => "list members",
             PlatformCall::WatchMembers(_) => "watch members",
-            PlatformCall::ListConfig | PlatformCall::ListConfigLagging => "list config",
-            PlatformCall::WatchConfig(_) => "watch config",
+            PlatformCall::ListConfig
+            | PlatformCall::ListConfigLagging
+            | PlatformCall::VerifyConfig => "list config",
+            PlatformCall::WatchConfig(_) | PlatformCall::WatchConfigFor(..) => "watch config",
             PlatformCall::PutMembers(..) => "put members",
             PlatformCall::PutStatus(_) => "put status",
             PlatformCall::PutMember(..) => "put member",
@@ -122,16 +124,16 @@
             PlatformCall::ListMembers | PlatformCall::ListMembersLagging => {
                 Some(self.members_after(0))
             }
-            PlatformCall::ListConfig | PlatformCall::ListConfigLagging => {
-                Some(self.config_after(0))
-            }
+            PlatformCall::ListConfig
+            | PlatformCall::ListConfigLagging
+            | PlatformCall::VerifyConfig => Some(self.config_after(0)),
             PlatformCall::WatchMembers(after) => {
                 let is_changed =
                     self.members.values().any(|object| object.version.get() > after.get());
                 let is_restored = self.version < after.get();
                 (is_changed || is_restored).then(|| self.members_after(after.get()))
             }
-            PlatformCall::WatchConfig(after) => {
+            PlatformCall::WatchConfig(after) | PlatformCall::WatchConfigFor(after, _) => {
                 let is_changed =
                     self.config.as_ref().is_some_and(|(_, version)| *version > after.get());
                 let is_restored = self.version < after.get();
@@ -151,7 +153,9 @@
     pub(super) fn timeout_reply(&self, call: &PlatformCall) -> PlatformReply {
         let version = ObjectVersion::new(self.version);
         match call {
-            PlatformCall::WatchConfig(_) => PlatformReply::Config { version, document: None },
+            PlatformCall::WatchConfig(_) | PlatformCall::WatchConfigFor(..) => {
+                PlatformReply::Config { version, document: None }
+            }
             _ => PlatformReply::Members { version, zones: Vec::new() },
         }
     }
