fix(node): a control link without a reply is replaced

A connection may fall silent for good while new ones work. A control link was closed after 15 s without traffic, and each message that was sent counted as traffic, so a silent link stayed as long as something was sent on it: pushes of a configuration and evidence were lost there, and a node that has no store of its own stayed behind.

A link whose peer sends nothing for 1.5 s after a heartbeat is closed, and a node with gossip asks that peer again at once over a new one. The reply may arrive over another link of the same peer.

--- a/cuminarch-membership/src/event.rs
+++ b/cuminarch-membership/src/event.rs
@@ -59,6 +59,8 @@
     Received(EndpointId, ControlMessage),
     /// The link to this member broke.
     LinkLost(EndpointId),
+    /// The link to this member was closed because it did not reply; the member may be well.
+    LinkUnresponsive(EndpointId),
     /// A call to the platform ended.
     Platform(crate::PlatformCall, PlatformReply),
     /// The store reported this era in an answer.
--- a/cuminarch-membership/src/fleet.rs
+++ b/cuminarch-membership/src/fleet.rs
@@ -129,6 +129,7 @@
             match event {
                 FleetEvent::Tick => self.tick(now),
                 FleetEvent::Received(from, message) => self.receive(&from, message, now),
+                FleetEvent::LinkUnresponsive(_) => {}
                 FleetEvent::LinkLost(peer) => self.link_lost(&peer, now),
                 FleetEvent::Platform(call, reply) => self.platform_replied(&call, reply, now),
                 // Stores of this kind of fleet have no eras: versions that decrease show a
--- a/cuminarch-membership/src/roster/mod.rs
+++ b/cuminarch-membership/src/roster/mod.rs
@@ -112,6 +112,10 @@
             FleetEvent::Tick => self.tick(now),
             FleetEvent::Received(from, message) => self.receive(&from, message, now),
             FleetEvent::LinkLost(member) => self.link_lost(&member),
+            FleetEvent::LinkUnresponsive(member) => {
+                self.link_lost(&member);
+                self.send_heartbeat(&member, now);
+            }
             FleetEvent::Platform(call, reply) => self.store_replied(&call, reply, now),
             FleetEvent::StoreEra(era) => self.note_store_era(era, now),
             FleetEvent::Upstream(record) => self.upstream_changed(record, now),
--- a/cuminarch-membership/tests/config_currency.rs
+++ b/cuminarch-membership/tests/config_currency.rs
@@ -209,6 +209,15 @@
     assert_eq!(verified_age_ms(&roster, later), Some(400));
 }
 
+#[test]
+fn a_member_whose_link_did_not_reply_is_asked_again_at_once() {
+    let now = MonoTime::from_millis(1_000);
+    let mut roster = reading_roster(now);
+    let actions = roster.handle(FleetEvent::LinkUnresponsive(name(3)), now);
+    let asks = |action: &FleetAction| matches!(action, FleetAction::Send(to, _, ControlMessage::Heartbeat(_)) if *to == name(3));
+    assert!(actions.iter().any(asks), "{actions:?}");
+}
+
 /// The host of a node is suspended between the answer of the store and its processing.
 #[test]
 fn an_answer_that_waited_in_the_node_counts_from_the_start_of_the_call() {
--- a/cuminarch-node/src/control/links.rs
+++ b/cuminarch-node/src/control/links.rs
@@ -17,6 +17,8 @@
 struct OpenLink {
     number: u64,
     sender: mpsc::Sender<ControlMessage>,
+    /// When the first heartbeat was sent since the last message of the peer.
+    asked_at: Option<Instant>,
 }
 
 /// An attempt to open a link.
@@ -40,6 +42,9 @@
     const MAX_QUEUED_MESSAGES: usize = 64;
     const MAX_LINKS: usize = 1_024;
     const RETRY_DELAY: Duration = Duration::from_secs(1);
+    /// Time for a peer to reply to a heartbeat. A connection may fall silent for good, without an
+    /// error, while new ones work.
+    const REPLY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
     /// Creates an empty set of links.
     pub const fn new(fleet: CompactString, events: mpsc::Sender<LinkEvent>) -> Self {
@@ -62,9 +67,13 @@
         message: ControlMessage,
         hello: &ControlMessage,
     ) {
-        if let Some(open) = self.open.get(to)
+        if let Some(open) = self.open.get_mut(to)
             && !open.sender.is_closed()
         {
+            if matches!(message, ControlMessage::Heartbeat(_)) {
+                open.asked_at.get_or_insert_with(Instant::now);
+            }
+            // A full ring is not drained: the peer reads nothing, and the reply stays out.
             let _ = open.sender.try_send(message);
             return;
         }
@@ -79,6 +88,24 @@
         }
     }
 
+    /// Records that a peer sent a message, over any of its links.
+    pub fn on_received(&mut self, from: &EndpointId) {
+        if let Some(open) = self.open.get_mut(from) {
+            open.asked_at = None;
+        }
+    }
+
+    /// Closes the links of peers that have not replied in time, and returns the peers.
+    pub fn close_unresponsive(&mut self) -> Vec<EndpointId> {
+        let is_late = |at: Instant| at.elapsed() >= Self::REPLY_TIMEOUT;
+        let late = self.open.iter().filter(|(_, open)| open.asked_at.is_some_and(is_late));
+        let peers: Vec<EndpointId> = late.map(|(peer, _)| peer.clone()).collect();
+        for peer in &peers {
+            self.open.remove(peer);
+        }
+        peers
+    }
+
     /// Opens a link unless one is being opened or an attempt failed recently.
     pub fn dial(
         &mut self,
@@ -128,15 +155,19 @@
         address: Option<SocketAddr>,
         sender: mpsc::Sender<ControlMessage>,
     ) {
+        let mut asked_at = None;
         if let Some(address) = address
             && let Some(dialing) = self.dialing.remove(&address)
             && dialing.expected.as_ref().is_none_or(|expected| expected == endpoint)
         {
             for message in dialing.queued {
+                if matches!(message, ControlMessage::Heartbeat(_)) {
+                    asked_at = Some(Instant::now());
+                }
                 let _ = sender.try_send(message);
             }
         }
-        self.open.insert(endpoint.clone(), OpenLink { number, sender });
+        self.open.insert(endpoint.clone(), OpenLink { number, sender, asked_at });
     }
 
     /// Records the end of a link. Returns the peer if it has no other link.
@@ -163,3 +194,6 @@
         is_current.then_some(endpoint)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/cuminarch-node/src/control/thread.rs
+++ b/cuminarch-node/src/control/thread.rs
@@ -8,7 +8,7 @@
 };
 use cuminarch_protocol::{ControlMessage, UpstreamRecord};
 use flume::{Receiver, Sender};
-use log::{error, info, warn};
+use log::{debug, error, info, warn};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
@@ -128,7 +128,12 @@
     /// Returns `true` if the loop continues.
     async fn handle_wake(&mut self, wake: Wake) -> bool {
         match wake {
-            Wake::Fleet(event) => self.handle(event).await,
+            Wake::Fleet(event) => {
+                if event == FleetEvent::Tick {
+                    self.close_unresponsive_links().await;
+                }
+                self.handle(event).await;
+            }
             Wake::Link(event) => self.link_event(event).await,
             Wake::Accepted(stream) => {
                 let hello = self.fleet.hello();
@@ -151,6 +156,7 @@
                 self.handle(FleetEvent::Received(endpoint, message)).await;
             }
             LinkEvent::Received(endpoint, message) => {
+                self.links.on_received(&endpoint);
                 self.handle(FleetEvent::Received(endpoint, message)).await;
             }
             LinkEvent::Down { number, endpoint, address } => {
@@ -161,6 +167,13 @@
         }
     }
 
+    async fn close_unresponsive_links(&mut self) {
+        for peer in self.links.close_unresponsive() {
+            debug!("{} control link: {peer} does not reply", NodeEvent::ConnectionFault);
+            self.handle(FleetEvent::LinkUnresponsive(peer)).await;
+        }
+    }
+
     async fn handle(&mut self, event: FleetEvent) {
         let actions = self.fleet.handle(event, self.clock.now());
         for action in actions {
