fix(node): a node that is being stopped passes on only calls that end in time

What callers saw: in a planned stop of one node, requests that came late in the grace period were passed on and cut at its end without an answer, among them some that may not be repeated.

Cause: after callers had time to turn to other nodes, the node refused requests only on routes that it did not take for internal ones, and callers who enter at few nodes make a route look internal. Nothing asked whether an answer could still come.

Now a request is passed on only if the longest of the last calls of its route, or its time limit where too few are known, ends before the process does; else it is refused as not run, with the time until callers are at other nodes as Retry-After. The check comes after the body was read and covers internal routes and calls of other nodes.

--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -27,6 +27,7 @@
 
 use super::capacity_log::log_changes;
 use super::datagrams::DatagramSender;
+use super::stop::StopGuard;
 use crate::clock::Clock;
 use crate::decisions::LogRateLimiter;
 use crate::event::NodeEvent;
@@ -41,8 +42,13 @@
     Member(Box<Member>),
     /// Return the result of a claim.
     Claimed(CallId, ClaimResult),
-    /// Report the node as not ready, but continue to serve calls.
-    Leave,
+    /// Report the node as not ready, but continue to serve calls that end in time.
+    Leave {
+        /// Time within which callers turn to other nodes.
+        linger: Duration,
+        /// Time until the process ends.
+        timeout: Duration,
+    },
     /// The members are known, and this endpoint was one of them before the process started.
     Rejoined,
     /// Refuse new calls.
@@ -83,6 +89,7 @@
     upstream: RefCell<UpstreamTracker>,
     /// Set when shutdown begins; calls may still be served for a while.
     is_leaving: Cell<bool>,
+    stop: StopGuard,
     metrics: Arc<Metrics>,
 }
 
@@ -144,6 +151,7 @@
             next_tick_at,
             upstream,
             is_leaving,
+            stop: StopGuard::default(),
             metrics,
         };
         Self { shared: Rc::new(shared) }
@@ -172,6 +180,22 @@
         state.engine.is_draining() && !state.engine.is_internal(route)
     }
 
+    /// Returns `true` if the answer to a call would come after the node has stopped.
+    pub fn is_too_late(&self, arrival: &Arrival) -> bool {
+        let Some(routed) = arrival.routed.as_ref().filter(|_| self.shared.stop.has_begun()) else {
+            return false;
+        };
+        let stated = arrival.remaining.unwrap_or(Duration::MAX);
+        let limit = arrival.rule.as_ref().map_or(stated, |rule| stated.min(rule.deadline));
+        let (direction, now) = (direction_of(arrival), self.shared.clock.now());
+        self.shared.stop.is_too_late(direction, &routed.route, limit, now)
+    }
+
+    /// Returns the time after which a caller that is refused during a stop reaches another node.
+    pub fn time_until_callers_leave(&self) -> Duration {
+        self.shared.stop.time_until_callers_leave(self.shared.clock.now())
+    }
+
     /// Applies a registration of the local upstream. Returns the record if it changed.
     pub fn register(&self, registration: &Registration) -> Option<UpstreamRecord> {
         let record = self.shared.upstream.borrow_mut().apply(registration)?.clone();
@@ -220,10 +244,8 @@
     /// Starts a call in the engine.
     pub fn begin(&self, arrival: Arrival) -> CallGuard {
         let (sender, mailbox) = mpsc::unbounded_channel();
-        let direction = match arrival.direction {
-            CallDirection::Inbound => Direction::Inbound,
-            CallDirection::Outbound(_) => Direction::Outbound,
-        };
+        let direction = direction_of(&arrival);
+        let route = arrival.routed.as_ref().map(|routed| routed.route.clone());
         let begun_at = Instant::now();
         let call = {
             let mut state = self.shared.state.borrow_mut();
@@ -232,7 +254,15 @@
             call
         };
         self.post(Event::arrive(call, arrival));
-        CallGuard { driver: self.clone(), call, mailbox, direction, begun_at, is_ended: false }
+        CallGuard {
+            driver: self.clone(),
+            call,
+            mailbox,
+            direction,
+            route,
+            begun_at,
+            is_ended: false,
+        }
     }
 
     /// Passes an event to the engine and dispatches its actions to the tasks of their calls.
@@ -341,7 +371,10 @@
                     self.shared.state.borrow_mut().engine.set_retry_budget(settings);
                 }
                 DataCommand::Rejoined => self.post(Event::Rejoined),
-                DataCommand::Leave => self.shared.is_leaving.set(true),
+                DataCommand::Leave { linger, timeout } => {
+                    self.shared.is_leaving.set(true);
+                    self.shared.stop.begin(linger, timeout, self.shared.clock.now());
+                }
                 DataCommand::Drain => {
                     self.shared.is_leaving.set(true);
                     self.post(Event::Drain);
@@ -377,12 +410,20 @@
     }
 }
 
+const fn direction_of(arrival: &Arrival) -> Direction {
+    match arrival.direction {
+        CallDirection::Inbound => Direction::Inbound,
+        CallDirection::Outbound(_) => Direction::Outbound,
+    }
+}
+
 /// A call in progress. Dropping the guard before the call ends cancels the call.
 pub struct CallGuard {
     driver: Driver,
     call: CallId,
     mailbox: Mailbox,
     direction: Direction,
+    route: Option<RouteName>,
     begun_at: Instant,
     is_ended: bool,
 }
@@ -410,11 +451,11 @@
     pub fn end(&mut self, outcome: Outcome) {
         if !self.is_ended {
             self.is_ended = true;
-            self.driver.shared.metrics.record_call(
-                self.direction,
-                outcome,
-                self.begun_at.elapsed(),
-            );
+            let duration = self.begun_at.elapsed();
+            self.driver.shared.metrics.record_call(self.direction, outcome, duration);
+            if let Some(route) = self.route.as_ref().filter(|_| outcome == Outcome::Completed) {
+                self.driver.shared.stop.record(self.direction, route, duration);
+            }
         }
     }
 }
--- a/cuminarch-node/src/data/handler.rs
+++ b/cuminarch-node/src/data/handler.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use cuminarch_engine::{Arrival, Direction, Refusal, RefusalReason};
 use cuminarch_http::RequestHead;
@@ -16,7 +16,7 @@
 use super::front::{ConnectionState, Purpose, refuse_head};
 use super::http_reply::{HttpReply, http_reply_from_answer};
 use super::registration::register;
-use super::runner::{CallRequest, DataContext, Reply};
+use super::runner::{CallRequest, DataContext, Reply, log_refusal};
 use super::tasks::TaskGuard;
 use crate::interface::{CallPlan, IncomingRequest, LocalAnswer, ParsedRequest, Side};
 
@@ -128,6 +128,11 @@
         return answer.with_close().into();
     };
     let root = call.root;
+    if context.driver.is_too_late(&arrival) {
+        let refusal = draining_refusal(context);
+        log_refusal(context, &call, &refusal);
+        return context.interface.refusal(&refusal, root, &echoed_fields).into();
+    }
     match execute_call(context, arrival, call).await {
         Reply::Answer(answer) => {
             http_reply_from_answer(&*context.interface, *answer, root, is_head).await
@@ -196,6 +201,11 @@
     root: RequestId,
     echoed_fields: &[HeaderField],
 ) -> HttpReply {
-    let refusal = Refusal::not_run(RefusalReason::Draining).with_retry_after(Duration::ZERO);
+    let refusal = draining_refusal(context);
     context.interface.refusal(&refusal, root, echoed_fields).into()
 }
+
+fn draining_refusal(context: &DataContext) -> Refusal {
+    let retry_after = context.driver.time_until_callers_leave();
+    Refusal::not_run(RefusalReason::Draining).with_retry_after(retry_after)
+}
--- a/cuminarch-node/src/data/link_server.rs
+++ b/cuminarch-node/src/data/link_server.rs
@@ -26,7 +26,7 @@
 use super::detached::execute_call;
 use super::link_hello::{CLOSED_BETWEEN_CALLS, known_rate_limit, link_config};
 use super::link_pool::LinkSocket;
-use super::runner::{CallRequest, DataContext, Reply};
+use super::runner::{CallRequest, DataContext, Reply, log_refusal};
 use super::signals::adopt_rate_limit;
 use crate::event::NodeEvent;
 use crate::headers;
@@ -117,7 +117,7 @@
         let mut disconnect = pin!(pump(stream, upload, &is_body_complete, idle_timeout));
         let reply = tokio::select! {
             biased;
-            reply = execute_call(context, arrival(&head, &body), request(head, body)) => reply,
+            reply = reply_to_call(context, head, body) => reply,
             () = &mut disconnect => return None,
         };
         tokio::select! {
@@ -132,6 +132,18 @@
     tokio::time::timeout(DISCARD_TIMEOUT, discard(stream)).await.ok()?
 }
 
+async fn reply_to_call(context: &DataContext, head: CallHead, body: RequestBody) -> Reply {
+    let arrival = arrival(&head, &body);
+    let receipt = Receipt { unspent: head.share, ..Receipt::default() };
+    let request = request(head, body);
+    if context.driver.is_too_late(&arrival) {
+        let refusal = Refusal::not_run(RefusalReason::Draining);
+        log_refusal(context, &request, &refusal);
+        return Reply::Refusal(refusal, receipt);
+    }
+    execute_call(context, arrival, request).await
+}
+
 fn arrival(head: &CallHead, body: &RequestBody) -> Arrival {
     Arrival::inbound(head.root, &head.method, &head.target)
         .with_share(head.share, head.rank)
--- a/cuminarch-node/src/data/mod.rs
+++ b/cuminarch-node/src/data/mod.rs
@@ -26,6 +26,7 @@
 mod registration;
 mod runner;
 mod signals;
+mod stop;
 mod tasks;
 mod thread;
 mod upload;
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -243,7 +243,7 @@
 
 /// Logs why the node refused a call: as an entry node for its caller, or as a serving node for
 /// another node.
-fn log_refusal(context: &DataContext, request: &CallRequest, refusal: &Refusal) {
+pub fn log_refusal(context: &DataContext, request: &CallRequest, refusal: &Refusal) {
     if refusal.reason == RefusalReason::CredentialWithdrawn {
         context.metrics.record_credential_fault(CredentialFault::Withdrawn);
     }
--- a/cuminarch-node/src/node.rs
+++ b/cuminarch-node/src/node.rs
@@ -254,16 +254,14 @@
     }
 
     /// Stops gracefully. The node first reports that it is not ready and serves on while callers
-    /// turn to other nodes. Then it accepts no new calls, notifies its peers and waits for the
+    /// turn to other nodes, as long as the answers come before its end. Then it accepts no new calls, notifies its peers and waits for the
     /// calls in flight, at most for the configured timeout.
     pub fn shutdown(self) {
         info!("{}", NodeEvent::Draining);
         let ShutdownLimits { timeout, linger } = self.shutdown;
         // Sending fails only if the data thread has ended, which is already reported as an error.
-        if !linger.is_zero() {
-            let _ = self.commands.send(DataCommand::Leave);
-            std::thread::sleep(linger);
-        }
+        let _ = self.commands.send(DataCommand::Leave { linger, timeout });
+        std::thread::sleep(linger);
         let _ = self.commands.send(DataCommand::Drain);
         let _ = self.leave.send(());
         self.duties.begin_shutdown();
