fix(membership): a reply counts from its own question

What callers saw: nothing; found while reading the new code.

Announcements are heartbeats now, and the times of questions are kept in order for each member, at most 2 s, which is longer than a link without a reply lives. An announcement goes to 16 members of the zone at most, and those that gain pass it on, so that a reader of a large zone stays within its bytes.

--- a/cuminarch-membership/src/roster/evidence.rs
+++ b/cuminarch-membership/src/roster/evidence.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cuminarch_protocol::{ControlMessage, Heartbeat};
+use cuminarch_protocol::Heartbeat;
 use cuminarch_types::{EndpointId, MonoTime};
 
 use super::Roster;
@@ -44,6 +44,10 @@
     /// Time after which a reply to a heartbeat no longer arrives: a link without a reply is closed
     /// before.
     const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
+    /// Maximum number of questions to one member whose replies are awaited.
+    const MAX_QUESTIONS: usize = 8;
+    /// Maximum number of members that an announcement reaches directly.
+    const MAX_ANNOUNCEMENTS: usize = 16;
     /// Difference of ages for which it is worth to ask a member, relative to the time limit for a
     /// configuration to be in force.
     const MIN_GAIN_RATIO: f64 = 0.25;
@@ -52,16 +56,17 @@
 
     /// Notes that a member was asked for its state.
     pub(super) fn note_question(&mut self, to: &EndpointId, now: MonoTime) {
-        let peer = self.peers.entry(to.clone()).or_default();
-        let is_awaited = peer.asked_at.is_some_and(|at| now.since(at) < Self::REPLY_TIMEOUT);
-        if !is_awaited {
-            peer.asked_at = Some(now);
+        let asked_at = &mut self.peers.entry(to.clone()).or_default().asked_at;
+        asked_at.retain(|at| now.since(*at) < Self::REPLY_TIMEOUT);
+        // Without a place for it, the next replies count from earlier questions, which is safe.
+        if asked_at.len() < Self::MAX_QUESTIONS {
+            asked_at.push_back(now);
         }
     }
 
     pub(super) fn link_lost(&mut self, member: &EndpointId) {
         if let Some(peer) = self.peers.get_mut(member) {
-            peer.asked_at = None;
+            peer.asked_at.clear();
         }
     }
 
@@ -98,14 +103,12 @@
         heartbeat: &Heartbeat,
         now: MonoTime,
     ) {
-        let asked_at = self.peers.get_mut(from).and_then(|peer| peer.asked_at.take());
-        let Some(asked_at) = asked_at else {
-            return self.request_evidence(from, heartbeat, now);
-        };
+        let asked_at = self.peers.get_mut(from).and_then(|peer| peer.asked_at.pop_front());
+        let Some(asked_at) = asked_at else { return };
         let Some(at) = self.stated_time(heartbeat, asked_at) else { return };
         let is_gain = self.is_gain(at);
         self.config_verified(at, ConfigSource::Member(from.clone()), now);
-        if is_gain && self.zone_members() > Self::MAX_DIRECT_RECIPIENTS {
+        if is_gain && self.zone_members() > Self::MAX_ANNOUNCEMENTS {
             self.announce_evidence(Self::FAN_OUT, now);
         }
     }
@@ -115,15 +118,14 @@
         let interval = self.settings.config_apply.mul_f64(Self::SHARE_INTERVAL_RATIO);
         if now.since(self.evidence_shared_at) >= interval {
             self.evidence_shared_at = now;
-            self.announce_evidence(Self::MAX_DIRECT_RECIPIENTS, now);
+            self.announce_evidence(Self::MAX_ANNOUNCEMENTS, now);
         }
     }
 
     fn announce_evidence(&mut self, count: usize, now: MonoTime) {
         let zone = self.own.zone.clone();
         for peer in self.random_members(count, None, |member| member.zone == zone) {
-            let heartbeat = self.heartbeat(now);
-            self.send(&peer, ControlMessage::Ack(heartbeat));
+            self.send_heartbeat(&peer, now);
         }
     }
 
--- a/cuminarch-membership/src/roster/mod.rs
+++ b/cuminarch-membership/src/roster/mod.rs
@@ -15,7 +15,7 @@
 mod gossip;
 mod store;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,8 +43,8 @@
     reported_revision: Option<Revision>,
     pulled_at: Option<MonoTime>,
     config_sent_at: Option<MonoTime>,
-    /// When the heartbeat was sent whose reply is awaited.
-    asked_at: Option<MonoTime>,
+    /// When the heartbeats were sent whose replies are awaited. Replies come in this order.
+    asked_at: VecDeque<MonoTime>,
 }
 
 /// Membership and configuration state machine of one node, with a shared store and gossip.
