test(review): case 2, an answer that falls silent is held past the route's timeout

Once the head of an answer is passed on, the deadline of the call is dropped; the body is bounded only by an idle timeout of 60 s and by a deadline that is compared before, not during, the wait for the next part.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,7 +3,7 @@
 set -u
 cd "$(dirname "$0")/../.."
 case_folder="$PWD/review/2"
-program="$PWD/review/standin/target/release/slow_reader"
+program="$PWD/review/standin/target/release/silent_answer"
 [ -x "$program" ] && [ -x target/release/cuminarch-sidecar ] || exit 2
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
--- a/review/standin/src/bin/route.rs
+++ b/review/standin/src/bin/route.rs
@@ -71,7 +71,8 @@
     let third = machine(3, "m-3", "parts", "z-a", ports);
     let mut nodes = Vec::new();
     let mut upstreams = Vec::new();
-    for (machine, instance) in [(&entry, "i-entry"), (&second, "i-parts-2"), (&third, "i-parts-3")] {
+    for (machine, instance) in [(&entry, "i-entry"), (&second, "i-parts-2"), (&third, "i-parts-3")]
+    {
         let address = machine.at(ports.upstream);
         let answer = answer_of(instance);
         let upstream = Upstream::start(&machine.service, instance, address, record, answer)?;
--- a/review/standin/src/bin/slow_reader.rs
+++ b/review/standin/src/bin/slow_reader.rs
@@ -20,10 +20,10 @@
 const PAUSE: Duration = Duration::from_millis(3_400);
 const TIME_LIMIT: Duration = Duration::from_secs(20);
 /// Callers with an answer that they have not read when the node is stopped.
-const CALLERS: usize = 10;
+const CALLERS: usize = 24;
 /// Time in which the node takes over an answer, as far as it has room.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
-const STEP_BYTES: usize = 8 * 1024;
+const STEP_BYTES: usize = 2 * 1024;
 const MAX_BYTES: usize = 32 * 1024 * 1024;
 
 const MANIFEST: &str = r#"{"version":7,"routes":[
@@ -53,9 +53,13 @@
 fn calls_in_progress(node: &Node) -> Option<u64> {
     let admin = node.machine.at(node.machine.ports.admin);
     let mut connection = connect(admin, Duration::from_secs(2)).ok()?;
-    connection.stream.write_all(b"GET /metrics HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").ok()?;
+    connection
+        .stream
+        .write_all(b"GET /metrics HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+        .ok()?;
     let text = connection.read(true).ok()??.text();
-    let line = text.lines().find(|line| line.contains("calls_in_progress") && !line.starts_with('#'))?;
+    let line =
+        text.lines().find(|line| line.contains("calls_in_progress") && !line.starts_with('#'))?;
     line.rsplit(' ').next()?.parse().ok()
 }
 
@@ -125,7 +129,9 @@
         let result = connection.read(false);
         let text = match &result {
             Ok(Some(answer)) if answer.body == photo(*len_bytes).as_bytes() => "whole".to_owned(),
-            Ok(Some(answer)) => format!("status {} with {} bytes", answer.status(), answer.body.len()),
+            Ok(Some(answer)) => {
+                format!("status {} with {} bytes", answer.status(), answer.body.len())
+            }
             Ok(None) => "closed without an answer".to_owned(),
             Err(error) => format!("broke off: {error}"),
         };
--- a/review/standin/src/call.rs
+++ b/review/standin/src/call.rs
@@ -48,11 +48,8 @@
 ) -> std::io::Result<Message> {
     let mut connection = connect(address, limit)?;
     let head = request_head(line, host, attempt, limit);
-    let length = if body.is_empty() {
-        String::new()
-    } else {
-        format!("content-length: {}\r\n", body.len())
-    };
+    let length =
+        if body.is_empty() { String::new() } else { format!("content-length: {}\r\n", body.len()) };
     connection.stream.write_all(format!("{head}{length}\r\n").as_bytes())?;
     connection.stream.write_all(body)?;
     connection.read(true)?.ok_or_else(|| std::io::ErrorKind::UnexpectedEof.into())
@@ -73,6 +70,9 @@
 #[must_use]
 pub fn ready_status(address: SocketAddr) -> Option<u16> {
     let mut connection = connect(address, Duration::from_secs(1)).ok()?;
-    connection.stream.write_all(format!("GET /ready HTTP/1.1\r\nhost: {address}\r\n\r\n").as_bytes()).ok()?;
+    connection
+        .stream
+        .write_all(format!("GET /ready HTTP/1.1\r\nhost: {address}\r\n\r\n").as_bytes())
+        .ok()?;
     connection.read(false).ok()?.map(|answer| answer.status())
 }
--- a/review/standin/src/node.rs
+++ b/review/standin/src/node.rs
@@ -32,8 +32,10 @@
     pub fn free() -> std::io::Result<Self> {
         let listeners: Vec<TcpListener> =
             (0..7).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
-        let ports: Vec<u16> =
-            listeners.iter().map(|held| held.local_addr().map(|at| at.port())).collect::<Result<_, _>>()?;
+        let ports: Vec<u16> = listeners
+            .iter()
+            .map(|held| held.local_addr().map(|at| at.port()))
+            .collect::<Result<_, _>>()?;
         Ok(Self {
             outbound: ports[0],
             inbound: ports[1],
@@ -131,7 +133,8 @@
 
 /// Returns the path of the program that the deploy file starts.
 fn program() -> PathBuf {
-    std::env::var_os("SIDECAR").map_or_else(|| "target/release/cuminarch-sidecar".into(), PathBuf::from)
+    std::env::var_os("SIDECAR")
+        .map_or_else(|| "target/release/cuminarch-sidecar".into(), PathBuf::from)
 }
 
 impl Node {
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -165,7 +165,8 @@
         let ends_at = Instant::now() + Duration::from_millis(wait_ms);
         let mut content = self.lock();
         loop {
-            let later = content.history.iter().filter(|(at, found, ..)| *at > after && found == kind);
+            let later =
+                content.history.iter().filter(|(at, found, ..)| *at > after && found == kind);
             let events: Vec<String> = later
                 .map(|(_, _, name, object)| {
                     format!(r#"{{"deleted":false,"object":{}}}"#, object.to_json(name))
--- a/review/standin/src/upstream.rs
+++ b/review/standin/src/upstream.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::call::post;
 use crate::http::{Connection, Message};
@@ -14,6 +14,7 @@
 /// A request that the upstream ran.
 #[derive(Clone, Debug)]
 pub struct Run {
+    pub at: Instant,
     pub attempt: String,
     pub method: String,
     pub target: String,
@@ -34,6 +35,7 @@
     sequence: Arc<AtomicU64>,
     is_draining: Arc<AtomicBool>,
     has_ended: Arc<AtomicBool>,
+    has_deregistered: Arc<AtomicBool>,
     runs: Arc<Mutex<Vec<Run>>>,
     record: Record,
 }
@@ -76,6 +78,7 @@
             sequence: Arc::default(),
             is_draining: Arc::default(),
             has_ended: Arc::default(),
+            has_deregistered: Arc::default(),
             runs: Arc::default(),
             record: record.clone(),
         };
@@ -101,6 +104,15 @@
         drop(TcpStream::connect(self.address));
     }
 
+    /// Stops the check-ins; the connections stay open.
+    pub fn fall_silent(&self) {
+        self.has_deregistered.store(true, Ordering::SeqCst);
+    }
+
+    fn has_left(&self) -> bool {
+        self.has_ended.load(Ordering::SeqCst) || self.has_deregistered.load(Ordering::SeqCst)
+    }
+
     /// Returns the requests that have run.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -111,7 +123,7 @@
     pub fn check_in_at(&self, control: SocketAddr) {
         let upstream = self.clone();
         std::thread::spawn(move || {
-            while !upstream.has_ended.load(Ordering::SeqCst) {
+            while !upstream.has_left() {
                 // Without an acknowledgement, the next check-in follows soon.
                 let is_known = upstream.check_in(control) == Some(200);
                 let wait = if is_known { Self::HEARTBEAT } else { Duration::from_millis(100) };
@@ -123,6 +135,13 @@
     /// Sends one check-in and returns the status of the answer.
     #[must_use]
     pub fn check_in(&self, control: SocketAddr) -> Option<u16> {
+        let (path, body) = self.next_check_in();
+        post(control, &path, &body)
+    }
+
+    /// Returns the path and the body of a check-in that is sent now or later.
+    #[must_use]
+    pub fn next_check_in(&self) -> (String, String) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let is_draining = self.is_draining.load(Ordering::SeqCst);
         let state = if is_draining { "draining" } else { "ready" };
@@ -131,7 +150,18 @@
             r#"{{"service":"{service}","address":"{address}","zone":"z-a","version":"v1","slots":100,"state":"{state}","{}":0,"sequence":{sequence},"born":{born_ms}}}"#,
             name("warm_up"),
         );
-        post(control, &format!("/instances/{instance}/heartbeat"), &body)
+        (format!("/instances/{instance}/heartbeat"), body)
+    }
+
+    /// Reports that the upstream leaves, after which it checks in no more. Returns the status of the
+    /// answer.
+    #[must_use]
+    pub fn deregister(&self, control: SocketAddr) -> Option<u16> {
+        self.has_deregistered.store(true, Ordering::SeqCst);
+        let body = format!(r#"{{"born":{}}}"#, self.born_ms);
+        let status = post(control, &format!("/instances/{}/deregister", self.instance), &body);
+        self.record.line(format!("upstream {} deregisters: {status:?}", self.instance));
+        status
     }
 
     /// Reports with the next check-in that the upstream is leaving.
@@ -143,7 +173,8 @@
         let _ = stream.set_nodelay(true);
         let mut connection = Connection::new(stream);
         while let Ok(Some(request)) = connection.read(false) {
-            if self.has_ended.load(Ordering::SeqCst) || self.reply(&request, &mut connection, answer).is_err()
+            if self.has_ended.load(Ordering::SeqCst)
+                || self.reply(&request, &mut connection, answer).is_err()
             {
                 return;
             }
@@ -163,6 +194,7 @@
             return connection.write("HTTP/1.1 421 Misdirected Request", &fields, b"");
         }
         let run = Run {
+            at: Instant::now(),
             attempt,
             method: request.word(0).to_owned(),
             target: request.word(1).to_owned(),
