--- a/review/standin/src/bin/late_check_in.rs
+++ b/review/standin/src/bin/late_check_in.rs
@@ -86,6 +86,8 @@
     let leaving = &upstreams[2];
     let control = machines[2].at(ports.registration);
     let is_used = wait_until(Duration::from_secs(10), || leaving.runs().len() > 20);
+    // All machines are in touch when the departure is acknowledged.
+    std::thread::sleep(CONTACT_TIME + Duration::from_millis(500));
     let (path, body) = leaving.next_check_in();
     record.line("upstream i-m-3 sends a check-in that arrives late");
     let sent_at = Instant::now();
