fix(node): an answer that falls silent ends at the deadline of its call

Cause: once the head has arrived, the engine drops the deadline. The limit of twice the time limit was looked at only before a part was awaited, so a wait for a part that does not come never ended, and neither did one in which bytes came that complete no part: the size of a chunk, a trailer. Calls without a route had no limit at all. The same limit cut callers that read slowly.

Change: `AnswerPace` bounds each wait for a part of a body, at the entry node, at the serving node and with the native interface. Silence ends an answer at the deadline, not sooner; one that flows then may pause for 0.4 s, or a little longer than it has paused before, up to 1.5 s. Time in which the reader takes nothing does not count, neither for the silence nor for the limit of endless answers.

Why it works: each place that waits for bytes of an answer has its own clock, which only parts of the body restart. So it holds wherever the silence is: beside the entry node, behind a link or in the node of the endpoint.

--- a/cuminarch-node/src/data/answer.rs
+++ b/cuminarch-node/src/data/answer.rs
@@ -1,5 +1,7 @@
 //! Answers and their bodies.
 
+use std::convert::Infallible;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,9 +12,11 @@
 use cuminarch_once::StoredAnswer;
 use cuminarch_protocol::{AnswerFrame, AnswerHead, Receipt};
 use cuminarch_types::{AttemptId, Outcome};
+use futures_util::future::poll_immediate;
 use log::{debug, info};
 use tokio::sync::mpsc;
 
+use super::answer_pace::AnswerPace;
 use super::body::BrokenBody;
 use super::driver::CallGuard;
 use super::link_pool::Link;
@@ -112,8 +116,8 @@
     receipt: Receipt,
     remaining_bytes: Option<u64>,
     passed_bytes: u64,
-    /// Time at which an unfinished answer is broken off; no caller waits that long.
-    deadline: Option<Instant>,
+    /// How long its parts are awaited; `None` if another task limits that.
+    pace: Option<AnswerPace>,
 }
 
 impl AnswerBody {
@@ -131,14 +135,14 @@
             receipt,
             remaining_bytes: len_bytes,
             passed_bytes: 0,
-            deadline: None,
+            pace: None,
         }
     }
 
-    /// Sets the time at which an unfinished answer is broken off.
+    /// Limits how long the parts of the answer are awaited.
     #[must_use]
-    pub const fn with_deadline(mut self, deadline: Option<Instant>) -> Self {
-        self.deadline = deadline;
+    pub const fn with_pace(mut self, pace: AnswerPace) -> Self {
+        self.pace = Some(pace);
         self
     }
 
@@ -159,7 +163,7 @@
             receipt,
             remaining_bytes: None,
             passed_bytes: 0,
-            deadline: None,
+            pace: None,
         }
     }
 
@@ -174,7 +178,7 @@
             receipt,
             remaining_bytes: len_bytes,
             passed_bytes: 0,
-            deadline: None,
+            pace: None,
         }
     }
 
@@ -185,46 +189,101 @@
 
     /// Expects the end of the body without further bytes.
     pub async fn expect_end(&mut self) -> Result<(), BrokenBody> {
-        match self.pull().await {
-            None => Ok(()),
-            Some(_) => Err(BrokenBody),
+        match self.pull(nothing_to_flush()).await {
+            Ok(None) => Ok(()),
+            _ => Err(BrokenBody),
         }
     }
 
     /// Returns the next chunk, or `None` at the end of the body.
     pub async fn next(&mut self) -> Option<Result<Bytes, BrokenBody>> {
-        let next = self.read_part().await;
+        match self.next_after_flush(nothing_to_flush()).await {
+            Ok(next) => next,
+            Err(never) => match never {},
+        }
+    }
+
+    /// Returns the next chunk, or `None` at the end of the body. Unless one is available
+    /// immediately, what was read before is flushed first. The source is not to blame for the time
+    /// that takes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the flush.
+    pub async fn next_after_flush<E>(
+        &mut self,
+        flush: impl Future<Output = Result<(), E>>,
+    ) -> Result<Option<Result<Bytes, BrokenBody>>, E> {
+        let next = self.read_part(flush).await?;
         match (&next, &self.log) {
             (Some(Ok(bytes)), _) => self.passed_bytes += bytes.len() as u64,
             (Some(Err(_)), Some(log)) => log.log_broken(self.passed_bytes),
             _ => {}
         }
-        next
+        Ok(next)
     }
 
-    async fn read_part(&mut self) -> Option<Result<Bytes, BrokenBody>> {
-        if self.deadline.is_some_and(|deadline| Instant::now() >= deadline) {
-            self.source = None;
-            return Some(Err(BrokenBody));
-        }
-        let bytes = match self.pull().await? {
-            Ok(bytes) => bytes,
-            Err(broken) => return Some(Err(broken)),
+    async fn read_part<E>(
+        &mut self,
+        flush: impl Future<Output = Result<(), E>>,
+    ) -> Result<Option<Result<Bytes, BrokenBody>>, E> {
+        let bytes = match self.pull(flush).await? {
+            Some(Ok(bytes)) => bytes,
+            end => return Ok(end),
         };
-        let Some(remaining) = self.remaining_bytes else { return Some(Ok(bytes)) };
+        let Some(remaining) = self.remaining_bytes else { return Ok(Some(Ok(bytes))) };
         let len_bytes = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
         let Some(remaining) = remaining.checked_sub(len_bytes) else {
             self.source = None;
-            return Some(Err(BrokenBody));
+            return Ok(Some(Err(BrokenBody)));
         };
         self.remaining_bytes = Some(remaining);
         if remaining == 0 && self.expect_end().await.is_err() {
-            return Some(Err(BrokenBody));
+            return Ok(Some(Err(BrokenBody)));
         }
-        Some(Ok(bytes))
+        Ok(Some(Ok(bytes)))
     }
 
-    async fn pull(&mut self) -> Option<Result<Bytes, BrokenBody>> {
+    /// Reads the next part of the source. Bytes that complete no part, such as those of a chunk's
+    /// size or a trailer, do not prolong the wait.
+    async fn pull<E>(
+        &mut self,
+        flush: impl Future<Output = Result<(), E>>,
+    ) -> Result<Option<Result<Bytes, BrokenBody>>, E> {
+        let mut pace = self.pace;
+        let attempt = match &self.source {
+            Some(AnswerSource::Remote(source)) => Some(source.attempt),
+            _ => None,
+        };
+        record_reader(&mut pace);
+        let next = {
+            let mut next = pin!(self.pull_source());
+            match (poll_immediate(&mut next).await, &mut pace) {
+                (Some(Some(Ok(_))), Some(pace)) if pace.is_over(Instant::now()) => None,
+                (Some(next), _) => Some(next),
+                (None, pace) => {
+                    flush.await?;
+                    record_reader(pace);
+                    match pace {
+                        Some(pace) => pace.wait(next).await,
+                        None => Some(next.await),
+                    }
+                }
+            }
+        };
+        self.pace = pace;
+        if let Some(next) = next {
+            return Ok(next);
+        }
+        self.source = None;
+        match attempt {
+            Some(attempt) => self.close_remote(attempt, None, Outcome::Unknown),
+            None => self.close_local(LocalEnd::Broken),
+        }
+        Ok(Some(Err(BrokenBody)))
+    }
+
+    async fn pull_source(&mut self) -> Option<Result<Bytes, BrokenBody>> {
         match self.source.take()? {
             AnswerSource::Local(source) => self.pull_local(source).await,
             AnswerSource::Remote(source) => self.pull_remote(source).await,
@@ -342,6 +401,18 @@
     }
 }
 
+/// Records that the reader has taken all parts so far.
+fn record_reader(pace: &mut Option<AnswerPace>) {
+    if let Some(pace) = pace {
+        pace.record_reader(Instant::now());
+    }
+}
+
+/// Returns the flush of a reader that keeps nothing back.
+async fn nothing_to_flush() -> Result<(), Infallible> {
+    Ok(())
+}
+
 /// Appends a chunk to a stored answer, and drops the answer if it becomes too long.
 fn append_stored(stored: &mut Option<StoredAnswer>, chunk: &[u8]) {
     let Some(answer) = stored else { return };
--- a/cuminarch-node/src/data/front_writer.rs
+++ b/cuminarch-node/src/data/front_writer.rs
@@ -1,14 +1,12 @@
 //! Writes the answers of an HTTP connection.
 
 use std::io;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
 use cuminarch_http::{LAST_CHUNK, find_field, write_chunk, write_continue, write_response_head};
 use cuminarch_protocol::HeaderField;
-use futures_util::future::poll_immediate;
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -139,17 +137,7 @@
     /// Streams a body, preceded by the contents of the buffer.
     async fn write_body(&mut self, mut body: AnswerBody, is_chunked: bool) -> io::Result<()> {
         loop {
-            let next = {
-                let mut next = pin!(body.next());
-                match poll_immediate(&mut next).await {
-                    Some(next) => next,
-                    None => {
-                        self.flush().await?;
-                        next.await
-                    }
-                }
-            };
-            match next {
+            match body.next_after_flush(self.flush()).await? {
                 Some(Ok(bytes)) if is_chunked => write_chunk(&mut self.buffer, &bytes),
                 Some(Ok(bytes)) => self.buffer.extend_from_slice(&bytes),
                 None => {
--- a/cuminarch-node/src/data/link_server.rs
+++ b/cuminarch-node/src/data/link_server.rs
@@ -8,7 +8,6 @@
 use bytes::{Bytes, BytesMut};
 use cuminarch_engine::{Arrival, Destination, Refusal, RefusalReason};
 use cuminarch_protocol::{AnswerFrame, CallFrame, CallHead, FrameLimit, Receipt, RefusalHead};
-use futures_util::future::poll_immediate;
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use log::debug;
@@ -261,17 +260,7 @@
 async fn send_answer(sink: &mut Sink, mut answer: Answer) -> Option<()> {
     feed(sink, &AnswerFrame::Head(Box::new(answer.head))).await?;
     loop {
-        let next = {
-            let mut next = pin!(answer.body.next());
-            match poll_immediate(&mut next).await {
-                Some(next) => next,
-                None => {
-                    sink.flush().await.ok()?;
-                    next.await
-                }
-            }
-        };
-        match next {
+        match answer.body.next_after_flush(sink.flush()).await.ok()? {
             Some(Ok(bytes)) => {
                 for part in frame_chunks(bytes) {
                     feed(sink, &AnswerFrame::Body(part)).await?;
--- a/cuminarch-node/src/data/mod.rs
+++ b/cuminarch-node/src/data/mod.rs
@@ -4,6 +4,7 @@
 //! loop, so a call never moves between threads.
 
 mod answer;
+mod answer_pace;
 mod body;
 mod capacity_log;
 mod connections;
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -22,6 +22,7 @@
 use log::{info, warn};
 
 use super::answer::{Answer, AnswerBody, AnswerSource, BrokenAnswerLog};
+use super::answer_pace::AnswerPace;
 use super::body::RequestBody;
 use super::detached::CompletionFlag;
 use super::driver::{CallGuard, Driver};
@@ -177,11 +178,11 @@
 ) -> Reply {
     request.identity = Some(request.identity(context));
     let mut guard = context.driver.begin(arrival.with_identity(request.identity));
-    let mut deadline;
+    let mut pace;
     while let Some(action) = guard.next().await {
         let answer = match action {
             Action::RunLocal { keep_answer, remaining, instance, .. } => {
-                deadline = answer_deadline(&request, remaining);
+                pace = answer_pace(&request, remaining);
                 if keep_answer {
                     completion.set_must_finish();
                 }
@@ -192,7 +193,7 @@
                 run_unless_interrupted(&mut guard, run).await
             }
             Action::Forward { attempt, forward, .. } => {
-                deadline = answer_deadline(&request, forward.remaining);
+                pace = answer_pace(&request, forward.remaining);
                 let send = send_call(context, guard.call(), attempt, &forward, &mut request);
                 run_unless_interrupted(&mut guard, send).await
             }
@@ -209,7 +210,7 @@
         };
         match answer {
             Ok(Some((head, source))) => {
-                return reply_with_answer(context, guard, &request, (head, source), deadline);
+                return reply_with_answer(context, guard, &request, (head, source), pace);
             }
             Ok(None) => {}
             Err(action) => {
@@ -224,12 +225,11 @@
     reply_without_answer()
 }
 
-/// Returns the time at which an answer is broken off that takes much longer than the time limit
-/// of its route. Without it, an endless answer would hold its connections and a slot forever.
-fn answer_deadline(request: &CallRequest, remaining: Duration) -> Option<Instant> {
-    const DEADLINE_FACTOR: u32 = 2;
-    request.routed.as_ref()?;
-    Instant::now().checked_add(remaining * DEADLINE_FACTOR)
+/// Returns the limits on the duration of an answer. Only routes have a limit for one that flows.
+fn answer_pace(request: &CallRequest, remaining: Duration) -> AnswerPace {
+    let now = Instant::now();
+    let pace = AnswerPace::new(remaining, now);
+    if request.routed.is_some() { pace.with_end(remaining, now) } else { pace }
 }
 
 /// Creates the reply for an answer that has begun, with logging in case it breaks off.
@@ -238,7 +238,7 @@
     guard: CallGuard,
     request: &CallRequest,
     (head, source): (AnswerHead, AnswerSource),
-    deadline: Option<Instant>,
+    pace: AnswerPace,
 ) -> Reply {
     let log = BrokenAnswerLog {
         decisions: Rc::clone(&context.decisions),
@@ -246,8 +246,7 @@
         route: request.route().into(),
         received_at: request.received_at,
     };
-    let body =
-        AnswerBody::new(guard, source, head.body_len_bytes).with_log(log).with_deadline(deadline);
+    let body = AnswerBody::new(guard, source, head.body_len_bytes).with_log(log).with_pace(pace);
     Reply::Answer(Box::new(Answer { head, body }))
 }
 
