fix(membership): what a node acknowledged about its upstream binds its next process

Cause: the state of the upstream lived in the memory of one process. The next one took the first registration that came for the truth, also one that had been sent before the departure and was delayed. The own object in the store and the tables of the other members had the record, but nobody asked, and the first statement of the new process replaced it there.

Change: - A new process takes its upstream for ready only once it has written its own object under the condition that the object is still the one whose record it has adopted, or after 1 s if the store does not answer. A departure needs no history. - Members that hold the record of an earlier process tell it before the new statement replaces it. What comes late is still adopted. - A departure is acknowledged once it is stored, or after 0.4 s (CU6009). - A lifetime that claims an earlier start than the latest one is late, or its clock was set back: only a living one sends a further registration. Lifetimes that others have followed stay ended.

Ruled out: a read of the own object at each start.

Why it works: a departure outlives its process in the store, or else in the tables of the members that its node told directly, and the next process asks both before it can be misled. Not covered: the store silent and all nodes killed at once. Then nobody knows.

--- a/cuminarch-membership/src/action.rs
+++ b/cuminarch-membership/src/action.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cuminarch_config::{Policy, ZoneStatus};
-use cuminarch_protocol::{ControlMessage, Member};
+use cuminarch_protocol::{ControlMessage, Member, UpstreamRecord};
 use cuminarch_types::{EndpointId, Revision, StoreEra, ZoneName};
 
 use crate::{ConfigCurrency, ConfigSource, ObjectVersion, ZoneMembers};
@@ -115,6 +115,12 @@
     /// Update the view of a member. Its statement number counts the views of this
     /// node, so a later view always replaces an earlier one.
     View(Box<Member>),
+    /// Apply what an earlier process of the own endpoint knew about the upstream.
+    UpstreamHistory(Box<UpstreamRecord>),
+    /// Nobody who can be asked knows more about the upstream than was reported so far.
+    UpstreamHistoryComplete,
+    /// The departure of the upstream is stored, or other members know of it.
+    UpstreamRecorded(Box<UpstreamRecord>),
     /// Apply a policy.
     Policy(Arc<Policy>),
     /// Report to operators.
--- a/cuminarch-membership/src/event.rs
+++ b/cuminarch-membership/src/event.rs
@@ -69,6 +69,8 @@
     Misdirected(Box<Member>),
     /// The record of the own upstream changed.
     Upstream(UpstreamRecord),
+    /// The upstream would have this record if no earlier process knows better.
+    UpstreamPending(UpstreamRecord),
     /// The own endpoint stops taking work.
     Leave,
     /// The own process is about to end.
--- a/cuminarch-membership/src/fleet.rs
+++ b/cuminarch-membership/src/fleet.rs
@@ -136,7 +136,9 @@
                 // restore. Its upstreams do not register either.
                 FleetEvent::StoreEra(_) => {}
                 // Relays detect the end of members themselves.
-                FleetEvent::Misdirected(_) | FleetEvent::Upstream(_) => {}
+                FleetEvent::Misdirected(_)
+                | FleetEvent::Upstream(_)
+                | FleetEvent::UpstreamPending(_) => {}
                 FleetEvent::Leave => self.announce_state(MemberState::Leaving, now),
                 FleetEvent::Stop => self.announce_state(MemberState::Gone, now),
             }
--- a/cuminarch-membership/src/roster/gossip.rs
+++ b/cuminarch-membership/src/roster/gossip.rs
@@ -135,6 +135,7 @@
         match message {
             ControlMessage::Hello(hello) => {
                 if hello.fleet == self.settings.fleet && hello.member.endpoint == *from {
+                    self.tell_history(from, &hello.member);
                     self.merge(&Arc::new(hello.member), now);
                     self.send_heartbeat(from, now);
                 }
@@ -194,6 +195,7 @@
     fn members_received(&mut self, from: &EndpointId, members: &[Arc<Member>], now: MonoTime) {
         let mut newer = Vec::new();
         for member in members {
+            self.tell_history(from, member);
             self.merge(member, now);
             match self.table.get(&member.endpoint) {
                 Some(held) if held.supersedes(member) => newer.push(Arc::clone(held)),
--- a/cuminarch-membership/src/roster/mod.rs
+++ b/cuminarch-membership/src/roster/mod.rs
@@ -14,6 +14,7 @@
 mod first_config;
 mod gossip;
 mod store;
+mod upstream_history;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -120,6 +121,7 @@
             FleetEvent::StoreEra(era) => self.note_store_era(era, now),
             FleetEvent::Misdirected(member) => self.member_answered(&Arc::from(member), now),
             FleetEvent::Upstream(record) => self.upstream_changed(record, now),
+            FleetEvent::UpstreamPending(record) => self.upstream_pending(record, now),
             FleetEvent::Leave => self.announce_state(MemberState::Leaving, now),
             FleetEvent::Stop => self.announce_state(MemberState::Gone, now),
         }
@@ -255,6 +257,7 @@
     /// Supersedes a later statement of others about this node. A statement of an earlier
     /// process can seem later if the clock was set back.
     fn own_statement_received(&mut self, member: &Arc<Member>, now: MonoTime) {
+        self.adopt_history(member);
         if member.incarnation > self.own.incarnation {
             let incarnation = Incarnation::new(member.incarnation.get().saturating_add(1));
             self.replace_own(Member { incarnation, ..Member::clone(&self.own) }, now);
@@ -277,7 +280,7 @@
         let statement = self.own.statement.saturating_add(1);
         let own = Member { statement, upstream: Some(record), ..Member::clone(&self.own) };
         self.replace_own(own, now);
-        self.store.is_own_object_current = false;
+        self.store.is_own_object_current = self.store.written_upstream == self.own.upstream;
         self.drive_store(now);
     }
 
--- a/cuminarch-membership/src/roster/store.rs
+++ b/cuminarch-membership/src/roster/store.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminarch_protocol::{Member, MemberState};
+use cuminarch_protocol::{Member, MemberState, UpstreamRecord};
 use cuminarch_types::{EndpointId, MonoTime, ObjectVersion, Revision, StoreEra};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -52,6 +52,10 @@
     pub(super) is_first_watch: bool,
     /// When other members became known, or the node took itself for the only one.
     pub(super) settled_at: Option<MonoTime>,
+    /// Record of the upstream that waits until its history is complete, and since when.
+    pub(super) pending_upstream: Option<(UpstreamRecord, MonoTime)>,
+    /// Record of the upstream in the own object.
+    pub(super) written_upstream: Option<UpstreamRecord>,
     failures: u32,
     pub is_unavailable: bool,
     is_safe_defaults_reported: bool,
@@ -80,6 +84,8 @@
             next_config_at: now,
             is_first_watch: true,
             settled_at: None,
+            pending_upstream: None,
+            written_upstream: None,
             failures: 0,
             is_unavailable: false,
             is_safe_defaults_reported: false,
@@ -146,6 +152,7 @@
             let version = self.store.own_version;
             self.call(PlatformCall::PutMember(self.own.clone(), version), now);
         }
+        self.verify_history(now);
         self.repair_outdated(now);
         self.ask_for_config(now);
     }
@@ -265,6 +272,9 @@
         }
         self.store.own_version = Some(version);
         self.store.is_own_object_current = written.upstream == self.own.upstream;
+        self.store.written_upstream = written.upstream.clone();
+        self.report_recorded(written.upstream.as_ref());
+        self.confirm_history();
         if std::mem::replace(&mut self.store.written_at, now) == MonoTime::ZERO {
             self.store.next_list_at = None;
         }
@@ -288,6 +298,9 @@
             self.note_store_era(version.era(), now);
         }
         self.store.own_version = version;
+        for member in object.iter().flat_map(|object| &object.value.members) {
+            self.adopt_history(member);
+        }
         if object.is_some_and(|object| self.matches_own_state(object)) {
             self.store.is_own_object_current = true;
             return;
--- a/cuminarch-membership/tests/roster_world/mod.rs
+++ b/cuminarch-membership/tests/roster_world/mod.rs
@@ -186,7 +186,11 @@
                     self.views.insert((node.clone(), member.endpoint.clone()), *member);
                 }
                 FleetAction::Notice(FleetNotice::Rejoined) => self.rejoined.push(node.clone()),
-                FleetAction::Connect(_) | FleetAction::Notice(_) => {}
+                FleetAction::Connect(_)
+                | FleetAction::Notice(_)
+                | FleetAction::UpstreamHistory(_)
+                | FleetAction::UpstreamHistoryComplete
+                | FleetAction::UpstreamRecorded(_) => {}
             }
         }
     }
--- a/cuminarch-node/src/control/thread.rs
+++ b/cuminarch-node/src/control/thread.rs
@@ -110,6 +110,7 @@
                 },
                 Ok(report) = self.member_reports.recv_async() => Wake::Fleet(match report {
                     MemberReport::Upstream(record) => FleetEvent::Upstream(record),
+                    MemberReport::UpstreamPending(record) => FleetEvent::UpstreamPending(record),
                     MemberReport::Misdirected(member) => FleetEvent::Misdirected(member),
                 }),
                 Some(event) = link_events.recv() => Wake::Link(event),
@@ -199,6 +200,15 @@
                 }
             }
             FleetAction::View(member) => self.command(DataCommand::Member(member)).await,
+            FleetAction::UpstreamHistory(record) => {
+                self.command(DataCommand::UpstreamHistory(record)).await;
+            }
+            FleetAction::UpstreamHistoryComplete => {
+                self.command(DataCommand::UpstreamHistoryComplete).await;
+            }
+            FleetAction::UpstreamRecorded(record) => {
+                self.command(DataCommand::UpstreamRecorded(record)).await;
+            }
             FleetAction::Policy(policy) => self.command(DataCommand::Policy(policy)).await,
             FleetAction::Notice(notice) => {
                 log_notice(&notice);
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -7,11 +7,10 @@
 use std::time::{Duration, Instant};
 
 use cuminarch_admission::RateLimitChange;
-use cuminarch_attempts::RetryBudgetSettings;
 use cuminarch_config::Policy;
 use cuminarch_engine::Direction as CallDirection;
 use cuminarch_engine::{
-    Action, AllotmentNotice, Arrival, ClaimResult, Engine, EngineSummary, Event, QuarantineNotice,
+    Action, AllotmentNotice, Arrival, ClaimResult, Engine, Event, QuarantineNotice,
 };
 use cuminarch_membership::{Registration, UpstreamTracker};
 use cuminarch_once::BoundKey;
@@ -26,41 +25,15 @@
 use tokio::sync::mpsc;
 
 use super::capacity_log::log_changes;
+use super::command::DataCommand;
 use super::datagrams::DatagramSender;
+use super::recorded_departures::RecordedDepartures;
 use super::stop::StopGuard;
 use crate::clock::Clock;
 use crate::decisions::LogRateLimiter;
 use crate::event::NodeEvent;
 use crate::metrics::{Direction, Metrics};
 
-/// Command from another thread to the data thread.
-#[derive(Debug)]
-pub enum DataCommand {
-    /// Apply a policy.
-    Policy(Arc<Policy>),
-    /// Update a member.
-    Member(Box<Member>),
-    /// Return the result of a claim.
-    Claimed(CallId, ClaimResult),
-    /// Report the node as not ready, but continue to serve calls that end in time.
-    Leave {
-        /// Time within which callers turn to other nodes.
-        linger: Duration,
-        /// Time until the process ends.
-        timeout: Duration,
-    },
-    /// The members are known, and this endpoint was one of them before the process started.
-    Rejoined,
-    /// Refuse new calls.
-    Drain,
-    /// Apply new retry budget settings.
-    RetryBudget(RetryBudgetSettings),
-    /// Return a summary of the engine's state.
-    Summary(Sender<EngineSummary>),
-    /// Stop once no call is in progress, or after this timeout.
-    Stop(Duration),
-}
-
 /// A client's idempotency key to bind on the platform.
 #[derive(Debug)]
 pub struct ClaimRequest {
@@ -87,6 +60,7 @@
     /// Time of the next tick of the engine.
     next_tick_at: Cell<MonoTime>,
     upstream: RefCell<UpstreamTracker>,
+    departures: RecordedDepartures,
     /// Set when shutdown begins; calls may still be served for a while.
     is_leaving: Cell<bool>,
     stop: StopGuard,
@@ -150,6 +124,7 @@
             timer_changed,
             next_tick_at,
             upstream,
+            departures: RecordedDepartures::default(),
             is_leaving,
             stop: StopGuard::default(),
             metrics,
@@ -198,9 +173,24 @@
 
     /// Applies a registration of the local upstream. Returns the record if it changed.
     pub fn register(&self, registration: &Registration) -> Option<UpstreamRecord> {
-        let record = self.shared.upstream.borrow_mut().apply(registration)?.clone();
-        self.post(Event::Upstream(Box::new(record.clone())));
-        Some(record)
+        self.update_upstream(|tracker| tracker.apply(registration).cloned())
+    }
+
+    /// Returns the record of the local upstream that waits for what an earlier process knew.
+    pub fn pending_upstream(&self) -> Option<UpstreamRecord> {
+        self.shared.upstream.borrow().pending_record()
+    }
+
+    /// Makes the upstream count as ready only once it is known what an earlier process of the node
+    /// has acknowledged.
+    pub fn await_upstream_history(&self) {
+        *self.shared.upstream.borrow_mut() = UpstreamTracker::new().awaiting_history();
+        self.shared.departures.enable();
+    }
+
+    /// Waits until the next process of the node will know of a departure, at most for `timeout`.
+    pub async fn wait_until_recorded(&self, departed: &UpstreamRecord, timeout: Duration) {
+        self.shared.departures.wait_until_recorded(departed, timeout).await;
     }
 
     /// Returns the current lifetime of the local upstream, if it has registered.
@@ -216,7 +206,15 @@
     /// Applies the departure of this lifetime of the local upstream. Returns the record if it
     /// changed.
     pub fn begin_draining(&self, lifetime: &UpstreamLifetime) -> Option<UpstreamRecord> {
-        let record = self.shared.upstream.borrow_mut().begin_draining(lifetime)?.clone();
+        self.update_upstream(|tracker| tracker.begin_draining(lifetime).cloned())
+    }
+
+    /// Changes what is known of the local upstream. Returns the record if it changed.
+    fn update_upstream(
+        &self,
+        update: impl FnOnce(&mut UpstreamTracker) -> Option<UpstreamRecord>,
+    ) -> Option<UpstreamRecord> {
+        let record = update(&mut self.shared.upstream.borrow_mut())?;
         self.post(Event::Upstream(Box::new(record.clone())));
         Some(record)
     }
@@ -362,7 +360,12 @@
 
     /// Executes commands of other threads until [`DataCommand::Stop`]. Returns the timeout for
     /// calls in progress, or `None` if all senders are gone.
-    pub async fn run_commands(&self, commands: &Receiver<DataCommand>) -> Option<Duration> {
+    /// Changes of the upstream that they make known are passed to `publish`.
+    pub async fn run_commands(
+        &self,
+        commands: &Receiver<DataCommand>,
+        publish: impl Fn(UpstreamRecord),
+    ) -> Option<Duration> {
         while let Ok(command) = commands.recv_async().await {
             match command {
                 DataCommand::Policy(policy) => {
@@ -371,6 +374,16 @@
                     self.post(Event::Tick);
                 }
                 DataCommand::Member(member) => self.post(Event::Member(member)),
+                DataCommand::UpstreamHistory(known) => {
+                    let update = |tracker: &mut UpstreamTracker| tracker.adopt(&known).cloned();
+                    self.update_upstream(update).into_iter().for_each(&publish);
+                }
+                DataCommand::UpstreamHistoryComplete => {
+                    let update =
+                        |tracker: &mut UpstreamTracker| tracker.complete_history().cloned();
+                    self.update_upstream(update).into_iter().for_each(&publish);
+                }
+                DataCommand::UpstreamRecorded(record) => self.shared.departures.record(*record),
                 DataCommand::Claimed(call, result) => self.post(Event::Claimed(call, result)),
                 DataCommand::RetryBudget(settings) => {
                     self.shared.state.borrow_mut().engine.set_retry_budget(settings);
--- a/cuminarch-node/src/data/handler.rs
+++ b/cuminarch-node/src/data/handler.rs
@@ -79,7 +79,7 @@
         RequestBody::Streaming(_, reader) => RequestBody::read(reader).await,
     };
     match body {
-        Ok(RequestBody::Buffered(bytes)) => register(context, &request.head, &bytes).into(),
+        Ok(RequestBody::Buffered(bytes)) => register(context, &request.head, &bytes).await.into(),
         _ => context.interface.error_answer(400, "the body broke off or is too long").into(),
     }
 }
--- a/cuminarch-node/src/data/member_report.rs
+++ b/cuminarch-node/src/data/member_report.rs
@@ -5,6 +5,8 @@
 pub enum MemberReport {
     /// The local upstream changed.
     Upstream(UpstreamRecord),
+    /// The local upstream would have this record if no earlier process of the node knows better.
+    UpstreamPending(UpstreamRecord),
     /// A node refused a call that was meant for another endpoint and stated this about itself.
     Misdirected(Box<Member>),
 }
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -79,6 +79,17 @@
         self.report(MemberReport::Upstream(record));
     }
 
+    /// Reports a change of the local upstream that what an earlier process knew has brought about.
+    pub fn publish_history(&self, record: UpstreamRecord) {
+        info!("{} upstream={record:?} source=history", NodeEvent::UpstreamChanged);
+        self.publish_upstream(record);
+    }
+
+    /// Reports the record of the local upstream that waits for what an earlier process knew.
+    pub fn publish_pending(&self, record: UpstreamRecord) {
+        self.report(MemberReport::UpstreamPending(record));
+    }
+
     /// Reports the statement of a node that refused a call as not meant for it.
     pub fn report_member(&self, member: Member) {
         self.report(MemberReport::Misdirected(Box::new(member)));
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -14,9 +14,10 @@
 
 use cuminarch_protocol::UpstreamRecord;
 
+use super::command::DataCommand;
 use super::connections::{Connection, Connections};
 use super::datagrams::{DatagramReceiver, DatagramSender};
-use super::driver::{ClaimRequest, DataCommand, Driver};
+use super::driver::{ClaimRequest, Driver};
 use super::front::{Purpose, serve_connection};
 use super::limits::DataLimits;
 use super::link_hello::LinkHello;
@@ -61,6 +62,8 @@
     pub metrics: Arc<Metrics>,
     pub interface: Arc<dyn CallerInterface>,
     pub member_reports: Sender<MemberReport>,
+    /// Whether the control thread tells what earlier processes knew about the upstream.
+    pub keeps_upstream_history: bool,
 }
 
 /// Open connections by origin.
@@ -117,6 +120,9 @@
             splitter: Rc::default(),
             member_reports: self.member_reports,
         };
+        if self.keeps_upstream_history {
+            driver.await_upstream_history();
+        }
         if self.settings.registration_address.is_some() {
             driver.post(Event::Upstream(Box::new(UpstreamRecord::absent())));
         }
@@ -130,10 +136,11 @@
         context.spawn(driver.clone().run_timers());
         let commands = self.commands;
         let stopped = async {
-            let Some(limit) = driver.run_commands(&commands).await else { return };
+            let publish = |record| context.publish_history(record);
+            let Some(limit) = driver.run_commands(&commands, publish).await else { return };
             tokio::select! {
                 () = shut_down(&context, &served, limit) => {}
-                () = async { while driver.run_commands(&commands).await.is_some() {} } => {}
+                () = async { while driver.run_commands(&commands, publish).await.is_some() {} } => {}
             }
         };
         tokio::select! {
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -49,6 +49,8 @@
     Rejoined,
     /// The registration of the own upstream changed.
     UpstreamChanged,
+    /// The departure of the own upstream was acknowledged before it was stored.
+    DepartureUnrecorded,
     /// A registration was refused.
     RegistrationRefused,
     /// An object of the platform could not be read.
@@ -101,7 +103,7 @@
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 47] = [
+    pub const ALL: [Self; 48] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -124,6 +126,7 @@
         Self::Superseded,
         Self::Rejoined,
         Self::UpstreamChanged,
+        Self::DepartureUnrecorded,
         Self::RegistrationRefused,
         Self::ObjectUnreadable,
         Self::PlatformCallFailed,
@@ -177,6 +180,7 @@
             Self::Superseded => 6005,
             Self::Rejoined => 6008,
             Self::UpstreamChanged => 6006,
+            Self::DepartureUnrecorded => 6009,
             Self::RegistrationRefused => 6007,
             Self::ObjectUnreadable => 3003,
             Self::PlatformCallFailed => 3004,
@@ -231,6 +235,7 @@
             Self::Superseded => "superseded",
             Self::Rejoined => "rejoined",
             Self::UpstreamChanged => "upstream-changed",
+            Self::DepartureUnrecorded => "departure-unrecorded",
             Self::RegistrationRefused => "registration-refused",
             Self::ObjectUnreadable => "object-unreadable",
             Self::PlatformCallFailed => "platform-call-failed",
--- a/cuminarch-node/src/node.rs
+++ b/cuminarch-node/src/node.rs
@@ -181,6 +181,8 @@
             metrics: metrics.clone(),
             interface,
             member_reports: member_reports.0,
+            keeps_upstream_history: kind == ControlPlaneKind::Roster
+                && settings.registration_address.is_some(),
         }
         .spawn(&duties)?;
         let control = ControlThread {
--- a/cuminarch-testing/src/virtual_fleet/run.rs
+++ b/cuminarch-testing/src/virtual_fleet/run.rs
@@ -306,6 +306,10 @@
                 }
                 FleetAction::Policy(policy) => self.record_in_force(index, policy.revision()),
                 FleetAction::Notice(notice) => self.nodes[index].notices.push((now, notice)),
+                // No upstreams register with nodes of a fleet with relays.
+                FleetAction::UpstreamHistory(_)
+                | FleetAction::UpstreamHistoryComplete
+                | FleetAction::UpstreamRecorded(_) => {}
             }
         }
     }
