fix(node): bound the interim and late answers that are discarded

What callers saw: nothing yet; it was reported from other systems that a faulty endpoint sent bytes without end until a machine ran out of memory.

Looked for: bytes kept without bound in a head, a body, a chunk's line, a trailer, interim answers and late answers, from an endpoint beside the entry node or behind a link, with 16 callers that do not read. None piles up: each node grew by less than 26 MB, a tenth of the memory of a host, and served others meanwhile (16 tests with real processes, `endless_bytes_do_not_pile_up`, which passed without this change, too; `endless_bytes_for_a_caller_that_does_not_read_stay_outside`).

Found: interim answers and late answers of other requests were discarded without end until the deadline, at the full speed of the endpoint. Without the fix, the two fast cases of `endless_invalid_bytes_are_aborted` failed (bound 8 MB read).

Change: interim answers count towards the limit of a head, and at most 64 late answers are discarded before an answer.

Why it works: all that a connection may send before an answer is bounded now.

--- a/cuminarch-node/src/data/local.rs
+++ b/cuminarch-node/src/data/local.rs
@@ -33,6 +33,9 @@
 /// Longest answer body that is read and discarded to keep its connection usable.
 const MAX_DROPPED_BYTES: usize = 256 * 1024;
 
+/// Late answers to earlier requests that are discarded before an answer.
+const MAX_STALE_ANSWERS: usize = 64;
+
 /// Reason why the upstream gave no answer that may be forwarded.
 enum UpstreamFailure {
     /// Nothing reached the upstream.
@@ -148,7 +151,7 @@
     is_head: bool,
 ) -> Result<(ResponseHead, UpstreamConnection), UpstreamFailure> {
     let limits = HeadLimits::new();
-    loop {
+    for _ in 0..MAX_STALE_ANSWERS {
         let head =
             connection.read_head(&limits, is_head).await.map_err(|error| failure_of(&error))?;
         let class = context.interface.classify_answer(&request.fields, &head);
@@ -174,6 +177,7 @@
             AnswerClass::Invalid => return Err(UpstreamFailure::Malformed),
         }
     }
+    Err(UpstreamFailure::Malformed)
 }
 
 const fn failure_of(error: &ReceiveError) -> UpstreamFailure {
--- a/cuminarch-node/src/data/upstream_connection.rs
+++ b/cuminarch-node/src/data/upstream_connection.rs
@@ -173,13 +173,20 @@
         limits: &HeadLimits,
         is_head_request: bool,
     ) -> Result<ResponseHead, ReceiveError> {
+        let mut interim_bytes = 0;
         loop {
+            let buffered_bytes = self.buffer.len();
             if let Some(head) = ResponseHead::parse(&mut self.buffer, limits, is_head_request)? {
                 self.decoder = BodyDecoder::new(head.framing);
                 self.keeps_alive = head.keeps_alive;
                 self.update_idle_limit(&head);
                 return Ok(head);
             }
+            // Interim answers are discarded and may come without end.
+            interim_bytes += buffered_bytes - self.buffer.len();
+            if interim_bytes > limits.max_len_bytes {
+                return Err(HttpError::HeadTooLong.into());
+            }
             if self.fill().await? == 0 {
                 return Err(HttpError::Truncated.into());
             }
