--- a/cuminarch-node/src/data/answer.rs
+++ b/cuminarch-node/src/data/answer.rs
@@ -204,8 +204,8 @@
     }
 
     /// Returns the next chunk, or `None` at the end of the body. Unless one is available
-    /// immediately, what was read before is flushed first. The source is not to blame for the time
-    /// that takes.
+    /// immediately, what was read before is flushed first; that time does not count as silence of
+    /// the source.
     ///
     /// # Errors
     ///
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -6,14 +6,13 @@
 use std::time::{Duration, Instant};
 
 use cuminarch_engine::{Engine, Event};
+use cuminarch_protocol::UpstreamRecord;
 use flume::{Receiver, Sender};
 use log::warn;
 use tokio::net::TcpStream;
 use tokio::runtime::{Builder, LocalOptions};
 use tokio::time::timeout;
 
-use cuminarch_protocol::UpstreamRecord;
-
 use super::command::DataCommand;
 use super::connections::{Connection, Connections};
 use super::datagrams::{DatagramReceiver, DatagramSender};
