test(review): show an entry machine that runs out of descriptors

Case 6: idle links to machines that have been replaced are never closed, since the pool looks at them only when a call goes to the same address. After about 48 planned replacements an idle node holds over 3,900 of its 4,100 descriptors and takes no new connection, while it says that it is ready.

--- a/review/standin-2/kit.py
+++ b/review/standin-2/kit.py
@@ -8,6 +8,7 @@
 import json
 import os
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -21,9 +22,13 @@
 HOST = "shop.example"
 
 
-def die_with_parent():
-    """Has the kernel kill a started process if this one ends without doing so (Linux)."""
+MAX_FDS = 4100
+
+
+def prepare_process():
+    """Gives a started process the descriptors of `maxFds`, and an end together with this one."""
     ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
 
 
 class CannotRun(Exception):
@@ -379,7 +384,7 @@
         log = open(self.log, "ab")
         self.process = await asyncio.create_subprocess_exec(
             PROGRAM, cwd=ROOT, env=environment, stdout=log, stderr=log,
-            preexec_fn=die_with_parent)
+            preexec_fn=prepare_process)
         log.close()
         self.record.note(f"{self.name} starts")
 
