--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,63 +1,61 @@
-"""A manifest with a rank of its own for each of many routes never comes into force."""
+"""SIGTERM cuts pipelined requests at which endpoints are at work."""
 
 import asyncio
-import collections
 import os
+import signal
 import sys
-import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standin-2"))
 import kit  # noqa: E402
 
-CONFIG_APPLY_S = 2.0
-ADDED = 70
-FEW_RANKS = 3
-WATCHED_S = 8.0
-
-
-def routes(service, added, trouble):
-    """The route `/orders/` to a service, and further ones with a rank each, or with few ranks."""
-    listed = [kit.route("r-orders", "/orders/", "safe", service, priority=0)]
-    for number in range(1, added + 1):
-        rank = number if trouble else number % FEW_RANKS
-        listed.append(kit.route(f"r-more-{number}", f"/more{number}/", "safe", service,
-                                priority=rank))
-    return listed
+CLIENTS = 8
+WORKS_MS = (300, 600, 900)
+ROUTES = [kit.route("r-status", "/status/", "safe", "tracking")]
+
+
+async def pipeline(fleet, node, number):
+    """Sends three safe requests on a kept connection before the first is answered.
+
+    Returns those that got no answer before the connection ended.
+    """
+    reader, writer = await asyncio.open_connection("127.0.0.1", node.outbound)
+    writer.write(kit.request("GET", "/status/20", f"client-{number}-warm"))
+    _, fields = await kit.read_head(reader)
+    await kit.read_body(reader, fields)
+    attempts = [f"client-{number}-{index}" for index in range(len(WORKS_MS))]
+    for attempt, work_ms in zip(attempts, WORKS_MS):
+        writer.write(kit.request("GET", f"/status/{work_ms}", attempt))
+    fleet.record.note(f"client-{number} sends {', '.join(attempts)} on one connection")
+    answered = 0
+    try:
+        for attempt in attempts:
+            line, fields = await kit.read_head(reader)
+            await kit.read_body(reader, fields)
+            answered += 1
+            fleet.record.note(f"client-{number} gets {line} for {fields['x-attempt-id']}, "
+                              f"connection: {fields.get('connection', 'kept')}")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        fleet.record.note(f"client-{number}: the connection ends after {answered} answers")
+    finally:
+        writer.close()
+    return attempts[answered:]
 
 
 async def run(fleet, trouble):
-    desk = fleet.add("desk")
-    fleet.add("kitchen-a")
-    fleet.add("kitchen-b")
-    old, new = fleet.back_ends[1:3]
-    await fleet.start(routes("kitchen-a", 0, trouble), version=7)
-    before = await kit.ask(desk, kit.request("GET", "/orders/20", "before"))
-    fleet.record.note(f"version 7: GET /orders/20 gets {before}")
-
-    fleet.store.put("config", "main", kit.manifest(12, routes("kitchen-b", ADDED, trouble)))
-    acknowledged_at = time.monotonic()
-    fleet.record.note(f"version 12 is accepted: /orders/ moves to kitchen-b, {ADDED} routes more")
-    await asyncio.sleep(CONFIG_APPLY_S + 0.5)
-    broken, number = [], 0
-    counts = collections.Counter()
-    while time.monotonic() - acknowledged_at < WATCHED_S:
-        after = time.monotonic() - acknowledged_at
-        for node in fleet.nodes:
-            number += 1
-            attempt = f"orders-{number}"
-            await kit.ask(node, kit.request("GET", "/orders/20", attempt))
-            if any(run.attempt == attempt for run in old.runs):
-                counts["run by the old service"] += 1
-                broken.append(f"{attempt}, sent {after:.1f} s after the ack, is run by kitchen-a")
-            added = 1 + number % ADDED
-            answer = await kit.ask(node, kit.request("GET", f"/more{added}/20", f"more-{number}"))
-            if answer.startswith("404"):
-                counts["404 on a route that is there"] += 1
-                broken.append(f"more-{number}, sent {after:.1f} s after the ack, gets 404")
-        await asyncio.sleep(0.2)
-    fleet.record.note(f"of {2 * number} requests: {dict(counts)}; kitchen-b ran {len(new.runs)}")
-    return broken
+    node = fleet.add("desk")
+    for _ in range(3):
+        fleet.add("tracking")
+    await fleet.start(ROUTES)
+    clients = [asyncio.ensure_future(pipeline(fleet, node, n)) for n in range(CLIENTS)]
+    await asyncio.sleep(0.2)
+    passed_on = {run.attempt for back_end in fleet.back_ends for run in back_end.runs}
+    if trouble:
+        node.signal(signal.SIGTERM)
+    unanswered = [attempt for client in clients for attempt in await client]
+    await asyncio.sleep(0.2)
+    return [f"{attempt} had been passed on to an endpoint when SIGTERM came, and its connection "
+            "ended without an answer" for attempt in unanswered if attempt in passed_on]
 
 
 kit.main(FOLDER, run)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,61 +1,76 @@
-"""SIGTERM cuts pipelined requests at which endpoints are at work."""
+"""An endpoint whose leaving was acknowledged is in use again after all processes were killed."""
 
 import asyncio
+import collections
+import json
 import os
 import signal
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standin-2"))
 import kit  # noqa: E402
 
-CLIENTS = 8
-WORKS_MS = (300, 600, 900)
-ROUTES = [kit.route("r-status", "/status/", "safe", "tracking")]
-
-
-async def pipeline(fleet, node, number):
-    """Sends three safe requests on a kept connection before the first is answered.
-
-    Returns those that got no answer before the connection ended.
-    """
-    reader, writer = await asyncio.open_connection("127.0.0.1", node.outbound)
-    writer.write(kit.request("GET", "/status/20", f"client-{number}-warm"))
-    _, fields = await kit.read_head(reader)
-    await kit.read_body(reader, fields)
-    attempts = [f"client-{number}-{index}" for index in range(len(WORKS_MS))]
-    for attempt, work_ms in zip(attempts, WORKS_MS):
-        writer.write(kit.request("GET", f"/status/{work_ms}", attempt))
-    fleet.record.note(f"client-{number} sends {', '.join(attempts)} on one connection")
-    answered = 0
-    try:
-        for attempt in attempts:
-            line, fields = await kit.read_head(reader)
-            await kit.read_body(reader, fields)
-            answered += 1
-            fleet.record.note(f"client-{number} gets {line} for {fields['x-attempt-id']}, "
-                              f"connection: {fields.get('connection', 'kept')}")
-    except (asyncio.IncompleteReadError, ConnectionError):
-        fleet.record.note(f"client-{number}: the connection ends after {answered} answers")
-    finally:
-        writer.close()
-    return attempts[answered:]
+DRAIN_S = 2.0
+CONTACT_S = 3.0
+OUTAGE_S = 4.0
+REQUESTS = 60
+ROUTES = [kit.route("r-catalogue", "/catalogue/", "safe", "katalog")]
 
 
 async def run(fleet, trouble):
-    node = fleet.add("desk")
-    for _ in range(3):
-        fleet.add("tracking")
+    nodes = [fleet.add("katalog") for _ in range(3)]
+    leaving = fleet.back_ends[0]
     await fleet.start(ROUTES)
-    clients = [asyncio.ensure_future(pipeline(fleet, node, n)) for n in range(CLIENTS)]
-    await asyncio.sleep(0.2)
-    passed_on = {run.attempt for back_end in fleet.back_ends for run in back_end.runs}
+
+    late_check_in = json.dumps(leaving.check_in_body())
+    fleet.record.note(f"{leaving.instance} sends a check-in (ready) that arrives late")
+    leaving.reporting.cancel()
+    began_at = time.monotonic()
+    if trouble:
+        fleet.store.mode = "silent"
+        fleet.record.note("the store falls silent")
+    await asyncio.sleep(0.3)
+    status, _ = await leaving.report("deregister", {"born": leaving.born})
+    acknowledged_at = time.monotonic()
+    fleet.record.note(f"deregister of {leaving.instance} is acknowledged with {status}")
+    if status != 200:
+        raise kit.CannotRun("the departure was not acknowledged")
+    await asyncio.sleep(0.1)
     if trouble:
-        node.signal(signal.SIGTERM)
-    unanswered = [attempt for client in clients for attempt in await client]
-    await asyncio.sleep(0.2)
-    return [f"{attempt} had been passed on to an endpoint when SIGTERM came, and its connection "
-            "ended without an answer" for attempt in unanswered if attempt in passed_on]
+        for node in nodes:
+            node.signal(signal.SIGKILL)
+        for node in nodes:
+            await node.process.wait()
+        await asyncio.sleep(0.3)
+        for node in nodes:
+            await node.start()
+    for _ in range(100):
+        try:
+            await kit.http_call(nodes[0].control, "POST",
+                                f"/instances/{leaving.instance}/heartbeat", late_check_in)
+            break
+        except OSError:
+            await asyncio.sleep(0.02)
+    fleet.record.note("the late check-in arrives, "
+                      f"{time.monotonic() - began_at:.2f} s after it was sent")
+    await asyncio.sleep(max(0.0, began_at + OUTAGE_S - time.monotonic()))
+    fleet.store.mode = "sound"
+    fleet.record.note("the store answers")
+    # From here on all machines are in touch.
+    await asyncio.sleep(CONTACT_S + 0.5)
+
+    earlier = len(leaving.runs)
+    answers = collections.Counter()
+    for number in range(REQUESTS):
+        node = nodes[number % len(nodes)]
+        answers[await kit.ask(node, kit.request("GET", "/catalogue/20", f"client-{number}"))] += 1
+        await asyncio.sleep(0.03)
+    fleet.record.note(f"answers: {dict(answers)}")
+    return [f"{run.attempt} reached {leaving.instance} {run.at - acknowledged_at:.1f} s after the "
+            "ack of its leaving" for run in leaving.runs[earlier:]
+            if run.at - acknowledged_at > DRAIN_S]
 
 
 kit.main(FOLDER, run)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,10 +1,8 @@
-"""An endpoint whose leaving was acknowledged is in use again after all processes were killed."""
+"""A manifest with a rank of its own for each of many routes never comes into force."""
 
 import asyncio
 import collections
-import json
 import os
-import signal
 import sys
 import time
 
@@ -12,65 +10,54 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standin-2"))
 import kit  # noqa: E402
 
-DRAIN_S = 2.0
-CONTACT_S = 3.0
-OUTAGE_S = 4.0
-REQUESTS = 60
-ROUTES = [kit.route("r-catalogue", "/catalogue/", "safe", "katalog")]
+CONFIG_APPLY_S = 2.0
+ADDED = 70
+FEW_RANKS = 3
+WATCHED_S = 8.0
 
 
-async def run(fleet, trouble):
-    nodes = [fleet.add("katalog") for _ in range(3)]
-    leaving = fleet.back_ends[0]
-    await fleet.start(ROUTES)
+def routes(service, added, trouble):
+    """The route `/orders/` to a service, and further ones with a rank each, or with few ranks."""
+    listed = [kit.route("r-orders", "/orders/", "safe", service, priority=0)]
+    for number in range(1, added + 1):
+        rank = number if trouble else number % FEW_RANKS
+        listed.append(kit.route(f"r-more-{number}", f"/more{number}/", "safe", service,
+                                priority=rank))
+    return listed
 
-    late_check_in = json.dumps(leaving.check_in_body())
-    fleet.record.note(f"{leaving.instance} sends a check-in (ready) that arrives late")
-    leaving.reporting.cancel()
-    began_at = time.monotonic()
-    if trouble:
-        fleet.store.mode = "silent"
-        fleet.record.note("the store falls silent")
-    await asyncio.sleep(0.3)
-    status, _ = await leaving.report("deregister", {"born": leaving.born})
-    acknowledged_at = time.monotonic()
-    fleet.record.note(f"deregister of {leaving.instance} is acknowledged with {status}")
-    if status != 200:
-        raise kit.CannotRun("the departure was not acknowledged")
-    await asyncio.sleep(0.1)
-    if trouble:
-        for node in nodes:
-            node.signal(signal.SIGKILL)
-        for node in nodes:
-            await node.process.wait()
-        await asyncio.sleep(0.3)
-        for node in nodes:
-            await node.start()
-    for _ in range(100):
-        try:
-            await kit.http_call(nodes[0].control, "POST",
-                                f"/instances/{leaving.instance}/heartbeat", late_check_in)
-            break
-        except OSError:
-            await asyncio.sleep(0.02)
-    fleet.record.note("the late check-in arrives, "
-                      f"{time.monotonic() - began_at:.2f} s after it was sent")
-    await asyncio.sleep(max(0.0, began_at + OUTAGE_S - time.monotonic()))
-    fleet.store.mode = "sound"
-    fleet.record.note("the store answers")
-    # From here on all machines are in touch.
-    await asyncio.sleep(CONTACT_S + 0.5)
 
-    earlier = len(leaving.runs)
-    answers = collections.Counter()
-    for number in range(REQUESTS):
-        node = nodes[number % len(nodes)]
-        answers[await kit.ask(node, kit.request("GET", "/catalogue/20", f"client-{number}"))] += 1
-        await asyncio.sleep(0.03)
-    fleet.record.note(f"answers: {dict(answers)}")
-    return [f"{run.attempt} reached {leaving.instance} {run.at - acknowledged_at:.1f} s after the "
-            "ack of its leaving" for run in leaving.runs[earlier:]
-            if run.at - acknowledged_at > DRAIN_S]
+async def run(fleet, trouble):
+    desk = fleet.add("desk")
+    fleet.add("kitchen-a")
+    fleet.add("kitchen-b")
+    old, new = fleet.back_ends[1:3]
+    await fleet.start(routes("kitchen-a", 0, trouble), version=7)
+    before = await kit.ask(desk, kit.request("GET", "/orders/20", "before"))
+    fleet.record.note(f"version 7: GET /orders/20 gets {before}")
+
+    fleet.store.put("config", "main", kit.manifest(12, routes("kitchen-b", ADDED, trouble)))
+    acknowledged_at = time.monotonic()
+    fleet.record.note(f"version 12 is accepted: /orders/ moves to kitchen-b, {ADDED} routes more")
+    await asyncio.sleep(CONFIG_APPLY_S + 0.5)
+    broken, number = [], 0
+    counts = collections.Counter()
+    while time.monotonic() - acknowledged_at < WATCHED_S:
+        after = time.monotonic() - acknowledged_at
+        for node in fleet.nodes:
+            number += 1
+            attempt = f"orders-{number}"
+            await kit.ask(node, kit.request("GET", "/orders/20", attempt))
+            if any(run.attempt == attempt for run in old.runs):
+                counts["run by the old service"] += 1
+                broken.append(f"{attempt}, sent {after:.1f} s after the ack, is run by kitchen-a")
+            added = 1 + number % ADDED
+            answer = await kit.ask(node, kit.request("GET", f"/more{added}/20", f"more-{number}"))
+            if answer.startswith("404"):
+                counts["404 on a route that is there"] += 1
+                broken.append(f"more-{number}, sent {after:.1f} s after the ack, gets 404")
+        await asyncio.sleep(0.2)
+    fleet.record.note(f"of {2 * number} requests: {dict(counts)}; kitchen-b ran {len(new.runs)}")
+    return broken
 
 
 kit.main(FOLDER, run)
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,7 +4,11 @@
 set -u
 cd "$(dirname "$0")"
 export PYTHONDONTWRITEBYTECODE=1
-timeout --kill-after=5 110 python3 case.py
+timeout --kill-after=5 112 python3 case.py &
+child=$!
+# The nodes end together with the process that started them.
+trap 'kill -TERM "$child" 2>/dev/null; exit 2' INT TERM
+wait "$child"
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
