fix(node): answer requests in progress before their connection closes

Cause: the writer decided on the close at the answer at hand, by a flag that the reader or the stop could set at any time, and left the loop; that dropped the tasks of all later requests.

Change: the decision is state of the connection. From then on no request is accepted; those accepted before are answered in order, and the last answer has `Connection: close`. The reader goes on watching for the caller's disconnect. An answer that breaks off after its head can only be ended by a reset, so its body (up to 64 KiB) is received before its head is written if requests were passed on behind it, and no request is passed on behind an answer that is partly written.

An answer of more than 64 KiB that breaks off still ends those passed on behind it before it began.

--- a/cuminarch-node/src/data/front.rs
+++ b/cuminarch-node/src/data/front.rs
@@ -1,13 +1,13 @@
 //! HTTP server for callers and for outgoing calls of the local upstream.
 //!
 //! One task per connection runs a reader and a writer. Each request is answered by a separate
-//! task, so pipelined requests run concurrently; their answers are written in order. When the
-//! caller disconnects, its requests in progress are dropped.
+//! task, so pipelined requests run concurrently; their answers are written in order, also those
+//! behind the one at which the connection's end was decided. When the caller disconnects, its
+//! requests in progress are dropped.
 
-use std::cell::Cell;
 use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::BytesMut;
 use cuminarch_http::RequestHead;
@@ -15,10 +15,11 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::mpsc;
 
+use super::connection_state::ConnectionState;
 use super::connections::Connection;
-use super::front_reader::{ReadEnd, RequestReader};
+use super::front_reader::RequestReader;
 use super::front_writer::{AnswerWriter, PendingAnswer};
 use super::runner::DataContext;
 use crate::event::NodeEvent;
@@ -35,39 +36,6 @@
     Readiness,
 }
 
-/// State shared by the reader and the writer of a connection.
-#[derive(Debug)]
-pub struct ConnectionState {
-    /// Requests whose answers have not been written yet.
-    pub unanswered: Cell<usize>,
-    /// Time of the last written answer, or of the opening of the connection.
-    pub idle_since: Cell<Instant>,
-    /// Answers that have been written.
-    pub answered: Cell<u64>,
-    /// Notified after each written answer.
-    pub answer_written: Notify,
-    /// Set if the connection must close after the current answer.
-    pub must_close: Cell<bool>,
-    pub peer: IpAddr,
-}
-
-impl ConnectionState {
-    /// Records that an answer was written.
-    pub fn record_answered(&self) {
-        self.unanswered.set(self.unanswered.get() - 1);
-        self.answered.set(self.answered.get() + 1);
-        self.idle_since.set(Instant::now());
-        self.answer_written.notify_waiters();
-    }
-
-    /// Waits until all requests before request `number` are answered.
-    pub async fn wait_for_earlier_answers(&self, number: u64) {
-        while self.answered.get() < number {
-            self.answer_written.notified().await;
-        }
-    }
-}
-
 /// Maximum number of concurrent requests of one connection.
 const MAX_PIPELINED: usize = 32;
 /// Time limit for reading the rest of a request after the last answer, so that the caller
@@ -82,33 +50,16 @@
     connection: Connection,
 ) {
     let peer = stream.peer_addr().map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip());
-    let shared = Rc::new(ConnectionState {
-        unanswered: Cell::new(0),
-        idle_since: Cell::new(Instant::now()),
-        answered: Cell::new(0),
-        answer_written: Notify::new(),
-        must_close: Cell::new(false),
-        peer,
-    });
+    let shared = Rc::new(ConnectionState::new(peer));
     let (mut read, write) = stream.into_split();
     let (pending_answers, receiver) = mpsc::channel::<PendingAnswer>(MAX_PIPELINED);
     let mut writer = AnswerWriter::new(write, Rc::clone(&shared), context.clone());
     let mut reader =
         RequestReader::new(context, purpose, Rc::clone(&shared), connection, pending_answers);
-    let ended = {
-        let writing = writer.run(receiver);
-        tokio::pin!(writing);
-        tokio::select! {
-            biased;
-            written = &mut writing => written,
-            end = reader.run(&mut read) => match end {
-                ReadEnd::Disconnected => return,
-                ReadEnd::Finished => {
-                    reader.close();
-                    writing.await
-                }
-            },
-        }
+    let ended = tokio::select! {
+        biased;
+        written = writer.run(receiver) => written,
+        () = reader.run(&mut read) => return,
     };
     if let Err(error) = ended {
         debug!("{} caller: {error}", NodeEvent::ConnectionFault);
--- a/cuminarch-node/src/data/front_reader.rs
+++ b/cuminarch-node/src/data/front_reader.rs
@@ -10,15 +10,16 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::body::{BodyItem, BodyReader, RequestBody};
+use super::connection_state::ConnectionState;
 use super::connections::Connection;
-use super::front::{ConnectionState, Purpose};
+use super::front::Purpose;
 use super::front_writer::PendingAnswer;
 use super::handler::{PendingRequest, PipelinePosition, handle};
 use super::runner::DataContext;
 
 /// Reason why reading ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ReadEnd {
+enum ReadEnd {
     /// The caller has disconnected; pending answers are dropped.
     Disconnected,
     /// No further request is read; pending answers are still written.
@@ -71,25 +72,28 @@
         Self { context, purpose, shared, connection, pending_answers, buffer, next_number: 0 }
     }
 
-    /// Signals the writer that no further request follows.
-    pub fn close(&mut self) {
+    /// Reads requests until the caller disconnects. Once the connection is closing, the input is
+    /// discarded, and the writer ends after the last answer.
+    pub async fn run(&mut self, read: &mut OwnedReadHalf) {
+        while !self.shared.is_closing() {
+            match self.read_request(read).await {
+                Ok(()) => {}
+                Err(ReadEnd::Finished) => self.shared.begin_close(),
+                Err(ReadEnd::Disconnected) => return,
+            }
+        }
         self.pending_answers = None;
+        self.wait_until_closed(read).await;
     }
 
-    /// Reads requests until the connection ends.
-    pub async fn run(&mut self, read: &mut OwnedReadHalf) -> ReadEnd {
-        loop {
-            let head = match self.read_head(read).await {
-                Ok(head) => head,
-                Err(end) => return end,
-            };
-            if let Err(end) = self.start_request(read, head).await {
-                return end;
-            }
-            if self.shared.must_close.get() {
-                return self.wait_until_closed(read).await;
-            }
+    /// Reads one request and starts to answer it, unless the connection began to close while its
+    /// head was awaited.
+    async fn read_request(&mut self, read: &mut OwnedReadHalf) -> Result<(), ReadEnd> {
+        let head = self.read_head(read).await?;
+        if self.shared.is_closing() {
+            return Err(ReadEnd::Finished);
         }
+        self.start_request(read, head).await
     }
 
     fn limits(&self) -> HeadLimits {
@@ -105,6 +109,7 @@
             match RequestHead::parse(&mut self.buffer, &limits) {
                 Ok(Some(head)) => return Ok(head),
                 Ok(None) => {}
+                Err(_) if self.shared.is_closing() => return Err(ReadEnd::Finished),
                 Err(error) => return Err(self.refuse_malformed(error).await),
             }
             if !self.buffer.is_empty() {
@@ -127,7 +132,7 @@
                 None => Self::IDLE_CHECK_INTERVAL.min(limits.idle_timeout),
             };
             self.buffer.reserve(Self::READ_BUFFER_BYTES);
-            let is_idle = started_at.is_none() && self.shared.unanswered.get() == 0;
+            let is_idle = started_at.is_none() && self.shared.unanswered() == 0;
             let count = tokio::select! {
                 biased;
                 read = read.read_buf(&mut self.buffer) => read.ok(),
@@ -135,8 +140,8 @@
                     return Err(ReadEnd::Finished);
                 }
                 () = tokio::time::sleep(remaining) => {
-                    let idle = self.shared.idle_since.get().elapsed();
-                    let is_idle = self.shared.unanswered.get() == 0;
+                    let idle = self.shared.idle_time();
+                    let is_idle = self.shared.unanswered() == 0;
                     if started_at.is_some() || (is_idle && idle >= limits.idle_timeout) {
                         return Err(ReadEnd::Finished);
                     }
@@ -145,7 +150,7 @@
             };
             return match count {
                 Some(count) if count > 0 => Ok(()),
-                _ if self.shared.unanswered.get() > 0 => Err(ReadEnd::Disconnected),
+                _ if self.shared.unanswered() > 0 => Err(ReadEnd::Disconnected),
                 _ => Err(ReadEnd::Finished),
             };
         }
@@ -162,7 +167,7 @@
     }
 
     async fn push(&mut self, pending: PendingAnswer) {
-        self.shared.unanswered.set(self.shared.unanswered.get() + 1);
+        self.shared.record_accepted();
         if let Some(pending_answers) = &self.pending_answers {
             // The writer ends only together with the connection.
             let _ = pending_answers.send(pending).await;
@@ -177,9 +182,8 @@
     ) -> Result<(), ReadEnd> {
         let framing = head.framing;
         let (reply, mut pending) = PendingAnswer::new(head.method == "HEAD", head.is_http_10);
-        pending.closes = head.wants_close;
-        if head.wants_close {
-            self.shared.must_close.set(true);
+        if head.wants_close || head.is_http_10 {
+            self.shared.begin_close();
         }
         let decoder = BodyDecoder::new(framing);
         if let Some(body) = self.whole_body(&decoder) {
@@ -278,7 +282,7 @@
             Ok(Ok(count)) if count > 0 => Ok(()),
             Ok(_) => Err(ReadEnd::Disconnected),
             Err(_) => {
-                self.shared.must_close.set(true);
+                self.shared.begin_close();
                 Err(ReadEnd::Finished)
             }
         }
@@ -286,18 +290,18 @@
 
     /// Stops reading in the middle of a body. The request still gets an answer.
     fn abort_reading(&self) -> Result<(), ReadEnd> {
-        self.shared.must_close.set(true);
+        self.shared.begin_close();
         Err(ReadEnd::Finished)
     }
 
     /// Waits until the caller disconnects, discarding all input.
-    async fn wait_until_closed(&mut self, read: &mut OwnedReadHalf) -> ReadEnd {
+    async fn wait_until_closed(&mut self, read: &mut OwnedReadHalf) {
         loop {
             self.buffer.clear();
             self.buffer.reserve(Self::READ_BUFFER_BYTES);
             match read.read_buf(&mut self.buffer).await {
                 Ok(count) if count > 0 => {}
-                _ => return ReadEnd::Disconnected,
+                _ => return,
             }
         }
     }
--- a/cuminarch-node/src/data/front_writer.rs
+++ b/cuminarch-node/src/data/front_writer.rs
@@ -12,9 +12,8 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::{mpsc, oneshot};
 
-use super::answer::AnswerBody;
-use super::front::ConnectionState;
-use super::http_reply::{HttpReply, ReplyBody};
+use super::connection_state::ConnectionState;
+use super::http_reply::{HttpReply, ReplyBody, StreamedBody};
 use super::runner::DataContext;
 use super::tasks::TaskGuard;
 
@@ -25,8 +24,6 @@
     pub continue_signal: Option<oneshot::Receiver<()>>,
     /// The task that answers the request; dropping the guard aborts it.
     pub task: Option<TaskGuard>,
-    /// Set if the caller asked to close the connection after this answer.
-    pub closes: bool,
     is_head: bool,
     is_http_10: bool,
 }
@@ -35,8 +32,7 @@
     /// Creates a pending answer and the sender for its reply.
     pub fn new(is_head: bool, is_http_10: bool) -> (oneshot::Sender<HttpReply>, Self) {
         let (sender, reply) = oneshot::channel();
-        let pending =
-            Self { reply, continue_signal: None, task: None, closes: false, is_head, is_http_10 };
+        let pending = Self { reply, continue_signal: None, task: None, is_head, is_http_10 };
         (sender, pending)
     }
 }
@@ -54,7 +50,7 @@
         Self { write, shared, context, buffer: BytesMut::new() }
     }
 
-    /// Writes answers in order until there are no more or the connection must close.
+    /// Writes the answers to all accepted requests in order, until none can follow.
     pub async fn run(
         &mut self,
         mut pending_answers: mpsc::Receiver<PendingAnswer>,
@@ -64,24 +60,31 @@
             // Without `100 Continue`, the sender may send the body or not, so the position of the
             // next request in the byte stream is unknown.
             let awaits_continue = pending.continue_signal.is_some();
-            let must_close = pending.closes
-                || reply.closes
-                || awaits_continue
-                || pending.is_http_10
-                || self.shared.must_close.get()
-                || self.context.driver.is_leaving();
-            if must_close {
-                self.shared.must_close.set(true);
+            let reply = self.receive_ahead(reply).await;
+            if reply.closes || awaits_continue || self.context.driver.is_leaving() {
+                self.shared.begin_close();
             }
-            self.write_reply(reply, &pending, must_close).await?;
+            let is_last = self.shared.is_last_answer();
+            self.write_reply(reply, &pending, is_last).await?;
             self.shared.record_answered();
-            if must_close {
+            if is_last {
                 break;
             }
         }
         self.write.shutdown().await
     }
 
+    /// Receives the body of an answer before its head is written if further requests have been
+    /// passed on behind it: an answer that breaks off after its head ends the connection for all
+    /// of them.
+    async fn receive_ahead(&self, reply: HttpReply) -> HttpReply {
+        if self.shared.unanswered() > 1 {
+            reply.receive_body(&*self.context.interface, Self::MAX_RECEIVED_AHEAD_BYTES).await
+        } else {
+            reply
+        }
+    }
+
     /// Waits for a reply, and sends `100 Continue` if the body of the request is needed.
     async fn receive_reply(
         &mut self,
@@ -108,7 +111,7 @@
         &mut self,
         reply: HttpReply,
         pending: &PendingAnswer,
-        must_close: bool,
+        is_last: bool,
     ) -> io::Result<()> {
         let HttpReply { status, mut fields, len_bytes, body, .. } = reply;
         let is_chunked =
@@ -121,7 +124,7 @@
             None if is_chunked => fields.push(HeaderField::new("transfer-encoding", "chunked")),
             None => {}
         }
-        if must_close {
+        if is_last {
             fields.push(HeaderField::new("connection", "close"));
         }
         self.buffer.clear();
@@ -135,11 +138,13 @@
     }
 
     /// Streams a body, preceded by the contents of the buffer.
-    async fn write_body(&mut self, mut body: AnswerBody, is_chunked: bool) -> io::Result<()> {
+    async fn write_body(&mut self, body: StreamedBody, is_chunked: bool) -> io::Result<()> {
+        self.shared.record_streaming();
+        let StreamedBody { received, mut rest, .. } = body;
+        self.append(&received, is_chunked);
         loop {
-            match body.next_after_flush(self.flush()).await? {
-                Some(Ok(bytes)) if is_chunked => write_chunk(&mut self.buffer, &bytes),
-                Some(Ok(bytes)) => self.buffer.extend_from_slice(&bytes),
+            match rest.next_after_flush(self.flush()).await? {
+                Some(Ok(bytes)) => self.append(&bytes, is_chunked),
                 None => {
                     if is_chunked {
                         self.buffer.extend_from_slice(LAST_CHUNK);
@@ -157,6 +162,17 @@
         }
     }
 
+    /// Adds bytes of a body to the buffer.
+    fn append(&mut self, bytes: &[u8], is_chunked: bool) {
+        if is_chunked && !bytes.is_empty() {
+            write_chunk(&mut self.buffer, bytes);
+        } else {
+            self.buffer.extend_from_slice(bytes);
+        }
+    }
+
+    /// Longest body that is received before its head is written.
+    const MAX_RECEIVED_AHEAD_BYTES: usize = 64 * 1024;
     /// Buffer size that forces a write while further chunks are available immediately.
     const FLUSH_THRESHOLD_BYTES: usize = 32 * 1024;
 
--- a/cuminarch-node/src/data/handler.rs
+++ b/cuminarch-node/src/data/handler.rs
@@ -11,9 +11,10 @@
 use tokio::sync::oneshot;
 
 use super::body::RequestBody;
+use super::connection_state::ConnectionState;
 use super::credentials::record_credential_fault;
 use super::detached::execute_call;
-use super::front::{ConnectionState, Purpose, refuse_head};
+use super::front::{Purpose, refuse_head};
 use super::http_reply::{HttpReply, http_reply_from_answer};
 use super::registration::register;
 use super::runner::{CallRequest, DataContext, Reply, log_refusal};
@@ -92,7 +93,7 @@
     let incoming = IncomingRequest {
         head: &request.head,
         side,
-        peer: request.position.shared.peer,
+        peer: request.position.shared.peer(),
         policy: &policy,
         own_service: &context.own_service,
         own_zone: &context.own_zone,
@@ -106,7 +107,9 @@
             return answer.into();
         }
     };
-    if !plan.may_run_concurrently {
+    if plan.may_run_concurrently {
+        request.position.shared.wait_for_streamed_answer().await;
+    } else {
         request.position.shared.wait_for_earlier_answers(request.position.number).await;
     }
     if context.requires_config && policy.revision() == Revision::default() {
@@ -135,7 +138,7 @@
     }
     match execute_call(context, arrival, call).await {
         Reply::Answer(answer) => {
-            http_reply_from_answer(&*context.interface, *answer, root, is_head).await
+            http_reply_from_answer(&*context.interface, *answer, root, echoed_fields, is_head).await
         }
         Reply::Refusal(refusal, _) => {
             context.interface.refusal(&refusal, root, &echoed_fields).into()
--- a/cuminarch-node/src/data/mod.rs
+++ b/cuminarch-node/src/data/mod.rs
@@ -8,6 +8,7 @@
 mod body;
 mod capacity_log;
 mod command;
+mod connection_state;
 mod connections;
 mod credentials;
 mod datagrams;
