fix(membership): hold an acknowledged departure through an outage and a loss of all processes

What callers saw: an endpoint deregistered while the store was silent and got its acknowledgement; all processes were killed; a registration that it had sent before arrived late. The same after SIGTERM, if it drained, if all were killed twice, and if the others restarted just before the node that knew.

Cause: a process that knows nothing took the first registration for a new one after 1 s in which the store did not answer. A store that returned, and members that had read it, counted as proof, though the departure had never been recorded. A new process that stated the lifetime to be ready replaced the departure at members that knew it.

Change: a registration counts once the store has answered from the start of the process on and the own object was written under its condition; or once a member that had a link to the earlier process has told what that one stated; or if it arrives more than 5 s after the start, when it cannot have been sent before. Others are dropped (CU6010): a live upstream registers again. Members keep a departure that a new process has not heard of, and look for processes whose links have ended.

Left: the store is silent, a departure is acknowledged, all processes end, and the store is back before the new ones ask it first.

--- a/cuminarch-membership/src/action.rs
+++ b/cuminarch-membership/src/action.rs
@@ -119,6 +119,9 @@
     UpstreamHistory(Box<UpstreamRecord>),
     /// Nobody who can be asked knows more about the upstream than was reported so far.
     UpstreamHistoryComplete,
+    /// Nobody could be asked about the upstream. Registrations that arrive from now on were sent by
+    /// a live upstream; earlier ones may have been late.
+    UpstreamHistoryUnknown,
     /// The departure of the upstream is stored, or other members know of it.
     UpstreamRecorded(Box<UpstreamRecord>),
     /// Apply a policy.
--- a/cuminarch-membership/src/roster/evidence.rs
+++ b/cuminarch-membership/src/roster/evidence.rs
@@ -64,9 +64,10 @@
         }
     }
 
-    pub(super) fn link_lost(&mut self, member: &EndpointId) {
+    pub(super) fn link_lost(&mut self, member: &EndpointId, now: MonoTime) {
         if let Some(peer) = self.peers.get_mut(member) {
             peer.asked_at.clear();
+            peer.lost_at = Some(now);
         }
     }
 
--- a/cuminarch-membership/src/roster/gossip.rs
+++ b/cuminarch-membership/src/roster/gossip.rs
@@ -11,7 +11,7 @@
 use cuminarch_types::{EndpointId, MonoTime, Revision};
 use rand::RngExt;
 
-use super::Roster;
+use super::{Roster, RosterPeer};
 use crate::{FleetAction, apply_patch};
 
 impl Roster {
@@ -40,6 +40,7 @@
         self.next_gossip_at = now.after(interval.mul_f64(jitter));
         let mut targets = self.spread_targets(Self::PEERS_PER_ROUND, None);
         targets.extend(self.recently_gone(now));
+        targets.extend(self.recently_lost(now));
         for peer in targets {
             self.send_heartbeat(&peer, now);
         }
@@ -68,6 +69,19 @@
         gone.get(index).cloned()
     }
 
+    /// Returns random members whose links ended recently, if any. Their processes may have ended,
+    /// and new ones may know no other node.
+    fn recently_lost(&mut self, now: MonoTime) -> Vec<EndpointId> {
+        let is_recent =
+            |peer: &RosterPeer| peer.lost_at.is_some_and(|at| now.since(at) < Self::RETURN_WINDOW);
+        let lost = self.peers.iter().filter(|(_, peer)| is_recent(peer));
+        let lost: BTreeSet<EndpointId> = lost.map(|(endpoint, _)| endpoint.clone()).collect();
+        if lost.is_empty() {
+            return Vec::new();
+        }
+        self.random_members(Self::FAN_OUT, None, |member| lost.contains(&member.endpoint))
+    }
+
     /// Returns random members that have not gone, except this node and `excluded`.
     fn random_peers(&mut self, count: usize, excluded: Option<&EndpointId>) -> Vec<EndpointId> {
         self.random_members(count, excluded, |_| true)
@@ -132,10 +146,15 @@
         if *from == self.own.endpoint {
             return;
         }
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.lost_at = None;
+        }
         match message {
             ControlMessage::Hello(hello) => {
                 if hello.fleet == self.settings.fleet && hello.member.endpoint == *from {
                     self.tell_history(from, &hello.member);
+                    let peer = self.peers.entry(from.clone()).or_default();
+                    peer.met_incarnation = Some(hello.member.incarnation);
                     self.merge(&Arc::new(hello.member), now);
                     self.send_heartbeat(from, now);
                 }
@@ -196,6 +215,7 @@
         let mut newer = Vec::new();
         for member in members {
             self.tell_history(from, member);
+            self.note_witness(member);
             self.merge(member, now);
             match self.table.get(&member.endpoint) {
                 Some(held) if held.supersedes(member) => newer.push(Arc::clone(held)),
--- a/cuminarch-membership/src/roster/mod.rs
+++ b/cuminarch-membership/src/roster/mod.rs
@@ -35,6 +35,7 @@
 use evidence::Evidence;
 use first_config::PendingConfig;
 use store::StoreState;
+use upstream_history::UpstreamHistory;
 
 /// State of another node, known from its messages.
 #[derive(Clone, Debug, Default)]
@@ -44,6 +45,10 @@
     reported_revision: Option<Revision>,
     pulled_at: Option<MonoTime>,
     config_sent_at: Option<MonoTime>,
+    /// When the link to it ended, until it sends something again.
+    lost_at: Option<MonoTime>,
+    /// Process with which there was a link last.
+    met_incarnation: Option<Incarnation>,
     /// When the heartbeats were sent whose replies are awaited. Replies come in this order.
     asked_at: VecDeque<MonoTime>,
 }
@@ -62,6 +67,7 @@
     evidence: Evidence,
     evidence_shared_at: MonoTime,
     store: StoreState,
+    history: UpstreamHistory,
     rng: ChaCha8Rng,
     started_at: MonoTime,
     next_gossip_at: MonoTime,
@@ -99,6 +105,7 @@
             evidence: Evidence::default(),
             evidence_shared_at: MonoTime::ZERO,
             store,
+            history: UpstreamHistory::default(),
             rng,
             started_at: now,
             next_gossip_at: now,
@@ -112,9 +119,9 @@
         match event {
             FleetEvent::Tick => self.tick(now),
             FleetEvent::Received(from, message) => self.receive(&from, message, now),
-            FleetEvent::LinkLost(member) => self.link_lost(&member),
+            FleetEvent::LinkLost(member) => self.link_lost(&member, now),
             FleetEvent::LinkUnresponsive(member) => {
-                self.link_lost(&member);
+                self.link_lost(&member, now);
                 self.send_heartbeat(&member, now);
             }
             FleetEvent::Platform(call, reply) => self.store_replied(&call, reply, now),
@@ -194,6 +201,7 @@
             self.own_statement_received(member, now);
             return false;
         }
+        let member = &self.with_known_departure(member);
         if self.table.merge(member, now) != MergeOutcome::Newer {
             return false;
         }
--- a/cuminarch-membership/src/roster/store.rs
+++ b/cuminarch-membership/src/roster/store.rs
@@ -52,8 +52,6 @@
     pub(super) is_first_watch: bool,
     /// When other members became known, or the node took itself for the only one.
     pub(super) settled_at: Option<MonoTime>,
-    /// Record of the upstream that waits until its history is complete, and since when.
-    pub(super) pending_upstream: Option<(UpstreamRecord, MonoTime)>,
     /// Record of the upstream in the own object.
     pub(super) written_upstream: Option<UpstreamRecord>,
     failures: u32,
@@ -84,7 +82,6 @@
             next_config_at: now,
             is_first_watch: true,
             settled_at: None,
-            pending_upstream: None,
             written_upstream: None,
             failures: 0,
             is_unavailable: false,
@@ -189,6 +186,7 @@
         }
         self.store.failures = 0;
         self.store.backoffs.succeeded(kind);
+        self.history.store_answered(now);
         if std::mem::take(&mut self.store.is_unavailable) {
             self.notice(FleetNotice::PlatformAvailable);
         }
--- a/cuminarch-membership/src/upstream_tracker.rs
+++ b/cuminarch-membership/src/upstream_tracker.rs
@@ -160,6 +160,13 @@
         is_changed.then_some(&self.record)
     }
 
+    /// Records that nothing can be found out about earlier processes. The registrations that waited
+    /// may be late and are dropped; returns their number. Later ones count.
+    pub fn forgo_history(&mut self) -> usize {
+        self.awaits_history = false;
+        std::mem::take(&mut self.pending).len()
+    }
+
     /// Records that an answer of this lifetime of the upstream announced its departure. Returns the
     /// record if it changed.
     pub fn begin_draining(&mut self, lifetime: &UpstreamLifetime) -> Option<&UpstreamRecord> {
--- a/cuminarch-membership/tests/roster_world/mod.rs
+++ b/cuminarch-membership/tests/roster_world/mod.rs
@@ -22,6 +22,13 @@
 /// Delay after which a late write is executed.
 const LATE_WRITE_DELAY: Duration = Duration::from_millis(2_500);
 
+/// How a process that started ended to ask what earlier ones had acknowledged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HistoryEnd {
+    Complete,
+    Unknown,
+}
+
 /// Simulated nodes and their store, which some of them may be unable to reach.
 pub struct World {
     pub now: MonoTime,
@@ -55,6 +62,7 @@
     pub linked: BTreeSet<(EndpointId, EndpointId)>,
     /// Nodes that reported that an earlier process of theirs was known.
     pub rejoined: Vec<EndpointId>,
+    pub history_ends: BTreeMap<EndpointId, HistoryEnd>,
 }
 
 pub fn name(index: usize) -> EndpointId {
@@ -115,6 +123,7 @@
             due: VecDeque::new(),
             linked: BTreeSet::new(),
             rejoined: Vec::new(),
+            history_ends: BTreeMap::new(),
         };
         (0..nodes).for_each(|index| world.start(index, 1));
         world
@@ -126,6 +135,7 @@
         let roster = Roster::new(settings, member(index, incarnation), self.now);
         self.nodes.insert(name(index), roster);
         self.in_force.remove(&name(index));
+        self.history_ends.remove(&name(index));
         self.ever_in_force.retain(|(node, _)| *node != name(index));
         self.linked.retain(|(from, to)| *from != name(index) && *to != name(index));
         self.watches.retain(|(node, ..)| *node != name(index));
@@ -186,10 +196,15 @@
                     self.views.insert((node.clone(), member.endpoint.clone()), *member);
                 }
                 FleetAction::Notice(FleetNotice::Rejoined) => self.rejoined.push(node.clone()),
+                FleetAction::UpstreamHistoryComplete => {
+                    self.history_ends.insert(node.clone(), HistoryEnd::Complete);
+                }
+                FleetAction::UpstreamHistoryUnknown => {
+                    self.history_ends.insert(node.clone(), HistoryEnd::Unknown);
+                }
                 FleetAction::Connect(_)
                 | FleetAction::Notice(_)
                 | FleetAction::UpstreamHistory(_)
-                | FleetAction::UpstreamHistoryComplete
                 | FleetAction::UpstreamRecorded(_) => {}
             }
         }
--- a/cuminarch-node/src/control/thread.rs
+++ b/cuminarch-node/src/control/thread.rs
@@ -206,6 +206,9 @@
             FleetAction::UpstreamHistoryComplete => {
                 self.command(DataCommand::UpstreamHistoryComplete).await;
             }
+            FleetAction::UpstreamHistoryUnknown => {
+                self.command(DataCommand::UpstreamHistoryUnknown).await;
+            }
             FleetAction::UpstreamRecorded(record) => {
                 self.command(DataCommand::UpstreamRecorded(record)).await;
             }
--- a/cuminarch-node/src/data/command.rs
+++ b/cuminarch-node/src/data/command.rs
@@ -19,6 +19,8 @@
     UpstreamHistory(Box<UpstreamRecord>),
     /// Nothing more is known about the upstream.
     UpstreamHistoryComplete,
+    /// Nothing can be found out about the upstream; only later registrations count.
+    UpstreamHistoryUnknown,
     /// The next process of the node will know of this departure of the upstream.
     UpstreamRecorded(Box<UpstreamRecord>),
     /// Return the result of a claim.
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -383,6 +383,12 @@
                         |tracker: &mut UpstreamTracker| tracker.complete_history().cloned();
                     self.update_upstream(update).into_iter().for_each(&publish);
                 }
+                DataCommand::UpstreamHistoryUnknown => {
+                    let dropped = self.shared.upstream.borrow_mut().forgo_history();
+                    if dropped > 0 {
+                        warn!("{} registrations={dropped}", NodeEvent::RegistrationsUndated);
+                    }
+                }
                 DataCommand::UpstreamRecorded(record) => self.shared.departures.record(*record),
                 DataCommand::Claimed(call, result) => self.post(Event::Claimed(call, result)),
                 DataCommand::RetryBudget(settings) => {
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -51,6 +51,8 @@
     UpstreamChanged,
     /// The departure of the own upstream was acknowledged before it was stored.
     DepartureUnrecorded,
+    /// Registrations were dropped that may have been sent before the process started.
+    RegistrationsUndated,
     /// A registration was refused.
     RegistrationRefused,
     /// An object of the platform could not be read.
@@ -103,7 +105,7 @@
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 48] = [
+    pub const ALL: [Self; 49] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -127,6 +129,7 @@
         Self::Rejoined,
         Self::UpstreamChanged,
         Self::DepartureUnrecorded,
+        Self::RegistrationsUndated,
         Self::RegistrationRefused,
         Self::ObjectUnreadable,
         Self::PlatformCallFailed,
@@ -181,6 +184,7 @@
             Self::Rejoined => 6008,
             Self::UpstreamChanged => 6006,
             Self::DepartureUnrecorded => 6009,
+            Self::RegistrationsUndated => 6010,
             Self::RegistrationRefused => 6007,
             Self::ObjectUnreadable => 3003,
             Self::PlatformCallFailed => 3004,
@@ -236,6 +240,7 @@
             Self::Rejoined => "rejoined",
             Self::UpstreamChanged => "upstream-changed",
             Self::DepartureUnrecorded => "departure-unrecorded",
+            Self::RegistrationsUndated => "registrations-undated",
             Self::RegistrationRefused => "registration-refused",
             Self::ObjectUnreadable => "object-unreadable",
             Self::PlatformCallFailed => "platform-call-failed",
--- a/cuminarch-testing/src/virtual_fleet/run.rs
+++ b/cuminarch-testing/src/virtual_fleet/run.rs
@@ -309,6 +309,7 @@
                 // No upstreams register with nodes of a fleet with relays.
                 FleetAction::UpstreamHistory(_)
                 | FleetAction::UpstreamHistoryComplete
+                | FleetAction::UpstreamHistoryUnknown
                 | FleetAction::UpstreamRecorded(_) => {}
             }
         }
