fix(config): put every accepted document into force and confine what cannot be served

Cause: one entry that the sheet cannot express, or whose value is outside the sheet's own limits, refused the whole document, and nobody who writes to the store learns of that.

What is left is set aside in the sheet: requests of the route or the account get 503 and have not run, with a line (CU4007) and a gauge. The gate confines errors of routes, accounts and keys in the same way, for sheets of any origin. The operator program goes on refusing a sheet with any error.

--- a/cuminarch-config/src/accounts.rs
+++ b/cuminarch-config/src/accounts.rs
@@ -1,14 +1,14 @@
 //! Client accounts by their keys.
 
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use std::sync::Arc;
 
 use cuminarch_types::{AccountName, Allotment, ClassName, Priority};
 
 use crate::class_order::ClassOrder;
-use crate::{AccountEntry, CredentialDigest, Rule};
+use crate::{AccountEntry, CredentialDigest, Rule, SetAsideEntry};
 
 /// A client account.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -45,6 +45,10 @@
     accounts: Vec<Account>,
     /// Sorted by digest; the number is a position in `accounts`.
     holders: Vec<(CredentialDigest, usize)>,
+    /// Keys of accounts that were set aside.
+    set_aside_keys: BTreeSet<CredentialDigest>,
+    /// Whether any account was set aside.
+    has_set_aside: bool,
 }
 
 impl Account {
@@ -88,13 +92,30 @@
             .map(|(key, position)| (CredentialDigest::new(key.as_bytes(), digest_seed), position))
             .collect();
         holders.sort_unstable();
-        Self { digest_seed, accounts, holders }
+        let (set_aside_keys, has_set_aside) = (BTreeSet::new(), false);
+        Self { digest_seed, accounts, holders, set_aside_keys, has_set_aside }
+    }
+
+    /// Adds the keys of accounts that were set aside.
+    pub(crate) fn with_set_aside(mut self, entries: &[SetAsideEntry]) -> Self {
+        let keys = entries.iter().flat_map(|entry| &entry.keys);
+        let digests = keys.map(|key| CredentialDigest::new(key.as_bytes(), self.digest_seed));
+        self.set_aside_keys = digests.collect();
+        self.has_set_aside = entries.iter().any(|entry| entry.is_account);
+        self
     }
 
     /// Returns `true` if there are no accounts, so that requests need no key.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
-        self.accounts.is_empty()
+        self.accounts.is_empty() && !self.has_set_aside
+    }
+
+    /// Returns `true` if a key belongs to an account that was set aside, and to no other.
+    #[must_use]
+    pub fn is_set_aside(&self, key: &[u8]) -> bool {
+        let digest = CredentialDigest::new(key, self.digest_seed);
+        self.set_aside_keys.contains(&digest) && self.holder(digest).is_none()
     }
 
     /// Returns the number of accounts.
--- a/cuminarch-config/src/check.rs
+++ b/cuminarch-config/src/check.rs
@@ -51,6 +51,10 @@
     const MIN_DEADLINE_MS: u64 = 10;
     /// Maximum deadline in milliseconds.
     const MAX_DEADLINE_MS: u64 = 3_600_000;
+    /// Minimum time limit and objective of a route in milliseconds.
+    const MIN_ROUTE_TIME_MS: u64 = 1;
+    /// Maximum time limit and objective of a route in milliseconds: a week.
+    const MAX_ROUTE_TIME_MS: u64 = 604_800_000;
     /// Maximum number of retries per hundred first attempts.
     const MAX_RETRY_PERCENT: u64 = 100;
     /// Maximum number of retries per hundred first attempts in the class of a non-idempotent rule.
@@ -216,9 +220,9 @@
                 self.report(format!("routes[{index}].destinations[{position}]"), kind);
             }
         }
-        let (min, max) = (Self::MIN_DEADLINE_MS, Self::MAX_DEADLINE_MS);
+        let (min, max) = (Self::MIN_ROUTE_TIME_MS, Self::MAX_ROUTE_TIME_MS);
         self.check_range(path("deadline_ms"), route.deadline_ms, min, max);
-        self.check_range(path("objective_ms"), route.objective_ms, 1, max);
+        self.check_range(path("objective_ms"), route.objective_ms, min, max);
         let max_endpoints = u64::from(route.max_endpoints);
         self.check_range(path("max_endpoints"), max_endpoints, 1, u64::from(u32::MAX));
     }
--- a/cuminarch-config/src/decode.rs
+++ b/cuminarch-config/src/decode.rs
@@ -10,10 +10,19 @@
 use crate::tree::{Entry, Node, Value};
 use crate::{
     AccountEntry, CallerLimits, DestinationEntry, Diagnostic, DiagnosticKind, Position, RouteEntry,
+    SetAsideEntry,
 };
 
-const SHEET_KEYS: &[&str] =
-    &["services", "classes", "rules", "default_class", "routes", "caller_limits", "accounts"];
+const SHEET_KEYS: &[&str] = &[
+    "services",
+    "classes",
+    "rules",
+    "default_class",
+    "routes",
+    "caller_limits",
+    "accounts",
+    "set_aside",
+];
 const CLASS_KEYS: &[&str] =
     &["name", "grant_attempts", "deadline_ms", "retry_percent", "protected"];
 const RULE_KEYS: &[&str] = &["class", "services", "methods", "path", "idempotent"];
@@ -30,6 +39,7 @@
     "public",
 ];
 const ACCOUNT_KEYS: &[&str] = &["name", "keys", "class", "rate_per_s", "burst_requests"];
+const SET_ASIDE_KEYS: &[&str] = &["entry", "reason", "host", "prefix", "keys", "is_account"];
 const DESTINATION_KEYS: &[&str] = &["service", "weight"];
 const LIMIT_KEYS: &[&str] =
     &["max_head_bytes", "max_body_bytes", "head_timeout_ms", "idle_timeout_ms"];
@@ -43,19 +53,23 @@
     pub diagnostics: Vec<Diagnostic>,
     /// Position of each path in the text.
     pub positions: BTreeMap<String, Position>,
+    /// Indexes, in the text, of the items of each list that could be decoded.
+    pub kept: BTreeMap<String, Vec<usize>>,
 }
 
 /// Decodes a tree.
 pub(crate) fn decode(root: &Node) -> DecodedSheet {
     let mut decoder = Decoder::default();
     let sheet = decoder.sheet(root);
-    DecodedSheet { sheet, diagnostics: decoder.diagnostics, positions: decoder.positions }
+    let Decoder { diagnostics, positions, kept } = decoder;
+    DecodedSheet { sheet, diagnostics, positions, kept }
 }
 
 #[derive(Default)]
 struct Decoder {
     diagnostics: Vec<Diagnostic>,
     positions: BTreeMap<String, Position>,
+    kept: BTreeMap<String, Vec<usize>>,
 }
 
 /// The entries of a mapping.
@@ -125,7 +139,44 @@
         let limits = self.optional(&fields, "caller_limits");
         let caller_limits = limits.and_then(|(path, node)| self.caller_limits(&path, node));
         let accounts = self.list(&fields, "accounts", Self::account);
-        Sheet { services, classes, rules, default_class, routes, caller_limits, accounts }
+        let set_aside = self.list(&fields, "set_aside", Self::set_aside_entry);
+        Sheet {
+            services,
+            classes,
+            rules,
+            default_class,
+            routes,
+            caller_limits,
+            accounts,
+            set_aside,
+        }
+    }
+
+    fn set_aside_entry(&mut self, path: &str, node: &Node) -> Option<SetAsideEntry> {
+        let fields = self.fields(path, node, SET_ASIDE_KEYS)?;
+        let entry = self.required(&fields, "entry");
+        let entry = entry.and_then(|(path, node)| self.text(&path, node));
+        let reason = self.required(&fields, "reason");
+        let reason = reason.and_then(|(path, node)| self.text(&path, node));
+        let mut optional_text = |key| match self.optional(&fields, key) {
+            Some((path, node)) => self.text(&path, node).map(Some),
+            None => Some(None),
+        };
+        let (host, prefix) = (optional_text("host"), optional_text("prefix"));
+        let keys = self.list(&fields, "keys", Self::name);
+        let is_account = match self.optional(&fields, "is_account") {
+            Some((path, node)) => self.boolean(&path, node),
+            None => Some(false),
+        };
+        let (entry, reason) = (entry?, reason?.into());
+        Some(SetAsideEntry {
+            entry,
+            reason,
+            host: host?,
+            prefix: prefix?,
+            keys,
+            is_account: is_account?,
+        })
     }
 
     fn route(&mut self, path: &str, node: &Node) -> Option<RouteEntry> {
@@ -278,11 +329,16 @@
             return Vec::new();
         };
         let mut decoded_items = Vec::with_capacity(items.len());
+        let mut kept = Vec::with_capacity(items.len());
         for (index, item) in items.iter().enumerate() {
             let path = format!("{path}[{index}]");
             self.positions.insert(path.clone(), item.position);
-            decoded_items.extend(decode_item(self, &path, item));
+            if let Some(decoded) = decode_item(self, &path, item) {
+                decoded_items.push(decoded);
+                kept.push(index);
+            }
         }
+        self.kept.insert(path.to_owned(), kept);
         decoded_items
     }
 
--- a/cuminarch-config/src/gate.rs
+++ b/cuminarch-config/src/gate.rs
@@ -18,7 +18,7 @@
     Accepted(Arc<Policy>),
     /// A revision at least as high is already in force.
     NotNewer,
-    /// The document is invalid; the one in force stays.
+    /// The document as a whole is invalid; the one in force stays.
     Refused(SheetError),
 }
 
@@ -48,14 +48,14 @@
         self.in_force.as_ref()
     }
 
-    /// Puts a document into force if its revision is higher and its sheet is valid.
+    /// Puts a document into force if its revision is higher. Errors of its routes and accounts are
+    /// confined to these; see [`Policy::set_aside`].
     pub fn offer(&mut self, document: &ConfigDocument) -> GateDecision {
         if document.revision <= self.revision() {
             return GateDecision::NotNewer;
         }
-        let policy = Sheet::parse(&document.sheet).and_then(|sheet| {
-            Policy::from_sheet_with_digests(document.revision, &sheet, self.digest_seed)
-        });
+        let policy = Sheet::parse_confined(&document.sheet)
+            .and_then(|sheet| Policy::compile(document.revision, &sheet, self.digest_seed));
         match policy {
             Ok(policy) => {
                 self.in_force = Some(document.clone());
--- a/cuminarch-config/src/policy.rs
+++ b/cuminarch-config/src/policy.rs
@@ -6,7 +6,8 @@
 
 use compact_str::CompactString;
 use cuminarch_types::{
-    AccountName, Allotment, Attempts, ClassName, Priority, Revision, RuleNumber, ServiceName,
+    AccountName, Allotment, Attempts, ClassName, Priority, Revision, RouteName, RuleNumber,
+    ServiceName,
 };
 
 use crate::accounts::allotments;
@@ -17,7 +18,7 @@
 use crate::space::SAFE_METHODS;
 use crate::{
     AccountIndex, CallerLimits, ClassEntry, DestinationEntry, Route, RouteEntry, RouteTable,
-    RuleEntry, Severity, Sheet, SheetError,
+    RuleEntry, SetAsideEntry, Severity, Sheet, SheetError,
 };
 
 /// The rule that applies to a request.
@@ -67,6 +68,7 @@
     top_priority: Priority,
     accounts: AccountIndex,
     allotments: BTreeMap<AccountName, Allotment>,
+    set_aside: Vec<SetAsideEntry>,
 }
 
 impl Policy {
@@ -103,6 +105,15 @@
         if !errors.is_empty() {
             return Err(SheetError::new(errors));
         }
+        Self::compile(revision, sheet, digest_seed)
+    }
+
+    /// Compiles a sheet without errors.
+    pub(crate) fn compile(
+        revision: Revision,
+        sheet: &Sheet,
+        digest_seed: u64,
+    ) -> Result<Self, SheetError> {
         let order = ClassOrder::new(sheet);
         let classes: BTreeMap<&ClassName, Rule> = sheet
             .classes
@@ -127,13 +138,36 @@
                 policy.routes.insert(&entry.host, &entry.prefix, Route::new(entry, class.clone()));
             }
         }
+        policy.set_routes_aside(&sheet.set_aside);
         policy.caller_limits = sheet.caller_limits;
-        policy.accounts = AccountIndex::new(&sheet.accounts, &classes, &order, digest_seed);
+        policy.accounts = AccountIndex::new(&sheet.accounts, &classes, &order, digest_seed)
+            .with_set_aside(&sheet.set_aside);
         policy.allotments = allotments(&sheet.accounts);
         policy.top_priority = order.top();
         Ok(policy)
     }
 
+    /// Adds routes without destinations where the entries were set aside, unless another entry has
+    /// the same host and prefix.
+    fn set_routes_aside(&mut self, entries: &[SetAsideEntry]) {
+        for (index, entry) in entries.iter().enumerate() {
+            let (Some(host), Some(prefix)) = (&entry.host, &entry.prefix) else { continue };
+            let prefix = format!("/{}/", prefix.trim_matches('/')).replace("//", "/");
+            if let Ok(name) = RouteName::new(format!("set-aside-{index}")) {
+                let rule = self.fallback.clone();
+                let route = Route { name, rule, destinations: Vec::new(), is_public: true };
+                self.routes.insert_if_absent(host, &prefix, route);
+            }
+        }
+        self.set_aside = entries.to_vec();
+    }
+
+    /// Returns the entries of the sheet that are not served.
+    #[must_use]
+    pub fn set_aside(&self) -> &[SetAsideEntry] {
+        &self.set_aside
+    }
+
     /// Creates the policy of a node without configuration: one class, no idempotent requests and no
     /// retries.
     #[must_use]
@@ -168,6 +202,7 @@
             caller_limits: None,
             accounts: AccountIndex::default(),
             allotments: BTreeMap::new(),
+            set_aside: Vec::new(),
         }
     }
 
--- a/cuminarch-config/src/route.rs
+++ b/cuminarch-config/src/route.rs
@@ -13,7 +13,8 @@
     pub name: RouteName,
     /// Rule that applies to the requests.
     pub rule: Rule,
-    /// Services that receive the requests, with a weight above zero; never empty.
+    /// Services that receive the requests, with a weight above zero. Empty if the entry of the route
+    /// was set aside: its requests are refused as not run.
     pub destinations: Vec<DestinationEntry>,
     /// Whether requests need no key of a client account.
     pub is_public: bool,
@@ -40,6 +41,13 @@
         self.hosts.entry(host).or_default().insert(prefix.into(), Arc::new(route));
     }
 
+    /// Adds a route unless there is one with the same host and prefix.
+    pub(crate) fn insert_if_absent(&mut self, host: &str, prefix: &str, route: Route) {
+        let host = CompactString::from(host.to_ascii_lowercase());
+        let prefixes = self.hosts.entry(host).or_default();
+        prefixes.entry(prefix.into()).or_insert_with(|| Arc::new(route));
+    }
+
     /// Returns `true` if there are no routes.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/cuminarch-config/src/sheet.rs
+++ b/cuminarch-config/src/sheet.rs
@@ -4,9 +4,12 @@
 use cuminarch_types::{Attempts, ClassName, ServiceName};
 use serde::{Deserialize, Serialize};
 
+use crate::confine::confine;
 use crate::decode::decode;
 use crate::tree::Node;
-use crate::{AccountEntry, CallerLimits, Diagnostic, DiagnosticKind, RouteEntry, SheetError};
+use crate::{
+    AccountEntry, CallerLimits, Diagnostic, DiagnosticKind, RouteEntry, SetAsideEntry, SheetError,
+};
 
 /// A class of requests. Classes are refused in the order of the sheet, the first one first.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -67,6 +70,9 @@
     /// Client accounts; if there are none, requests need no key.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub accounts: Vec<AccountEntry>,
+    /// Entries of the operators' configuration that could not be converted; written by adapters.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub set_aside: Vec<SetAsideEntry>,
 }
 
 pub(crate) const fn default_retry_percent() -> u32 {
@@ -99,6 +105,7 @@
             routes: Vec::new(),
             caller_limits: None,
             accounts: Vec::new(),
+            set_aside: Vec::new(),
         }
     }
 }
@@ -120,6 +127,17 @@
         }
     }
 
+    /// Parses and checks an accepted sheet. Routes and accounts that have errors, and what belongs
+    /// to them alone, move to [`Sheet::set_aside`].
+    ///
+    /// # Errors
+    ///
+    /// Fails with the errors that concern the whole sheet.
+    pub fn parse_confined(text: &str) -> Result<Self, SheetError> {
+        let root = Node::parse(text).map_err(|diagnostic| SheetError::new(vec![diagnostic]))?;
+        confine(decode(&root))
+    }
+
     /// Serializes the sheet to YAML.
     ///
     /// # Errors
--- a/cuminarch-config/tests/common/mod.rs
+++ b/cuminarch-config/tests/common/mod.rs
@@ -73,6 +73,7 @@
         classes: vec![class("low", false), class("high", true)],
         rules,
         default_class: ClassName::new("low").unwrap(),
+        set_aside: Vec::new(),
     })
 }
 
--- a/cuminarch-membership/src/action.rs
+++ b/cuminarch-membership/src/action.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use cuminarch_config::{Policy, ZoneStatus};
 use cuminarch_protocol::{ControlMessage, Member, UpstreamRecord};
 use cuminarch_types::{EndpointId, Revision, StoreEra, ZoneName};
@@ -57,6 +58,10 @@
     ConfigVerified(Revision, ConfigSource, ConfigCurrency),
     /// A configuration was refused.
     ConfigRefused(Revision, String),
+    /// An entry of the configuration in force is not served; its name and the reason follow.
+    ConfigEntrySetAside(Revision, CompactString, String),
+    /// So many further entries are not served.
+    ConfigEntriesLeftOut(Revision, usize),
     /// Two configurations have this revision; the first one stays in force.
     ConfigConflict(Revision),
     /// Neither the platform nor a peer has provided a configuration yet.
@@ -92,6 +97,12 @@
                 write!(formatter, "revision={revision} {currency}")
             }
             Self::ConfigConflict(revision) => write!(formatter, "revision={revision}"),
+            Self::ConfigEntrySetAside(revision, entry, reason) => {
+                write!(formatter, "revision={revision} entry={entry}: {reason}")
+            }
+            Self::ConfigEntriesLeftOut(revision, count) => {
+                write!(formatter, "revision={revision} left_out={count}")
+            }
             Self::ConfigRefused(revision, reason) => {
                 write!(formatter, "revision={revision}: {reason}")
             }
@@ -103,6 +114,26 @@
     }
 }
 
+impl FleetNotice {
+    /// Maximum number of entries of a configuration that are reported one by one.
+    const MAX_REPORTED_ENTRIES: usize = 20;
+
+    /// Returns the notices about the entries that a policy does not serve.
+    pub(crate) fn about_set_aside(policy: &Policy) -> Vec<Self> {
+        let (revision, entries) = (policy.revision(), policy.set_aside());
+        let reported = entries.iter().take(Self::MAX_REPORTED_ENTRIES);
+        let mut notices: Vec<Self> = reported
+            .map(|found| {
+                Self::ConfigEntrySetAside(revision, found.entry.clone(), found.reason.clone())
+            })
+            .collect();
+        if entries.len() > notices.len() {
+            notices.push(Self::ConfigEntriesLeftOut(revision, entries.len() - notices.len()));
+        }
+        notices
+    }
+}
+
 /// An action that a [`Fleet`](crate::Fleet) asks its driver to execute.
 #[derive(Clone, Debug)]
 pub enum FleetAction {
--- a/cuminarch-membership/src/configuration.rs
+++ b/cuminarch-membership/src/configuration.rs
@@ -101,7 +101,9 @@
         }
         match self.config.gate.offer(document) {
             GateDecision::Accepted(policy) => {
+                let set_aside = FleetNotice::about_set_aside(&policy);
                 self.actions.push(FleetAction::Policy(policy));
+                set_aside.into_iter().for_each(|notice| self.notice(notice));
                 self.config_accepted(base.as_ref(), document, from, now);
             }
             GateDecision::Refused(error) => {
--- a/cuminarch-membership/src/roster/mod.rs
+++ b/cuminarch-membership/src/roster/mod.rs
@@ -313,7 +313,9 @@
         }
         match self.config.gate.offer(document) {
             GateDecision::Accepted(policy) => {
+                let set_aside = FleetNotice::about_set_aside(&policy);
                 self.actions.push(FleetAction::Policy(policy));
+                set_aside.into_iter().for_each(|notice| self.notice(notice));
                 let (source, currency) = (ConfigSource::new(from), self.config_currency(now));
                 self.notice(FleetNotice::ConfigInForce(document.revision, source, currency));
                 let patch = base.and_then(|base| make_patch(&base, document));
--- a/cuminarch-node/src/control/thread.rs
+++ b/cuminarch-node/src/control/thread.rs
@@ -238,6 +238,9 @@
         FleetNotice::ConfigUnverified(..) => warn!("{} {notice}", NodeEvent::ConfigUnverified),
         FleetNotice::ConfigVerified(..) => info!("{} {notice}", NodeEvent::ConfigVerified),
         FleetNotice::ConfigRefused(..) => warn!("{} {notice}", NodeEvent::ConfigRefused),
+        FleetNotice::ConfigEntrySetAside(..) | FleetNotice::ConfigEntriesLeftOut(..) => {
+            warn!("{} {notice}", NodeEvent::ConfigEntrySetAside);
+        }
         FleetNotice::ConfigConflict(_) => error!("{} {notice}", NodeEvent::ConfigConflict),
         FleetNotice::SafeDefaults => warn!("{}", NodeEvent::SafeDefaults),
         FleetNotice::Superseded => error!("{}", NodeEvent::Superseded),
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -369,6 +369,7 @@
         while let Ok(command) = commands.recv_async().await {
             match command {
                 DataCommand::Policy(policy) => {
+                    self.shared.metrics.set_set_aside_entries(policy.set_aside().len());
                     self.shared.state.borrow_mut().engine.set_policy(policy);
                     // Applies the allotments of the policy.
                     self.post(Event::Tick);
--- a/cuminarch-node/src/event.rs
+++ b/cuminarch-node/src/event.rs
@@ -25,6 +25,8 @@
     ConfigVerified,
     /// A configuration was refused.
     ConfigRefused,
+    /// An entry of the configuration in force is not served.
+    ConfigEntrySetAside,
     /// Two configurations have the same revision; the first one is kept.
     ConfigConflict,
     /// No configuration has been found yet; safe defaults are in force.
@@ -105,7 +107,7 @@
 
 impl NodeEvent {
     /// All events.
-    pub const ALL: [Self; 49] = [
+    pub const ALL: [Self; 50] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -116,6 +118,7 @@
         Self::ConfigUnverified,
         Self::ConfigVerified,
         Self::ConfigRefused,
+        Self::ConfigEntrySetAside,
         Self::DutyEnded,
         Self::RingFull,
         Self::ShutdownTimeout,
@@ -171,6 +174,7 @@
             Self::ConfigUnverified => 4005,
             Self::ConfigVerified => 4006,
             Self::ConfigRefused => 4002,
+            Self::ConfigEntrySetAside => 4007,
             Self::DutyEnded => 5001,
             Self::RingFull => 5002,
             Self::ShutdownTimeout => 1004,
@@ -227,6 +231,7 @@
             Self::ConfigUnverified => "config-unverified",
             Self::ConfigVerified => "config-verified",
             Self::ConfigRefused => "config-refused",
+            Self::ConfigEntrySetAside => "config-entry-set-aside",
             Self::DutyEnded => "duty-ended",
             Self::RingFull => "ring-full",
             Self::ShutdownTimeout => "shutdown-timeout",
--- a/cuminarch-node/src/interface/credential_fault.rs
+++ b/cuminarch-node/src/interface/credential_fault.rs
@@ -13,12 +13,20 @@
     Unknown,
     /// The account lost the key while the request waited.
     Withdrawn,
+    /// The entry of the account that holds the key cannot be served.
+    AccountSetAside,
 }
 
 impl CredentialFault {
     /// Every fault.
-    pub const ALL: [Self; 5] =
-        [Self::Missing, Self::Malformed, Self::Repeated, Self::Unknown, Self::Withdrawn];
+    pub const ALL: [Self; 6] = [
+        Self::Missing,
+        Self::Malformed,
+        Self::Repeated,
+        Self::Unknown,
+        Self::Withdrawn,
+        Self::AccountSetAside,
+    ];
 
     /// Returns the text for logs and metrics.
     #[must_use]
@@ -29,6 +37,7 @@
             Self::Repeated => "repeated",
             Self::Unknown => "unknown",
             Self::Withdrawn => "withdrawn",
+            Self::AccountSetAside => "account-set-aside",
         }
     }
 }
--- a/cuminarch-node/src/interface/key_field.rs
+++ b/cuminarch-node/src/interface/key_field.rs
@@ -30,8 +30,15 @@
         if accounts.is_empty() {
             return Ok(None);
         }
+        let fault_of = |key: &[u8]| {
+            if accounts.is_set_aside(key) {
+                CredentialFault::AccountSetAside
+            } else {
+                CredentialFault::Unknown
+            }
+        };
         let key = self.find(fields);
-        match key.and_then(|key| accounts.find(key).ok_or(CredentialFault::Unknown)) {
+        match key.and_then(|key| accounts.find(key).ok_or_else(|| fault_of(key))) {
             Ok(held) => Ok(Some(held)),
             Err(_) if is_public => Ok(None),
             Err(fault) => Err(fault),
--- a/cuminarch-node/src/interface/native.rs
+++ b/cuminarch-node/src/interface/native.rs
@@ -7,8 +7,9 @@
 use cuminarch_types::{Outcome, ParseError, RequestId};
 
 use super::{
-    AnswerClass, CallPlan, CallerInterface, IncomingRequest, KeyField, LocalAnswer, ParsedRequest,
-    RegistrationError, RegistrationResult, Side, UpstreamCall, with_account,
+    AnswerClass, CallPlan, CallerInterface, CredentialFault, IncomingRequest, KeyField,
+    LocalAnswer, ParsedRequest, RegistrationError, RegistrationResult, Side, UpstreamCall,
+    with_account,
 };
 use crate::headers::{self, CallerHeaders};
 
@@ -39,7 +40,10 @@
         let held = match KEY_FIELD.identify(accounts, is_public, &request.head.fields) {
             Ok(held) => held,
             Err(fault) => {
-                let answer = unauthorized_answer(fault.as_str());
+                let answer = match fault {
+                    CredentialFault::AccountSetAside => self.error_answer(503, fault.as_str()),
+                    _ => unauthorized_answer(fault.as_str()),
+                };
                 return ParsedRequest::Unauthorized { answer, route: None, fault };
             }
         };
--- a/cuminarch-node/src/metrics.rs
+++ b/cuminarch-node/src/metrics.rs
@@ -147,6 +147,7 @@
     keys: Gauge,
     members: Gauge,
     revision: Gauge,
+    set_aside_entries: Gauge,
     draining: Gauge,
     suspected_requests: Gauge,
     quarantined_requests: Gauge,
@@ -300,6 +301,11 @@
         self.allotments.datagrams.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Sets how many entries of the configuration in force are not served.
+    pub fn set_set_aside_entries(&self, count: usize) {
+        self.gauges.set_aside_entries.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Encodes all metrics as text.
     pub fn encode_text(&self, summary: &EngineSummary, fleet: Option<&FleetSummary>) -> String {
         self.gauges.set(summary);
@@ -325,6 +331,11 @@
             ("idempotency_keys", "Idempotency keys held", &gauges.keys),
             ("members", "Members known", &gauges.members),
             ("config_revision", "Revision of the configuration in force", &gauges.revision),
+            (
+                "config_entries_set_aside",
+                "Entries of the configuration in force that are not served",
+                &gauges.set_aside_entries,
+            ),
             ("draining", "1 while new calls are refused", &gauges.draining),
             (
                 "suspected_requests",
--- a/cuminarch-types/src/name.rs
+++ b/cuminarch-types/src/name.rs
@@ -29,11 +29,34 @@
     Ok(())
 }
 
+/// Maximum length of the name of an account in bytes.
+const MAX_ACCOUNT_NAME_BYTES: usize = 256;
+
+fn check_account_name(type_name: &'static str, text: &str) -> Result<(), ParseError> {
+    if text.is_empty() {
+        return Err(ParseError::new(type_name, text, "it is empty"));
+    }
+    if text.len() > MAX_ACCOUNT_NAME_BYTES {
+        return Err(ParseError::new(type_name, text, "it is longer than 256 bytes"));
+    }
+    if text.trim() != text || text.chars().any(char::is_control) {
+        let reason = "it begins or ends with a blank or has control characters";
+        return Err(ParseError::new(type_name, text, reason));
+    }
+    Ok(())
+}
+
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
+        name_type!(
+            $(#[$doc])*
+            ///
+            /// At most 64 bytes of ASCII letters, digits, `-`, `_` and `.`.
+            $name, check_name
+        );
+    };
+    ($(#[$doc:meta])* $name:ident, $check:ident) => {
         $(#[$doc])*
-        ///
-        /// At most 64 bytes of ASCII letters, digits, `-`, `_` and `.`.
         #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
         #[serde(try_from = "CompactString", into = "CompactString")]
         pub struct $name(CompactString);
@@ -46,7 +69,7 @@
             /// Returns an error if the text is empty, too long or has other characters.
             pub fn new(text: impl AsRef<str>) -> Result<Self, ParseError> {
                 let text = text.as_ref();
-                check_name(stringify!($name), text)?;
+                $check(stringify!($name), text)?;
                 Ok(Self(CompactString::from(text)))
             }
 
@@ -75,7 +98,7 @@
             type Error = ParseError;
 
             fn try_from(text: CompactString) -> Result<Self, ParseError> {
-                check_name(stringify!($name), &text)?;
+                $check(stringify!($name), &text)?;
                 Ok(Self(text))
             }
         }
@@ -89,8 +112,10 @@
 }
 
 name_type!(
-    /// Name of a client account, on whose behalf requests are sent.
-    AccountName
+    /// Name of a client account, on whose behalf requests are sent. Upstreams get it as it is.
+    ///
+    /// At most 256 bytes of UTF-8 without control characters and outer blanks.
+    AccountName, check_account_name
 );
 name_type!(
     /// Identifies a change of the configuration; chosen by its submitter.
