fix(node): take no reset under an upload for the end of an answer

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent part of its body and reset the connection; the caller got that part as a whole answer, with a last chunk.

Cause: the two halves of the connection share one socket, and the system reports a reset to the first call only. If the upload's write took the error, the next read of the answer saw an orderly end, which is how an answer without a length ends.

Change: such an end counts only if the request was sent, or is still being sent without an error. Answers with a length or in chunks, links (whose answers end with a frame) and bodies of callers (which have a framing) do not depend on how the connection ends.

Evidence: the unit test brings the order about and fails without the change (Ok(None)).

--- a/cuminarch-node/src/data/upstream_connection.rs
+++ b/cuminarch-node/src/data/upstream_connection.rs
@@ -206,6 +206,9 @@
             }
             let fill = tokio::time::timeout(idle_timeout, self.fill()).await;
             if fill.map_err(|_| ReceiveError::IdleTimeout)?? == 0 {
+                if self.has_send_failed().await {
+                    return Err(ReceiveError::Connection(io::ErrorKind::ConnectionReset.into()));
+                }
                 self.decoder.on_eof()?;
             }
         }
@@ -240,6 +243,13 @@
         }
     }
 
+    /// Returns `true` if the request could not be sent. Of a reset, the system informs only one side of
+    /// the socket; if the write half was first, the read half sees what looks like an orderly end.
+    async fn has_send_failed(&mut self) -> bool {
+        self.reclaim_write_half().await;
+        matches!(self.send_state, SendState::Broken)
+    }
+
     fn update_idle_limit(&mut self, head: &ResponseHead) {
         let Some(value) = head.field("keep-alive") else { return };
         let text = std::str::from_utf8(value).unwrap_or_default();
@@ -302,3 +312,6 @@
     write_chunk(&mut chunk, bytes);
     write.write_all(&chunk).await.ok()
 }
+
+#[cfg(test)]
+mod tests;
