fix(http): read the heads of answers by one strict rule

What callers saw: answers with status 000 (passed on as `HTTP/1.1 0`), 001, 099, 101, 600 and 999, with the endpoint's stamp and body; answers behind an empty line, or behind an interim answer with a length; bodies whose trailer is no field.

Cause: the parser takes any three digits, and each reader added what it needed.

Change: one check for all heads: statuses of final answers from 200 to 599, names that are tokens, values without control characters. It holds for the own endpoint and for heads that another node has read, which may be of an earlier version. Interim answers have no body, nodes never ask for an upgrade, a status line comes first, trailers are fields, lines of chunk sizes have no control characters.

Names with blanks or control bytes were refused before, too.

--- a/cuminarch-http/src/body.rs
+++ b/cuminarch-http/src/body.rs
@@ -1,5 +1,6 @@
 use bytes::{Buf, Bytes, BytesMut};
 
+use crate::answer::is_field_line;
 use crate::{BodyFraming, HttpError};
 
 /// Result of a step of a [`BodyDecoder`].
@@ -95,6 +96,7 @@
                 State::Trailer => match take_line(buffer, Self::MAX_TRAILER_BYTES)? {
                     None => return Ok(Decoded::Incomplete),
                     Some(line) if line.is_empty() => self.state = State::End,
+                    Some(line) if !is_field_line(&line) => return Err(HttpError::MalformedChunk),
                     Some(line) => {
                         self.trailer_len_bytes += line.len();
                         if self.trailer_len_bytes > Self::MAX_TRAILER_BYTES {
@@ -141,7 +143,10 @@
 }
 
 fn chunk_size(line: &[u8]) -> Result<u64, HttpError> {
-    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
+    if line.iter().any(|byte| byte.is_ascii_control() && *byte != b'\t') {
+        return Err(HttpError::MalformedChunk);
+    }
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii_end();
     let is_hex = (1..=15).contains(&digits.len()) && digits.iter().all(u8::is_ascii_hexdigit);
     let text = std::str::from_utf8(digits).ok().filter(|_| is_hex);
     text.and_then(|text| u64::from_str_radix(text, 16).ok()).ok_or(HttpError::MalformedChunk)
--- a/cuminarch-http/src/lib.rs
+++ b/cuminarch-http/src/lib.rs
@@ -19,6 +19,7 @@
 //! # Ok::<(), cuminarch_http::HttpError>(())
 //! ```
 
+mod answer;
 mod body;
 mod error;
 mod fields;
@@ -28,6 +29,7 @@
 mod response;
 mod write;
 
+pub use answer::check_answer;
 pub use body::{BodyDecoder, Decoded};
 pub use error::HttpError;
 pub use fields::{find_field, has_list_token};
--- a/cuminarch-http/src/response.rs
+++ b/cuminarch-http/src/response.rs
@@ -1,6 +1,7 @@
 use bytes::{Buf, BytesMut};
 use cuminarch_protocol::HeaderField;
 
+use crate::answer::{check_answer, is_interim};
 use crate::fields::{copy_fields, head_len_bytes, map_parse_error};
 use crate::framing::DeclaredFraming;
 use crate::{BodyFraming, HeadLimits, HttpError, find_field, has_list_token};
@@ -33,17 +34,21 @@
         is_head_request: bool,
     ) -> Result<Option<Self>, HttpError> {
         loop {
-            let Some(len_bytes) = head_len_bytes(buffer)? else {
-                let is_too_long = buffer.len() > limits.max_len_bytes;
-                return if is_too_long { Err(HttpError::HeadTooLong) } else { Ok(None) };
-            };
+            if !Self::may_begin_with(buffer) {
+                return Err(HttpError::Malformed);
+            }
+            let len_bytes = head_len_bytes(buffer)?;
+            if len_bytes.unwrap_or(buffer.len()) > limits.max_len_bytes {
+                return Err(HttpError::HeadTooLong);
+            }
+            let Some(len_bytes) = len_bytes else { return Ok(None) };
             let mut headers = [httparse::EMPTY_HEADER; HeadLimits::MAX_FIELDS];
             let mut response = httparse::Response::new(&mut headers);
             let status = response.parse(&buffer[..len_bytes]).map_err(map_parse_error)?;
             let code = response.code.filter(|_| status.is_complete());
             let code = code.ok_or(HttpError::Malformed)?;
-            let is_interim = (100..200).contains(&code) && code != 101;
-            let head = if is_interim {
+            let head = if is_interim(code) {
+                Self::check_interim(&response)?;
                 None
             } else {
                 Some(Self::from_parsed(&response, code, is_head_request)?)
@@ -55,6 +60,21 @@
         }
     }
 
+    /// Returns `true` if the bytes are the beginning of a status line, or none.
+    fn may_begin_with(bytes: &[u8]) -> bool {
+        const VERSION: &[u8] = b"HTTP/1.";
+        let len_bytes = bytes.len().min(VERSION.len());
+        bytes[..len_bytes] == VERSION[..len_bytes]
+    }
+
+    /// Checks an interim answer, which has no body.
+    fn check_interim(response: &httparse::Response<'_, '_>) -> Result<(), HttpError> {
+        let fields = copy_fields(response.headers);
+        let declared = DeclaredFraming::from_fields(&fields)?;
+        let has_body = declared.is_chunked || declared.length.is_some_and(|length| length > 0);
+        if has_body { Err(HttpError::Malformed) } else { Ok(()) }
+    }
+
     fn from_parsed(
         response: &httparse::Response<'_, '_>,
         status: u16,
@@ -62,8 +82,9 @@
     ) -> Result<Self, HttpError> {
         let is_http_10 = response.version == Some(0);
         let mut fields = copy_fields(response.headers);
+        check_answer(status, &fields)?;
         let declared = DeclaredFraming::from_fields(&fields)?;
-        let has_no_body = is_head_request || matches!(status, 101 | 204 | 304);
+        let has_no_body = is_head_request || matches!(status, 204 | 304);
         let framing = match (has_no_body, declared.is_chunked, declared.length) {
             (true, _, _) | (false, false, Some(0)) => BodyFraming::Empty,
             (false, true, _) => BodyFraming::Chunked,
--- a/cuminarch-node/src/data/link_client.rs
+++ b/cuminarch-node/src/data/link_client.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 use cuminarch_engine::{Event, Forward, Refusal, RefusalReason, RemoteRefusal};
+use cuminarch_http::check_answer;
 use cuminarch_protocol::{
     AnswerFrame, AnswerHead, CallHead, Member, RefusalHead, UpstreamLifetime,
 };
@@ -48,6 +49,12 @@
     }
     let time_to_send = request.received_at.elapsed();
     match link.receive(forward.remaining, forward.idempotent).await {
+        Ok(AnswerFrame::Head(head)) if check_answer(head.status, &head.headers).is_err() => {
+            // A node of an earlier version may pass on what is no answer.
+            log_attempt(context, request, forward, "no answer in the protocol");
+            driver.post(Event::RemoteLost { call, attempt, sent: true });
+            None
+        }
         Ok(AnswerFrame::Head(head)) => {
             record_endpoint_signals(context, &request.service, &forward.target, &head.headers);
             let is_failure = head.status >= 500;
