fix(engine): refuse suspected requests that wait when the upstream leaves

Cause: an upstream that leaves refuses the calls in the admission queue, but not those that wait for their turn as suspected ones, and these are offered later without a look at the state of the upstream.

Change: both are refused as not run at once.

--- a/cuminarch-engine/src/engine.rs
+++ b/cuminarch-engine/src/engine.rs
@@ -390,7 +390,10 @@
         self.admission.set_capacity(ConcurrencyLimit::new(record.slots));
         self.upstream = Some(record);
         let events = match self.closed_reason(now) {
-            Some(_) => self.admission.refuse_waiting(),
+            Some(_) => {
+                self.trials.set_changed();
+                self.admission.refuse_waiting()
+            }
             None => self.admission.poll(now),
         };
         self.apply_queue_events(events, now, actions);
--- a/cuminarch-engine/src/inbound.rs
+++ b/cuminarch-engine/src/inbound.rs
@@ -308,7 +308,7 @@
     }
 
     /// Refuses a call that was not run because of a lack of capacity.
-    fn refuse_waiting(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
+    pub(crate) fn refuse_waiting(&mut self, id: CallId, now: MonoTime, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.get(&id) else { return };
         let is_late = call.deadline <= now;
         if let Some(key) = call.key.clone() {
--- a/cuminarch-engine/src/quarantined.rs
+++ b/cuminarch-engine/src/quarantined.rs
@@ -201,6 +201,10 @@
             if !is_waiting || self.refuse_quarantined(id, now, actions) {
                 continue;
             }
+            if self.closed_reason(now).is_some() {
+                self.refuse_waiting(id, now, actions);
+                continue;
+            }
             let identity = self.calls.get(&id).and_then(|call| call.identity);
             let is_suspected = self.quarantine.verdict(identity, now) == Verdict::Suspected;
             if is_suspected && now < wait_until && !self.begins_trial(id, now) {
