fix(node): close idle links to nodes that have gone

Cause: idle links were looked at only when a call to the same peer took or returned one.

Change: all idle links are checked each second; closed ones and those that were idle for a minute go.

--- a/cuminarch-node/src/data/link_pool.rs
+++ b/cuminarch-node/src/data/link_pool.rs
@@ -71,6 +71,13 @@
     knows_destinations: bool,
 }
 
+impl IdleLink {
+    /// Returns `true` if it is open and has not been idle for too long.
+    fn is_usable(&self) -> bool {
+        self.since.elapsed() <= LinkPool::MAX_IDLE_TIME && is_open(&self.socket)
+    }
+}
+
 /// A link in use. [`Link::release`] returns it to the pool.
 pub struct Link {
     state: Option<LinkState>,
@@ -88,6 +95,8 @@
 impl LinkPool {
     const MAX_IDLE_PER_PEER: usize = 256;
     const MAX_IDLE_TIME: Duration = Duration::from_secs(60);
+    /// Interval at which all idle links are checked.
+    const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
     const MAX_IN_USE_PER_PEER: usize = 1_024;
     /// Covers several round trips between regions; a host without power never answers.
     const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -153,6 +162,18 @@
         socket.ok().flatten().ok_or(LinkError::Connect)
     }
 
+    /// Closes idle links that can carry no call any more, for as long as the node runs: to peers that
+    /// have gone, no call is sent that would find them.
+    pub async fn close_unusable(self) {
+        loop {
+            tokio::time::sleep(Self::SWEEP_INTERVAL).await;
+            self.peers.borrow_mut().retain(|_, peer| {
+                peer.idle.retain(IdleLink::is_usable);
+                peer.in_use > 0 || !peer.idle.is_empty()
+            });
+        }
+    }
+
     /// Closes all idle links.
     pub fn close_idle(&self) {
         for peer in self.peers.borrow_mut().values_mut() {
@@ -348,3 +369,6 @@
 async fn feed(socket: &mut LinkSocket, frame: &CallFrame) -> Result<(), LinkError> {
     socket.feed(Message::Binary(frame.encode()?)).await.map_err(|error| Box::new(error).into())
 }
+
+#[cfg(test)]
+mod tests;
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -133,6 +133,7 @@
         };
         listen(&context, self.listeners, &served);
         context.spawn(driver.clone().run_timers());
+        context.spawn(context.links.clone().close_unusable());
         let commands = self.commands;
         let stopped = async {
             let publish = |record| context.publish_history(record);
