fix(node): wait in a stop until accepted requests are answered

Cause: a stop waited for calls, and a call ends when the last part of its answer was taken from the endpoint, not when it was written. Requests that wait for those before them on their connection are no calls yet, either.

Change: the connections count the requests that are not answered, and a stop waits for them within the same limit.

--- a/cuminarch-node/src/data/connection_state.rs
+++ b/cuminarch-node/src/data/connection_state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::IpAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
@@ -15,6 +16,8 @@
 pub struct ConnectionState {
     peer: IpAddr,
     unanswered: Cell<usize>,
+    /// The same for all connections, so that a stop waits for them.
+    unanswered_of_all: Rc<Cell<usize>>,
     answered: Cell<u64>,
     /// Time of the last written answer, or of the opening of the connection.
     idle_since: Cell<Instant>,
@@ -26,10 +29,11 @@
 
 impl ConnectionState {
     /// Creates the state of a connection that was opened now.
-    pub fn new(peer: IpAddr) -> Self {
+    pub fn new(peer: IpAddr, unanswered_of_all: Rc<Cell<usize>>) -> Self {
         Self {
             peer,
             unanswered: Cell::new(0),
+            unanswered_of_all,
             answered: Cell::new(0),
             idle_since: Cell::new(Instant::now()),
             is_closing: Cell::new(false),
@@ -71,6 +75,7 @@
     /// Records that a request was accepted, which is answered from then on.
     pub fn record_accepted(&self) {
         self.unanswered.set(self.unanswered.get() + 1);
+        self.unanswered_of_all.set(self.unanswered_of_all.get() + 1);
     }
 
     /// Records that an answer is being written before all of it has arrived.
@@ -81,6 +86,7 @@
     /// Records that an answer was written.
     pub fn record_answered(&self) {
         self.unanswered.set(self.unanswered.get() - 1);
+        self.unanswered_of_all.set(self.unanswered_of_all.get() - 1);
         self.answered.set(self.answered.get() + 1);
         self.idle_since.set(Instant::now());
         self.is_streaming.set(false);
@@ -102,3 +108,9 @@
         }
     }
 }
+
+impl Drop for ConnectionState {
+    fn drop(&mut self) {
+        self.unanswered_of_all.set(self.unanswered_of_all.get() - self.unanswered.get());
+    }
+}
--- a/cuminarch-node/src/data/connections.rs
+++ b/cuminarch-node/src/data/connections.rs
@@ -10,6 +10,7 @@
 pub struct Connections {
     stop: watch::Sender<bool>,
     open: Rc<Cell<usize>>,
+    unanswered: Rc<Cell<usize>>,
     max_open: usize,
 }
 
@@ -17,12 +18,14 @@
 pub struct Connection {
     stop: watch::Receiver<bool>,
     open: Rc<Cell<usize>>,
+    unanswered: Rc<Cell<usize>>,
 }
 
 impl Connections {
     /// Creates an empty set that accepts at most `max_open` connections.
     pub fn new(max_open: usize) -> Self {
-        Self { stop: watch::Sender::new(false), open: Rc::new(Cell::new(0)), max_open }
+        let stop = watch::Sender::new(false);
+        Self { stop, open: Rc::default(), unanswered: Rc::default(), max_open }
     }
 
     /// Adds a connection. Returns `None` at the limit.
@@ -31,7 +34,16 @@
             return None;
         }
         self.open.set(self.open.get() + 1);
-        Some(Connection { stop: self.stop.subscribe(), open: Rc::clone(&self.open) })
+        Some(Connection {
+            stop: self.stop.subscribe(),
+            open: Rc::clone(&self.open),
+            unanswered: Rc::clone(&self.unanswered),
+        })
+    }
+
+    /// Returns the number of requests on all connections whose answers have not been written yet.
+    pub fn unanswered(&self) -> usize {
+        self.unanswered.get()
     }
 
     /// Signals all connections to close once they are idle.
@@ -52,6 +64,11 @@
 }
 
 impl Connection {
+    /// Returns the counter of unanswered requests of all connections.
+    pub fn unanswered(&self) -> Rc<Cell<usize>> {
+        Rc::clone(&self.unanswered)
+    }
+
     /// Waits until [`Connections::stop`] is called.
     pub async fn wait_for_stop(&mut self) {
         let _ = self.stop.wait_for(|is_stopping| *is_stopping).await;
--- a/cuminarch-node/src/data/front.rs
+++ b/cuminarch-node/src/data/front.rs
@@ -50,7 +50,7 @@
     connection: Connection,
 ) {
     let peer = stream.peer_addr().map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip());
-    let shared = Rc::new(ConnectionState::new(peer));
+    let shared = Rc::new(ConnectionState::new(peer, connection.unanswered()));
     let (mut read, write) = stream.into_split();
     let (pending_answers, receiver) = mpsc::channel::<PendingAnswer>(MAX_PIPELINED);
     let mut writer = AnswerWriter::new(write, Rc::clone(&shared), context.clone());
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -186,12 +186,31 @@
     }
 }
 
+impl ServedConnections {
+    /// Returns `true` if an answer to a caller or to the own upstream has not been written yet.
+    fn has_unanswered(&self) -> bool {
+        self.external.unanswered() + self.egress.unanswered() > 0
+    }
+}
+
+/// Waits until no call is in progress and all answers are written.
+async fn wait_until_answered(context: &DataContext, served: &ServedConnections) {
+    const POLL_INTERVAL: Duration = Duration::from_millis(5);
+    loop {
+        context.driver.wait_until_idle().await;
+        if !served.has_unanswered() {
+            return;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// Waits at most `limit` for calls in progress and their answers. The local upstream can call
 /// other services until the last call has ended.
 async fn shut_down(context: &DataContext, served: &ServedConnections, limit: Duration) {
     let deadline = Instant::now() + limit;
     let remaining = deadline.saturating_duration_since(Instant::now() + CLOSE_TIMEOUT);
-    if timeout(remaining, context.driver.wait_until_idle()).await.is_err() {
+    if timeout(remaining, wait_until_answered(context, served)).await.is_err() {
         let calls = context.driver.calls();
         warn!("{} calls={calls} limit_ms={}", NodeEvent::ShutdownTimeout, limit.as_millis());
     }
