fix(node): let no connection into a listener that is about to close

What callers saw: at the end of a planned stop a connection was reset though its caller had sent a request.

Cause: the kernel completes handshakes until the listener is closed, and resets what entered the queue after the last accept. The reads fail with ECONNRESET within microseconds of the write, which rules out the grace periods of 300 and 500 ms. The window is as old as the listener.

Links are left out: a node sends no request on a link before the other end has answered.

The new unit test shows that an attempt after the filter times out and that an earlier one is served.

A caller whose attempt is dropped waits a second for the refusal of its next one.

--- a/cuminarch-node/src/data/connections.rs
+++ b/cuminarch-node/src/data/connections.rs
@@ -14,9 +14,12 @@
     max_open: usize,
 }
 
+/// Tells its holder of [`Connections::stop`]; [`Connections::closed`] waits until it is dropped.
+pub struct StopSignal(watch::Receiver<bool>);
+
 /// A connection that is counted until it is dropped.
 pub struct Connection {
-    stop: watch::Receiver<bool>,
+    stop: StopSignal,
     open: Rc<Cell<usize>>,
     unanswered: Rc<Cell<usize>>,
 }
@@ -35,7 +38,7 @@
         }
         self.open.set(self.open.get() + 1);
         Some(Connection {
-            stop: self.stop.subscribe(),
+            stop: self.stop_signal(),
             open: Rc::clone(&self.open),
             unanswered: Rc::clone(&self.unanswered),
         })
@@ -51,15 +54,21 @@
         self.stop.send_replace(true);
     }
 
-    /// Waits until all connections are closed.
+    /// Returns a signal that is triggered by [`Connections::stop`].
+    pub fn stop_signal(&self) -> StopSignal {
+        StopSignal(self.stop.subscribe())
+    }
+
+    /// Waits until all connections are closed and all signals dropped.
     pub async fn closed(&self) {
         self.stop.closed().await;
     }
+}
 
+impl StopSignal {
     /// Waits until [`Connections::stop`] is called.
-    pub async fn wait_for_stop(&self) {
-        let mut stop = self.stop.subscribe();
-        let _ = stop.wait_for(|is_stopping| *is_stopping).await;
+    pub async fn wait(&mut self) {
+        let _ = self.0.wait_for(|is_stopping| *is_stopping).await;
     }
 }
 
@@ -71,7 +80,7 @@
 
     /// Waits until [`Connections::stop`] is called.
     pub async fn wait_for_stop(&mut self) {
-        let _ = self.stop.wait_for(|is_stopping| *is_stopping).await;
+        self.stop.wait().await;
     }
 }
 
--- a/cuminarch-node/src/data/listener.rs
+++ b/cuminarch-node/src/data/listener.rs
@@ -1,7 +1,8 @@
+use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::time::Duration;
 
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockFilter, SockRef, Socket, Type};
 
 use crate::NodeError;
 
@@ -48,3 +49,28 @@
         }
     }
 }
+
+/// Makes the kernel drop further connection attempts, so that nothing enters the queue of a
+/// listener between its last `accept` and its close. Handshakes in progress are completed; a caller
+/// whose attempt is dropped repeats it after a second and finds the port closed.
+///
+/// # Errors
+///
+/// Returns the error of the operating system if it attaches no filter.
+pub fn ignore_connection_attempts(listener: &TcpListener) -> io::Result<()> {
+    const LOAD_BYTE: u16 = 0x30;
+    const SKIP_UNLESS_SET: u16 = 0x45;
+    const RETURN: u16 = 0x06;
+    /// Offset of the flags in a TCP header, where the filter of a TCP socket starts.
+    const FLAGS_OFFSET: u32 = 13;
+    const SYN: u32 = 0x02;
+    SockRef::from(listener).attach_filter(&[
+        SockFilter::new(LOAD_BYTE, 0, 0, FLAGS_OFFSET),
+        SockFilter::new(SKIP_UNLESS_SET, 0, 1, SYN),
+        SockFilter::new(RETURN, 0, 0, 0),
+        SockFilter::new(RETURN, 0, 0, u32::MAX),
+    ])
+}
+
+#[cfg(test)]
+mod tests;
--- a/cuminarch-node/src/data/mod.rs
+++ b/cuminarch-node/src/data/mod.rs
@@ -3,6 +3,7 @@
 //! Connections of callers, of the local upstream and of peers share one thread with an event
 //! loop, so a call never moves between threads.
 
+mod acceptor;
 mod answer;
 mod answer_pace;
 mod body;
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -1,4 +1,3 @@
-use std::future::Future;
 use std::net::{TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,12 +8,12 @@
 use cuminarch_protocol::UpstreamRecord;
 use flume::{Receiver, Sender};
 use log::warn;
-use tokio::net::TcpStream;
 use tokio::runtime::{Builder, LocalOptions};
 use tokio::time::timeout;
 
+use super::acceptor::{CALLER_HANDSHAKE_TIMEOUT, accept};
 use super::command::DataCommand;
-use super::connections::{Connection, Connections};
+use super::connections::Connections;
 use super::datagrams::{DatagramReceiver, DatagramSender};
 use super::driver::{ClaimRequest, Driver};
 use super::front::{Purpose, serve_connection};
@@ -36,8 +35,6 @@
 
 /// Time at shutdown for finished answers to reach their callers.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Delay after a failed `accept`.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Listening sockets of the data thread.
 pub struct DataListeners {
@@ -170,8 +167,10 @@
     let datagrams = datagrams.expect("cannot register the socket with the event loop");
     context.spawn(datagrams.run());
     let external = &served.external;
-    context.spawn(accept(context.clone(), listeners.callers, external.clone(), callers));
-    context.spawn(accept(context.clone(), listeners.links, external.clone(), link));
+    let listener = (listeners.callers, CALLER_HANDSHAKE_TIMEOUT);
+    context.spawn(accept(context.clone(), listener, external.clone(), callers));
+    let listener = (listeners.links, Duration::ZERO);
+    context.spawn(accept(context.clone(), listener, external.clone(), link));
     let (egress, lifecycle) = (&served.egress, &served.lifecycle);
     let others = [
         (listeners.egress, egress, Purpose::Calls(Side::Upstream)),
@@ -180,8 +179,8 @@
     ];
     for (listener, connections, purpose) in others {
         if let Some(listener) = listener {
-            let connections = connections.clone();
-            context.spawn(accept(context.clone(), listener, connections, http(purpose)));
+            let listener = (listener, CALLER_HANDSHAKE_TIMEOUT);
+            context.spawn(accept(context.clone(), listener, connections.clone(), http(purpose)));
         }
     }
 }
@@ -226,41 +225,3 @@
     let _ = timeout(CLOSE_TIMEOUT, closed).await;
     context.links.close_idle();
 }
-
-/// Accepts connections until shutdown, then those left in the backlog: closing the listener
-/// would reset them and lose the requests that their callers have sent.
-async fn accept<F>(
-    context: DataContext,
-    listener: TcpListener,
-    connections: Connections,
-    serve: impl Fn(TcpStream, Connection) -> F,
-) where
-    F: Future<Output = ()> + 'static,
-{
-    let backlog = listener.try_clone();
-    let listener = tokio::net::TcpListener::from_std(listener);
-    let listener = listener.expect("cannot register the listener with the event loop");
-    let serve_or_refuse = |stream: TcpStream| match connections.add() {
-        Some(connection) => context.spawn(serve(stream, connection)),
-        None => context.metrics.record_refused_connection(),
-    };
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = connections.wait_for_stop() => break,
-        };
-        match accepted {
-            Ok((stream, _)) => serve_or_refuse(stream),
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
-        }
-    }
-    // Accepts directly, as the event loop may not have seen the last connections yet.
-    let Ok(backlog) = backlog else { return };
-    while let Ok((stream, _)) = backlog.accept() {
-        if stream.set_nonblocking(true).is_ok()
-            && let Ok(stream) = TcpStream::from_std(stream)
-        {
-            serve_or_refuse(stream);
-        }
-    }
-}
