test(testing): give each process ports of its own

Seen: platform/tests/departures_in_outages.rs failed in its set-up now and then, also without other load: "both upstreams are used" or "the node listens" not met in 20 s.

Cause: with the logs of the nodes kept, one of four copies at once failed (21 cases each) as a node could not listen: "Address already in use". Test programs took ports from ranges by process id, which overlap. That alone did not end it: with ranges of their own a copy failed in the same way. free_address binds the port for a moment, and a process that another thread starts meanwhile holds a copy of that socket until it executes its program.

Change: a process claims blocks of ports, which a listener at the first port of each marks as taken, and tries with a connect whether something listens.

--- a/cuminarch-testing/src/free_address.rs
+++ b/cuminarch-testing/src/free_address.rs
@@ -1,41 +1,31 @@
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::process;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, PoisonError};
 
-/// Lowest port used, above the well-known services.
-const FIRST_PORT: u32 = 20_000;
+use crate::port_block::PortBlock;
 
-/// Number of ports used; all are below the range that Linux uses for outgoing
-/// connections and for binds without a port.
-const PORT_COUNT: u32 = 12_000;
+static BLOCKS: Mutex<Vec<PortBlock>> = Mutex::new(Vec::new());
 
-/// Distance between the first ports of two processes with successive ids.
-const PORTS_PER_PROCESS: u32 = 211;
-
-static ALLOCATED_COUNT: AtomicU32 = AtomicU32::new(0);
-
-/// Returns a loopback address that is not in use and that this process has not returned
-/// before, for a component that must know its address before it binds.
+/// Returns a loopback address at which nothing listens and that no call of this function has returned
+/// before, also in other processes that run at the same time, for a component that must know its
+/// address before it binds.
 ///
 /// # Panics
 ///
-/// Panics if all ports of the process are used up.
+/// Panics if all ports are used up.
 pub fn free_address() -> SocketAddr {
+    let mut blocks = BLOCKS.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
-        let index = ALLOCATED_COUNT.fetch_add(1, Ordering::Relaxed);
-        assert!(index < PORT_COUNT, "all {PORT_COUNT} ports are used up");
-        let address = address_at(index);
-        if TcpListener::bind(address).is_ok() {
+        let port = blocks.last_mut().and_then(PortBlock::next);
+        let Some(port) = port else {
+            blocks.push(PortBlock::claim(process::id()).expect("all blocks of ports are claimed"));
+            continue;
+        };
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        // A trial bind would occupy the port for longer than the call if another thread starts a
+        // process meanwhile: that one has a copy of the socket until it executes its program.
+        if TcpStream::connect(address).is_err() {
             return address;
         }
     }
 }
-
-fn address_at(index: u32) -> SocketAddr {
-    let first_index = process::id().wrapping_mul(PORTS_PER_PROCESS) % PORT_COUNT;
-    let port = FIRST_PORT + (first_index + index) % PORT_COUNT;
-    SocketAddr::from((
-        Ipv4Addr::LOCALHOST,
-        u16::try_from(port).expect("all ports are below 32,000"),
-    ))
-}
--- a/cuminarch-testing/src/lib.rs
+++ b/cuminarch-testing/src/lib.rs
@@ -25,6 +25,7 @@
 mod memory_store;
 mod platform_fault;
 mod platform_server;
+mod port_block;
 mod raw_answer;
 mod raw_caller;
 mod raw_upstream;
