--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,73 +1,109 @@
-"""Taking away the last keys opens the routes to everyone.
+"""An acknowledged departure is forgotten when all processes end during an outage of the store.
 
-An operator takes keys away until the manifest's list of tenants is empty. Requests whose key was taken
-away, whose key no manifest ever held, or that have none and name a tenant of their own choice, run.
+An endpoint deregisters while the store is silent and goes on serving for a while. All nodes are
+killed, the store is back, the nodes start again, and a check-in that the endpoint sent before its
+departure arrives late.
 """
 
 import asyncio
 import os
+import signal
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin-3"))
 from standin import manifest, read_body, request, run_case  # noqa: E402
 
 HOST = "shop.example"
-ZONES = ["zone-a"]
-# Bounds of the site file: configApplyS 2.5 and revokeS 5.
-REVOKE_S = 5.0
+ZONES = ["zone-a", "zone-b"]
+# Bounds of the site file.
+DRAIN_S = 2.0
+CONTACT_S = 3.0
+# The store is silent for 4.5 s at most there.
+OUTAGE_S = 4.0
+# "A check-in may arrive seconds late."
+LATE_S = 4.5
 
 
 async def main(deployment, record, has_trouble):
-    seen = {}
+    runs = []
 
     async def run(endpoint, head, reader, writer):
         await read_body(reader, head)
-        fields = {name: head.get(name) for name in ("authorization", "x-tenant") if head.get(name)}
-        seen[head.get("x-attempt-id")] = fields
-        record(f"the endpoint runs {head.get('x-attempt-id')} with {fields}")
+        runs.append((time.monotonic(), endpoint.instance, head.get("x-attempt-id")))
+        await asyncio.sleep(0.02)
         return 200, [], b"done"
 
-    front, _ = await deployment.add("front", "zone-a", ZONES, run)
-    await deployment.add("orders", "zone-a", ZONES, run)
-    routes = [(HOST, "/order/", "safe", "orders", 2000)]
-    tenants = [{"name": f"tenant-{name}", "apiKeys": [f"key-{name}"], "priority": 1, "ratePerS": 0, "burst": 0}
-               for name in "ab"]
-    await deployment.store.write("config", "main", manifest(1, routes, tenants))
+    fronts = [(await deployment.add("front", zone, ZONES, run))[0] for zone in ZONES]
+    _, leaving = await deployment.add("orders", "zone-a", ZONES, run)
+    await deployment.add("orders", "zone-b", ZONES, run)
+    routes = [(HOST, "/order/", "unsafe", "orders", 2000)]
+    await deployment.store.write("config", "main", manifest(1, routes))
     await deployment.wait_ready()
-    await asyncio.sleep(3)
 
-    async def ask(attempt, fields):
-        status, _, _ = await request(front.outbound, HOST, "/order/x", attempt, fields=fields)
-        record(f"{attempt} with {fields} gets {status}")
-        return status
+    sent = {}
 
-    if await ask("before-a", [("Authorization", "Token key-a")]) != 200:
-        return 2
-    if await ask("before-unknown", [("Authorization", "Token key-never-held")]) != 401:
-        return 2
-    # Keys are taken away by new versions, first all of one tenant.
-    await deployment.store.write("config", "main", manifest(4, routes, tenants[1:]))
-    record("the operator has taken away the keys of tenant-a")
-    await asyncio.sleep(REVOKE_S + 1)
-    if await ask("second-a", [("Authorization", "Token key-a")]) != 401:
+    async def client(number):
+        front, turn = fronts[number % len(fronts)], 0
+        while True:
+            turn += 1
+            attempt = f"{number}-{turn}"
+            sent[attempt] = time.monotonic()
+            status, _, _ = await request(front.outbound, HOST, "/order/x", attempt, "POST", b"order")
+            record(f"client {number} gets {status} for {attempt}")
+            await asyncio.sleep(0.1)
+
+    clients = [asyncio.create_task(client(number)) for number in range(8)]
+    await asyncio.sleep(4)
+    print(f"runs at the endpoint before it leaves: {sum(1 for _, i, _ in runs if i == leaving.instance)}")
+
+    # From now on the endpoint sends no check-ins but the late one and its departure.
+    leaving.beats.cancel()
+    if has_trouble:
+        record("the store is silent")
+        deployment.store.fault = lambda label, method, path: "silent"
+    outage_from = time.monotonic()
+    await asyncio.sleep(1.0)
+    leaving.sequence += 1
+    late_sequence = leaving.sequence
+    late_sent_at = time.monotonic()
+    record(f"the endpoint sends the check-in {late_sequence}, ready, which will arrive late")
+    await asyncio.sleep(0.3)
+    if not await leaving.beat("deregister"):
+        print("the departure was not acknowledged")
         return 2
+    acked_at = time.monotonic()
+    record("the departure is acknowledged")
     if has_trouble:
-        await deployment.store.write("config", "main", manifest(7, routes, []))
-        record("the operator has taken away the keys of tenant-b, the last ones")
-        await asyncio.sleep(REVOKE_S + 1)
+        for sidecar, _ in deployment.machines:
+            sidecar.signal(signal.SIGKILL)
+        for sidecar, _ in deployment.machines:
+            sidecar.process.wait()
+        await asyncio.sleep(max(0.0, outage_from + OUTAGE_S - time.monotonic()))
+        record("the store is back")
+        deployment.store.fault = lambda label, method, path: None
+        for sidecar, _ in deployment.machines:
+            sidecar.start()
+    in_touch_at = time.monotonic() + CONTACT_S + 0.1
+    await asyncio.sleep(max(0.0, late_sent_at + LATE_S - time.monotonic()))
+    newest, leaving.sequence = leaving.sequence, late_sequence - 1
+    record("the late check-in arrives")
+    await leaving.beat()
+    leaving.sequence = newest
+    # The endpoint serves on: "at times many seconds".
+    await asyncio.sleep(8)
+    for task in clients:
+        task.cancel()
 
-    broken = []
-    asked = {
-        "taken-away": [("Authorization", "Token key-a")],
-        "never-held": [("Authorization", "Token key-never-held")],
-        "without-a-key": [],
-        "foreign-tenant": [("X-Tenant", "tenant-b")],
-    }
-    for attempt, fields in asked.items():
-        status = await ask(attempt, fields)
-        if attempt in seen:
-            broken.append(f"{attempt}: answered {status}, the endpoint saw {seen[attempt]}")
-    print("requests that ran without a valid key:", *(broken or ["none"]), sep="\n  ")
+    counted_from = max(acked_at + DRAIN_S, in_touch_at if has_trouble else 0)
+    late_runs = [attempt for at, instance, attempt in runs
+                 if instance == leaving.instance and at > acked_at + DRAIN_S]
+    broken = [attempt for attempt in late_runs if sent[attempt] > counted_from]
+    others = sum(1 for _, instance, _ in runs if instance != leaving.instance)
+    print(f"requests run by the other endpoint: {others}")
+    print(f"requests that reach the endpoint later than {DRAIN_S} s after the ack: {len(late_runs)}; "
+          f"of these, sent while all machines were in touch: {len(broken)}")
+    record(f"late runs: {late_runs}")
     return 1 if broken else 0
 
 
