--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -517,7 +517,7 @@
     try:
         async with asyncio.timeout(110):
             status = await main(deployment, record, os.environ.get("TROUBLE", "1") != "0")
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         status = 2
     finally:
