--- a/review/13/case.py
+++ b/review/13/case.py
@@ -57,13 +57,13 @@
     await asyncio.sleep(4)
     print(f"runs at the endpoint before it leaves: {sum(1 for _, i, _ in runs if i == leaving.instance)}")
 
-    # From now on the endpoint sends no check-ins but the late one and its departure.
-    leaving.beats.cancel()
     if has_trouble:
         record("the store is silent")
         deployment.store.fault = lambda label, method, path: "silent"
     outage_from = time.monotonic()
-    await asyncio.sleep(1.0)
+    await asyncio.sleep(2.3)
+    # From now on the endpoint sends no check-ins but the late one and its departure.
+    leaving.beats.cancel()
     leaving.sequence += 1
     late_sequence = leaving.sequence
     late_sent_at = time.monotonic()
