fix(node): keep finished answers when a later one breaks off

Cause: each answer that broke off was shown by a reset, which drops what the kernel still holds for the caller, also of the answers in front of it. With a length or chunks an orderly end shows the break as well. For an answer with neither, the reset now waits until the kernel has sent what was written before. It also follows no orderly end any more: the write half sent one when it was dropped, so that a truncated answer to a caller of HTTP/1.0 looked whole.

--- a/cuminarch-node/src/data/connection_state.rs
+++ b/cuminarch-node/src/data/connection_state.rs
@@ -93,6 +93,12 @@
         self.answer_written.notify_waiters();
     }
 
+    /// Records that the requests without an answer will never get one.
+    pub fn abandon_unanswered(&self) {
+        let abandoned = self.unanswered.take();
+        self.unanswered_of_all.set(self.unanswered_of_all.get() - abandoned);
+    }
+
     /// Waits until all requests before request `number` are answered.
     pub async fn wait_for_earlier_answers(&self, number: u64) {
         while self.answered.get() < number {
@@ -111,6 +117,6 @@
 
 impl Drop for ConnectionState {
     fn drop(&mut self) {
-        self.unanswered_of_all.set(self.unanswered_of_all.get() - self.unanswered.get());
+        self.abandon_unanswered();
     }
 }
--- a/cuminarch-node/src/data/front.rs
+++ b/cuminarch-node/src/data/front.rs
@@ -63,6 +63,7 @@
     };
     if let Err(error) = ended {
         debug!("{} caller: {error}", NodeEvent::ConnectionFault);
+        writer.abort();
         return;
     }
     drop(writer);
--- a/cuminarch-node/src/data/front_writer.rs
+++ b/cuminarch-node/src/data/front_writer.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::connection_state::ConnectionState;
+use super::delivery::wait_until_sent;
 use super::http_reply::{HttpReply, ReplyBody, StreamedBody};
 use super::runner::DataContext;
 use super::tasks::TaskGuard;
@@ -37,6 +38,26 @@
     }
 }
 
+/// How an answer was written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Written {
+    /// Completely.
+    Whole,
+    /// Up to the point at which the upstream broke off; no answer can follow.
+    Truncated,
+}
+
+/// How a caller finds the end of a body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum BodyFraming {
+    /// By its length.
+    Length,
+    /// By the last chunk.
+    Chunked,
+    /// By the end of the connection.
+    UntilClose,
+}
+
 /// Writes the answers of one connection in order.
 pub struct AnswerWriter {
     write: OwnedWriteHalf,
@@ -50,8 +71,16 @@
         Self { write, shared, context, buffer: BytesMut::new() }
     }
 
+    /// Writes the answers to all accepted requests and ends the connection for writing once the
+    /// caller has taken them.
+    pub async fn run(&mut self, pending_answers: mpsc::Receiver<PendingAnswer>) -> io::Result<()> {
+        self.write_answers(pending_answers).await?;
+        wait_until_sent(self.write.as_ref()).await;
+        self.write.shutdown().await
+    }
+
     /// Writes the answers to all accepted requests in order, until none can follow.
-    pub async fn run(
+    async fn write_answers(
         &mut self,
         mut pending_answers: mpsc::Receiver<PendingAnswer>,
     ) -> io::Result<()> {
@@ -65,13 +94,17 @@
                 self.shared.begin_close();
             }
             let is_last = self.shared.is_last_answer();
-            self.write_reply(reply, &pending, is_last).await?;
+            if self.write_reply(reply, &pending, is_last).await? == Written::Truncated {
+                self.shared.begin_close();
+                self.shared.abandon_unanswered();
+                break;
+            }
             self.shared.record_answered();
             if is_last {
                 break;
             }
         }
-        self.write.shutdown().await
+        Ok(())
     }
 
     /// Receives the body of an answer before its head is written if further requests have been
@@ -112,16 +145,22 @@
         reply: HttpReply,
         pending: &PendingAnswer,
         is_last: bool,
-    ) -> io::Result<()> {
+    ) -> io::Result<Written> {
         let HttpReply { status, mut fields, len_bytes, body, .. } = reply;
-        let is_chunked =
-            matches!(body, ReplyBody::Streaming(_)) && len_bytes.is_none() && !pending.is_http_10;
+        let is_streamed = matches!(body, ReplyBody::Streaming(_));
+        let framing = match len_bytes {
+            Some(_) => BodyFraming::Length,
+            None if is_streamed && !pending.is_http_10 => BodyFraming::Chunked,
+            None => BodyFraming::UntilClose,
+        };
         match len_bytes {
             Some(_) if find_field(&fields, "content-length").is_some() => {}
             Some(len_bytes) => {
                 fields.push(HeaderField::new("content-length", len_bytes.to_string()));
             }
-            None if is_chunked => fields.push(HeaderField::new("transfer-encoding", "chunked")),
+            None if framing == BodyFraming::Chunked => {
+                fields.push(HeaderField::new("transfer-encoding", "chunked"));
+            }
             None => {}
         }
         if is_last {
@@ -132,28 +171,32 @@
         match body {
             ReplyBody::Buffered(bytes) if !pending.is_head => self.buffer.extend_from_slice(&bytes),
             ReplyBody::Buffered(_) | ReplyBody::None => {}
-            ReplyBody::Streaming(body) => return self.write_body(*body, is_chunked).await,
+            ReplyBody::Streaming(body) => return self.write_body(*body, framing).await,
         }
-        self.write.write_all(&self.buffer).await
+        self.write.write_all(&self.buffer).await.map(|()| Written::Whole)
     }
 
     /// Streams a body, preceded by the contents of the buffer.
-    async fn write_body(&mut self, body: StreamedBody, is_chunked: bool) -> io::Result<()> {
+    async fn write_body(
+        &mut self,
+        body: StreamedBody,
+        framing: BodyFraming,
+    ) -> io::Result<Written> {
         self.shared.record_streaming();
         let StreamedBody { received, mut rest, .. } = body;
-        self.append(&received, is_chunked);
+        self.append(&received, framing);
         loop {
             match rest.next_after_flush(self.flush()).await? {
-                Some(Ok(bytes)) => self.append(&bytes, is_chunked),
+                Some(Ok(bytes)) => self.append(&bytes, framing),
                 None => {
-                    if is_chunked {
+                    if framing == BodyFraming::Chunked {
                         self.buffer.extend_from_slice(LAST_CHUNK);
                     }
-                    return self.flush().await;
+                    return self.flush().await.map(|()| Written::Whole);
                 }
                 Some(Err(_)) => {
                     self.flush().await?;
-                    return self.reset();
+                    return self.truncate(framing).await;
                 }
             }
             if self.buffer.len() >= Self::FLUSH_THRESHOLD_BYTES {
@@ -163,8 +206,8 @@
     }
 
     /// Adds bytes of a body to the buffer.
-    fn append(&mut self, bytes: &[u8], is_chunked: bool) {
-        if is_chunked && !bytes.is_empty() {
+    fn append(&mut self, bytes: &[u8], framing: BodyFraming) {
+        if framing == BodyFraming::Chunked && !bytes.is_empty() {
             write_chunk(&mut self.buffer, bytes);
         } else {
             self.buffer.extend_from_slice(bytes);
@@ -184,11 +227,21 @@
         Ok(())
     }
 
-    /// Resets the connection, so that even an answer delimited by the end of the connection
-    /// appears truncated.
-    fn reset(&self) -> io::Result<()> {
-        let socket = SockRef::from(self.write.as_ref());
-        socket.set_linger(Some(Duration::ZERO))?;
+    /// Leaves the end of a connection that failed, or has to be reset, to its close: an end for
+    /// writing before the reset would look like the end of a whole answer.
+    pub fn abort(self) {
+        self.write.forget();
+    }
+
+    /// Ends an answer that broke off. An orderly end of the connection shows that a body with a
+    /// length or chunks is truncated, and keeps the answers in front of it. Only a reset shows it
+    /// for a body that ends with the connection; as it drops what is unsent, it waits for that.
+    async fn truncate(&self, framing: BodyFraming) -> io::Result<Written> {
+        if framing != BodyFraming::UntilClose {
+            return Ok(Written::Truncated);
+        }
+        wait_until_sent(self.write.as_ref()).await;
+        SockRef::from(self.write.as_ref()).set_linger(Some(Duration::ZERO))?;
         Err(io::Error::new(
             io::ErrorKind::UnexpectedEof,
             "the upstream ended its answer prematurely",
--- a/cuminarch-node/src/data/mod.rs
+++ b/cuminarch-node/src/data/mod.rs
@@ -13,6 +13,7 @@
 mod connections;
 mod credentials;
 mod datagrams;
+mod delivery;
 mod detached;
 mod driver;
 mod front;
--- a/cuminarch-testing/src/raw_caller.rs
+++ b/cuminarch-testing/src/raw_caller.rs
@@ -1,6 +1,8 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
+use socket2::{Domain, Socket, Type};
+
 use crate::{LIVENESS_TIMEOUT, RawAnswer};
 
 /// The caller's end of a connection: writes requests as raw bytes and parses answers
@@ -24,7 +26,26 @@
     /// Panics if the connection cannot be opened.
     #[must_use]
     pub fn connect(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).expect("failed to connect");
+        Self::new(TcpStream::connect(address).expect("failed to connect"))
+    }
+
+    /// Connects with a receive buffer of about this size, so that answers wait at the sender.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the connection cannot be opened.
+    #[must_use]
+    pub fn connect_with_window(address: SocketAddr, window_bytes: usize) -> Self {
+        let open = || {
+            let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+            socket.set_recv_buffer_size(window_bytes)?;
+            socket.connect(&address.into())?;
+            std::io::Result::Ok(TcpStream::from(socket))
+        };
+        Self::new(open().expect("failed to connect"))
+    }
+
+    fn new(stream: TcpStream) -> Self {
         stream
             .set_read_timeout(Some(LIVENESS_TIMEOUT))
             .expect("the read timeout must be above zero");
