fix(node): end a stop only once callers have taken their answers

Cause: a stop took an answer for delivered once the kernel had it, and gave callers 0.5 s to close their connections. When such a caller then sent a further request, nobody held the connection any more, and the kernel reset it and dropped the rest of the answer.

A closing connection now counts as unsent until the caller's window has taken all bytes, and a stop waits for these connections to the end of its time, the one bound for all that it waits for. Callers that have everything still get 0.5 s. Without a stop, input is read for as long as a connection may be idle. Links between nodes do the same.

--- a/cuminarch-node/src/data/connections.rs
+++ b/cuminarch-node/src/data/connections.rs
@@ -11,10 +11,11 @@
     stop: watch::Sender<bool>,
     open: Rc<Cell<usize>>,
     unanswered: Rc<Cell<usize>>,
+    unsent: Rc<Cell<usize>>,
     max_open: usize,
 }
 
-/// Tells its holder of [`Connections::stop`]; [`Connections::closed`] waits until it is dropped.
+/// Tells its holder of [`Connections::stop`]; [`Connections::is_closed`] is false until it is dropped.
 pub struct StopSignal(watch::Receiver<bool>);
 
 /// A connection that is counted until it is dropped.
@@ -22,13 +23,28 @@
     stop: StopSignal,
     open: Rc<Cell<usize>>,
     unanswered: Rc<Cell<usize>>,
+    unsent: Rc<Cell<usize>>,
 }
 
+/// Counts closing connections whose peers have not taken all bytes yet.
+#[derive(Debug)]
+pub struct UnsentCounter(Rc<Cell<usize>>);
+
+/// Counts one connection until it is dropped.
+#[derive(Debug)]
+pub struct UnsentGuard(Rc<Cell<usize>>);
+
 impl Connections {
     /// Creates an empty set that accepts at most `max_open` connections.
     pub fn new(max_open: usize) -> Self {
         let stop = watch::Sender::new(false);
-        Self { stop, open: Rc::default(), unanswered: Rc::default(), max_open }
+        Self {
+            stop,
+            open: Rc::default(),
+            unanswered: Rc::default(),
+            unsent: Rc::default(),
+            max_open,
+        }
     }
 
     /// Adds a connection. Returns `None` at the limit.
@@ -41,6 +57,7 @@
             stop: self.stop_signal(),
             open: Rc::clone(&self.open),
             unanswered: Rc::clone(&self.unanswered),
+            unsent: Rc::clone(&self.unsent),
         })
     }
 
@@ -49,6 +66,11 @@
         self.unanswered.get()
     }
 
+    /// Returns the number of closing connections whose peers have not taken all bytes yet.
+    pub fn unsent(&self) -> usize {
+        self.unsent.get()
+    }
+
     /// Signals all connections to close once they are idle.
     pub fn stop(&self) {
         self.stop.send_replace(true);
@@ -59,9 +81,9 @@
         StopSignal(self.stop.subscribe())
     }
 
-    /// Waits until all connections are closed and all signals dropped.
-    pub async fn closed(&self) {
-        self.stop.closed().await;
+    /// Returns `true` once all connections are closed and all signals dropped.
+    pub fn is_closed(&self) -> bool {
+        self.stop.is_closed()
     }
 }
 
@@ -78,12 +100,31 @@
         Rc::clone(&self.unanswered)
     }
 
+    /// Returns the counter of closing connections whose peers have not taken all bytes yet.
+    pub fn unsent(&self) -> UnsentCounter {
+        UnsentCounter(Rc::clone(&self.unsent))
+    }
+
     /// Waits until [`Connections::stop`] is called.
     pub async fn wait_for_stop(&mut self) {
         self.stop.wait().await;
     }
 }
 
+impl UnsentCounter {
+    /// Counts a connection until the guard is dropped.
+    pub fn count_one(&self) -> UnsentGuard {
+        self.0.set(self.0.get() + 1);
+        UnsentGuard(Rc::clone(&self.0))
+    }
+}
+
+impl Drop for UnsentGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.open.set(self.open.get() - 1);
--- a/cuminarch-node/src/data/front.rs
+++ b/cuminarch-node/src/data/front.rs
@@ -7,7 +7,7 @@
 
 use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use cuminarch_http::RequestHead;
@@ -38,9 +38,10 @@
 
 /// Maximum number of concurrent requests of one connection.
 const MAX_PIPELINED: usize = 32;
-/// Time limit for reading the rest of a request after the last answer, so that the caller
-/// receives the answer before the connection is reset.
-const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a caller may go on sending after the last answer.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bytes that a caller may send after the last answer, also later.
+const MAX_DISCARDED_BYTES: usize = 64 * 1024;
 
 /// Serves one HTTP connection until it ends or, after a stop signal, is idle.
 pub async fn serve_connection(
@@ -53,7 +54,9 @@
     let shared = Rc::new(ConnectionState::new(peer, connection.unanswered()));
     let (mut read, write) = stream.into_split();
     let (pending_answers, receiver) = mpsc::channel::<PendingAnswer>(MAX_PIPELINED);
-    let mut writer = AnswerWriter::new(write, Rc::clone(&shared), context.clone());
+    let idle_timeout = context.limits().idle_timeout;
+    let unsent = connection.unsent();
+    let mut writer = AnswerWriter::new(write, Rc::clone(&shared), unsent, context.clone());
     let mut reader =
         RequestReader::new(context, purpose, Rc::clone(&shared), connection, pending_answers);
     let ended = tokio::select! {
@@ -67,14 +70,26 @@
         return;
     }
     drop(writer);
-    let _ = tokio::time::timeout(LINGER_TIMEOUT, discard(&mut read)).await;
+    linger(&mut read, idle_timeout.max(DISCARD_TIMEOUT)).await;
 }
 
-/// Reads and discards input until the caller closes the connection.
-async fn discard(read: &mut OwnedReadHalf) {
+/// Reads and discards input until the caller closes the connection, for which it has as long as a
+/// connection may be idle. Input that is not read, or that arrives later, resets the connection
+/// and may take away answers that the caller has not read yet.
+async fn linger(read: &mut OwnedReadHalf, timeout: Duration) {
+    let began_at = Instant::now();
+    let mut discarded_bytes = 0;
     let mut buffer = BytesMut::with_capacity(16 * 1024);
-    while read.read_buf(&mut buffer).await.is_ok_and(|count| count > 0) {
+    loop {
+        let remaining = timeout.saturating_sub(began_at.elapsed());
+        match tokio::time::timeout(remaining, read.read_buf(&mut buffer)).await {
+            Ok(Ok(count)) if count > 0 => discarded_bytes += count,
+            _ => return,
+        }
         buffer.clear();
+        if discarded_bytes > MAX_DISCARDED_BYTES && began_at.elapsed() >= DISCARD_TIMEOUT {
+            return;
+        }
     }
 }
 
--- a/cuminarch-node/src/data/front_writer.rs
+++ b/cuminarch-node/src/data/front_writer.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::connection_state::ConnectionState;
+use super::connections::UnsentCounter;
 use super::delivery::wait_until_sent;
 use super::http_reply::{HttpReply, ReplyBody, StreamedBody};
 use super::runner::DataContext;
@@ -62,19 +63,26 @@
 pub struct AnswerWriter {
     write: OwnedWriteHalf,
     shared: Rc<ConnectionState>,
+    unsent: UnsentCounter,
     context: DataContext,
     buffer: BytesMut,
 }
 
 impl AnswerWriter {
-    pub fn new(write: OwnedWriteHalf, shared: Rc<ConnectionState>, context: DataContext) -> Self {
-        Self { write, shared, context, buffer: BytesMut::new() }
+    pub fn new(
+        write: OwnedWriteHalf,
+        shared: Rc<ConnectionState>,
+        unsent: UnsentCounter,
+        context: DataContext,
+    ) -> Self {
+        Self { write, shared, unsent, context, buffer: BytesMut::new() }
     }
 
     /// Writes the answers to all accepted requests and ends the connection for writing once the
     /// caller has taken them.
     pub async fn run(&mut self, pending_answers: mpsc::Receiver<PendingAnswer>) -> io::Result<()> {
         self.write_answers(pending_answers).await?;
+        let _unsent = self.unsent.count_one();
         wait_until_sent(self.write.as_ref()).await;
         self.write.shutdown().await
     }
--- a/cuminarch-node/src/data/link_server.rs
+++ b/cuminarch-node/src/data/link_server.rs
@@ -21,7 +21,8 @@
 
 use super::answer::Answer;
 use super::body::{BodyItem, BodyReader, RequestBody, frame_chunks};
-use super::connections::Connection;
+use super::connections::{Connection, UnsentGuard};
+use super::delivery::is_sent;
 use super::detached::execute_call;
 use super::link_hello::{
     CLOSED_BETWEEN_CALLS, known_rate_limit, link_config, opener_knows_destinations,
@@ -74,7 +75,10 @@
     loop {
         let head = tokio::select! {
             frame = receive(&mut stream) => frame,
-            () = connection.wait_for_stop() => return close_between_calls(sink.sink, stream).await,
+            () = connection.wait_for_stop() => {
+                let unsent = connection.unsent().count_one();
+                return close_between_calls(sink.sink, stream, unsent).await;
+            }
         };
         let Some(CallFrame::Head(head)) = head else { return };
         if serve_call(&context, &mut sink, &mut stream, *head).await.is_none() {
@@ -85,13 +89,23 @@
 
 /// Closes a link between calls. The close code tells the peer that a call it may have sent in
 /// the meantime was not started. Everything received is read and discarded: closing a socket
-/// with unread bytes would reset the connection before the peer receives the close frame.
-async fn close_between_calls(mut sink: Sink, mut stream: Stream) {
+/// with unread bytes would reset the connection before the peer receives the close frame, and the
+/// answers in front of it, which a peer whose caller reads slowly takes late.
+async fn close_between_calls(mut sink: Sink, stream: Stream, unsent: UnsentGuard) {
+    const CHECK_INTERVAL: Duration = Duration::from_millis(20);
     let frame = CloseFrame { code: CLOSED_BETWEEN_CALLS, reason: Utf8Bytes::default() };
     if sink.send(Message::Close(Some(frame))).await.is_err() {
         return;
     }
-    while let Some(Ok(_)) = stream.next().await {}
+    let Ok(mut socket) = sink.reunite(stream) else { return };
+    while !is_sent(socket.get_ref()) {
+        let received = tokio::time::timeout(CHECK_INTERVAL, socket.next()).await;
+        if !matches!(received, Ok(Some(Ok(_))) | Err(_)) {
+            return;
+        }
+    }
+    drop(unsent);
+    while let Some(Ok(_)) = socket.next().await {}
 }
 
 async fn receive(stream: &mut Stream) -> Option<CallFrame> {
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -33,8 +33,10 @@
 use crate::metrics::Metrics;
 use crate::{NodeError, NodeSettings};
 
-/// Time at shutdown for finished answers to reach their callers.
+/// Time at shutdown for callers to close their connections once they have taken all answers.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval at which a shutdown checks what it waits for.
+const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Listening sockets of the data thread.
 pub struct DataListeners {
@@ -186,42 +188,62 @@
 }
 
 impl ServedConnections {
+    const fn all(&self) -> [&Connections; 3] {
+        [&self.external, &self.egress, &self.lifecycle]
+    }
+
     /// Returns `true` if an answer to a caller or to the own upstream has not been written yet.
     fn has_unanswered(&self) -> bool {
         self.external.unanswered() + self.egress.unanswered() > 0
     }
+
+    /// Returns the number of closing connections whose peers have not taken all answers yet.
+    fn unsent(&self) -> usize {
+        self.all().iter().map(|connections| connections.unsent()).sum()
+    }
+
+    /// Waits until all connections are closed, at most until the deadline. A peer that has taken
+    /// all answers has [`CLOSE_TIMEOUT`] to close its connection.
+    async fn wait_until_closed(&self, deadline: Instant) {
+        let mut closable_since = Instant::now();
+        while !self.all().iter().all(|connections| connections.is_closed()) {
+            let now = Instant::now();
+            if self.unsent() > 0 {
+                closable_since = now;
+            }
+            if now >= deadline || now.duration_since(closable_since) >= CLOSE_TIMEOUT {
+                return;
+            }
+            tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
+        }
+    }
 }
 
 /// Waits until no call is in progress and all answers are written.
 async fn wait_until_answered(context: &DataContext, served: &ServedConnections) {
-    const POLL_INTERVAL: Duration = Duration::from_millis(5);
     loop {
         context.driver.wait_until_idle().await;
         if !served.has_unanswered() {
             return;
         }
-        tokio::time::sleep(POLL_INTERVAL).await;
+        tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
 }
 
-/// Waits at most `limit` for calls in progress and their answers. The local upstream can call
-/// other services until the last call has ended.
+/// Waits at most `limit` for calls in progress, and for their answers to be taken by the callers.
+/// The local upstream can call other services until the last call has ended.
 async fn shut_down(context: &DataContext, served: &ServedConnections, limit: Duration) {
     let deadline = Instant::now() + limit;
     let remaining = deadline.saturating_duration_since(Instant::now() + CLOSE_TIMEOUT);
-    if timeout(remaining, wait_until_answered(context, served)).await.is_err() {
-        let calls = context.driver.calls();
-        warn!("{} calls={calls} limit_ms={}", NodeEvent::ShutdownTimeout, limit.as_millis());
-    }
-    for connections in [&served.external, &served.egress, &served.lifecycle] {
-        connections.stop();
-    }
+    let is_answered = timeout(remaining, wait_until_answered(context, served)).await.is_ok();
+    let calls = context.driver.calls();
+    served.all().iter().for_each(|connections| connections.stop());
     // Connections that are still open after this are closed when the thread ends.
-    let closed = async {
-        for connections in [&served.external, &served.egress, &served.lifecycle] {
-            connections.closed().await;
-        }
-    };
-    let _ = timeout(CLOSE_TIMEOUT, closed).await;
+    served.wait_until_closed(deadline).await;
+    let unsent = served.unsent();
+    if !is_answered || unsent > 0 {
+        let limit_ms = limit.as_millis();
+        warn!("{} calls={calls} unsent={unsent} limit_ms={limit_ms}", NodeEvent::ShutdownTimeout);
+    }
     context.links.close_idle();
 }
