fix(membership): expect departures that the store never heard of

Cause: a new process took a store that answers from its start for proof that earlier processes had recorded there what they had acknowledged.

Now the store alone proves nothing if there was an earlier process: a member that had a link to it has to tell what it stated, or the upstream has to register once more, later and with a higher number. Besides, the departure reaches the store sooner: the first two nodes of each zone are asked to store it if the store is silent for its own node, failed writes are repeated after 0.25 s, and a process that is asked to end waits for the write within its grace period. A member no longer overwrites an object with the statement of a process that knows no upstream yet, which hid the earlier process from the third one.

--- a/cuminarch-membership/src/control_plane.rs
+++ b/cuminarch-membership/src/control_plane.rs
@@ -16,6 +16,9 @@
 
     /// Returns the state for operators.
     fn summary(&self, now: MonoTime) -> FleetSummary;
+
+    /// Returns `true` if the own upstream has left and no later process of the node would know of it.
+    fn owes_departure(&self) -> bool;
 }
 
 impl ControlPlane for Fleet {
@@ -30,6 +33,10 @@
     fn summary(&self, _: MonoTime) -> FleetSummary {
         Self::summary(self)
     }
+
+    fn owes_departure(&self) -> bool {
+        false
+    }
 }
 
 impl ControlPlane for Roster {
@@ -44,4 +51,8 @@
     fn summary(&self, now: MonoTime) -> FleetSummary {
         Self::summary(self, now)
     }
+
+    fn owes_departure(&self) -> bool {
+        Self::owes_departure(self)
+    }
 }
--- a/cuminarch-membership/src/event.rs
+++ b/cuminarch-membership/src/event.rs
@@ -5,6 +5,8 @@
 use cuminarch_types::{EndpointId, ObjectVersion, StoreEra, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use crate::PendingUpstream;
+
 /// Value of the object `members/ZONE`.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ZoneMembers {
@@ -69,8 +71,8 @@
     Misdirected(Box<Member>),
     /// The record of the own upstream changed.
     Upstream(UpstreamRecord),
-    /// The upstream would have this record if no earlier process knows better.
-    UpstreamPending(UpstreamRecord),
+    /// A registration of the own upstream waits for what earlier processes have acknowledged.
+    UpstreamPending(PendingUpstream),
     /// The own endpoint stops taking work.
     Leave,
     /// The own process is about to end.
--- a/cuminarch-membership/src/roster/backoff.rs
+++ b/cuminarch-membership/src/roster/backoff.rs
@@ -54,6 +54,13 @@
         delay.until = delay.until.max(now.after(wait));
     }
 
+    /// Delays the next call of a kind by at most `wait`.
+    pub fn shorten(&mut self, kind: CallKind, wait: Duration, now: MonoTime) {
+        if let Some(delay) = self.delays.get_mut(&kind) {
+            delay.until = delay.until.min(now.after(wait));
+        }
+    }
+
     /// Delays the next call of a kind by at least `wait`.
     pub fn delay(&mut self, kind: CallKind, wait: Duration, now: MonoTime) {
         let delay = self.delays.entry(kind).or_default();
--- a/cuminarch-membership/src/roster/gossip.rs
+++ b/cuminarch-membership/src/roster/gossip.rs
@@ -117,6 +117,7 @@
             members_digest: self.table.digest(),
             verified_age_ms: self.evidence.at().and_then(age_ms),
             store_era: self.store.era.unwrap_or_default(),
+            lacks_platform: self.owes_departure(),
             ..Heartbeat::default()
         }
     }
@@ -163,6 +164,7 @@
                 let answer = self.heartbeat(now);
                 self.send(from, ControlMessage::Ack(answer));
                 self.request_evidence(from, &heartbeat, now);
+                self.asked_to_store(from, &heartbeat, now);
                 self.compare_heartbeat(from, &heartbeat, now);
             }
             ControlMessage::Ack(heartbeat) => {
@@ -215,7 +217,7 @@
         let mut newer = Vec::new();
         for member in members {
             self.tell_history(from, member);
-            self.note_witness(member);
+            self.note_witness(member, now);
             self.merge(member, now);
             match self.table.get(&member.endpoint) {
                 Some(held) if held.supersedes(member) => newer.push(Arc::clone(held)),
--- a/cuminarch-membership/src/roster/mod.rs
+++ b/cuminarch-membership/src/roster/mod.rs
@@ -13,6 +13,7 @@
 mod evidence;
 mod first_config;
 mod gossip;
+mod owed_departure;
 mod store;
 mod upstream_history;
 
@@ -34,6 +35,7 @@
 
 use evidence::Evidence;
 use first_config::PendingConfig;
+use owed_departure::OwedDeparture;
 use store::StoreState;
 use upstream_history::UpstreamHistory;
 
@@ -68,6 +70,7 @@
     evidence_shared_at: MonoTime,
     store: StoreState,
     history: UpstreamHistory,
+    owed: OwedDeparture,
     rng: ChaCha8Rng,
     started_at: MonoTime,
     next_gossip_at: MonoTime,
@@ -106,6 +109,7 @@
             evidence_shared_at: MonoTime::ZERO,
             store,
             history: UpstreamHistory::default(),
+            owed: OwedDeparture::default(),
             rng,
             started_at: now,
             next_gossip_at: now,
@@ -128,7 +132,7 @@
             FleetEvent::StoreEra(era) => self.note_store_era(era, now),
             FleetEvent::Misdirected(member) => self.member_answered(&Arc::from(member), now),
             FleetEvent::Upstream(record) => self.upstream_changed(record, now),
-            FleetEvent::UpstreamPending(record) => self.upstream_pending(record, now),
+            FleetEvent::UpstreamPending(pending) => self.upstream_pending(pending, now),
             FleetEvent::Leave => self.announce_state(MemberState::Leaving, now),
             FleetEvent::Stop => self.announce_state(MemberState::Gone, now),
         }
@@ -183,6 +187,7 @@
         self.flush_statements();
         self.apply_pending_config(now);
         self.drive_store(now);
+        self.ask_to_store_departure(now);
         self.report_unverified_config(now);
         self.table.remove_expired_tombstones(Self::TOMBSTONE_TTL, now);
     }
@@ -290,6 +295,7 @@
         self.replace_own(own, now);
         self.store.is_own_object_current = self.store.written_upstream == self.own.upstream;
         self.drive_store(now);
+        self.ask_to_store_departure(now);
     }
 
     fn announce_state(&mut self, state: MemberState, now: MonoTime) {
--- a/cuminarch-membership/src/roster/store.rs
+++ b/cuminarch-membership/src/roster/store.rs
@@ -102,6 +102,8 @@
     const LIST_INTERVAL: Duration = Duration::from_secs(10);
     /// Interval between two reads of the members by the other nodes.
     const LIST_INTERVAL_OTHERS: Duration = Duration::from_secs(120);
+    /// Number of nodes of each zone that repair the objects of members that left.
+    pub(super) const REPAIRING_RANKS: usize = 2;
     /// Delay after the start before a node reports that it has no configuration.
     const SAFE_DEFAULTS_DELAY: Duration = Duration::from_secs(3);
 
@@ -301,6 +303,8 @@
         }
         if object.is_some_and(|object| self.matches_own_state(object)) {
             self.store.is_own_object_current = true;
+            self.store.written_upstream = self.own.upstream.clone();
+            self.report_recorded(self.own.upstream.clone().as_ref());
             return;
         }
         if version.is_none() || version == *expected {
@@ -320,8 +324,10 @@
         }
         self.merge(member, now);
         let held = self.table.get(&member.endpoint);
-        let is_outdated = held.is_some_and(|held| held.supersedes(member) && !held.takes_work());
-        let is_repairable = self.rank() == 0 && self.is_of_latest_era(version);
+        let is_outdated = held.is_some_and(|held| {
+            held.supersedes(member) && !held.takes_work() && !knows_no_upstream_yet(held)
+        });
+        let is_repairable = self.rank() < Self::REPAIRING_RANKS && self.is_of_latest_era(version);
         if is_outdated && member.takes_work() && is_repairable {
             self.store.outdated.insert(member.endpoint.clone(), version);
         }
@@ -386,9 +392,19 @@
             self.store.config_version = self.store.config_version.filter(|held| held != after);
         }
         self.store.backoffs.failed(kind, now, &mut self.rng);
+        if kind == CallKind::PutMembers && self.owes_departure() {
+            self.store.backoffs.shorten(kind, Self::OWED_RETRY_DELAY, now);
+        }
         if self.store.failures >= Self::UNAVAILABLE_AFTER_FAILURES && !self.store.is_unavailable {
             self.store.is_unavailable = true;
             self.notice(FleetNotice::PlatformUnavailable);
         }
     }
 }
+
+/// Returns `true` if a statement is of a process that runs, but has not verified its upstream.
+fn knows_no_upstream_yet(statement: &Member) -> bool {
+    let upstream = statement.upstream.as_ref();
+    statement.state < MemberState::Leaving
+        && upstream.is_some_and(|upstream| upstream.instance.is_none())
+}
--- a/cuminarch-membership/src/roster/upstream_history.rs
+++ b/cuminarch-membership/src/roster/upstream_history.rs
@@ -4,17 +4,21 @@
 //! announced its departure, and a late registration looks like a new one. It takes the upstream for
 //! ready on the first of these grounds:
 //!
-//! - The store answered from the start, so that an earlier process had recorded a departure there
-//!   before it acknowledged it. The new process writes its own object under the condition that the
-//!   object is still the one whose record it has adopted; that costs no call beside the one that a
-//!   start takes anyway.
-//! - The store did not answer, but a member had a link to the earlier process and tells what that
-//!   one stated. Members are told of a departure before it is acknowledged.
+//! - A member had a link to the earlier process and tells what that one stated. Members are told of
+//!   a departure before it is acknowledged. If the store answers, the new process then writes its
+//!   own object under the condition that the object is still the one whose record it has adopted;
+//!   that costs no call beside the one that a start takes anyway.
+//! - The store answers and knows of no earlier process, with the same write.
+//! - The store answers, no member can tell, and the upstream has registered once more, with the same
+//!   write. An earlier process may have acknowledged a departure that it could not store before it
+//!   ended. A registration that was sent before such a departure may still arrive, but a further one
+//!   follows only from an upstream that stays.
 //! - Nobody can tell, as after a loss of all processes while the store is silent. Then only
 //!   registrations count that arrive so long after the start that they were sent after it: an
 //!   upstream that had left before sends none.
 //!
-//! Departures are believed from anyone at any time.
+//! Departures are believed from anyone at any time. What remains: several registrations that were
+//! sent before the departure arrive late, in order and one by one, after all processes have ended.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,13 +27,15 @@
 use cuminarch_types::{EndpointId, MonoTime};
 
 use super::Roster;
-use crate::{FleetAction, PlatformCall};
+use crate::{FleetAction, PendingUpstream, PlatformCall};
 
 /// What is known of earlier processes, until the registrations of the upstream can be judged.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamHistory {
-    /// Record of the upstream that waits, and since when.
-    pending: Option<(UpstreamRecord, MonoTime)>,
+    /// Registration that waits.
+    pending: Option<WaitingRegistration>,
+    /// Whether there was an earlier process of the node.
+    has_predecessor: bool,
     /// Whether a member that had a link to the earlier process has told what it knows.
     has_witness: bool,
     /// First answer of the store.
@@ -37,6 +43,34 @@
     is_settled: bool,
 }
 
+/// The first registration of a lifetime, and whether another has followed.
+#[derive(Clone, Debug)]
+struct WaitingRegistration {
+    record: UpstreamRecord,
+    sequence: Option<u64>,
+    received_at: MonoTime,
+    is_confirmed: bool,
+}
+
+impl WaitingRegistration {
+    /// Shortest time between a registration and the next one. Those that arrive sooner may have been
+    /// held up together.
+    const MIN_INTERVAL: Duration = Duration::from_millis(300);
+
+    fn new(pending: PendingUpstream, now: MonoTime) -> Self {
+        let PendingUpstream { record, sequence } = pending;
+        Self { record, sequence, received_at: now, is_confirmed: false }
+    }
+
+    /// Takes note of a further registration of the same lifetime.
+    fn update(&mut self, further: PendingUpstream, now: MonoTime) {
+        let is_later = further.sequence.is_some() && further.sequence > self.sequence;
+        self.is_confirmed |= is_later && now.since(self.received_at) >= Self::MIN_INTERVAL;
+        self.sequence = self.sequence.max(further.sequence);
+        self.record = further.record;
+    }
+}
+
 impl UpstreamHistory {
     /// Notes that the store has answered.
     pub(super) fn store_answered(&mut self, now: MonoTime) {
@@ -51,11 +85,13 @@
     const MAX_REGISTRATION_DELAY: Duration = Duration::from_secs(5);
 
     /// Finds out whether the upstream of a registration may be taken for ready.
-    pub(super) fn upstream_pending(&mut self, record: UpstreamRecord, now: MonoTime) {
-        let pending = self.history.pending.as_ref();
-        let since = pending.map_or(now, |(_, since)| *since);
-        if pending.is_none_or(|(pending, _)| pending.started_at_ms <= record.started_at_ms) {
-            self.history.pending = Some((record, since));
+    pub(super) fn upstream_pending(&mut self, pending: PendingUpstream, now: MonoTime) {
+        match &mut self.history.pending {
+            Some(waiting) if waiting.record.lifetime() == pending.record.lifetime() => {
+                waiting.update(pending, now);
+            }
+            Some(waiting) if waiting.record.started_at_ms > pending.record.started_at_ms => {}
+            waiting => *waiting = Some(WaitingRegistration::new(pending, now)),
         }
         self.drive_store(now);
     }
@@ -65,16 +101,19 @@
         if self.history.is_settled {
             return;
         }
-        let waits_for_store = self.trusts_store() && self.history.pending.is_some();
-        if now.since(self.started_at) >= Self::MAX_REGISTRATION_DELAY && !waits_for_store {
+        let history = &self.history;
+        let is_confirmed = history.pending.as_ref().is_some_and(|pending| pending.is_confirmed);
+        let is_vouched = history.has_witness || !history.has_predecessor || is_confirmed;
+        let may_write = self.trusts_store() && history.pending.is_some() && is_vouched;
+        if now.since(self.started_at) >= Self::MAX_REGISTRATION_DELAY && !may_write {
             return self.forgo_history();
         }
-        let Some((pending, since)) = &self.history.pending else { return };
-        let has_waited = now.since(*since) >= Self::HISTORY_TIMEOUT;
-        if has_waited && self.history.has_witness {
+        let Some(pending) = &history.pending else { return };
+        let has_waited = now.since(pending.received_at) >= Self::HISTORY_TIMEOUT;
+        if has_waited && history.has_witness {
             self.complete_history();
-        } else if waits_for_store && self.store.is_listed {
-            self.write_pending(&pending.clone(), now);
+        } else if may_write && self.store.is_listed {
+            self.write_pending(&pending.record.clone(), now);
         }
     }
 
@@ -96,7 +135,7 @@
 
     /// Notes that the own object was written.
     pub(super) fn confirm_history(&mut self) {
-        let pending = self.history.pending.as_ref().map(|(record, _)| record);
+        let pending = self.history.pending.as_ref().map(|pending| &pending.record);
         if pending.is_some() && pending == self.store.written_upstream.as_ref() {
             self.complete_history();
         }
@@ -119,9 +158,10 @@
     /// Adopts what a statement about this node says of its upstream. A host that had the same name
     /// and another service says nothing about this one.
     pub(super) fn adopt_history(&mut self, member: &Member) {
+        self.history.has_predecessor |= self.is_of_earlier_process(member);
         let Some(upstream) = self.earlier_upstream(member).cloned() else { return };
         let has_departed = upstream.state > UpstreamState::Ready;
-        let pending = self.history.pending.as_ref().map(|(record, _)| record.lifetime());
+        let pending = self.history.pending.as_ref().map(|pending| pending.record.lifetime());
         let is_pending = pending == Some(upstream.lifetime());
         self.actions.push(FleetAction::UpstreamHistory(Box::new(upstream)));
         if has_departed && is_pending {
@@ -131,20 +171,26 @@
 
     /// Returns what a statement of an earlier process of this node says of its upstream.
     fn earlier_upstream<'a>(&self, member: &'a Member) -> Option<&'a UpstreamRecord> {
-        let is_earlier = member.endpoint == self.own.endpoint
-            && member.service == self.own.service
-            && member.incarnation != self.own.incarnation;
-        let upstream = member.upstream.as_ref().filter(|_| is_earlier)?;
+        let upstream = member.upstream.as_ref().filter(|_| self.is_of_earlier_process(member))?;
         upstream.instance.is_some().then_some(upstream)
     }
 
-    /// Notes that a member had a link to the earlier process: only then does it know that the process
-    /// has gone. Others may know no more than the store.
-    pub(super) fn note_witness(&mut self, statement: &Member) {
-        self.history.has_witness |= statement.endpoint == self.own.endpoint
+    /// Returns `true` if a statement is of an earlier process of this node.
+    fn is_of_earlier_process(&self, statement: &Member) -> bool {
+        statement.endpoint == self.own.endpoint
             && statement.service == self.own.service
             && statement.incarnation != self.own.incarnation
-            && statement.state == MemberState::Gone;
+    }
+
+    /// Notes that a member had a link to the earlier process: only then does it know that the process
+    /// has gone. Others may know no more than the store.
+    pub(super) fn note_witness(&mut self, statement: &Member, now: MonoTime) {
+        let is_witness =
+            self.is_of_earlier_process(statement) && statement.state == MemberState::Gone;
+        if is_witness && !std::mem::replace(&mut self.history.has_witness, true) {
+            self.adopt_history(statement);
+            self.verify_history(now);
+        }
     }
 
     /// Tells a new process of a member what an earlier one has stated about its upstream, before the
--- a/cuminarch-membership/src/upstream_tracker.rs
+++ b/cuminarch-membership/src/upstream_tracker.rs
@@ -2,7 +2,7 @@
 
 use cuminarch_protocol::{UpstreamLifetime, UpstreamRecord, UpstreamState};
 
-use crate::Registration;
+use crate::{PendingUpstream, Registration};
 
 /// Tracks the registrations of one upstream, which may arrive late, duplicated or
 /// out of order. An incarnation goes from ready to draining to absent, never back.
@@ -115,13 +115,14 @@
         }
     }
 
-    /// Returns the record that the latest registration would lead to, while it waits for the history.
+    /// Returns the latest registration of the latest lifetime that waits for the history.
     #[must_use]
-    pub fn pending_record(&self) -> Option<UpstreamRecord> {
+    pub fn pending_upstream(&self) -> Option<PendingUpstream> {
         let registration = self.pending.iter().max_by_key(|pending| pending.started_at_ms)?;
         let instance = registration.instance.clone();
         let started_at_ms = registration.started_at_ms?;
-        Some(new_record(registration, UpstreamLifetime { instance, started_at_ms }))
+        let record = new_record(registration, UpstreamLifetime { instance, started_at_ms });
+        Some(PendingUpstream { record, sequence: registration.sequence })
     }
 
     /// Applies what an earlier process knew about the upstream. Returns the record if it changed.
--- a/cuminarch-node/src/control/thread.rs
+++ b/cuminarch-node/src/control/thread.rs
@@ -1,6 +1,6 @@
 use std::net::TcpListener;
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use cuminarch_membership::{
@@ -43,8 +43,8 @@
     pub member_reports: Receiver<MemberReport>,
     /// Receives a message when the node accepts no new calls.
     pub leave: Receiver<()>,
-    /// Is closed when the node's calls have ended.
-    pub stop: Receiver<()>,
+    /// Receives a message when the node's calls have ended, with the time until the process ends.
+    pub stop: Receiver<Duration>,
     /// Queries of the admin thread.
     pub queries: Receiver<FleetQuery>,
 }
@@ -55,7 +55,10 @@
     Link(LinkEvent),
     Accepted(TcpStream),
     Query(FleetQuery),
-    Stop,
+    /// The node ends within this time.
+    Stop(Duration),
+    /// A channel has closed.
+    Disconnected,
 }
 
 /// The state machine and its inputs and outputs.
@@ -94,41 +97,53 @@
             running.handle(FleetEvent::Platform(PlatformCall::ListMembers, reply)).await;
         }
         let mut is_leaving = false;
-        loop {
+        let mut ends_at = None;
+        // A process that is asked to end stores an acknowledged departure first.
+        while ends_at.is_none_or(|at| running.fleet.owes_departure() && Instant::now() < at) {
             let wake = tokio::select! {
-                closed = self.stop.recv_async() => { let _ = closed; Wake::Stop }
+                limit = self.stop.recv_async(), if ends_at.is_none() => {
+                    limit.map_or(Wake::Disconnected, Wake::Stop)
+                }
                 received = self.leave.recv_async(), if !is_leaving => {
                     is_leaving = true;
-                    if received.is_err() { Wake::Stop } else { Wake::Fleet(FleetEvent::Leave) }
+                    if received.is_err() {
+                        Wake::Disconnected
+                    } else {
+                        Wake::Fleet(FleetEvent::Leave)
+                    }
                 }
                 tick = self.ticks.recv_async() => {
-                    if tick.is_err() { Wake::Stop } else { Wake::Fleet(FleetEvent::Tick) }
+                    if tick.is_err() { Wake::Disconnected } else { Wake::Fleet(FleetEvent::Tick) }
                 }
                 reply = replies.recv_async() => match reply {
                     Ok(event) => Wake::Fleet(event),
-                    Err(_) => Wake::Stop,
+                    Err(_) => Wake::Disconnected,
                 },
                 Ok(report) = self.member_reports.recv_async() => Wake::Fleet(match report {
                     MemberReport::Upstream(record) => FleetEvent::Upstream(record),
-                    MemberReport::UpstreamPending(record) => FleetEvent::UpstreamPending(record),
+                    MemberReport::UpstreamPending(pending) => FleetEvent::UpstreamPending(pending),
                     MemberReport::Misdirected(member) => FleetEvent::Misdirected(member),
                 }),
                 Some(event) = link_events.recv() => Wake::Link(event),
                 Ok((stream, _)) = listener.accept() => Wake::Accepted(stream),
                 Ok(query) = self.queries.recv_async() => Wake::Query(query),
             };
-            if !running.handle_wake(wake).await {
-                break;
+            match wake {
+                Wake::Stop(limit) => ends_at = Some(Instant::now() + limit),
+                Wake::Disconnected => break,
+                wake => running.handle_wake(wake).await,
             }
         }
+        if running.fleet.owes_departure() {
+            warn!("{} at the end of the process", NodeEvent::DepartureUnrecorded);
+        }
         running.handle(FleetEvent::Stop).await;
         tokio::time::sleep(Self::FINAL_SEND_DELAY).await;
     }
 }
 
 impl ControlLoop {
-    /// Returns `true` if the loop continues.
-    async fn handle_wake(&mut self, wake: Wake) -> bool {
+    async fn handle_wake(&mut self, wake: Wake) {
         match wake {
             Wake::Fleet(event) => {
                 if event == FleetEvent::Tick {
@@ -144,9 +159,8 @@
             Wake::Query(query) => {
                 let _ = query.try_send(self.fleet.summary(self.clock.now()));
             }
-            Wake::Stop => return false,
+            Wake::Stop(_) | Wake::Disconnected => {}
         }
-        true
     }
 
     async fn link_event(&mut self, event: LinkEvent) {
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -12,7 +12,7 @@
 use cuminarch_engine::{
     Action, AllotmentNotice, Arrival, ClaimResult, Engine, Event, QuarantineNotice,
 };
-use cuminarch_membership::{Registration, UpstreamTracker};
+use cuminarch_membership::{PendingUpstream, Registration, UpstreamTracker};
 use cuminarch_once::BoundKey;
 use cuminarch_protocol::{Member, UpstreamLifetime, UpstreamRecord, UpstreamSignals};
 use cuminarch_routing::Target;
@@ -176,9 +176,9 @@
         self.update_upstream(|tracker| tracker.apply(registration).cloned())
     }
 
-    /// Returns the record of the local upstream that waits for what an earlier process knew.
-    pub fn pending_upstream(&self) -> Option<UpstreamRecord> {
-        self.shared.upstream.borrow().pending_record()
+    /// Returns the registration of the local upstream that waits for what an earlier process knew.
+    pub fn pending_upstream(&self) -> Option<PendingUpstream> {
+        self.shared.upstream.borrow().pending_upstream()
     }
 
     /// Makes the upstream count as ready only once it is known what an earlier process of the node
--- a/cuminarch-node/src/data/member_report.rs
+++ b/cuminarch-node/src/data/member_report.rs
@@ -1,3 +1,4 @@
+use cuminarch_membership::PendingUpstream;
 use cuminarch_protocol::{Member, UpstreamRecord};
 
 /// What the data thread reports to the control thread.
@@ -5,8 +6,8 @@
 pub enum MemberReport {
     /// The local upstream changed.
     Upstream(UpstreamRecord),
-    /// The local upstream would have this record if no earlier process of the node knows better.
-    UpstreamPending(UpstreamRecord),
+    /// A registration of the local upstream waits for what earlier processes have acknowledged.
+    UpstreamPending(PendingUpstream),
     /// A node refused a call that was meant for another endpoint and stated this about itself.
     Misdirected(Box<Member>),
 }
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -11,6 +11,7 @@
 use cuminarch_config::Route;
 use cuminarch_engine::{Action, Arrival, Refusal, RefusalReason};
 use cuminarch_http::find_field;
+use cuminarch_membership::PendingUpstream;
 use cuminarch_once::StoredAnswer;
 use cuminarch_protocol::{AnswerHead, HeaderField, Member, Receipt, RoutedCall, UpstreamRecord};
 use cuminarch_quarantine::RequestParts;
@@ -85,9 +86,9 @@
         self.publish_upstream(record);
     }
 
-    /// Reports the record of the local upstream that waits for what an earlier process knew.
-    pub fn publish_pending(&self, record: UpstreamRecord) {
-        self.report(MemberReport::UpstreamPending(record));
+    /// Reports a registration of the local upstream that waits for what an earlier process knew.
+    pub fn publish_pending(&self, pending: PendingUpstream) {
+        self.report(MemberReport::UpstreamPending(pending));
     }
 
     /// Reports the statement of a node that refused a call as not meant for it.
--- a/cuminarch-node/src/node.rs
+++ b/cuminarch-node/src/node.rs
@@ -2,7 +2,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use cuminarch_config::Policy;
 use cuminarch_engine::{Engine, EngineSettings};
@@ -86,7 +86,7 @@
     commands: Ring<DataCommand>,
     claims: Ring<ClaimRequest>,
     leave: Ring<()>,
-    stop: Ring<()>,
+    stop: Ring<Duration>,
     queries: Ring<FleetQuery>,
     member_reports: Ring<MemberReport>,
 }
@@ -117,7 +117,7 @@
     duties: Duties,
     duty_errors: Receiver<DutyError>,
     leave: Sender<()>,
-    stop: Sender<()>,
+    stop: Sender<Duration>,
     data: JoinHandle<()>,
     control: JoinHandle<()>,
     shutdown: ShutdownLimits,
@@ -260,6 +260,7 @@
     /// calls in flight, at most for the configured timeout.
     pub fn shutdown(self) {
         info!("{}", NodeEvent::Draining);
+        let began_at = Instant::now();
         let ShutdownLimits { timeout, linger } = self.shutdown;
         // Sending fails only if the data thread has ended, which is already reported as an error.
         let _ = self.commands.send(DataCommand::Leave { linger, timeout });
@@ -269,7 +270,7 @@
         self.duties.begin_shutdown();
         let _ = self.commands.send(DataCommand::Stop(timeout - linger));
         let _ = self.data.join();
-        drop(self.stop);
+        let _ = self.stop.send(timeout.saturating_sub(began_at.elapsed()));
         let _ = self.control.join();
         self.admin.stop();
         info!("{}", NodeEvent::Stopped);
--- a/cuminarch-protocol/src/control.rs
+++ b/cuminarch-protocol/src/control.rs
@@ -38,7 +38,8 @@
     /// Zones in which the sender, a relay, reaches no relay.
     #[serde(default, rename = "c", skip_serializing_if = "Vec::is_empty")]
     pub cut_zones: Vec<ZoneName>,
-    /// Whether the sender, a relay, cannot reach the platform.
+    /// Whether the sender, a relay, cannot reach the platform; without relays, whether the sender has
+    /// not been able to store there that its upstream has left.
     #[serde(default, rename = "p", skip_serializing_if = "is_false")]
     pub lacks_platform: bool,
     /// Progress of the configuration at the members that the sender, a relay, serves; sent to the
