fix(config): let an empty list of accounts close all routes that need a key

Cause: the adapter, the sheet and the index of accounts had one value for a list that is absent and one that is empty, and took it for "no key is needed". Absent and empty now differ from the manifest to the index, also in sheets that nodes pass on. The same cause made a rule with an empty list of services or methods cover all of them; it covers none now, and the operator program refuses it.

--- a/cuminarch-bench/src/decisions/system.rs
+++ b/cuminarch-bench/src/decisions/system.rs
@@ -178,8 +178,8 @@
         });
         let rules = self.kinds.iter().map(|kind| RuleEntry {
             class: class(kind),
-            services: Vec::new(),
-            methods: Vec::new(),
+            services: None,
+            methods: None,
             path: format!("/{}/**", kind.name).into(),
             idempotent: !kind.is_protected,
         });
--- a/cuminarch-cli/src/commands/apply.rs
+++ b/cuminarch-cli/src/commands/apply.rs
@@ -136,7 +136,7 @@
 ) -> Result<(), CliError> {
     let Ok(members) = read_members(store) else { return Ok(()) };
     let announced: BTreeSet<&ServiceName> = members.iter().map(|member| &member.service).collect();
-    let named = sheet.rules.iter().flat_map(|rule| &rule.services);
+    let named = sheet.rules.iter().flat_map(|rule| rule.services.iter().flatten());
     for service in named.filter(|service| !announced.is_empty() && !announced.contains(*service)) {
         session
             .print_message(&format_args!("warning: no endpoint has announced service {service}"))?;
--- a/cuminarch-cli/src/redaction.rs
+++ b/cuminarch-cli/src/redaction.rs
@@ -17,7 +17,8 @@
     /// Finds the keys in sheets. A text that is no sheet has none.
     pub(crate) fn of_sheets(texts: [&str; 2]) -> Self {
         let sheets = texts.into_iter().filter_map(|text| Sheet::parse(text).ok());
-        let keys = sheets.flat_map(|sheet| sheet.accounts).flat_map(|account| account.keys);
+        let keys =
+            sheets.filter_map(|sheet| sheet.accounts).flatten().flat_map(|account| account.keys);
         let mut numbers = BTreeMap::new();
         for key in keys.map(CompactString::from) {
             let number = numbers.len() + 1;
--- a/cuminarch-config/src/accounts.rs
+++ b/cuminarch-config/src/accounts.rs
@@ -47,8 +47,8 @@
     holders: Vec<(CredentialDigest, usize)>,
     /// Keys of accounts that were set aside.
     set_aside_keys: BTreeSet<CredentialDigest>,
-    /// Whether any account was set aside.
-    has_set_aside: bool,
+    /// Whether the sheet has a list of accounts, or any account was set aside.
+    requires_key: bool,
 }
 
 impl Account {
@@ -68,11 +68,13 @@
 
 impl AccountIndex {
     pub(crate) fn new(
-        entries: &[AccountEntry],
+        entries: Option<&[AccountEntry]>,
         classes: &BTreeMap<&ClassName, Rule>,
         order: &ClassOrder,
         digest_seed: u64,
     ) -> Self {
+        let requires_key = entries.is_some();
+        let entries = entries.unwrap_or_default();
         let of_accounts: BTreeMap<&ClassName, Arc<AccountClass>> = classes
             .iter()
             .map(|(name, rule)| {
@@ -92,8 +94,7 @@
             .map(|(key, position)| (CredentialDigest::new(key.as_bytes(), digest_seed), position))
             .collect();
         holders.sort_unstable();
-        let (set_aside_keys, has_set_aside) = (BTreeSet::new(), false);
-        Self { digest_seed, accounts, holders, set_aside_keys, has_set_aside }
+        Self { digest_seed, accounts, holders, set_aside_keys: BTreeSet::new(), requires_key }
     }
 
     /// Adds the keys of accounts that were set aside.
@@ -101,14 +102,14 @@
         let keys = entries.iter().flat_map(|entry| &entry.keys);
         let digests = keys.map(|key| CredentialDigest::new(key.as_bytes(), self.digest_seed));
         self.set_aside_keys = digests.collect();
-        self.has_set_aside = entries.iter().any(|entry| entry.is_account);
+        self.requires_key |= entries.iter().any(|entry| entry.is_account);
         self
     }
 
-    /// Returns `true` if there are no accounts, so that requests need no key.
+    /// Returns `true` if requests need a key, also if there is no valid one.
     #[must_use]
-    pub const fn is_empty(&self) -> bool {
-        self.accounts.is_empty() && !self.has_set_aside
+    pub const fn requires_key(&self) -> bool {
+        self.requires_key
     }
 
     /// Returns `true` if a key belongs to an account that was set aside, and to no other.
@@ -120,7 +121,7 @@
 
     /// Returns the number of accounts.
     #[must_use]
-    pub const fn len(&self) -> usize {
+    pub const fn count(&self) -> usize {
         self.accounts.len()
     }
 
--- a/cuminarch-config/src/accounts/tests.rs
+++ b/cuminarch-config/src/accounts/tests.rs
@@ -22,8 +22,12 @@
 
 #[test]
 fn a_look_up_among_5000_accounts_compares_no_more_than_a_binary_search() {
-    let index =
-        AccountIndex::new(&entries(), &BTreeMap::new(), &ClassOrder::new(&Sheet::default()), 7);
+    let index = AccountIndex::new(
+        Some(&entries()),
+        &BTreeMap::new(),
+        &ClassOrder::new(&Sheet::default()),
+        7,
+    );
     let limit = (ACCOUNTS * KEYS_PER_ACCOUNT).ilog2() + 2;
     for account in 0..ACCOUNTS {
         for key in 0..=KEYS_PER_ACCOUNT {
--- a/cuminarch-config/src/check.rs
+++ b/cuminarch-config/src/check.rs
@@ -139,19 +139,21 @@
 
     fn check_rule(&mut self, index: usize, entry: &RuleEntry) {
         let path = |key: &str| format!("rules[{index}].{key}");
-        self.check_duplicates(&path("services"), entry.services.iter().map(ServiceName::as_str));
+        let services = entry.services.as_deref().unwrap_or_default();
+        let methods = entry.methods.as_deref().unwrap_or_default();
+        self.check_duplicates(&path("services"), services.iter().map(ServiceName::as_str));
         self.check_duplicates(
             &path("methods"),
-            entry.methods.iter().map(compact_str::CompactString::as_str),
+            methods.iter().map(compact_str::CompactString::as_str),
         );
         let declared = &self.sheet.services;
-        for (position, service) in entry.services.iter().enumerate() {
+        for (position, service) in services.iter().enumerate() {
             if !declared.is_empty() && !declared.contains(service) {
                 let kind = DiagnosticKind::UnknownService { service: service.clone() };
                 self.report(format!("rules[{index}].services[{position}]"), kind);
             }
         }
-        for (position, method) in entry.methods.iter().enumerate() {
+        for (position, method) in methods.iter().enumerate() {
             let is_method = !method.is_empty()
                 && method.bytes().all(|byte| byte.is_ascii_uppercase() || byte == b'-');
             if !is_method {
@@ -235,7 +237,7 @@
         }
         let mut used: BTreeSet<&ClassName> = sheet.rules.iter().map(|rule| &rule.class).collect();
         used.extend(sheet.routes.iter().map(|route| &route.class));
-        used.extend(sheet.accounts.iter().filter_map(|account| account.class.as_ref()));
+        used.extend(sheet.account_entries().iter().filter_map(|account| account.class.as_ref()));
         used.insert(default);
         for (index, entry) in sheet.classes.iter().enumerate() {
             if !used.contains(&entry.name) {
--- a/cuminarch-config/src/check_accounts.rs
+++ b/cuminarch-config/src/check_accounts.rs
@@ -9,7 +9,7 @@
 
 impl Checker<'_> {
     pub(crate) fn check_accounts(&mut self) {
-        let accounts = &self.sheet.accounts;
+        let accounts = self.sheet.account_entries();
         let mut first_indexes: BTreeMap<&AccountName, usize> = BTreeMap::new();
         let mut first_paths: BTreeMap<&ApiKey, String> = BTreeMap::new();
         for (index, entry) in accounts.iter().enumerate() {
--- a/cuminarch-config/src/class_order.rs
+++ b/cuminarch-config/src/class_order.rs
@@ -93,7 +93,7 @@
             names.map(|(position, class)| (class.name.clone(), position)).collect();
         let position_of = |class: &ClassName| positions.get(class).copied();
         let of_accounts: BTreeSet<Option<usize>> = sheet
-            .accounts
+            .account_entries()
             .iter()
             .map(|account| account.class.as_ref().and_then(position_of))
             .collect();
--- a/cuminarch-config/src/confine.rs
+++ b/cuminarch-config/src/confine.rs
@@ -7,12 +7,14 @@
 
 use crate::check::check;
 use crate::decode::DecodedSheet;
-use crate::{Diagnostic, SetAsideEntry, Severity, Sheet, SheetError};
+use crate::{AccountEntry, Diagnostic, DiagnosticKind, SetAsideEntry, Severity, Sheet, SheetError};
 
 /// A part of a sheet to which an error can be confined, by positions in its lists.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Part {
     Route(usize),
+    /// The list of accounts, which could not be read.
+    Accounts,
     Account(usize),
     /// Account, and key of that account.
     Key(usize, usize),
@@ -21,6 +23,9 @@
 impl Part {
     /// Returns the part to which the error at a path belongs, unless it concerns the whole sheet.
     fn of_path(path: &str) -> Option<Self> {
+        if path == "accounts" {
+            return Some(Self::Accounts);
+        }
         let (list, rest) = path.split_once('[')?;
         let (index, rest) = rest.split_once(']')?;
         let index = index.parse().ok()?;
@@ -52,8 +57,11 @@
     confined.set_aside_undecoded(diagnostics)?;
     loop {
         let errors = check(&confined.sheet).into_iter();
-        let errors: Vec<Diagnostic> =
-            errors.filter(|found| found.severity() == Severity::Error).collect();
+        let errors = errors.filter(|found| found.severity() == Severity::Error);
+        // In an accepted sheet, a rule that covers nothing does no harm.
+        let is_harmful =
+            |error: &Diagnostic| !matches!(error.kind, DiagnosticKind::NeverMatches { .. });
+        let errors: Vec<Diagnostic> = errors.filter(is_harmful).collect();
         if errors.is_empty() {
             return Ok(confined.sheet);
         }
@@ -73,6 +81,7 @@
                         None => self.add(format!("routes[{index}]"), reason, false),
                     }
                 }
+                Part::Accounts => self.add("accounts".to_owned(), reason, true),
                 Part::Account(index) => {
                     match self.account_indexes.iter().position(|kept| *kept == index) {
                         Some(position) => self.set_account_aside(position, &reason),
@@ -94,10 +103,11 @@
         for (part, reason) in parts_of(errors)?.into_iter().rev() {
             match part {
                 Part::Route(position) => self.set_route_aside(position, &reason),
+                Part::Accounts => self.add("accounts".to_owned(), reason, true),
                 Part::Account(position) => self.set_account_aside(position, &reason),
                 Part::Key(position, key) => {
                     let index = self.account_indexes[position];
-                    self.sheet.accounts[position].keys.remove(key);
+                    self.accounts()[position].keys.remove(key);
                     self.add(format!("accounts[{index}].keys[{key}]"), reason, true);
                 }
             }
@@ -117,9 +127,13 @@
         self.sheet.set_aside.push(entry.with_route(route.host, route.prefix));
     }
 
+    fn accounts(&mut self) -> &mut Vec<AccountEntry> {
+        self.sheet.accounts.get_or_insert_default()
+    }
+
     fn set_account_aside(&mut self, position: usize, reason: &str) {
         let index = self.account_indexes.remove(position);
-        let account = self.sheet.accounts.remove(position);
+        let account = self.accounts().remove(position);
         let entry = SetAsideEntry::new(format!("accounts[{index}]"), reason);
         self.sheet.set_aside.push(entry.with_keys(account.keys));
     }
--- a/cuminarch-config/src/decode.rs
+++ b/cuminarch-config/src/decode.rs
@@ -138,7 +138,7 @@
         let routes = self.list(&fields, "routes", Self::route);
         let limits = self.optional(&fields, "caller_limits");
         let caller_limits = limits.and_then(|(path, node)| self.caller_limits(&path, node));
-        let accounts = self.list(&fields, "accounts", Self::account);
+        let accounts = self.optional_list(&fields, "accounts", Self::account);
         let set_aside = self.list(&fields, "set_aside", Self::set_aside_entry);
         Sheet {
             services,
@@ -291,8 +291,8 @@
     fn rule(&mut self, path: &str, node: &Node) -> Option<RuleEntry> {
         let fields = self.fields(path, node, RULE_KEYS)?;
         let class: Option<ClassName> = self.required_name(&fields, "class");
-        let services = self.list(&fields, "services", Self::name);
-        let methods = self.list(&fields, "methods", Self::text);
+        let services = self.optional_list(&fields, "services", Self::name);
+        let methods = self.optional_list(&fields, "methods", Self::text);
         let pattern = self.required(&fields, "path");
         let pattern = pattern.and_then(|(path, node)| self.text(&path, node));
         let idempotent = self.required(&fields, "idempotent");
@@ -312,10 +312,18 @@
         key: &str,
         decode_item: impl Fn(&mut Self, &str, &Node) -> Option<T>,
     ) -> Vec<T> {
-        match self.optional(fields, key) {
-            Some((path, node)) => self.items(&path, node, decode_item),
-            None => Vec::new(),
-        }
+        self.optional_list(fields, key, decode_item).unwrap_or_default()
+    }
+
+    /// Returns `None` if the list is absent, which differs from an empty one.
+    fn optional_list<T>(
+        &mut self,
+        fields: &Fields<'_>,
+        key: &str,
+        decode_item: impl Fn(&mut Self, &str, &Node) -> Option<T>,
+    ) -> Option<Vec<T>> {
+        let (path, node) = self.optional(fields, key)?;
+        Some(self.items(&path, node, decode_item))
     }
 
     fn items<T>(
--- a/cuminarch-config/src/index.rs
+++ b/cuminarch-config/src/index.rs
@@ -25,14 +25,14 @@
 
 impl RuleIndex {
     pub(crate) fn new(matchers: &[Matcher]) -> Self {
-        let named_services = matchers.iter().flat_map(|matcher| &matcher.services);
+        let named_services = matchers.iter().flat_map(|matcher| matcher.services.iter().flatten());
         let by_service = named_services
             .map(|service| {
                 let is_covered = |matcher: &Matcher| matcher.covers_service(service);
                 (service.clone(), PathIndex::new(matchers, is_covered))
             })
             .collect();
-        let any_service = PathIndex::new(matchers, |matcher| matcher.services.is_empty());
+        let any_service = PathIndex::new(matchers, |matcher| matcher.services.is_none());
         Self { by_service, any_service }
     }
 
--- a/cuminarch-config/src/policy.rs
+++ b/cuminarch-config/src/policy.rs
@@ -49,8 +49,10 @@
 /// A rule and the conditions that select its requests.
 #[derive(Clone, Debug)]
 pub(crate) struct Matcher {
-    pub services: Vec<ServiceName>,
-    pub methods: Vec<CompactString>,
+    /// Covers all services if there is no list.
+    pub services: Option<Vec<ServiceName>>,
+    /// Covers all methods if there is no list.
+    pub methods: Option<Vec<CompactString>>,
     pub path: PathPattern,
     pub rule: Rule,
 }
@@ -140,9 +142,10 @@
         }
         policy.set_routes_aside(&sheet.set_aside);
         policy.caller_limits = sheet.caller_limits;
-        policy.accounts = AccountIndex::new(&sheet.accounts, &classes, &order, digest_seed)
-            .with_set_aside(&sheet.set_aside);
-        policy.allotments = allotments(&sheet.accounts);
+        policy.accounts =
+            AccountIndex::new(sheet.accounts.as_deref(), &classes, &order, digest_seed)
+                .with_set_aside(&sheet.set_aside);
+        policy.allotments = allotments(sheet.account_entries());
         policy.top_priority = order.top();
         Ok(policy)
     }
@@ -353,10 +356,11 @@
     }
 
     pub(crate) fn covers_service(&self, service: &ServiceName) -> bool {
-        self.services.is_empty() || self.services.contains(service)
+        self.services.as_ref().is_none_or(|services| services.contains(service))
     }
 
     pub(crate) fn covers_method(&self, method: &str) -> bool {
-        self.methods.is_empty() || self.methods.iter().any(|name| name == method)
+        let methods = self.methods.as_ref();
+        methods.is_none_or(|methods| methods.iter().any(|name| name == method))
     }
 }
--- a/cuminarch-config/src/sheet.rs
+++ b/cuminarch-config/src/sheet.rs
@@ -35,12 +35,12 @@
 pub struct RuleEntry {
     /// Class of the requests.
     pub class: ClassName,
-    /// Services that the rule covers; empty means all.
-    #[serde(default)]
-    pub services: Vec<ServiceName>,
-    /// Methods that the rule covers; empty means all.
-    #[serde(default)]
-    pub methods: Vec<CompactString>,
+    /// Services that the rule covers; all if the list is absent, none if it is empty.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub services: Option<Vec<ServiceName>>,
+    /// Methods that the rule covers; all if the list is absent, none if it is empty.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub methods: Option<Vec<CompactString>>,
     /// Path pattern: `*` matches one segment, a final `**` any further segments.
     pub path: CompactString,
     /// Whether a request may run more than once without harm.
@@ -67,9 +67,9 @@
     /// Limits on callers' requests; if absent, those of the node's settings apply.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub caller_limits: Option<CallerLimits>,
-    /// Client accounts; if there are none, requests need no key.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub accounts: Vec<AccountEntry>,
+    /// Client accounts. Without the list, requests need no key; if it is empty, no key is valid.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accounts: Option<Vec<AccountEntry>>,
     /// Entries of the operators' configuration that could not be converted; written by adapters.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub set_aside: Vec<SetAsideEntry>,
@@ -104,13 +104,19 @@
             default_class: default_class(),
             routes: Vec::new(),
             caller_limits: None,
-            accounts: Vec::new(),
+            accounts: None,
             set_aside: Vec::new(),
         }
     }
 }
 
 impl Sheet {
+    /// Returns the client accounts; none if the list is absent.
+    #[must_use]
+    pub fn account_entries(&self) -> &[AccountEntry] {
+        self.accounts.as_deref().unwrap_or_default()
+    }
+
     /// Parses a sheet from YAML. [`crate::Policy::from_sheet`] checks that its entries are
     /// consistent; [`crate::SheetReport`] does both and reports positions in the text.
     ///
--- a/cuminarch-config/src/space.rs
+++ b/cuminarch-config/src/space.rs
@@ -44,11 +44,15 @@
         };
         let other_segment = unused_name("any", &is_segment);
         let is_service = |text: &str| {
-            matchers.iter().flat_map(|matcher| &matcher.services).any(|name| name.as_str() == text)
+            let mut services =
+                matchers.iter().flat_map(|matcher| matcher.services.iter().flatten());
+            services.any(|name| name.as_str() == text)
         };
         let other_service = ServiceName::new(unused_name("any", &is_service));
-        let is_method =
-            |text: &str| matchers.iter().flat_map(|matcher| &matcher.methods).any(|m| m == text);
+        let is_method = |text: &str| {
+            let mut methods = matchers.iter().flat_map(|matcher| matcher.methods.iter().flatten());
+            methods.any(|method| method == text)
+        };
         let other_method = unused_name("ANY", &is_method).into();
         Self {
             visited: BTreeSet::new(),
@@ -140,10 +144,10 @@
         let matched: Vec<usize> = candidates.iter().filter(is_match).copied().collect();
         let rules = || matched.iter().map(|&index| self.matchers[index]);
         let mut services: BTreeSet<ServiceName> =
-            rules().flat_map(|rule| rule.services.iter().cloned()).collect();
+            rules().flat_map(|rule| rule.services.iter().flatten().cloned()).collect();
         services.insert(self.other_service.clone());
         let mut methods: BTreeSet<CompactString> =
-            rules().flat_map(|rule| rule.methods.iter().cloned()).collect();
+            rules().flat_map(|rule| rule.methods.iter().flatten().cloned()).collect();
         methods.extend(SAFE_METHODS.map(CompactString::const_new));
         methods.insert(self.other_method.clone());
         self.count_comparisons(services.len() * methods.len() * (matched.len() + 1))?;
--- a/cuminarch-config/tests/accounts.rs
+++ b/cuminarch-config/tests/accounts.rs
@@ -209,7 +209,7 @@
 #[case::longest(&"k".repeat(256))]
 fn any_key_survives_a_round_trip(#[case] key: &str) {
     let mut sheet = Sheet::parse(SHEET).unwrap();
-    sheet.accounts[0].keys = vec![ApiKey::new(key).unwrap()];
+    sheet.accounts.as_mut().unwrap()[0].keys = vec![ApiKey::new(key).unwrap()];
     assert_eq!(Sheet::parse(&sheet.to_yaml().unwrap()).unwrap(), sheet);
 }
 
@@ -241,3 +241,54 @@
     assert_eq!(holder.map(AccountName::as_str), Some("quilts"));
     assert!(matches!(gate.offer(&document(6, SHEET)), GateDecision::NotNewer));
 }
+
+const WITHOUT_ACCOUNTS: &str = "
+classes:
+  - {name: browse, grant_attempts: 32, deadline_ms: 60000}
+default_class: browse
+";
+
+/// Guards against an empty or unreadable list of accounts being taken for an absent one.
+#[rstest]
+#[case::absent("", false, 0)]
+#[case::empty("accounts: []", true, 0)]
+#[case::null("accounts:", true, 1)]
+#[case::no_list("accounts: quilts", true, 1)]
+#[case::entry_of_the_wrong_type("accounts: [5]", true, 1)]
+fn only_an_absent_list_of_accounts_needs_no_key(
+    #[case] accounts: &str,
+    #[case] requires_key: bool,
+    #[case] set_aside: usize,
+) {
+    let text = format!("{WITHOUT_ACCOUNTS}{accounts}\n");
+    let sheet = Sheet::parse_confined(&text).unwrap();
+    assert_eq!(sheet.set_aside.len(), set_aside);
+    let passed_on = Sheet::parse_confined(&sheet.to_yaml().unwrap()).unwrap();
+    for sheet in [sheet, passed_on] {
+        let policy = Policy::from_sheet(Revision::new(3), &sheet).unwrap();
+        assert_eq!(policy.accounts().requires_key(), requires_key);
+        assert!(policy.accounts().find(b"quilts").is_none());
+    }
+}
+
+/// Guards against a rule that covers everything once the last service or method is removed from it.
+#[rstest]
+#[case::absent("", true)]
+#[case::named("services: [katalog], methods: [POST], ", true)]
+#[case::no_service("services: [], ", false)]
+#[case::no_method("methods: [], ", false)]
+fn a_rule_with_an_empty_list_covers_no_request(#[case] lists: &str, #[case] is_covered: bool) {
+    let rule = format!("rules:\n  - {{class: browse, {lists}path: /x, idempotent: true}}\n");
+    let sheet = format!("{WITHOUT_ACCOUNTS}{rule}");
+    // The operator program refuses such a sheet; a node that finds one in the store leaves the rule out.
+    assert_eq!(diagnostics(&sheet).contains("rules[0]"), !is_covered);
+    let document = ConfigDocument {
+        revision: Revision::new(3),
+        change: ChangeId::new("change-3").unwrap(),
+        sheet,
+    };
+    let decision = ConfigGate::new().offer(&document);
+    let GateDecision::Accepted(policy) = decision else { panic!("{decision:?}") };
+    let rule = policy.rule(&"katalog".parse().unwrap(), "POST", "/x");
+    assert_eq!(rule.idempotent, is_covered);
+}
--- a/cuminarch-config/tests/common/mod.rs
+++ b/cuminarch-config/tests/common/mod.rs
@@ -51,13 +51,15 @@
 }
 
 fn rule() -> impl Strategy<Value = RuleEntry> {
-    let services = subsequence(SERVICES[..2].to_vec(), 0..=2);
-    let methods = subsequence(METHODS[..3].to_vec(), 0..=2);
+    let services = proptest::option::of(subsequence(SERVICES[..2].to_vec(), 0..=2));
+    let methods = proptest::option::of(subsequence(METHODS[..3].to_vec(), 0..=2));
     (select(vec!["low", "high"]), services, methods, pattern(), any::<bool>()).prop_map(
         |(class, services, methods, path, idempotent)| RuleEntry {
             class: ClassName::new(class).unwrap(),
-            services: services.into_iter().map(|name| ServiceName::new(name).unwrap()).collect(),
-            methods: methods.into_iter().map(Into::into).collect(),
+            services: services.map(|names| {
+                names.into_iter().map(|name| ServiceName::new(name).unwrap()).collect()
+            }),
+            methods: methods.map(|names| names.into_iter().map(Into::into).collect()),
             path: path.into(),
             idempotent,
         },
@@ -68,7 +70,7 @@
     proptest::collection::vec(rule(), 0..7).prop_map(|rules| Sheet {
         routes: Vec::new(),
         caller_limits: None,
-        accounts: Vec::new(),
+        accounts: None,
         services: Vec::new(),
         classes: vec![class("low", false), class("high", true)],
         rules,
@@ -109,9 +111,13 @@
 /// Returns the index of the first rule that covers a request, by linear search.
 pub fn naive_first_match(sheet: &Sheet, service: &str, method: &str, path: &str) -> Option<usize> {
     sheet.rules.iter().position(|rule| {
-        (rule.services.is_empty() || rule.services.iter().any(|name| name.as_str() == service))
-            && (rule.methods.is_empty() || rule.methods.iter().any(|name| name == method))
-            && covers(&split(&rule.path), &split(path))
+        let covers_service = rule
+            .services
+            .as_ref()
+            .is_none_or(|services| services.iter().any(|name| name.as_str() == service));
+        let covers_method =
+            rule.methods.as_ref().is_none_or(|methods| methods.iter().any(|name| name == method));
+        covers_service && covers_method && covers(&split(&rule.path), &split(path))
     })
 }
 
--- a/cuminarch-engine/src/credential.rs
+++ b/cuminarch-engine/src/credential.rs
@@ -23,7 +23,7 @@
     /// Returns `true` if the account holds the key by this policy, or if no request needs one.
     fn is_held(&self, policy: &Policy) -> bool {
         let accounts = policy.accounts();
-        accounts.is_empty()
+        !accounts.requires_key()
             || accounts.holder(self.digest).is_some_and(|holder| holder.name == self.account)
     }
 }
--- a/cuminarch-node/src/interface/key_field.rs
+++ b/cuminarch-node/src/interface/key_field.rs
@@ -27,7 +27,7 @@
         is_public: bool,
         fields: &[HeaderField],
     ) -> Result<Option<HeldKey<'a>>, CredentialFault> {
-        if accounts.is_empty() {
+        if !accounts.requires_key() {
             return Ok(None);
         }
         let fault_of = |key: &[u8]| {
--- a/cuminarch-node/src/interface/native.rs
+++ b/cuminarch-node/src/interface/native.rs
@@ -71,7 +71,7 @@
             None => arrival,
         };
         let mut fields = headers::end_to_end_fields(&request.head.fields);
-        if !accounts.is_empty() {
+        if accounts.requires_key() {
             fields.retain(|field| field.name != headers::AUTHORIZATION);
         }
         fields.retain(|field| field.name != "expect" && !headers::is_interface_field(&field.name));
