fix(node): receive long answers ahead of requests passed on behind them

Cause: answers with requests passed on behind them are received before their heads are written, so that a 502 can replace one that breaks off, but only up to 64 KiB.

--- a/cuminarch-node/src/data/front_writer.rs
+++ b/cuminarch-node/src/data/front_writer.rs
@@ -12,6 +12,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::{mpsc, oneshot};
 
+use super::ahead_budget::AheadReservation;
 use super::connection_state::ConnectionState;
 use super::connections::UnsentCounter;
 use super::delivery::wait_until_sent;
@@ -97,7 +98,7 @@
             // Without `100 Continue`, the sender may send the body or not, so the position of the
             // next request in the byte stream is unknown.
             let awaits_continue = pending.continue_signal.is_some();
-            let reply = self.receive_ahead(reply).await;
+            let (reply, _reservation) = self.receive_ahead(reply).await;
             if reply.closes || awaits_continue || self.context.driver.is_leaving() {
                 self.shared.begin_close();
             }
@@ -117,12 +118,22 @@
 
     /// Receives the body of an answer before its head is written if further requests have been
     /// passed on behind it: an answer that breaks off after its head ends the connection for all
-    /// of them.
-    async fn receive_ahead(&self, reply: HttpReply) -> HttpReply {
-        if self.shared.unanswered() > 1 {
-            reply.receive_body(&*self.context.interface, Self::MAX_RECEIVED_AHEAD_BYTES).await
-        } else {
-            reply
+    /// of them. A long one needs a part of the node's memory for such answers.
+    async fn receive_ahead(&self, reply: HttpReply) -> (HttpReply, Option<AheadReservation>) {
+        if self.shared.unanswered() <= 1 {
+            return (reply, None);
+        }
+        let interface = &*self.context.interface;
+        let reply = reply.receive_body(interface, Self::UNRESERVED_AHEAD_BYTES).await;
+        if !matches!(reply.body, ReplyBody::Streaming(_)) {
+            return (reply, None);
+        }
+        match self.context.ahead_budget.reserve(reply.len_bytes) {
+            Some(reservation) => {
+                let reply = reply.receive_body(interface, reservation.len_bytes).await;
+                (reply, Some(reservation))
+            }
+            None => (reply, None),
         }
     }
 
@@ -222,8 +233,8 @@
         }
     }
 
-    /// Longest body that is received before its head is written.
-    const MAX_RECEIVED_AHEAD_BYTES: usize = 64 * 1024;
+    /// Longest body that is received ahead without a reservation.
+    const UNRESERVED_AHEAD_BYTES: usize = 64 * 1024;
     /// Buffer size that forces a write while further chunks are available immediately.
     const FLUSH_THRESHOLD_BYTES: usize = 32 * 1024;
 
--- a/cuminarch-node/src/data/http_reply.rs
+++ b/cuminarch-node/src/data/http_reply.rs
@@ -29,7 +29,7 @@
 }
 
 impl StreamedBody {
-    /// Receives the body, up to this length or a little more. Returns `true` at its end.
+    /// Receives more of the body, up to this length or a little more. Returns `true` at its end.
     async fn receive(&mut self, max_len_bytes: usize) -> Result<bool, BrokenBody> {
         while self.received.len() < max_len_bytes {
             match self.rest.next().await.transpose()? {
--- a/cuminarch-node/src/data/mod.rs
+++ b/cuminarch-node/src/data/mod.rs
@@ -4,6 +4,7 @@
 //! loop, so a call never moves between threads.
 
 mod acceptor;
+mod ahead_budget;
 mod answer;
 mod answer_pace;
 mod body;
--- a/cuminarch-node/src/data/runner.rs
+++ b/cuminarch-node/src/data/runner.rs
@@ -22,6 +22,7 @@
 use flume::Sender;
 use log::{info, warn};
 
+use super::ahead_budget::AheadBudget;
 use super::answer::{Answer, AnswerBody, AnswerSource, BrokenAnswerLog};
 use super::answer_pace::AnswerPace;
 use super::body::RequestBody;
@@ -60,6 +61,7 @@
     pub splitter: Rc<RefCell<Splitter>>,
     /// Receives what this thread learns about members.
     pub member_reports: Sender<MemberReport>,
+    pub ahead_budget: AheadBudget,
 }
 
 impl DataContext {
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use super::acceptor::{CALLER_HANDSHAKE_TIMEOUT, accept};
+use super::ahead_budget::AheadBudget;
 use super::command::DataCommand;
 use super::connections::Connections;
 use super::datagrams::{DatagramReceiver, DatagramSender};
@@ -117,6 +118,7 @@
             requires_config: self.settings.requires_config,
             splitter: Rc::default(),
             member_reports: self.member_reports,
+            ahead_budget: AheadBudget::default(),
         };
         if self.keeps_upstream_history {
             driver.await_upstream_history();
