fix(membership): have an upstream repeat a registration that does not count yet

A registration that would count only once another has followed is now answered 503 instead of an acknowledgement, which has the endpoint repeat it at once; others wait up to 0.4 s for what becomes of them. A lifetime that is known to have left ends the wait at once.

--- a/cuminarch-membership/src/action.rs
+++ b/cuminarch-membership/src/action.rs
@@ -153,6 +153,8 @@
     /// Nobody could be asked about the upstream. Registrations that arrive from now on were sent by
     /// a live upstream; earlier ones may have been late.
     UpstreamHistoryUnknown,
+    /// Have the own upstream register once more: nobody can tell what earlier processes knew.
+    UpstreamUnconfirmed,
     /// The departure of the upstream is stored, or other members know of it.
     UpstreamRecorded(Box<UpstreamRecord>),
     /// Apply a policy.
--- a/cuminarch-membership/src/roster/upstream_history.rs
+++ b/cuminarch-membership/src/roster/upstream_history.rs
@@ -23,7 +23,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cuminarch_protocol::{ControlMessage, Member, MemberState, UpstreamRecord, UpstreamState};
+use cuminarch_protocol::{
+    ControlMessage, Member, MemberState, UpstreamLifetime, UpstreamRecord, UpstreamState,
+};
 use cuminarch_types::{EndpointId, MonoTime};
 
 use super::Roster;
@@ -38,6 +40,10 @@
     has_predecessor: bool,
     /// Whether a member that had a link to the earlier process has told what it knows.
     has_witness: bool,
+    /// Latest lifetime that is known to have left.
+    departed: Option<UpstreamLifetime>,
+    /// Whether the upstream was asked to register once more.
+    is_repeat_requested: bool,
     /// First answer of the store.
     store_answered_at: Option<MonoTime>,
     is_settled: bool,
@@ -81,6 +87,8 @@
 impl Roster {
     /// Time for the store to answer a process that starts, and for the members to turn up.
     const HISTORY_TIMEOUT: Duration = Duration::from_millis(1_000);
+    /// Time for a member to tell what it knows before the upstream has to register once more.
+    const WITNESS_TIME: Duration = Duration::from_millis(150);
     /// Longest time that a registration takes to arrive.
     const MAX_REGISTRATION_DELAY: Duration = Duration::from_secs(5);
 
@@ -93,6 +101,7 @@
             Some(waiting) if waiting.record.started_at_ms > pending.record.started_at_ms => {}
             waiting => *waiting = Some(WaitingRegistration::new(pending, now)),
         }
+        self.complete_if_departed();
         self.drive_store(now);
     }
 
@@ -114,6 +123,16 @@
             self.complete_history();
         } else if may_write && self.store.is_listed {
             self.write_pending(&pending.record.clone(), now);
+        } else if self.trusts_store() && now.since(pending.received_at) >= Self::WITNESS_TIME {
+            self.request_repeat();
+        }
+    }
+
+    /// Has the upstream register once more without waiting for its next turn.
+    fn request_repeat(&mut self) {
+        let has_predecessor = self.history.has_predecessor && !self.history.has_witness;
+        if has_predecessor && !std::mem::replace(&mut self.history.is_repeat_requested, true) {
+            self.actions.push(FleetAction::UpstreamUnconfirmed);
         }
     }
 
@@ -160,11 +179,17 @@
     pub(super) fn adopt_history(&mut self, member: &Member) {
         self.history.has_predecessor |= self.is_of_earlier_process(member);
         let Some(upstream) = self.earlier_upstream(member).cloned() else { return };
-        let has_departed = upstream.state > UpstreamState::Ready;
-        let pending = self.history.pending.as_ref().map(|pending| pending.record.lifetime());
-        let is_pending = pending == Some(upstream.lifetime());
+        if upstream.state > UpstreamState::Ready {
+            self.history.departed = upstream.lifetime();
+        }
         self.actions.push(FleetAction::UpstreamHistory(Box::new(upstream)));
-        if has_departed && is_pending {
+        self.complete_if_departed();
+    }
+
+    /// Ends the wait of a registration whose lifetime is known to have left.
+    fn complete_if_departed(&mut self) {
+        let pending = self.history.pending.as_ref().and_then(|pending| pending.record.lifetime());
+        if pending.is_some() && pending == self.history.departed {
             self.complete_history();
         }
     }
--- a/cuminarch-membership/src/upstream_tracker.rs
+++ b/cuminarch-membership/src/upstream_tracker.rs
@@ -115,6 +115,12 @@
         }
     }
 
+    /// Returns `true` while no upstream is taken for ready because its history is not complete.
+    #[must_use]
+    pub const fn awaits_history(&self) -> bool {
+        self.awaits_history
+    }
+
     /// Returns the latest registration of the latest lifetime that waits for the history.
     #[must_use]
     pub fn pending_upstream(&self) -> Option<PendingUpstream> {
--- a/cuminarch-membership/tests/roster_world/mod.rs
+++ b/cuminarch-membership/tests/roster_world/mod.rs
@@ -205,6 +205,7 @@
                 FleetAction::Connect(_)
                 | FleetAction::Notice(_)
                 | FleetAction::UpstreamHistory(_)
+                | FleetAction::UpstreamUnconfirmed
                 | FleetAction::UpstreamRecorded(_) => {}
             }
         }
--- a/cuminarch-node/src/control/thread.rs
+++ b/cuminarch-node/src/control/thread.rs
@@ -223,6 +223,9 @@
             FleetAction::UpstreamHistoryUnknown => {
                 self.command(DataCommand::UpstreamHistoryUnknown).await;
             }
+            FleetAction::UpstreamUnconfirmed => {
+                self.command(DataCommand::UpstreamUnconfirmed).await;
+            }
             FleetAction::UpstreamRecorded(record) => {
                 self.command(DataCommand::UpstreamRecorded(record)).await;
             }
--- a/cuminarch-node/src/data/command.rs
+++ b/cuminarch-node/src/data/command.rs
@@ -21,6 +21,8 @@
     UpstreamHistoryComplete,
     /// Nothing can be found out about the upstream; only later registrations count.
     UpstreamHistoryUnknown,
+    /// The upstream has to register once more before it may be taken for ready.
+    UpstreamUnconfirmed,
     /// The next process of the node will know of this departure of the upstream.
     UpstreamRecorded(Box<UpstreamRecord>),
     /// Return the result of a claim.
--- a/cuminarch-node/src/data/driver.rs
+++ b/cuminarch-node/src/data/driver.rs
@@ -12,7 +12,7 @@
 use cuminarch_engine::{
     Action, AllotmentNotice, Arrival, ClaimResult, Engine, Event, QuarantineNotice,
 };
-use cuminarch_membership::{PendingUpstream, Registration, UpstreamTracker};
+use cuminarch_membership::{Registration, UpstreamTracker};
 use cuminarch_once::BoundKey;
 use cuminarch_protocol::{Member, UpstreamLifetime, UpstreamRecord, UpstreamSignals};
 use cuminarch_routing::Target;
@@ -61,6 +61,8 @@
     next_tick_at: Cell<MonoTime>,
     upstream: RefCell<UpstreamTracker>,
     departures: RecordedDepartures,
+    /// Whether the upstream has to register once more before it may be taken for ready.
+    is_repeat_needed: Cell<bool>,
     /// Set when shutdown begins; calls may still be served for a while.
     is_leaving: Cell<bool>,
     stop: StopGuard,
@@ -125,6 +127,7 @@
             next_tick_at,
             upstream,
             departures: RecordedDepartures::default(),
+            is_repeat_needed: Cell::new(false),
             is_leaving,
             stop: StopGuard::default(),
             metrics,
@@ -176,18 +179,6 @@
         self.update_upstream(|tracker| tracker.apply(registration).cloned())
     }
 
-    /// Returns the registration of the local upstream that waits for what an earlier process knew.
-    pub fn pending_upstream(&self) -> Option<PendingUpstream> {
-        self.shared.upstream.borrow().pending_upstream()
-    }
-
-    /// Makes the upstream count as ready only once it is known what an earlier process of the node
-    /// has acknowledged.
-    pub fn await_upstream_history(&self) {
-        *self.shared.upstream.borrow_mut() = UpstreamTracker::new().awaiting_history();
-        self.shared.departures.enable();
-    }
-
     /// Waits until the next process of the node will know of a departure, at most for `timeout`.
     pub async fn wait_until_recorded(&self, departed: &UpstreamRecord, timeout: Duration) {
         self.shared.departures.wait_until_recorded(departed, timeout).await;
@@ -390,6 +381,7 @@
                         warn!("{} registrations={dropped}", NodeEvent::RegistrationsUndated);
                     }
                 }
+                DataCommand::UpstreamUnconfirmed => self.shared.is_repeat_needed.set(true),
                 DataCommand::UpstreamRecorded(record) => self.shared.departures.record(*record),
                 DataCommand::Claimed(call, result) => self.post(Event::Claimed(call, result)),
                 DataCommand::RetryBudget(settings) => {
@@ -492,3 +484,5 @@
         self.driver.post(Event::Cancel(self.call));
     }
 }
+
+mod history;
--- a/cuminarch-node/src/data/registration.rs
+++ b/cuminarch-node/src/data/registration.rs
@@ -14,6 +14,9 @@
 /// node will know of it; the platform expects the acknowledgement within a second.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Maximum time for which a registration waits until it is known whether it counts.
+const HISTORY_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Applies a registration and acknowledges it from the node's own state.
 pub async fn register(context: &DataContext, head: &RequestHead, body: &[u8]) -> LocalAnswer {
     match context.interface.parse_registration(head, body) {
@@ -26,6 +29,11 @@
                 }
             } else if let Some(pending) = context.driver.pending_upstream() {
                 context.publish_pending(pending);
+                if !context.driver.is_registration_counted(HISTORY_TIMEOUT).await {
+                    return context
+                        .interface
+                        .error_answer(503, "the upstream has to register again");
+                }
             }
             answer
         }
--- a/cuminarch-node/src/data/thread.rs
+++ b/cuminarch-node/src/data/thread.rs
@@ -127,11 +127,7 @@
             driver.post(Event::Upstream(Box::new(UpstreamRecord::absent())));
         }
         let max_open = self.settings.max_connections;
-        let served = ServedConnections {
-            external: Connections::new(max_open),
-            egress: Connections::new(max_open),
-            lifecycle: Connections::new(max_open),
-        };
+        let served = ServedConnections::new(max_open);
         listen(&context, self.listeners, &served);
         context.spawn(driver.clone().run_timers());
         context.spawn(context.links.clone().close_unusable());
@@ -190,6 +186,14 @@
 }
 
 impl ServedConnections {
+    fn new(max_open: usize) -> Self {
+        Self {
+            external: Connections::new(max_open),
+            egress: Connections::new(max_open),
+            lifecycle: Connections::new(max_open),
+        }
+    }
+
     const fn all(&self) -> [&Connections; 3] {
         [&self.external, &self.egress, &self.lifecycle]
     }
--- a/cuminarch-testing/src/virtual_fleet/run.rs
+++ b/cuminarch-testing/src/virtual_fleet/run.rs
@@ -310,6 +310,7 @@
                 FleetAction::UpstreamHistory(_)
                 | FleetAction::UpstreamHistoryComplete
                 | FleetAction::UpstreamHistoryUnknown
+                | FleetAction::UpstreamUnconfirmed
                 | FleetAction::UpstreamRecorded(_) => {}
             }
         }
